--- /dev/null
+++ b/src/bin/ashroad/keys.rs
@@ -0,0 +1,19 @@
+//! `ashroad keys`
+
+use ashroad::peer::keys;
+use snafu::ResultExt;
+
+use crate::{
+    app::{KeysAction, KeysArgs},
+    error::{KeysSnafu, Result},
+};
+
+/// Makes certificates.
+pub fn run(args: &KeysArgs) -> Result<()> {
+    match &args.action {
+        KeysAction::Ca { directory } => keys::create_ca(directory).context(KeysSnafu),
+        KeysAction::Host { directory, name } => {
+            keys::create_host(directory, name).context(KeysSnafu)
+        }
+    }
+}
--- /dev/null
+++ b/src/claims/batch.rs
@@ -0,0 +1,261 @@
+//! Writes claims in groups: one transaction for all that arrived while earlier ones were under
+//! way, because the table service takes only several hundred writes a second.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use tokio::{
+    sync::{Semaphore, mpsc, oneshot},
+    time,
+};
+
+use super::{
+    Claim, ClaimCounters, Claimed,
+    row::{ClaimRow, ClaimState},
+};
+use crate::{
+    clock,
+    platform::{
+        Platform,
+        message::{Condition, Expect, Transacted, Transaction, Write},
+    },
+    routing::outcome::Reason,
+};
+
+/// Most claims in one transaction.
+const GROUP_MAX: usize = 256;
+/// Transactions under way at a time.
+const IN_FLIGHT: usize = 2;
+/// Time to let a group gather.
+const GATHER_MS: u64 = 2;
+const RETRY_MS: u64 = 25;
+/// Time for the end of a claim to be recorded.
+const END_TIMEOUT_MS: u64 = 10_000;
+
+/// One wish of the router.
+#[derive(Debug)]
+pub(super) enum Operation {
+    /// Make a claim.
+    Insert {
+        key: String,
+        row: ClaimRow,
+        give_up_ms: u64,
+        reply: oneshot::Sender<Claimed>,
+    },
+    /// Record a claim's end.
+    End {
+        key: String,
+        version: u64,
+        row: ClaimRow,
+    },
+}
+
+/// Writes operations until the queue closes.
+pub(super) async fn run(
+    platform: Platform,
+    mut queue: mpsc::Receiver<Operation>,
+    counters: Arc<ClaimCounters>,
+) {
+    let turns = Arc::new(Semaphore::new(IN_FLIGHT));
+    loop {
+        let Ok(turn) = turns.clone().acquire_owned().await else {
+            return;
+        };
+        let mut group = Vec::new();
+        if queue.recv_many(&mut group, GROUP_MAX).await == 0 {
+            return;
+        }
+        if group.len() < GROUP_MAX {
+            time::sleep(Duration::from_millis(GATHER_MS)).await;
+            while group.len() < GROUP_MAX
+                && let Ok(operation) = queue.try_recv()
+            {
+                group.push(operation);
+            }
+        }
+        let writer = Writer {
+            platform: platform.clone(),
+            counters: counters.clone(),
+        };
+        tokio::spawn(async move {
+            writer.write(group).await;
+            drop(turn);
+        });
+    }
+}
+
+/// Writes one group.
+struct Writer {
+    platform: Platform,
+    counters: Arc<ClaimCounters>,
+}
+
+impl Writer {
+    /// Writes the group, taking out in each round what conflicts.
+    async fn write(&self, mut group: Vec<Operation>) {
+        while !group.is_empty() {
+            let transaction = transaction(&group);
+            self.counters.transactions.fetch_add(1, Ordering::Relaxed);
+            match self.platform.transact(&transaction).await {
+                Ok(Transacted::Committed) => {
+                    group.into_iter().for_each(Operation::succeeded);
+                    return;
+                }
+                Ok(Transacted::Conflict { keys }) => {
+                    let (conflicting, rest) = split(group, &keys);
+                    group = rest;
+                    for operation in conflicting {
+                        self.settle(operation).await;
+                    }
+                }
+                // It may have taken effect: the next round's conflicts will tell.
+                Err(error) => {
+                    log::debug!("claims cannot be recorded: {error}");
+                    group = give_up(group);
+                    time::sleep(Duration::from_millis(RETRY_MS)).await;
+                }
+            }
+        }
+    }
+
+    /// Finds out what stands in the way of one operation.
+    async fn settle(&self, operation: Operation) {
+        match operation {
+            Operation::Insert {
+                key,
+                row,
+                give_up_ms,
+                reply,
+            } => {
+                let claimed = self.settle_insert(key, row, give_up_ms).await;
+                let _ = reply.send(claimed);
+            }
+            // An earlier round took effect, or the row was swept.
+            Operation::End { .. } => {}
+        }
+    }
+
+    async fn settle_insert(&self, key: String, row: ClaimRow, give_up_ms: u64) -> Claimed {
+        while clock::now_ms() < give_up_ms {
+            let found = match self.platform.row(&key).await {
+                Ok(Some(found)) => found,
+                Ok(None) => return Claimed::Unavailable,
+                Err(_) => {
+                    time::sleep(Duration::from_millis(RETRY_MS)).await;
+                    continue;
+                }
+            };
+            let Ok(held) = serde_json::from_str::<ClaimRow>(&found.value) else {
+                return Claimed::Refused(Reason::Unsettled);
+            };
+            if held.nonce == row.nonce {
+                let version = found.version;
+                return Claimed::Granted(Claim { key, row, version });
+            }
+            if held.state != ClaimState::Released || held.fingerprint != row.fingerprint {
+                return duplicate(held, &row);
+            }
+            // Taking a released row over; whatever the answer, the next look tells.
+            let transaction = put(&key, Expect::Version(found.version), &row);
+            self.counters.transactions.fetch_add(1, Ordering::Relaxed);
+            let _ = self.platform.transact(&transaction).await;
+        }
+        Claimed::Unavailable
+    }
+}
+
+impl Operation {
+    fn succeeded(self) {
+        let Self::Insert {
+            key, row, reply, ..
+        } = self
+        else {
+            return;
+        };
+        let version = 1;
+        let _ = reply.send(Claimed::Granted(Claim { key, row, version }));
+    }
+
+    fn key(&self) -> &str {
+        match self {
+            Self::Insert { key, .. } | Self::End { key, .. } => key,
+        }
+    }
+
+    fn expired(&self) -> bool {
+        let now_ms = clock::now_ms();
+        match self {
+            Self::Insert { give_up_ms, .. } => now_ms >= *give_up_ms,
+            Self::End { row, .. } => clock::unix_ms() > row.until_unix_ms + END_TIMEOUT_MS,
+        }
+    }
+}
+
+/// What a second arrival is told.
+fn duplicate(held: ClaimRow, row: &ClaimRow) -> Claimed {
+    if held.fingerprint != row.fingerprint {
+        return Claimed::Refused(Reason::KeyReused);
+    }
+    match held.state {
+        ClaimState::Answered(answer) => Claimed::Answered(answer),
+        ClaimState::AnswerNotKept => Claimed::Refused(Reason::AnswerNotKept),
+        ClaimState::Pending if clock::unix_ms() <= held.until_unix_ms => {
+            Claimed::Refused(Reason::InProgress)
+        }
+        ClaimState::Pending | ClaimState::Unknown | ClaimState::Released => {
+            Claimed::Refused(Reason::Unsettled)
+        }
+    }
+}
+
+fn transaction(group: &[Operation]) -> Transaction {
+    let mut whole = Transaction {
+        conditions: Vec::with_capacity(group.len()),
+        writes: Vec::with_capacity(group.len()),
+    };
+    for operation in group {
+        let one = match operation {
+            Operation::Insert { key, row, .. } => put(key, Expect::Absent, row),
+            Operation::End { key, version, row } => put(key, Expect::Version(*version), row),
+        };
+        whole.conditions.extend(one.conditions);
+        whole.writes.extend(one.writes);
+    }
+    whole
+}
+
+fn put(key: &str, expect: Expect, row: &ClaimRow) -> Transaction {
+    let condition = Condition {
+        key: key.to_owned(),
+        expect,
+    };
+    let write = Write {
+        key: key.to_owned(),
+        value: serde_json::to_string(row).ok(),
+    };
+    Transaction {
+        conditions: vec![condition],
+        writes: vec![write],
+    }
+}
+
+/// Takes the operations on `keys` out; of several on one key, all.
+fn split(group: Vec<Operation>, keys: &[String]) -> (Vec<Operation>, Vec<Operation>) {
+    group
+        .into_iter()
+        .partition(|operation| keys.iter().any(|key| key == operation.key()))
+}
+
+/// Answers what has waited too long. A claim that may have been recorded all the same stays
+/// pending: its request never runs, and says so.
+fn give_up(group: Vec<Operation>) -> Vec<Operation> {
+    let (expired, rest): (Vec<_>, Vec<_>) = group.into_iter().partition(Operation::expired);
+    for operation in expired {
+        if let Operation::Insert { reply, .. } = operation {
+            let _ = reply.send(Claimed::Unavailable);
+        }
+    }
+    rest
+}
--- /dev/null
+++ b/src/claims/mod.rs
@@ -0,0 +1,153 @@
+//! Records of unrepeatable requests: a claim is in the table service before a request's first
+//! byte goes out, so a second arrival at any host never runs.
+
+mod batch;
+mod row;
+mod sweep;
+
+pub use self::{
+    row::{Fingerprint, StoredAnswer},
+    sweep::Sweep,
+};
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use rand::Rng;
+use tokio::sync::{mpsc, oneshot};
+
+use self::{
+    batch::Operation,
+    row::{ClaimRow, ClaimState, claim_key},
+};
+use crate::{clock, id::OperationId, platform::Platform, routing::outcome::Reason};
+
+/// Longest answer that is kept for duplicates.
+pub const KEPT_BODY_BYTES: usize = 64 * 1024;
+/// Time for a claim to be recorded before its request is refused.
+const CLAIM_TIMEOUT_MS: u64 = 1_000;
+const QUEUE_OPERATIONS: usize = 10_000;
+
+/// Counters of the claims of one host.
+#[derive(Debug, Default)]
+pub struct ClaimCounters {
+    /// Claims recorded.
+    pub claims: AtomicU64,
+    /// Transactions that recorded claims or their ends.
+    pub transactions: AtomicU64,
+}
+
+/// Claims of one host.
+#[derive(Debug)]
+pub struct Claims {
+    operations: mpsc::Sender<Operation>,
+    counters: std::sync::Arc<ClaimCounters>,
+}
+
+/// Right to run one unrepeatable request; it must be ended with one of its methods.
+#[derive(Debug)]
+pub struct Claim {
+    key: String,
+    row: ClaimRow,
+    version: u64,
+}
+
+/// What became of the wish to run a request.
+#[derive(Debug)]
+pub enum Claimed {
+    /// It may run, once.
+    Granted(Claim),
+    /// It was answered before.
+    Answered(StoredAnswer),
+    /// It must not run.
+    Refused(Reason),
+    /// The record cannot be reached, so it does not run.
+    Unavailable,
+}
+
+impl Claims {
+    /// Starts the writer of claims.
+    pub fn start(platform: Platform) -> Self {
+        let (operations, queue) = mpsc::channel(QUEUE_OPERATIONS);
+        let counters = std::sync::Arc::new(ClaimCounters::default());
+        tokio::spawn(batch::run(platform, queue, counters.clone()));
+        Self {
+            operations,
+            counters,
+        }
+    }
+
+    /// Counters so far.
+    pub fn counters(&self) -> &ClaimCounters {
+        &self.counters
+    }
+
+    /// Claims the right to run the request `idempotency_key` of `service` until `deadline_ms`.
+    pub async fn claim(
+        &self,
+        service: &str,
+        idempotency_key: &str,
+        fingerprint: Fingerprint,
+        deadline_ms: u64,
+    ) -> Claimed {
+        let now_ms = clock::now_ms();
+        let row = ClaimRow {
+            nonce: rand::rng().random::<u64>() >> 11,
+            fingerprint,
+            at_unix_ms: clock::unix_ms(),
+            until_unix_ms: clock::unix_ms() + deadline_ms.saturating_sub(now_ms),
+            state: ClaimState::Pending,
+        };
+        let key = claim_key(service, idempotency_key);
+        let (reply, replied) = oneshot::channel();
+        let operation = Operation::Insert {
+            key: key.clone(),
+            row: row.clone(),
+            give_up_ms: deadline_ms.min(now_ms + CLAIM_TIMEOUT_MS),
+            reply,
+        };
+        if self.operations.try_send(operation).is_err() {
+            return Claimed::Unavailable;
+        }
+        let claimed = replied.await.unwrap_or(Claimed::Unavailable);
+        if let Claimed::Granted(_) = claimed {
+            self.counters.claims.fetch_add(1, Ordering::Relaxed);
+        }
+        claimed
+    }
+
+    /// The request was answered.
+    pub fn answered(&self, claim: Claim, answer: Option<StoredAnswer>) {
+        let state = match answer {
+            Some(answer) => ClaimState::Answered(answer),
+            None => ClaimState::AnswerNotKept,
+        };
+        self.end(claim, state);
+    }
+
+    /// The request provably did not run; it may be claimed again.
+    pub fn released(&self, claim: Claim) {
+        self.end(claim, ClaimState::Released);
+    }
+
+    /// Nobody knows whether the request ran; it never runs again.
+    pub fn unknown(&self, claim: Claim) {
+        self.end(claim, ClaimState::Unknown);
+    }
+
+    fn end(&self, claim: Claim, state: ClaimState) {
+        let operation = Operation::End {
+            key: claim.key,
+            version: claim.version,
+            row: ClaimRow { state, ..claim.row },
+        };
+        if self.operations.try_send(operation).is_err() {
+            // The row stays pending, which duplicates are told as unknown.
+            log::warn!("the end of a claim was not recorded: too many wait");
+        }
+    }
+}
+
+/// Identifier of one attempt's request.
+pub fn request_id() -> String {
+    OperationId::random().0
+}
--- /dev/null
+++ b/src/claims/sweep.rs
@@ -0,0 +1,62 @@
+//! Removes claims after their retention, a page at a time.
+
+use super::row::{CLAIM_PREFIX, ClaimRow};
+use crate::{
+    clock,
+    platform::{
+        self, Platform,
+        message::{Condition, Expect, Row, Transaction, Write},
+    },
+};
+
+/// Rows looked at in one step.
+pub const PAGE_ROWS: usize = 200;
+
+/// A sweep over all claims, step by step.
+#[derive(Clone, Debug, Default)]
+pub struct Sweep {
+    after: String,
+}
+
+impl Sweep {
+    /// Looks at the next page and removes what is older than `retention_ms`; returns the number of
+    /// rows removed.
+    pub async fn step(
+        &mut self,
+        platform: &Platform,
+        retention_ms: u64,
+    ) -> platform::Result<usize> {
+        let rows = platform.range(CLAIM_PREFIX, &self.after, PAGE_ROWS).await?;
+        let Some(last) = rows.last() else {
+            self.after.clear();
+            return Ok(0);
+        };
+        let oldest_ms = clock::unix_ms().saturating_sub(retention_ms);
+        let old: Vec<&Row> = rows.iter().filter(|row| is_old(row, oldest_ms)).collect();
+        if !old.is_empty() {
+            platform.transact(&removal(&old)).await?;
+        }
+        self.after = last.key.clone();
+        Ok(old.len())
+    }
+}
+
+fn is_old(row: &Row, oldest_ms: u64) -> bool {
+    let claim = serde_json::from_str::<ClaimRow>(&row.value);
+    claim.is_ok_and(|claim| claim.at_unix_ms < oldest_ms)
+}
+
+fn removal(rows: &[&Row]) -> Transaction {
+    let condition = |row: &&Row| Condition {
+        key: row.key.clone(),
+        expect: Expect::Version(row.version),
+    };
+    let write = |row: &&Row| Write {
+        key: row.key.clone(),
+        value: None,
+    };
+    Transaction {
+        conditions: rows.iter().map(condition).collect(),
+        writes: rows.iter().map(write).collect(),
+    }
+}
--- /dev/null
+++ b/src/configuration/template.rs
@@ -0,0 +1,313 @@
+//! A template: the services of a workspace and their routing, with parameters left open.
+
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use snafu::ensure;
+
+use super::{
+    DOCUMENT_BYTES_MAX,
+    error::{EmptySnafu, Error, FieldSnafu, Result, TooLargeSnafu, field},
+};
+
+/// Most slots of one service.
+pub const SLOTS_MAX: u32 = 1_000_000;
+const NAME_CHARS_MAX: usize = 63;
+
+/// A template as written by an operator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Template {
+    /// Name, unique among templates.
+    pub template: String,
+    /// Parameters that a workspace may or must set.
+    #[serde(default)]
+    pub parameters: Vec<Parameter>,
+    /// Prices of the planner.
+    #[serde(default)]
+    pub weights: Weights,
+    /// Services of each workspace.
+    pub services: Vec<Service>,
+}
+
+/// One parameter.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Parameter {
+    /// Name by which services refer to it.
+    pub name: String,
+    /// Type.
+    #[serde(rename = "type")]
+    pub kind: ParameterKind,
+    /// Least value, or fewest targets.
+    #[serde(default = "one")]
+    pub min: u64,
+    /// Greatest value, or most targets.
+    pub max: u64,
+    /// Value of a workspace that sets none; integers only.
+    #[serde(default)]
+    pub default: Option<u64>,
+}
+
+/// Type of a parameter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ParameterKind {
+    /// A whole number within bounds.
+    Integer,
+    /// A list of backend servers.
+    Targets,
+}
+
+/// Prices that the planner puts on its three measures.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Weights {
+    /// Price of load above the mean, per server capacity and hour.
+    pub imbalance: f64,
+    /// Price of moving the whole of one server's share of keys once.
+    pub churn: f64,
+    /// Price of a second in which a server's share of keys cannot be served.
+    pub unavailable: f64,
+}
+
+impl Default for Weights {
+    fn default() -> Self {
+        Self {
+            imbalance: 1.0,
+            churn: 1.0,
+            unavailable: 1.0,
+        }
+    }
+}
+
+/// A number, or a reference to an integer parameter written `${name}`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Number {
+    /// The number itself.
+    Value(u64),
+    /// A reference.
+    Reference(String),
+}
+
+/// One service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name, unique in the template; part of callers' paths.
+    pub name: String,
+    /// Name of the parameter with the backend servers.
+    pub targets: String,
+    /// Where a request's key is found.
+    pub key: KeySource,
+    /// Slots over which keys are spread; fixed for the life of a workspace.
+    #[serde(default = "default_slots")]
+    pub slots: u32,
+    /// Requests that one server runs at a time.
+    pub server_slots: Number,
+    /// Connections that one server takes, over all entry hosts.
+    pub server_connections: Number,
+    /// Requests that may wait at one entry host.
+    #[serde(default = "default_queue")]
+    pub queue_requests: Number,
+    /// Time for a request that brings no deadline of its own.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: Number,
+    /// False for servers that take orders from anyone, however old.
+    #[serde(default = "yes")]
+    pub checks_orders: bool,
+    /// Requests that must run at most once.
+    #[serde(default)]
+    pub unrepeatable: Vec<UnrepeatableRule>,
+}
+
+/// Where a request's key is found.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeySource {
+    /// A segment of the path behind the service, counted from 0.
+    Path(usize),
+    /// A header, by name.
+    Header(String),
+}
+
+/// Marks requests as unrepeatable.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UnrepeatableRule {
+    /// Method of the requests.
+    pub method: String,
+    /// Prefix of the path behind the service.
+    #[serde(default)]
+    pub path_prefix: String,
+}
+
+fn one() -> u64 {
+    1
+}
+
+fn yes() -> bool {
+    true
+}
+
+fn default_slots() -> u32 {
+    256
+}
+
+fn default_queue() -> Number {
+    Number::Value(1_000)
+}
+
+fn default_deadline() -> Number {
+    Number::Value(5_000)
+}
+
+/// Checks a document's size and encoding.
+pub fn check_text(bytes: &[u8]) -> Result<&str> {
+    ensure!(
+        bytes.len() <= DOCUMENT_BYTES_MAX,
+        TooLargeSnafu {
+            bytes: bytes.len(),
+            max: DOCUMENT_BYTES_MAX
+        }
+    );
+    let text = std::str::from_utf8(bytes).map_err(|error| Error::NotText {
+        offset: error.valid_up_to(),
+    })?;
+    ensure!(!text.trim().is_empty(), EmptySnafu);
+    Ok(text)
+}
+
+/// Reads any document: size and encoding are checked before the YAML is.
+pub fn read_document<T: DeserializeOwned>(bytes: &[u8]) -> Result<T> {
+    let text = check_text(bytes)?;
+    serde_saphyr::from_str(text).map_err(|error| Error::Syntax {
+        message: error.to_string(),
+    })
+}
+
+/// Checks a name that becomes part of callers' paths.
+pub fn check_name(path: &str, name: &str) -> Result<()> {
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    let good = !name.is_empty() && name.len() <= NAME_CHARS_MAX && name.chars().all(fits);
+    ensure!(
+        good,
+        FieldSnafu {
+            path,
+            found: format!("{name:?}"),
+            expected: "1 to 63 lower-case letters, digits or hyphens",
+        }
+    );
+    Ok(())
+}
+
+impl Template {
+    /// Reads and checks a template.
+    pub fn read(bytes: &[u8]) -> Result<Self> {
+        let template: Self = read_document(bytes)?;
+        match template.problems().into_iter().next() {
+            Some(problem) => Err(problem),
+            None => Ok(template),
+        }
+    }
+
+    /// Everything that is wrong beyond the syntax.
+    pub fn problems(&self) -> Vec<Error> {
+        let mut problems = Vec::new();
+        problems.extend(check_name("template", &self.template).err());
+        if self.services.is_empty() {
+            problems.push(field("services", "an empty list", "at least one service"));
+        }
+        self.check_weights(&mut problems);
+        self.check_parameters(&mut problems);
+        for (index, service) in self.services.iter().enumerate() {
+            let again = self.services[..index]
+                .iter()
+                .any(|s| s.name == service.name);
+            if again {
+                let path = format!("services[{index}].name");
+                problems.push(field(path, service.name.clone(), "a name used once"));
+            }
+            self.check_service(index, service, &mut problems);
+        }
+        problems
+    }
+
+    fn check_weights(&self, problems: &mut Vec<Error>) {
+        let weights = [
+            ("imbalance", self.weights.imbalance),
+            ("churn", self.weights.churn),
+            ("unavailable", self.weights.unavailable),
+        ];
+        for (name, value) in weights {
+            if !value.is_finite() || value < 0.0 {
+                let path = format!("weights.{name}");
+                problems.push(field(path, value.to_string(), "a number of 0 or more"));
+            }
+        }
+    }
+
+    fn check_parameters(&self, problems: &mut Vec<Error>) {
+        for (index, parameter) in self.parameters.iter().enumerate() {
+            let path = format!("parameters[{index}]");
+            let again = self.parameters[..index]
+                .iter()
+                .any(|other| other.name == parameter.name);
+            if again {
+                problems.push(field(&path, parameter.name.clone(), "a name used once"));
+            }
+            if parameter.min > parameter.max {
+                let found = format!("min {} above max {}", parameter.min, parameter.max);
+                problems.push(field(&path, found, "min at most max"));
+            }
+        }
+    }
+
+    fn check_service(&self, index: usize, service: &Service, problems: &mut Vec<Error>) {
+        let path = |name: &str| format!("services[{index}].{name}");
+        problems.extend(check_name(&path("name"), &service.name).err());
+        if service.slots == 0 || service.slots > SLOTS_MAX {
+            let expected = format!("1 to {SLOTS_MAX}");
+            problems.push(field(path("slots"), service.slots.to_string(), expected));
+        }
+        let target = self.parameter(&service.targets);
+        if target.map(|p| p.kind) != Some(ParameterKind::Targets) {
+            let expected = "the name of a parameter of type targets";
+            problems.push(field(path("targets"), service.targets.clone(), expected));
+        }
+        let numbers = [
+            ("server_slots", &service.server_slots),
+            ("server_connections", &service.server_connections),
+            ("queue_requests", &service.queue_requests),
+            ("deadline_ms", &service.deadline_ms),
+        ];
+        for (name, number) in numbers {
+            problems.extend(self.check_number(&path(name), number).err());
+        }
+    }
+
+    fn check_number(&self, path: &str, number: &Number) -> Result<()> {
+        match number {
+            Number::Value(0) => Err(field(path, "0", "1 or more")),
+            Number::Value(_) => Ok(()),
+            Number::Reference(text) => {
+                let name = reference(text);
+                let found = name.and_then(|name| self.parameter(name));
+                if found.map(|p| p.kind) == Some(ParameterKind::Integer) {
+                    return Ok(());
+                }
+                let expected = "a number, or ${name} of a parameter of type integer";
+                Err(field(path, format!("{text:?}"), expected))
+            }
+        }
+    }
+
+    /// The parameter `name`.
+    pub fn parameter(&self, name: &str) -> Option<&Parameter> {
+        self.parameters.iter().find(|p| p.name == name)
+    }
+}
+
+/// Name in a reference `${name}`.
+pub fn reference(text: &str) -> Option<&str> {
+    text.strip_prefix("${")?.strip_suffix('}')
+}
--- /dev/null
+++ b/src/host/controller.rs
@@ -0,0 +1,115 @@
+//! What the leader does: joins servers, declares lost leases lapsed, keeps the registry of hosts,
+//! plans moves and stores snapshots.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use tokio::time;
+
+use super::{Host, moves::MoveGroup};
+use crate::{
+    id::{Revision, ServerKey},
+    ownership::planner::PlannedMove,
+};
+
+const TICK_MS: u64 = 25;
+/// Entries after which a new snapshot is stored.
+const SNAPSHOT_EVERY: u64 = 500;
+
+/// The leader's memory between rounds; a new leader starts with an empty one.
+#[derive(Debug, Default)]
+pub(super) struct Controller {
+    /// Groups of moves under way in this process.
+    pub(super) moving: HashSet<MoveGroup>,
+    /// Lost servers whose lapse is waited for in this process.
+    pub(super) lapsing: HashSet<ServerKey>,
+    /// When servers without a lease were last asked.
+    pub(super) asked_ms: u64,
+    /// When loads were last read.
+    pub(super) loads_ms: u64,
+    /// Smoothed loads by service and slot.
+    pub(super) loads: Vec<Vec<f64>>,
+    /// Revision and loads that the last plan was made for.
+    pub(super) planned: Option<(Revision, u64)>,
+    /// Progress of the last change of the registry.
+    pub(super) registry: RegistryChange,
+    snapshot: Revision,
+}
+
+/// Progress of the latest change of the registry of hosts.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RegistryChange {
+    /// Revision.
+    pub(super) revision: Revision,
+    /// When every host that missed it has stopped acting.
+    pub(super) settled_ms: Option<u64>,
+}
+
+/// What a finished task tells the controller.
+#[derive(Debug)]
+pub(super) enum Done {
+    /// A group of moves has ended, well or not.
+    Moved(MoveGroup),
+    /// The wait for a lapse has ended, well or not.
+    Lapsed(ServerKey),
+}
+
+/// A plan for one service.
+#[derive(Debug)]
+pub(super) struct ServicePlan {
+    pub(super) service: crate::id::ServiceKey,
+    pub(super) moves: Vec<PlannedMove>,
+}
+
+impl Host {
+    /// Runs until the process ends.
+    pub(super) async fn keep_controlling(self: Arc<Self>) {
+        let mut ticks = time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut controller = Controller::default();
+        let (done, mut finished) = tokio::sync::mpsc::unbounded_channel();
+        loop {
+            ticks.tick().await;
+            while let Ok(done) = finished.try_recv() {
+                controller.forget(&done);
+            }
+            if !self.leading() {
+                controller = Controller {
+                    moving: controller.moving,
+                    lapsing: controller.lapsing,
+                    ..Controller::default()
+                };
+                continue;
+            }
+            if !self.view.fresh() {
+                continue;
+            }
+            self.wait_for_lapses(&mut controller, &done);
+            self.drive_moves(&mut controller, &done);
+            self.keep_registry(&mut controller).await;
+            self.join_servers(&mut controller).await;
+            self.read_loads(&mut controller).await;
+            self.begin_moves(&mut controller).await;
+            self.keep_snapshot(&mut controller).await;
+        }
+    }
+
+    async fn keep_snapshot(&self, controller: &mut Controller) {
+        let state = self.view.state();
+        if state.revision.0 < controller.snapshot.0 + SNAPSHOT_EVERY {
+            return;
+        }
+        match self.log.store_snapshot(&state).await {
+            Ok(()) => controller.snapshot = state.revision,
+            Err(error) => log::warn!("no snapshot was stored: {error}"),
+        }
+    }
+}
+
+impl Controller {
+    fn forget(&mut self, done: &Done) {
+        match done {
+            Done::Moved(group) => self.moving.remove(group),
+            Done::Lapsed(server) => self.lapsing.remove(server),
+        };
+    }
+}
--- /dev/null
+++ b/src/host/leader.rs
@@ -0,0 +1,135 @@
+//! The leader row: a lease in the table service that says which host plans and moves. It saves
+//! contention; no safety rests on it.
+
+use std::{sync::Arc, sync::atomic::Ordering, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use super::Host;
+use crate::{
+    clock,
+    id::{HostKey, Incarnation},
+    membership::ring::Ring,
+    platform::message::{Condition, Expect, Row, Transacted, Transaction, Write},
+};
+
+const LEADER_ROW: &str = "leader";
+/// Renewals within one lease.
+const BEATS_PER_LEASE: u64 = 4;
+/// Place of the leader's duty in the ring.
+const LEADER_WORK: u32 = 0;
+/// Hosts that watch the row to take over.
+const CANDIDATES: usize = 3;
+
+/// Content of the leader row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct LeaderRow {
+    term: u64,
+    host: String,
+    incarnation: Incarnation,
+}
+
+/// What a candidate saw of the row.
+#[derive(Clone, Copy, Debug, Default)]
+struct Watched {
+    version: u64,
+    since_ms: u64,
+}
+
+impl Host {
+    /// Runs until the process ends.
+    pub(super) async fn keep_leading(self: Arc<Self>) {
+        let lease_ms = self.settings.ownership.leader_lease_ms;
+        let pause = Duration::from_millis(lease_ms / BEATS_PER_LEASE);
+        let mut watched = Watched::default();
+        let mut renewed_ms = 0;
+        loop {
+            time::sleep(pause).await;
+            if self.leading() && clock::now_ms() > renewed_ms + lease_ms {
+                self.leading.store(false, Ordering::Relaxed);
+            }
+            if !self.candidate() {
+                continue;
+            }
+            let asked_ms = clock::now_ms();
+            let Ok(row) = self.platform.row(LEADER_ROW).await else {
+                continue;
+            };
+            if self.take_or_renew(row, &mut watched, asked_ms).await {
+                renewed_ms = asked_ms;
+            }
+        }
+    }
+
+    /// The leader goes on; otherwise the first hosts heard watch.
+    fn candidate(&self) -> bool {
+        let Some(own) = self.key() else { return false };
+        if self.leading() {
+            return true;
+        }
+        let state = self.view.state();
+        let now_ms = clock::now_ms();
+        let lease_ms = self.settings.ownership.leader_lease_ms;
+        let heard = |key: HostKey| {
+            let heard_ms = self.view.heard_ms(key);
+            key == own || heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + lease_ms)
+        };
+        let hosts = state.registered_hosts().map(|(key, _)| key);
+        let ring = Ring::new(hosts.filter(|key| heard(*key)));
+        let mut candidates = ring.successors(LEADER_WORK).take(CANDIDATES);
+        candidates.any(|host| host == own)
+    }
+
+    /// True if this host holds the row afterwards.
+    async fn take_or_renew(&self, row: Option<Row>, watched: &mut Watched, now_ms: u64) -> bool {
+        let version = row.as_ref().map_or(0, |row| row.version);
+        let held = row.and_then(|row| serde_json::from_str::<LeaderRow>(&row.value).ok());
+        let term = held.as_ref().map_or(0, |held| held.term);
+        self.leader_term.store(term, Ordering::Relaxed);
+        let own = held.is_some_and(|held| held.incarnation == self.incarnation);
+        if !own && watched.version != version {
+            *watched = Watched {
+                version,
+                since_ms: now_ms,
+            };
+        }
+        let lease_ms = self.settings.ownership.leader_lease_ms;
+        let lapsed = version == 0 || now_ms >= watched.since_ms + lease_ms;
+        if !own && !lapsed {
+            self.leading.store(false, Ordering::Relaxed);
+            return false;
+        }
+        let term = if own { term } else { term + 1 };
+        self.write_leader(version, term).await
+    }
+
+    async fn write_leader(&self, version: u64, term: u64) -> bool {
+        let row = LeaderRow {
+            term,
+            host: self.settings.name.clone(),
+            incarnation: self.incarnation,
+        };
+        let expect = match version {
+            0 => Expect::Absent,
+            version => Expect::Version(version),
+        };
+        let transaction = Transaction {
+            conditions: vec![Condition {
+                key: LEADER_ROW.to_owned(),
+                expect,
+            }],
+            writes: vec![Write {
+                key: LEADER_ROW.to_owned(),
+                value: serde_json::to_string(&row).ok(),
+            }],
+        };
+        let outcome = self.platform.transact(&transaction).await;
+        let holds = matches!(outcome, Ok(Transacted::Committed));
+        if holds && !self.leading.swap(true, Ordering::Relaxed) {
+            self.leader_term.store(term, Ordering::Relaxed);
+            log::info!(term; "this host leads");
+        }
+        holds
+    }
+}
--- /dev/null
+++ b/src/host/renew.rs
@@ -0,0 +1,313 @@
+//! Renews the leases of backend servers, and finds out which of them are lost.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time;
+
+use super::Host;
+use crate::{
+    clock,
+    id::{HostKey, Incarnation, LeaseEpoch, ServerKey},
+    membership::ring::Ring,
+    ownership::{
+        message::{LEASE_PATH, LeaseAnswer, LeaseRequest, SlotGrant, grant_hash},
+        renewal::Finding,
+    },
+    peer::message::{PeerReply, PeerRequest},
+    state::{Change, ServerEntry, ServerState, State},
+    transport::{CallError, JsonClient},
+};
+
+const TICK_MS: u64 = 25;
+/// Hosts that renew one server's lease at the same time.
+const RENEWERS: usize = 2;
+/// Heartbeats without an answer after which another host takes a silent one's renewals.
+const SILENT_HEARTBEATS: u64 = 5;
+/// Hosts that are asked to probe a suspected server.
+const INDIRECT_PROBES: usize = 2;
+/// Time for one order to a server.
+pub(super) const ORDER_TIMEOUT_MS: u64 = 200;
+const PROBE_TIMEOUT_MS: u64 = 250;
+
+/// A server as one renewal addresses it.
+#[derive(Clone, Copy, Debug)]
+struct Leased {
+    server: ServerKey,
+    address: std::net::SocketAddr,
+    incarnation: Incarnation,
+    lease_epoch: LeaseEpoch,
+}
+
+impl Leased {
+    fn of(server: ServerKey, entry: &ServerEntry) -> Self {
+        Self {
+            server,
+            address: entry.address,
+            incarnation: entry.incarnation,
+            lease_epoch: entry.lease_epoch,
+        }
+    }
+}
+
+/// Client for orders to servers.
+pub(super) fn order_client() -> JsonClient {
+    JsonClient::new(ORDER_TIMEOUT_MS)
+}
+
+impl Host {
+    /// Runs until the process ends.
+    pub(super) async fn keep_renewing(self: Arc<Self>) {
+        let mut ticks = time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut assigned = Vec::new();
+        let mut assigned_ms = 0;
+        loop {
+            ticks.tick().await;
+            let now_ms = clock::now_ms();
+            if now_ms >= assigned_ms + self.settings.ownership.heartbeat_ms {
+                assigned = self.assigned_servers();
+                assigned_ms = now_ms;
+            }
+            if self.view.fresh() {
+                self.renew_due(&assigned);
+            }
+        }
+    }
+
+    /// Live servers whose leases this host renews.
+    fn assigned_servers(&self) -> Vec<Leased> {
+        let Some(own) = self.key() else {
+            return Vec::new();
+        };
+        let state = self.view.state();
+        let ring = Ring::new(self.heard_hosts(&state, own).into_iter());
+        let mine = |server: ServerKey| {
+            let mut renewers = ring.successors(server.0).take(RENEWERS);
+            renewers.any(|host| host == own)
+        };
+        state
+            .server_entries()
+            .filter(|(_, entry)| entry.state == ServerState::Live)
+            .filter(|(server, _)| mine(*server))
+            .map(|(server, entry)| Leased::of(server, entry))
+            .collect()
+    }
+
+    fn renew_due(self: &Arc<Self>, assigned: &[Leased]) {
+        for leased in assigned.iter().copied() {
+            if self.claim_turn(leased) {
+                let host = self.clone();
+                tokio::spawn(async move { host.renew(leased).await });
+            }
+        }
+    }
+
+    /// This host and those that answered heartbeats of late; unasked ones count as well.
+    fn heard_hosts(&self, state: &State, own: HostKey) -> Vec<HostKey> {
+        let heartbeat_ms = self.settings.ownership.heartbeat_ms;
+        let silent_ms = heartbeat_ms * SILENT_HEARTBEATS;
+        let now_ms = clock::now_ms();
+        let heard = |key| match self.view.heard_ms(key) {
+            Some(heard_ms) => now_ms <= heard_ms + silent_ms,
+            None => true,
+        };
+        state
+            .registered_hosts()
+            .map(|(key, _)| key)
+            .filter(|key| *key == own || heard(*key))
+            .collect()
+    }
+
+    /// True if a renewal is due; the next one is then postponed while this one is under way.
+    fn claim_turn(&self, leased: Leased) -> bool {
+        let now_ms = clock::now_ms();
+        let mut contacts = self.contacts();
+        let index = leased.server.0 as usize;
+        if contacts.len() <= index {
+            contacts.resize_with(index + 1, Default::default);
+        }
+        let contact = &mut contacts[index];
+        contact.enter(leased.lease_epoch, now_ms);
+        let due = contact.due(now_ms);
+        if due {
+            contact.sent(now_ms, ORDER_TIMEOUT_MS);
+        }
+        due
+    }
+
+    async fn renew(self: Arc<Self>, leased: Leased) {
+        let Some(order) = self.order(leased) else {
+            return;
+        };
+        let ordered = order.incarnation.is_some();
+        let answer = self.servers.post(leased.address, LEASE_PATH, &order).await;
+        match answer {
+            Ok(answer) => self.renewed(leased, ordered, &answer).await,
+            Err(error) => self.renewal_failed(leased, &error).await,
+        }
+    }
+
+    /// The order to send; none if this host must not renew any more. The state and the freshness
+    /// are checked under the lock under which [`Host::horizon`] answers.
+    fn order(&self, leased: Leased) -> Option<LeaseRequest> {
+        let mut contacts = self.contacts();
+        let state = self.view.state();
+        let entry = state.server(leased.server)?;
+        let current = entry.state == ServerState::Live && entry.lease_epoch == leased.lease_epoch;
+        if !current || !self.view.fresh() {
+            return None;
+        }
+        let contact = contacts.get_mut(leased.server.0 as usize)?;
+        let now_ms = clock::now_ms();
+        let ttl_ms = self.settings.ownership.lease_ttl_ms;
+        let not_after_ms = contact.order(leased.incarnation, now_ms, ttl_ms);
+        let digest = contact.digest;
+        drop(contacts);
+        let grants = missing_grants(&state, leased.server, digest);
+        Some(LeaseRequest {
+            incarnation: not_after_ms.map(|_| leased.incarnation),
+            lease_epoch: leased.lease_epoch,
+            not_after_ms: not_after_ms.unwrap_or_default(),
+            grants,
+        })
+    }
+
+    async fn renewed(self: &Arc<Self>, leased: Leased, ordered: bool, answer: &LeaseAnswer) {
+        let finding = {
+            let mut contacts = self.contacts();
+            let Some(contact) = contacts.get_mut(leased.server.0 as usize) else {
+                return;
+            };
+            let now_ms = clock::now_ms();
+            let every_ms = self.settings.ownership.renew_every_ms;
+            contact.answered(answer, leased.incarnation, ordered, now_ms, every_ms)
+        };
+        match finding {
+            Finding::Renewed => self.note_draining(leased, answer.draining).await,
+            Finding::Replaced => self.report_lost(leased, "another process answers").await,
+            Finding::Outdated => self.sync_wanted.notify_one(),
+        }
+    }
+
+    async fn note_draining(self: &Arc<Self>, leased: Leased, draining: bool) {
+        let state = self.view.state();
+        let Some(entry) = state.server(leased.server) else {
+            return;
+        };
+        if entry.lease_epoch != leased.lease_epoch || entry.draining == draining {
+            return;
+        }
+        let change = Change::ServerDraining {
+            server: leased.server,
+            lease_epoch: leased.lease_epoch,
+            draining,
+        };
+        let _ = self.commit_own(change).await;
+    }
+
+    async fn renewal_failed(self: &Arc<Self>, leased: Leased, error: &CallError) {
+        log::debug!(server = leased.server.0 as u64; "renewal failed: {error}");
+        let suspected = {
+            let mut contacts = self.contacts();
+            let Some(contact) = contacts.get_mut(leased.server.0 as usize) else {
+                return;
+            };
+            let suspect_ms = self.settings.ownership.suspect_ms;
+            contact.failed(clock::now_ms(), suspect_ms)
+        };
+        if suspected && !self.answers_others(leased.server).await {
+            self.report_lost(leased, "it does not answer").await;
+        }
+    }
+
+    /// True if another host reaches the server.
+    async fn answers_others(&self, server: ServerKey) -> bool {
+        let mut probes = tokio::task::JoinSet::new();
+        let request = PeerRequest::Probe { server };
+        let heard = |key: &HostKey| self.view.heard_ms(*key).is_some();
+        let others = self.other_hosts();
+        let chosen = others.iter().filter(|(key, _, _)| heard(key));
+        for (_, _, address) in chosen.take(INDIRECT_PROBES) {
+            let (address, request) = (*address, request.clone());
+            let peers = self.peers.clone();
+            probes.spawn(async move { peers.call(address, &request, PROBE_TIMEOUT_MS).await });
+        }
+        while let Some(probed) = probes.join_next().await {
+            if let Ok(Ok(PeerReply::Probed { alive: true })) = probed {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Tries whether the process that holds the server's lease answers.
+    pub(super) async fn probe(&self, server: ServerKey) -> bool {
+        let state = self.view.state();
+        let Some(entry) = state.server(server) else {
+            return false;
+        };
+        match self.ask(entry.address).await {
+            Ok(answer) => answer.incarnation == entry.incarnation,
+            Err(_) => false,
+        }
+    }
+
+    /// Asks a server for its facts.
+    pub(super) async fn ask(
+        &self,
+        address: std::net::SocketAddr,
+    ) -> Result<LeaseAnswer, CallError> {
+        let question = LeaseRequest {
+            incarnation: None,
+            lease_epoch: LeaseEpoch::default(),
+            not_after_ms: 0,
+            grants: Vec::new(),
+        };
+        self.servers.post(address, LEASE_PATH, &question).await
+    }
+
+    async fn report_lost(self: &Arc<Self>, leased: Leased, reason: &str) {
+        let state = self.view.state();
+        let entry = state.server(leased.server);
+        let live =
+            |s: &ServerEntry| s.state == ServerState::Live && s.lease_epoch == leased.lease_epoch;
+        if !entry.is_some_and(live) {
+            return;
+        }
+        log::warn!(server = leased.server.0 as u64; "server at {} is lost: {reason}", leased.address);
+        let change = Change::ServerLost {
+            server: leased.server,
+            lease_epoch: leased.lease_epoch,
+        };
+        if let Err(error) = self.commit_own(change).await {
+            log::warn!("the loss cannot be recorded: {error}");
+        }
+    }
+}
+
+/// The grants that a server should hold, if it said that it holds others.
+fn missing_grants(state: &State, server: ServerKey, digest: Option<u64>) -> Vec<SlotGrant> {
+    let Some(digest) = digest else {
+        return Vec::new();
+    };
+    let mut grants = Vec::new();
+    let mut expected = 0;
+    for (_, service) in state.active_services() {
+        let name = &service.spec.name;
+        for (slot, entry) in service.slot_entries() {
+            if entry.settled() != Some(server) {
+                continue;
+            }
+            expected ^= grant_hash(name, slot, entry.epoch);
+            grants.push(SlotGrant {
+                service: name.clone(),
+                slot,
+                epoch: entry.epoch,
+            });
+        }
+    }
+    if expected == digest {
+        return Vec::new();
+    }
+    grants
+}
--- /dev/null
+++ b/src/host/run.rs
@@ -0,0 +1,207 @@
+//! Starts and stops an entry host.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use snafu::ResultExt;
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, watch},
+    task::JoinSet,
+    time,
+};
+
+use super::{
+    Host,
+    commit::CommitRequest,
+    error::{ListenSnafu, MetricsSnafu, PeerSnafu, Result},
+    renew::order_client,
+    view::View,
+};
+use crate::{
+    claims::Claims,
+    clock,
+    id::{Incarnation, OperationId},
+    metrics::Metrics,
+    operator::{self, api::OperatorServer},
+    peer::{PeerEndpoint, keys},
+    platform::Platform,
+    routing::{self, Traffic, target::Targets},
+    settings::Settings,
+    state::{Change, ChangeLog},
+    transport::{self, ListenerLimits},
+};
+
+/// Time for the log to find out about a lost answer.
+const SETTLE_MS: u64 = 5_000;
+/// Connections kept open to one backend server while idle.
+const IDLE_CONNECTIONS: usize = 8;
+const REGISTER_PAUSE_MS: u64 = 100;
+const LEAVE_TIMEOUT_MS: u64 = 2_000;
+
+/// A host that runs in this process.
+#[derive(Debug)]
+pub struct RunningHost {
+    /// The host.
+    pub host: Arc<Host>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    stop_callers: watch::Sender<bool>,
+    callers_done: tokio::task::JoinHandle<()>,
+    operators_server: OperatorServer,
+    tasks: JoinSet<()>,
+}
+
+/// Starts a host.
+pub async fn start(settings: Settings) -> Result<RunningHost> {
+    let tls = keys::load(&settings.peers).context(PeerSnafu)?;
+    let bound = PeerEndpoint::bind(settings.peers.listen, tls);
+    let (peers, inbox) = bound.context(PeerSnafu)?;
+    let address = settings.callers.listen;
+    let listener = TcpListener::bind(address).await;
+    let listener = listener.context(ListenSnafu { address })?;
+    let callers = listener.local_addr().context(ListenSnafu { address })?;
+    let host = Arc::new(build(settings, peers)?);
+    let operators_server = operator::api::start(host.clone()).await?;
+    let (stop_callers, stopped) = watch::channel(false);
+    let callers_done = serve_callers(host.clone(), listener, stopped);
+    let mut tasks = JoinSet::new();
+    tasks.spawn(host.clone().answer_peers(inbox));
+    tasks.spawn(host.clone().keep_synced());
+    tasks.spawn(host.clone().keep_registered());
+    tasks.spawn(host.clone().keep_beating());
+    tasks.spawn(host.clone().keep_renewing());
+    tasks.spawn(host.clone().keep_leading());
+    tasks.spawn(host.clone().keep_controlling());
+    Ok(RunningHost {
+        callers,
+        operators: operators_server.address,
+        host,
+        stop_callers,
+        callers_done,
+        operators_server,
+        tasks,
+    })
+}
+
+fn build(settings: Settings, peers: PeerEndpoint) -> Result<Host> {
+    let platform = Platform::new(settings.platform.address, settings.platform.timeout_ms);
+    let metrics = Metrics::new(settings.metrics.statsd_address).context(MetricsSnafu)?;
+    Ok(Host {
+        incarnation: Incarnation::random(),
+        view: View::new(settings.ownership.freshness_ms),
+        traffic: Traffic::default(),
+        targets: Targets::new(IDLE_CONNECTIONS),
+        claims: Claims::start(platform.clone()),
+        metrics,
+        log: ChangeLog::new(platform.clone(), SETTLE_MS),
+        platform,
+        peers: Arc::new(peers),
+        servers: order_client(),
+        contacts: Mutex::default(),
+        commits: tokio::sync::Mutex::default(),
+        sync_wanted: Notify::new(),
+        leading: AtomicBool::new(false),
+        leader_term: AtomicU64::new(0),
+        ready: AtomicBool::new(true),
+        stop_wanted: Notify::new(),
+        settings,
+    })
+}
+
+fn serve_callers(
+    host: Arc<Host>,
+    listener: TcpListener,
+    stopped: watch::Receiver<bool>,
+) -> tokio::task::JoinHandle<()> {
+    let limits = ListenerLimits {
+        connections: host.settings.callers.connections,
+        drain_ms: host.settings.callers.drain_ms,
+        ..ListenerLimits::default()
+    };
+    let handler = move |request| routing::answer(host.clone(), request);
+    tokio::spawn(transport::serve(listener, limits, stopped, handler))
+}
+
+impl Host {
+    /// Registers this process, until that has succeeded.
+    async fn keep_registered(self: Arc<Self>) {
+        let Ok(peer_address) = self.peers.address() else {
+            return;
+        };
+        let request = CommitRequest {
+            operation_id: OperationId::random(),
+            actor: format!("host {}", self.settings.name),
+            expect_revision: None,
+            change: Change::HostRegistered {
+                name: self.settings.name.clone(),
+                incarnation: self.incarnation,
+                peer_address,
+                availability_zone: self.settings.availability_zone.clone(),
+            },
+        };
+        while self.key().is_none() {
+            let read = self.read_log().await;
+            if read && let Err(error) = self.commit(request.clone()).await {
+                log::warn!("this host is not registered yet: {error}");
+            }
+            time::sleep(Duration::from_millis(REGISTER_PAUSE_MS)).await;
+        }
+        log::info!(host = self.settings.name.as_str(); "registered");
+    }
+
+    async fn announce_leaving(self: &Arc<Self>) {
+        let Some(host) = self.key() else { return };
+        let change = Change::HostLeaving {
+            host,
+            incarnation: self.incarnation,
+        };
+        let announced = self.commit_own(change);
+        let limit = Duration::from_millis(LEAVE_TIMEOUT_MS);
+        if !matches!(time::timeout(limit, announced).await, Ok(Ok(()))) {
+            log::warn!("the planned stop could not be announced");
+        }
+    }
+}
+
+impl RunningHost {
+    /// Planned stop: readiness goes first, then the requests in flight finish, then the rest ends.
+    pub async fn stop(mut self) {
+        let host = &self.host;
+        host.ready.store(false, Ordering::Relaxed);
+        let notice_ms = clock::now_ms() + host.settings.callers.notice_ms;
+        host.announce_leaving().await;
+        let left_ms = notice_ms.saturating_sub(clock::now_ms());
+        time::sleep(Duration::from_millis(left_ms)).await;
+        let _ = self.stop_callers.send(true);
+        let _ = (&mut self.callers_done).await;
+        self.operators_server.stop().await;
+        self.tasks.shutdown().await;
+        self.host.peers.close();
+    }
+
+    /// Ends the host as a crash would: nothing is announced, nothing finishes.
+    pub async fn kill(mut self) {
+        self.callers_done.abort();
+        self.tasks.shutdown().await;
+        self.host.peers.close();
+        self.operators_server.stop().await;
+    }
+
+    /// Runs until a task of the host fails; one that has done its work is no failure.
+    pub async fn failed(&mut self) {
+        while let Some(ended) = self.tasks.join_next().await {
+            if ended.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/host/sync.rs
@@ -0,0 +1,102 @@
+//! Keeps the view up to date from the change log, or from peers while the platform is down.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::Rng;
+use tokio::time;
+
+use super::Host;
+use crate::{
+    clock,
+    id::Revision,
+    peer::message::{PeerReply, PeerRequest},
+    state::{LogEntry, LogError, Snapshot},
+};
+
+/// Pause between looks at the own basis.
+const TICK_MS: u64 = 20;
+/// Age of the basis at which a host reads the log itself, as a share of the freshness allowed;
+/// while peers' answers keep the basis younger, it does not read.
+const READ_AT_SHARE: u64 = 3;
+const PEER_TIMEOUT_MS: u64 = 500;
+
+impl Host {
+    /// Runs until the process ends.
+    pub(super) async fn keep_synced(self: Arc<Self>) {
+        let read_at_ms = self.settings.ownership.freshness_ms / READ_AT_SHARE;
+        loop {
+            let wanted = time::timeout(Duration::from_millis(TICK_MS), self.sync_wanted.notified());
+            let wanted = wanted.await.is_ok();
+            // Spread, so that not every host reads at the same moment.
+            let spread_ms = rand::rng().random_range(0..=read_at_ms / 2);
+            let age_ms = self.view.basis_age_ms().unwrap_or(u64::MAX);
+            if wanted || age_ms >= read_at_ms + spread_ms {
+                self.read_log().await;
+            }
+        }
+    }
+
+    /// Reads the log to its end; false if that failed.
+    pub(super) async fn read_log(&self) -> bool {
+        loop {
+            let asked_ms = clock::now_ms();
+            let before = self.view.revision();
+            match self.log.tail(before).await {
+                Ok(entries) if entries.is_empty() => {
+                    self.view.log_read(asked_ms);
+                    return true;
+                }
+                Ok(entries) => {
+                    self.apply(&entries);
+                    if self.view.revision() == before {
+                        return false;
+                    }
+                }
+                Err(LogError::Truncated { .. }) => match self.log.load_snapshot().await {
+                    Ok(state) if state.revision > before => self.view.replace(state),
+                    _ => return false,
+                },
+                Err(error) => {
+                    log::debug!("the change log cannot be read: {error}");
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Applies entries. One that cannot be applied means that this program and the log disagree,
+    /// so the host must not act on.
+    pub(super) fn apply(&self, entries: &[LogEntry]) {
+        if let Err(error) = self.view.apply(entries) {
+            panic!("invariant: an entry of the log cannot be applied: {error}");
+        }
+    }
+
+    /// Brings the view to `revision` from the peer at `address`, or else from the log.
+    pub(super) async fn catch_up(&self, address: std::net::SocketAddr, revision: Revision) {
+        let request = PeerRequest::Entries {
+            after: self.view.revision(),
+        };
+        match self.peers.call(address, &request, PEER_TIMEOUT_MS).await {
+            Ok(PeerReply::Entries { entries }) => self.apply(&entries),
+            Ok(PeerReply::Truncated) => self.take_snapshot_of(address).await,
+            _ => {}
+        }
+        if self.view.revision() < revision {
+            self.sync_wanted.notify_one();
+        }
+    }
+
+    /// Takes over the whole state of a peer, if it is newer.
+    pub(super) async fn take_snapshot_of(&self, address: std::net::SocketAddr) {
+        let request = PeerRequest::Snapshot;
+        let reply = self.peers.call(address, &request, PEER_TIMEOUT_MS).await;
+        let Ok(PeerReply::Snapshot { pointer, body }) = reply else {
+            return;
+        };
+        match Snapshot::decode(&pointer, &body) {
+            Ok(state) => self.view.replace(state),
+            Err(error) => log::warn!("a peer's snapshot: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/host/view.rs
@@ -0,0 +1,228 @@
+//! The host's view: the agreed state at one revision, when it was applied, and its freshness.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::{ArcSwap, Guard};
+use tokio::sync::watch;
+
+use crate::{
+    clock,
+    id::{HostKey, Incarnation, Revision},
+    membership::freshness::{Freshness, HeardRevision, PeerAnswer, Voter},
+    state::{self, LogEntry, State},
+};
+
+/// Entries kept for peers that ask.
+const ENTRIES_KEPT: usize = 1_024;
+
+/// An entry and when this host applied it.
+#[derive(Clone, Debug)]
+struct Applied {
+    entry: LogEntry,
+    applied_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    recent: VecDeque<Applied>,
+    freshness: Freshness,
+    /// When a whole state was last taken over, and at which revision.
+    replaced: Option<(Revision, u64)>,
+}
+
+/// A host's view.
+#[derive(Debug)]
+pub struct View {
+    state: ArcSwap<State>,
+    changed: watch::Sender<Revision>,
+    inner: Mutex<Inner>,
+    basis_ms: AtomicU64,
+    freshness_ms: u64,
+}
+
+impl View {
+    /// An empty view that acts on a basis no older than `freshness_ms`.
+    pub fn new(freshness_ms: u64) -> Self {
+        Self {
+            state: ArcSwap::from_pointee(State::default()),
+            changed: watch::channel(Revision::default()).0,
+            inner: Mutex::default(),
+            basis_ms: AtomicU64::new(0),
+            freshness_ms,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The state, for longer use.
+    pub fn state(&self) -> Arc<State> {
+        self.state.load_full()
+    }
+
+    /// The state, for a short look.
+    pub fn peek(&self) -> Guard<Arc<State>> {
+        self.state.load()
+    }
+
+    /// Revision applied.
+    pub fn revision(&self) -> Revision {
+        self.state.load().revision
+    }
+
+    /// Tells of each new revision.
+    pub fn watch(&self) -> watch::Receiver<Revision> {
+        self.changed.subscribe()
+    }
+
+    /// True if this host may act now.
+    pub fn fresh(&self) -> bool {
+        clock::now_ms() <= self.basis_ms.load(Ordering::Acquire) + self.freshness_ms
+    }
+
+    /// Age of the basis; none before the first one.
+    pub fn basis_age_ms(&self) -> Option<u64> {
+        let basis_ms = self.basis_ms.load(Ordering::Acquire);
+        (basis_ms > 0).then(|| clock::now_ms().saturating_sub(basis_ms))
+    }
+
+    /// Applies entries that follow the view; earlier ones are passed over, and entries after a gap
+    /// are left for a later read.
+    pub fn apply(&self, entries: &[LogEntry]) -> state::Result<()> {
+        let mut inner = self.lock();
+        let mut state = State::clone(&self.state.load());
+        let before = state.revision;
+        for entry in entries {
+            if entry.revision <= state.revision {
+                continue;
+            }
+            if entry.revision != state.revision.next() {
+                break;
+            }
+            state.apply(entry)?;
+            inner.recent.push_back(Applied {
+                entry: entry.clone(),
+                applied_ms: clock::now_ms(),
+            });
+        }
+        while inner.recent.len() > ENTRIES_KEPT {
+            inner.recent.pop_front();
+        }
+        if state.revision > before {
+            self.publish(state);
+        }
+        Ok(())
+    }
+
+    /// Takes over a whole state if it is newer.
+    pub fn replace(&self, state: State) {
+        let mut inner = self.lock();
+        if state.revision <= self.state.load().revision {
+            return;
+        }
+        inner.recent.clear();
+        inner.replaced = Some((state.revision, clock::now_ms()));
+        self.publish(state);
+    }
+
+    /// Puts a state in force. Called under the lock, so revisions follow each other.
+    fn publish(&self, state: State) {
+        let revision = state.revision;
+        let previous = self.state.swap(Arc::new(state));
+        assert!(
+            previous.revision < revision,
+            "invariant: a host's revision never goes back"
+        );
+        self.changed.send_replace(revision);
+    }
+
+    /// Time since this host applied `revision`; none if it has not.
+    pub fn applied_age_ms(&self, revision: Revision) -> Option<u64> {
+        let inner = self.lock();
+        if self.state.load().revision < revision {
+            return None;
+        }
+        let found = inner.recent.iter().find(|a| a.entry.revision == revision);
+        let applied_ms = match (found, inner.replaced) {
+            (Some(applied), _) => applied.applied_ms,
+            (None, Some((_, replaced_ms))) => replaced_ms,
+            (None, None) => return Some(0),
+        };
+        Some(clock::now_ms().saturating_sub(applied_ms))
+    }
+
+    /// Entries after `after`; none if they are no longer kept.
+    pub fn entries(&self, after: Revision) -> Option<Vec<LogEntry>> {
+        let inner = self.lock();
+        if after >= self.state.load().revision {
+            return Some(Vec::new());
+        }
+        let first = inner.recent.front()?;
+        if first.entry.revision > after.next() {
+            return None;
+        }
+        let newer = inner.recent.iter().filter(|a| a.entry.revision > after);
+        Some(newer.map(|applied| applied.entry.clone()).collect())
+    }
+
+    /// The change log was read to its end by a read that was sent at `asked_ms`.
+    pub fn log_read(&self, asked_ms: u64) {
+        let mut inner = self.lock();
+        inner.freshness.log_read(asked_ms);
+        self.store_basis(&inner);
+    }
+
+    /// Takes a peer's answer to a heartbeat.
+    pub fn peer_answered(&self, answer: PeerAnswer, own: Voter) {
+        let mut inner = self.lock();
+        let state = self.state.load();
+        let voters = voters(&state);
+        inner
+            .freshness
+            .peer_answered(answer, state.revision, own, &voters);
+        self.store_basis(&inner);
+    }
+
+    fn store_basis(&self, inner: &Inner) {
+        let basis_ms = inner.freshness.basis_ms().unwrap_or_default();
+        self.basis_ms.fetch_max(basis_ms, Ordering::AcqRel);
+    }
+
+    /// What `host` said of its revision.
+    pub fn heard_revision(&self, host: HostKey) -> Option<HeardRevision> {
+        self.lock().freshness.heard_revision(host)
+    }
+
+    /// When `host` was last asked a question that it answered.
+    pub fn heard_ms(&self, host: HostKey) -> Option<u64> {
+        self.lock().freshness.heard_ms(host)
+    }
+}
+
+/// Hosts of a state that count in the majority.
+pub fn voters(state: &State) -> Vec<Voter> {
+    state
+        .registered_hosts()
+        .filter(|(_, host)| host.counted())
+        .map(|(key, host)| voter(key, host.incarnation))
+        .collect()
+}
+
+/// Every registered host of a state.
+pub fn registered(state: &State) -> Vec<Voter> {
+    state
+        .registered_hosts()
+        .map(|(key, host)| voter(key, host.incarnation))
+        .collect()
+}
+
+fn voter(host: HostKey, incarnation: Incarnation) -> Voter {
+    Voter { host, incarnation }
+}
--- /dev/null
+++ b/src/id.rs
@@ -0,0 +1,110 @@
+//! Typed identifiers: small `Copy` keys into the arenas of [`crate::state::State`], and counters.
+
+use std::fmt;
+
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $inner:ty) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    };
+}
+
+number!(
+    /// Position in the change log; each accepted change adds one.
+    Revision,
+    u64
+);
+number!(
+    /// Fencing number of a slot's grant; it only grows.
+    Epoch,
+    u64
+);
+number!(
+    /// Number of a server's membership period; it grows each time the server joins.
+    LeaseEpoch,
+    u64
+);
+number!(
+    /// Random number of one process start.
+    Incarnation,
+    u64
+);
+number!(
+    /// Index of an entry host in the state's arena.
+    HostKey,
+    u32
+);
+number!(
+    /// Index of a backend server in the state's arena.
+    ServerKey,
+    u32
+);
+number!(
+    /// Index of a service of one workspace in the state's arena.
+    ServiceKey,
+    u32
+);
+number!(
+    /// Index of a slot in its service.
+    Slot,
+    u32
+);
+
+impl Revision {
+    /// The revision after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl Epoch {
+    /// The epoch after this one.
+    pub fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl Incarnation {
+    /// Draws a number that no other process start is expected to draw.
+    pub fn random() -> Self {
+        // JSON readers may hold numbers as doubles, so only 53 bits are used.
+        Self(rand::rng().random::<u64>() >> 11)
+    }
+}
+
+/// Identifier that a writer attaches to one change, so that a lost answer can be settled by
+/// looking for it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct OperationId(pub String);
+
+impl OperationId {
+    /// Draws a new identifier.
+    pub fn random() -> Self {
+        Self(format!("{:032x}", rand::rng().random::<u128>()))
+    }
+
+    /// Hash under which a state remembers the identifier.
+    pub fn hash(&self) -> u128 {
+        xxhash_rust::xxh3::xxh3_128(self.0.as_bytes())
+    }
+}
+
+impl fmt::Display for OperationId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,22 @@
+//! A router for servers that own keys exclusively.
+//!
+//! The binary is a thin layer over this library: every subcommand builds a configuration struct
+//! and hands it to a module below.
+
+pub mod claims;
+pub mod clock;
+pub mod configuration;
+pub mod host;
+pub mod id;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod operator;
+pub mod ownership;
+pub mod peer;
+pub mod platform;
+pub mod routing;
+pub mod settings;
+pub mod standin;
+pub mod state;
+pub mod transport;
--- /dev/null
+++ b/src/logging.rs
@@ -0,0 +1,90 @@
+//! Logs as JSON lines on standard error, through `simplelog`.
+
+use std::io::{Write, stderr};
+
+use log::{
+    LevelFilter, Log, Metadata, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+use serde_json::{Map, json};
+use simplelog::{CombinedLogger, Config, SharedLogger};
+
+use crate::clock;
+
+/// Targets of libraries that log more than an operator needs below warnings.
+const QUIET_TARGETS: [&str; 5] = ["quinn", "rustls", "hyper", "slog", "dropshot"];
+
+/// Writes each record as one JSON object.
+#[derive(Debug)]
+pub struct JsonLogger {
+    level: LevelFilter,
+}
+
+/// Sets the process's logger; a second call has no effect.
+pub fn start(level: LevelFilter) {
+    let _ = CombinedLogger::init(vec![Box::new(JsonLogger { level })]);
+}
+
+/// The logger for libraries that log through `slog`.
+pub fn slog_bridge() -> slog::Logger {
+    use slog::Drain;
+    slog::Logger::root(slog_stdlog::StdLog.fuse(), slog::o!())
+}
+
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match value.to_u64() {
+            Some(number) => json!(number),
+            None => json!(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+impl Log for JsonLogger {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        let library = QUIET_TARGETS
+            .iter()
+            .any(|t| metadata.target().starts_with(t));
+        let level = if library {
+            self.level.min(LevelFilter::Warn)
+        } else {
+            self.level
+        };
+        metadata.level() <= level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let mut line = Map::new();
+        line.insert("at_unix_ms".to_owned(), json!(clock::unix_ms()));
+        line.insert("level".to_owned(), json!(record.level().as_str()));
+        line.insert("target".to_owned(), json!(record.target()));
+        line.insert("message".to_owned(), json!(record.args().to_string()));
+        let _ = record.key_values().visit(&mut Fields(&mut line));
+        let text = serde_json::Value::Object(line).to_string();
+        let _ = writeln!(stderr().lock(), "{text}");
+    }
+
+    fn flush(&self) {}
+}
+
+impl SharedLogger for JsonLogger {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        None
+    }
+
+    // The library's trait asks for this type.
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        Box::new(*self)
+    }
+}
--- /dev/null
+++ b/src/membership/mod.rs
@@ -0,0 +1,5 @@
+//! Which hosts there are, which of them are heard, and how fresh a host's view is.
+
+pub mod freshness;
+pub mod ring;
+pub mod tree;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,58 @@
+//! Metrics by statsd datagrams.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use cadence::{
+    Counted, Gauged, NopMetricSink, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink,
+};
+
+/// Prefix of every metric.
+const PREFIX: &str = "ashroad";
+
+/// Client of the metrics receiver.
+#[derive(Debug)]
+pub struct Metrics {
+    client: StatsdClient,
+    enabled: bool,
+}
+
+impl Metrics {
+    /// A client that sends to `receiver`, or nowhere.
+    pub fn new(receiver: Option<SocketAddr>) -> std::io::Result<Self> {
+        let Some(receiver) = receiver else {
+            return Ok(Self {
+                client: StatsdClient::from_sink(PREFIX, NopMetricSink),
+                enabled: false,
+            });
+        };
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        socket.set_nonblocking(true)?;
+        let sink = UdpMetricSink::from(receiver, socket).map_err(std::io::Error::other)?;
+        let sink = QueuingMetricSink::with_capacity(sink, 10_000);
+        Ok(Self {
+            client: StatsdClient::from_sink(PREFIX, sink),
+            enabled: true,
+        })
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, name: &str) {
+        if self.enabled {
+            let _ = self.client.count(name, 1u64);
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        if self.enabled {
+            let _ = self.client.gauge(name, value);
+        }
+    }
+
+    /// Records a duration.
+    pub fn time_ms(&self, name: &str, value_ms: u64) {
+        if self.enabled {
+            let _ = self.client.time(name, value_ms);
+        }
+    }
+}
--- /dev/null
+++ b/src/operator/api.rs
@@ -0,0 +1,465 @@
+//! Endpoints of the operators' API.
+
+use std::{fs, net::SocketAddr, sync::Arc};
+
+use dropshot::{
+    ApiDescription, ConfigDropshot, ErrorStatusCode, HttpError, HttpResponseOk, HttpServer, Query,
+    RequestContext, ServerBuilder, TypedBody, endpoint,
+};
+use http::header;
+use snafu::ResultExt;
+
+use super::{
+    dry_run,
+    message::{
+        Accepted, AuditEntry, AuditPage, AuditQuery, DocumentBody, DocumentList, Draining,
+        HostStatus, OwnerBody, OwnerQuery, ServerStatus, ServiceStatus, StatusBody, SubmitBody,
+        WithdrawBody,
+    },
+};
+use crate::{
+    clock,
+    configuration::DOCUMENT_BYTES_MAX,
+    host::{CommitError, CommitRequest, Error as HostError, Host, OperatorsSnafu, TokenSnafu},
+    id::{HostKey, OperationId, Revision, ServerKey},
+    logging,
+    routing::key,
+    state::{self, Change, Document, LogEntry, ServerEntry, State},
+};
+
+/// Room for JSON around a document.
+const BODY_EXTRA_BYTES: usize = 512 * 1024;
+
+/// What the endpoints work on.
+#[derive(Debug)]
+pub struct Context {
+    host: Arc<Host>,
+    token: Option<String>,
+}
+
+/// The running API.
+#[derive(Debug)]
+pub struct OperatorServer {
+    /// Address.
+    pub address: SocketAddr,
+    server: Server,
+}
+
+struct Server(HttpServer<Context>);
+
+impl std::fmt::Debug for Server {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Server")
+    }
+}
+
+impl OperatorServer {
+    /// Finishes the requests in flight and ends.
+    pub async fn stop(self) {
+        let _ = self.server.0.close().await;
+    }
+}
+
+/// Starts the API of a host.
+pub async fn start(host: Arc<Host>) -> Result<OperatorServer, HostError> {
+    let token = match &host.settings.operators.token_file {
+        Some(path) => Some(read_token(path)?),
+        None => None,
+    };
+    let config = ConfigDropshot {
+        bind_address: host.settings.operators.listen,
+        default_request_body_max_bytes: DOCUMENT_BYTES_MAX * 2 + BODY_EXTRA_BYTES,
+        ..ConfigDropshot::default()
+    };
+    let context = Context { host, token };
+    let api = describe().map_err(|message| HostError::Operators { message })?;
+    let server = ServerBuilder::new(api, context, logging::slog_bridge())
+        .config(config)
+        .start()
+        .map_err(|error| HostError::Operators {
+            message: error.to_string(),
+        })?;
+    Ok(OperatorServer {
+        address: server.local_addr(),
+        server: Server(server),
+    })
+}
+
+fn read_token(path: &std::path::Path) -> Result<String, HostError> {
+    let text = fs::read_to_string(path).context(TokenSnafu { path })?;
+    let token = text.lines().next().unwrap_or_default().trim().to_owned();
+    if token.is_empty() {
+        let message = format!("{}: the first line has no token", path.display());
+        return OperatorsSnafu { message }.fail();
+    }
+    Ok(token)
+}
+
+fn describe() -> Result<ApiDescription<Context>, String> {
+    let mut api = ApiDescription::new();
+    let registered = [
+        api.register(get_status),
+        api.register(get_owner),
+        api.register(get_audit),
+        api.register(get_templates),
+        api.register(get_workspaces),
+        api.register(submit_template),
+        api.register(submit_workspace),
+        api.register(withdraw_template),
+        api.register(withdraw_workspace),
+        api.register(drain_host),
+    ];
+    for result in registered {
+        result.map_err(|error| error.to_string())?;
+    }
+    Ok(api)
+}
+
+type Answer<T> = Result<HttpResponseOk<T>, HttpError>;
+
+fn error(status: ErrorStatusCode, message: String) -> HttpError {
+    HttpError {
+        status_code: status,
+        error_code: None,
+        external_message: message.clone(),
+        internal_message: message,
+        headers: None,
+    }
+}
+
+#[endpoint { method = GET, path = "/v1/status" }]
+async fn get_status(context: RequestContext<Context>) -> Answer<StatusBody> {
+    let host = &context.context().host;
+    let state = host.view.state();
+    Ok(HttpResponseOk(StatusBody {
+        host: host.settings.name.clone(),
+        revision: state.revision.0,
+        configuration: state.configuration.0,
+        fresh: host.view.fresh(),
+        basis_age_ms: host.view.basis_age_ms(),
+        leading: host.leading(),
+        term: host.leader_term(),
+        hosts: host_statuses(host, &state),
+        servers: server_statuses(&state),
+        services: service_statuses(&state),
+    }))
+}
+
+fn host_statuses(host: &Host, state: &State) -> Vec<HostStatus> {
+    let own = host.key();
+    let now_ms = clock::now_ms();
+    let status = |(key, entry): (HostKey, &state::HostEntry)| {
+        let heard = host.view.heard_revision(key);
+        let is_own = Some(key) == own;
+        let own_age = host.view.applied_age_ms(state.revision);
+        let since = heard.map(|heard| now_ms.saturating_sub(heard.since_ms));
+        let last = heard.map(|heard| now_ms.saturating_sub(heard.heard_ms));
+        HostStatus {
+            name: entry.name.clone(),
+            availability_zone: entry.availability_zone.clone(),
+            state: lower(&entry.state),
+            revision: if is_own {
+                Some(state.revision.0)
+            } else {
+                heard.map(|heard| heard.revision.0)
+            },
+            since_ms: if is_own { own_age } else { since },
+            heard_ms: if is_own { Some(0) } else { last },
+        }
+    };
+    state.registered_hosts().map(status).collect()
+}
+
+fn server_statuses(state: &State) -> Vec<ServerStatus> {
+    let mut owned = vec![0; state.servers.len()];
+    for (_, service) in state.active_services() {
+        for owner in service.slots.iter().filter_map(|slot| slot.owner) {
+            owned[owner.0 as usize] += 1;
+        }
+    }
+    let status = |(entry, slots): (&ServerEntry, u64)| ServerStatus {
+        address: entry.address.to_string(),
+        availability_zone: entry.availability_zone.clone(),
+        state: lower(&entry.state),
+        draining: entry.draining,
+        slots,
+    };
+    state.servers.iter().zip(owned).map(status).collect()
+}
+
+fn service_statuses(state: &State) -> Vec<ServiceStatus> {
+    let mut statuses = Vec::new();
+    for (_, service) in state.active_services() {
+        let slots = &service.slots;
+        statuses.push(ServiceStatus {
+            name: service.spec.name.clone(),
+            slots: slots.len() as u64,
+            settled: slots.iter().filter(|s| s.settled().is_some()).count() as u64,
+            moving: slots.iter().filter(|s| s.next.is_some()).count() as u64,
+        });
+    }
+    statuses
+}
+
+fn lower(state: &impl std::fmt::Debug) -> String {
+    format!("{state:?}").to_lowercase()
+}
+
+#[endpoint { method = GET, path = "/v1/owner" }]
+async fn get_owner(
+    context: RequestContext<Context>,
+    query: Query<OwnerQuery>,
+) -> Answer<OwnerBody> {
+    let query = query.into_inner();
+    let state = context.context().host.view.state();
+    let service = state.service_key(&query.service);
+    let service = service.and_then(|key| state.service(key));
+    let Some(service) = service.filter(|service| service.active) else {
+        let message = format!("there is no service named {}", query.service);
+        return Err(error(ErrorStatusCode::NOT_FOUND, message));
+    };
+    let slot = key::slot(&query.key, service.spec.slots);
+    let entry = service.slots.get(slot.0 as usize).copied();
+    let entry = entry.unwrap_or_default();
+    let address = |server: Option<ServerKey>| {
+        let server = server.and_then(|server| state.server(server));
+        server.map(|server| server.address.to_string())
+    };
+    Ok(HttpResponseOk(OwnerBody {
+        slot: slot.0,
+        epoch: entry.epoch.0,
+        owner: address(entry.owner),
+        next: address(entry.next),
+    }))
+}
+
+#[endpoint { method = GET, path = "/v1/audit" }]
+async fn get_audit(
+    context: RequestContext<Context>,
+    query: Query<AuditQuery>,
+) -> Answer<AuditPage> {
+    let after = Revision(query.into_inner().after);
+    let entries = context.context().host.audit(after).await;
+    let entries =
+        entries.map_err(|e| error(ErrorStatusCode::SERVICE_UNAVAILABLE, e.to_string()))?;
+    let entries = entries.iter().map(audit_entry).collect();
+    Ok(HttpResponseOk(AuditPage { entries }))
+}
+
+fn audit_entry(entry: &LogEntry) -> AuditEntry {
+    AuditEntry {
+        revision: entry.revision.0,
+        at_unix_ms: entry.at_unix_ms,
+        actor: entry.actor.clone(),
+        operation_id: entry.operation_id.to_string(),
+        change: serde_json::to_string(&entry.change).unwrap_or_default(),
+    }
+}
+
+#[endpoint { method = GET, path = "/v1/templates" }]
+async fn get_templates(context: RequestContext<Context>) -> Answer<DocumentList> {
+    let state = context.context().host.view.state();
+    Ok(HttpResponseOk(documents(&state, state.templates.iter())))
+}
+
+#[endpoint { method = GET, path = "/v1/workspaces" }]
+async fn get_workspaces(context: RequestContext<Context>) -> Answer<DocumentList> {
+    let state = context.context().host.view.state();
+    Ok(HttpResponseOk(documents(&state, state.workspaces.iter())))
+}
+
+fn documents<'a>(
+    state: &State,
+    held: impl Iterator<Item = (&'a String, &'a Document)>,
+) -> DocumentList {
+    let body = |(name, document): (&String, &Document)| DocumentBody {
+        name: name.clone(),
+        revision: document.revision.0,
+        document: document.text.clone(),
+    };
+    DocumentList {
+        configuration: state.configuration.0,
+        documents: held.map(body).collect(),
+    }
+}
+
+#[endpoint { method = POST, path = "/v1/templates/submit" }]
+async fn submit_template(
+    context: RequestContext<Context>,
+    body: TypedBody<SubmitBody>,
+) -> Answer<Accepted> {
+    let body = body.into_inner();
+    let document = body.document.clone();
+    submit(&context, body, Change::TemplateSubmitted { document }).await
+}
+
+#[endpoint { method = POST, path = "/v1/workspaces/submit" }]
+async fn submit_workspace(
+    context: RequestContext<Context>,
+    body: TypedBody<SubmitBody>,
+) -> Answer<Accepted> {
+    let body = body.into_inner();
+    let document = body.document.clone();
+    submit(&context, body, Change::WorkspaceSubmitted { document }).await
+}
+
+#[endpoint { method = POST, path = "/v1/templates/withdraw" }]
+async fn withdraw_template(
+    context: RequestContext<Context>,
+    body: TypedBody<WithdrawBody>,
+) -> Answer<Accepted> {
+    let body = body.into_inner();
+    let name = body.name.clone();
+    submit(
+        &context,
+        withdrawal(body),
+        Change::TemplateWithdrawn { name },
+    )
+    .await
+}
+
+#[endpoint { method = POST, path = "/v1/workspaces/withdraw" }]
+async fn withdraw_workspace(
+    context: RequestContext<Context>,
+    body: TypedBody<WithdrawBody>,
+) -> Answer<Accepted> {
+    let body = body.into_inner();
+    let name = body.name.clone();
+    submit(
+        &context,
+        withdrawal(body),
+        Change::WorkspaceWithdrawn { name },
+    )
+    .await
+}
+
+/// Begins the planned stop of the host that is asked.
+#[endpoint { method = POST, path = "/v1/host/drain" }]
+async fn drain_host(context: RequestContext<Context>) -> Answer<Draining> {
+    authorize(&context)?;
+    let host = &context.context().host;
+    host.ask_to_stop();
+    Ok(HttpResponseOk(Draining {
+        host: host.settings.name.clone(),
+    }))
+}
+
+fn withdrawal(body: WithdrawBody) -> SubmitBody {
+    SubmitBody {
+        document: String::new(),
+        operation_id: body.operation_id,
+        expect_revision: body.expect_revision,
+        actor: body.actor,
+        dry_run: false,
+    }
+}
+
+async fn submit(
+    context: &RequestContext<Context>,
+    body: SubmitBody,
+    change: Change,
+) -> Answer<Accepted> {
+    authorize(context)?;
+    let host = &context.context().host;
+    let before = host.view.state();
+    if body.dry_run {
+        let effect = tried(&before, &change).map_err(|e| refused(&e))?;
+        return Ok(HttpResponseOk(Accepted {
+            revision: before.revision.0,
+            effect,
+        }));
+    }
+    let effect = tried(&before, &change).unwrap_or_default();
+    let operation_id = body.operation_id.map(OperationId);
+    let request = CommitRequest {
+        operation_id: operation_id.unwrap_or_else(OperationId::random),
+        actor: body.actor.unwrap_or_else(|| "operator".to_owned()),
+        expect_revision: body.expect_revision.map(Revision),
+        change,
+    };
+    match host.commit(request).await {
+        Ok(revision) => Ok(HttpResponseOk(Accepted {
+            revision: revision.0,
+            effect,
+        })),
+        Err(failure) => Err(commit_error(host, failure).await),
+    }
+}
+
+fn tried(before: &State, change: &Change) -> state::Result<super::message::Effect> {
+    let mut after = before.clone();
+    after.apply(&LogEntry {
+        revision: before.revision.next(),
+        operation_id: OperationId::random(),
+        actor: String::new(),
+        at_unix_ms: 0,
+        change: change.clone(),
+    })?;
+    Ok(dry_run::effect(before, &after))
+}
+
+fn authorize(context: &RequestContext<Context>) -> Result<(), HttpError> {
+    let Some(token) = &context.context().token else {
+        let message = "changes are refused: the host's settings name no token_file";
+        return Err(error(ErrorStatusCode::FORBIDDEN, message.to_owned()));
+    };
+    let sent = context.request.headers().get(header::AUTHORIZATION);
+    let sent = sent.and_then(|value| value.to_str().ok());
+    let sent = sent.and_then(|value| value.strip_prefix("Bearer "));
+    if !sent.is_some_and(|sent| same(sent.as_bytes(), token.as_bytes())) {
+        let message = "changes need the operators' token";
+        return Err(error(ErrorStatusCode::UNAUTHORIZED, message.to_owned()));
+    }
+    Ok(())
+}
+
+/// Compares without telling by its duration where the texts differ.
+fn same(one: &[u8], other: &[u8]) -> bool {
+    let differ = one.iter().zip(other).fold(0, |all, (a, b)| all | (a ^ b));
+    one.len() == other.len() && differ == 0
+}
+
+fn refused(failure: &state::Error) -> HttpError {
+    let status = match failure {
+        state::Error::Declaration { .. } => ErrorStatusCode::UNPROCESSABLE_ENTITY,
+        state::Error::Unknown { .. } => ErrorStatusCode::NOT_FOUND,
+        _ => ErrorStatusCode::CONFLICT,
+    };
+    error(status, failure.to_string())
+}
+
+async fn commit_error(host: &Host, failure: CommitError) -> HttpError {
+    match failure {
+        CommitError::Refused { source } => refused(&source),
+        CommitError::Raced { expected, found } => {
+            let other = host.other_change(found).await;
+            let message = format!(
+                "{}; the other change: {other}",
+                CommitError::Raced { expected, found }
+            );
+            error(ErrorStatusCode::CONFLICT, message)
+        }
+        other => error(ErrorStatusCode::SERVICE_UNAVAILABLE, other.to_string()),
+    }
+}
+
+impl Host {
+    /// Entries of the audit trail after a revision, from the platform.
+    async fn audit(&self, after: Revision) -> Result<Vec<LogEntry>, state::LogError> {
+        self.log.tail(after).await
+    }
+
+    /// The change that became `revision`, for the operator who lost against it.
+    async fn other_change(&self, revision: Revision) -> String {
+        let before = Revision(revision.0.saturating_sub(1));
+        let entries = self.log.tail(before).await.unwrap_or_default();
+        match entries.first() {
+            Some(entry) => format!(
+                "revision {revision} by {}: {}",
+                entry.actor,
+                serde_json::to_string(&entry.change).unwrap_or_default()
+            ),
+            None => format!("revision {revision}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/ownership/mod.rs
@@ -0,0 +1,6 @@
+//! Who owns which slot: leases, moves and the planner.
+
+pub mod lapse;
+pub mod message;
+pub mod planner;
+pub mod renewal;
--- /dev/null
+++ b/src/ownership/planner.rs
@@ -0,0 +1,309 @@
+//! Decides which slots move where. A pure function of loads, servers and prices.
+//!
+//! With `x` for a server's load per capacity over the mean, less one, the plan's price is
+//! `imbalance * sum(x * x) + churn * keys moved + unavailable * load held up`. A move is made only
+//! if it lowers that price. Slots without an eligible owner are placed whatever it costs.
+
+use std::{cmp::Ordering, collections::BinaryHeap};
+
+use crate::configuration::template::Weights;
+
+/// Time for which requests of a moving slot wait, as expected by the price.
+pub const EXPECTED_HOLD_S: f64 = 0.02;
+
+/// One server as the planner sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerServer {
+    /// Requests that it runs at a time, less what a cold start takes off.
+    pub capacity: f64,
+    /// False if it must not own slots.
+    pub eligible: bool,
+}
+
+/// One slot as the planner sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerSlot {
+    /// Index of its owner.
+    pub owner: Option<u32>,
+    /// Smoothed load.
+    pub load: f64,
+    /// True while it moves already; its load counts at its next owner, given as `owner`.
+    pub moving: bool,
+}
+
+/// Question to the planner.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannerInput<'a> {
+    /// Servers.
+    pub servers: &'a [PlannerServer],
+    /// Slots.
+    pub slots: &'a [PlannerSlot],
+    /// Prices.
+    pub weights: Weights,
+    /// Most moves that are made only for balance.
+    pub balance_moves: usize,
+}
+
+/// Why a slot moves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// It has no eligible owner.
+    Orphaned,
+    /// The move lowers the price.
+    Balance,
+}
+
+/// One move of the plan.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlannedMove {
+    /// Index of the slot.
+    pub slot: u32,
+    /// Index of the next owner.
+    pub to: u32,
+    /// Why.
+    pub cause: Cause,
+    /// Amount by which it lowers the price.
+    pub gain: f64,
+}
+
+/// A server's load in a heap whose greatest element is wanted first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Ranked {
+    key: f64,
+    server: u32,
+}
+
+impl Eq for Ranked {}
+
+impl PartialOrd for Ranked {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Ranked {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_key = self.key.total_cmp(&other.key);
+        by_key.then(other.server.cmp(&self.server))
+    }
+}
+
+struct Plan<'a> {
+    input: PlannerInput<'a>,
+    loads: Vec<f64>,
+    least: BinaryHeap<Ranked>,
+    moves: Vec<PlannedMove>,
+    mean: f64,
+    slot_load: f64,
+    keys_per_move: f64,
+}
+
+/// Plans moves; an empty plan means that nothing pays for itself.
+pub fn plan(input: PlannerInput<'_>) -> Vec<PlannedMove> {
+    let Some(mut plan) = Plan::new(input) else {
+        return Vec::new();
+    };
+    plan.place_orphans();
+    plan.balance();
+    plan.moves
+}
+
+/// Peak over mean of load per capacity, over the eligible servers.
+pub fn imbalance(servers: &[PlannerServer], slots: &[PlannerSlot]) -> f64 {
+    let mut loads = vec![0.0; servers.len()];
+    for slot in slots {
+        if let Some(owner) = slot.owner {
+            loads[owner as usize] += slot.load;
+        }
+    }
+    let eligible = || servers.iter().zip(&loads).filter(|(s, _)| s.eligible);
+    let capacity: f64 = eligible().map(|(server, _)| server.capacity).sum();
+    let total: f64 = eligible().map(|(_, load)| load).sum();
+    if capacity <= 0.0 || total <= 0.0 {
+        return 1.0;
+    }
+    let mean = total / capacity;
+    let peak = eligible()
+        .map(|(server, load)| load / server.capacity)
+        .fold(0.0, f64::max);
+    peak / mean
+}
+
+impl<'a> Plan<'a> {
+    fn new(input: PlannerInput<'a>) -> Option<Self> {
+        let capacity: f64 = input
+            .servers
+            .iter()
+            .filter(|server| server.eligible)
+            .map(|server| server.capacity)
+            .sum();
+        if capacity <= 0.0 {
+            return None;
+        }
+        let eligible = input.servers.iter().filter(|s| s.eligible).count();
+        let total: f64 = input.slots.iter().map(|slot| slot.load).sum();
+        // Without any load yet, every slot counts the same.
+        let slot_load = if total > 0.0 { 0.0 } else { 1.0 };
+        let total = total + slot_load * input.slots.len() as f64;
+        let mut loads = vec![0.0; input.servers.len()];
+        for slot in input.slots {
+            if let Some(owner) = slot.owner {
+                loads[owner as usize] += slot.load + slot_load;
+            }
+        }
+        let mut plan = Self {
+            input,
+            loads,
+            least: BinaryHeap::new(),
+            moves: Vec::new(),
+            mean: total / capacity,
+            slot_load,
+            keys_per_move: eligible as f64 / input.slots.len().max(1) as f64,
+        };
+        for server in 0..input.servers.len() as u32 {
+            plan.rank_least(server);
+        }
+        Some(plan)
+    }
+
+    fn load(&self, slot: u32) -> f64 {
+        self.input.slots[slot as usize].load + self.slot_load
+    }
+
+    fn eligible(&self, server: u32) -> bool {
+        self.input.servers[server as usize].eligible
+    }
+
+    /// Load per capacity over the mean, less one, after `extra` load came on top.
+    fn excess(&self, server: u32, extra: f64) -> f64 {
+        let capacity = self.input.servers[server as usize].capacity;
+        (self.loads[server as usize] + extra) / capacity / self.mean - 1.0
+    }
+
+    fn rank_least(&mut self, server: u32) {
+        if self.eligible(server) {
+            let key = -self.excess(server, 0.0);
+            self.least.push(Ranked { key, server });
+        }
+    }
+
+    /// The eligible server with the least load per capacity.
+    fn least_loaded(&mut self) -> Option<u32> {
+        while let Some(top) = self.least.peek().copied() {
+            if top.key == -self.excess(top.server, 0.0) {
+                return Some(top.server);
+            }
+            self.least.pop();
+        }
+        None
+    }
+
+    fn place_orphans(&mut self) {
+        let mut orphans: Vec<u32> = (0..self.input.slots.len() as u32)
+            .filter(|index| self.is_orphan(*index))
+            .collect();
+        orphans.sort_by(|a, b| self.load(*b).total_cmp(&self.load(*a)).then(a.cmp(b)));
+        for slot in orphans {
+            let Some(to) = self.least_loaded() else {
+                return;
+            };
+            self.push(slot, to, Cause::Orphaned, 0.0);
+        }
+    }
+
+    fn is_orphan(&self, slot: u32) -> bool {
+        let slot = &self.input.slots[slot as usize];
+        let owned = slot.owner.is_some_and(|owner| self.eligible(owner));
+        !slot.moving && !owned
+    }
+
+    fn push(&mut self, slot: u32, to: u32, cause: Cause, gain: f64) {
+        let load = self.load(slot);
+        if let Some(from) = self.input.slots[slot as usize].owner {
+            self.loads[from as usize] -= load;
+            self.rank_least(from);
+        }
+        self.loads[to as usize] += load;
+        self.rank_least(to);
+        self.moves.push(PlannedMove {
+            slot,
+            to,
+            cause,
+            gain,
+        });
+    }
+
+    fn balance(&mut self) {
+        let mut owned = self.slots_by_owner();
+        let mut most: BinaryHeap<Ranked> = (0..self.input.servers.len() as u32)
+            .filter(|server| self.eligible(*server))
+            .map(|server| Ranked {
+                key: self.excess(server, 0.0),
+                server,
+            })
+            .collect();
+        let mut left = self.input.balance_moves;
+        while left > 0 {
+            let Some(top) = most.pop() else { return };
+            let from = top.server;
+            let Some(to) = self.least_loaded() else {
+                return;
+            };
+            let Some((position, gain)) = self.best(&owned[from as usize], from, to) else {
+                // Nothing on this server pays; the next one may hold smaller slots.
+                continue;
+            };
+            let slot = owned[from as usize].remove(position);
+            self.push(slot, to, Cause::Balance, gain);
+            left -= 1;
+            let key = self.excess(from, 0.0);
+            most.push(Ranked { key, server: from });
+        }
+    }
+
+    /// Movable slots of each server, least loaded first.
+    fn slots_by_owner(&self) -> Vec<Vec<u32>> {
+        let mut owned = vec![Vec::new(); self.input.servers.len()];
+        for (index, slot) in self.input.slots.iter().enumerate() {
+            let Some(owner) = slot.owner else { continue };
+            if !slot.moving && self.eligible(owner) {
+                owned[owner as usize].push(index as u32);
+            }
+        }
+        for slots in &mut owned {
+            slots.sort_by(|a, b| self.load(*a).total_cmp(&self.load(*b)));
+        }
+        owned
+    }
+
+    /// The slot whose move from `from` to `to` gains most, if any gains.
+    fn best(&self, slots: &[u32], from: u32, to: u32) -> Option<(usize, f64)> {
+        if from == to || slots.is_empty() {
+            return None;
+        }
+        let capacity = self.input.servers[from as usize].capacity;
+        let spread = self.excess(from, 0.0) - self.excess(to, 0.0);
+        let ideal = spread / 2.0 * self.mean * capacity;
+        let above = slots.partition_point(|slot| self.load(*slot) <= ideal);
+        let candidates = [above.checked_sub(1), Some(above)];
+        candidates
+            .into_iter()
+            .flatten()
+            .filter(|position| *position < slots.len())
+            .map(|position| (position, self.gain(slots[position], from, to)))
+            .filter(|(_, gain)| *gain > 0.0)
+            .max_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
+    fn gain(&self, slot: u32, from: u32, to: u32) -> f64 {
+        let weights = self.input.weights;
+        let load = self.load(slot);
+        let square = |server, extra| self.excess(server, extra).powi(2);
+        let before = square(from, 0.0) + square(to, 0.0);
+        let after = square(from, -load) + square(to, load);
+        let held = load / (self.mean * self.input.servers[from as usize].capacity);
+        weights.imbalance * (before - after)
+            - weights.churn * self.keys_per_move
+            - weights.unavailable * held * EXPECTED_HOLD_S
+    }
+}
--- /dev/null
+++ b/src/peer/endpoint.rs
@@ -0,0 +1,215 @@
+//! The QUIC endpoint of one host: its connections to peers, and what arrives on them.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use quinn::{Connection, Endpoint, RecvStream, SendStream};
+use snafu::ResultExt;
+use tokio::{
+    sync::{mpsc, oneshot},
+    time,
+};
+
+use super::{
+    error::{BindSnafu, Error, Result, UnreachableSnafu},
+    keys::{HOST_NAME, TlsConfigs},
+    message::{Datagram, MESSAGE_BYTES_MAX, PeerReply, PeerRequest, decode, encode},
+};
+
+/// Messages that wait to be handled; further streams wait, further datagrams are dropped.
+const INBOX_MESSAGES: usize = 4_096;
+
+/// What arrives from peers.
+#[derive(Debug)]
+pub enum Inbound {
+    /// A heartbeat; answers go back on the same connection.
+    Datagram {
+        /// Connection that it came on.
+        connection: Connection,
+        /// Message.
+        datagram: Datagram,
+    },
+    /// A request; the reply goes into the channel.
+    Request {
+        /// Message.
+        request: PeerRequest,
+        /// Where the reply goes.
+        reply: oneshot::Sender<PeerReply>,
+    },
+}
+
+/// Endpoint of one host.
+#[derive(Debug)]
+pub struct PeerEndpoint {
+    endpoint: Endpoint,
+    connections: Mutex<HashMap<SocketAddr, Connection>>,
+    inbox: mpsc::Sender<Inbound>,
+}
+
+impl PeerEndpoint {
+    /// Opens the endpoint; what arrives comes out of the receiver.
+    pub fn bind(address: SocketAddr, tls: TlsConfigs) -> Result<(Self, mpsc::Receiver<Inbound>)> {
+        let opened = Endpoint::server(tls.server, address);
+        let mut endpoint = opened.context(BindSnafu { address })?;
+        endpoint.set_default_client_config(tls.client);
+        let (inbox, received) = mpsc::channel(INBOX_MESSAGES);
+        tokio::spawn(accept(endpoint.clone(), inbox.clone()));
+        let peer = Self {
+            endpoint,
+            connections: Mutex::default(),
+            inbox,
+        };
+        Ok((peer, received))
+    }
+
+    /// Address that the endpoint listens on.
+    pub fn address(&self) -> Result<SocketAddr> {
+        self.endpoint.local_addr().map_err(|error| Error::Tls {
+            message: error.to_string(),
+        })
+    }
+
+    /// Sends a heartbeat. Loss is not reported.
+    pub async fn send(&self, address: SocketAddr, datagram: Datagram) -> Result<()> {
+        let connection = self.connect(address).await?;
+        let bytes = encode(&datagram)?;
+        let sent = connection.send_datagram(bytes.into());
+        sent.map_err(|error| self.broken(address, &error))
+    }
+
+    /// Sends a request and waits for its reply.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        timeout_ms: u64,
+    ) -> Result<PeerReply> {
+        let exchange = self.exchange(address, request);
+        match time::timeout(Duration::from_millis(timeout_ms), exchange).await {
+            Ok(result) => result,
+            Err(_) => UnreachableSnafu {
+                address,
+                message: format!("no answer within {timeout_ms} ms"),
+            }
+            .fail(),
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, request: &PeerRequest) -> Result<PeerReply> {
+        let bytes = encode(request)?;
+        let connection = self.connect(address).await?;
+        let (mut send, mut receive) = connection
+            .open_bi()
+            .await
+            .map_err(|error| self.broken(address, &error))?;
+        send.write_all(&bytes)
+            .await
+            .map_err(|error| self.broken(address, &error))?;
+        send.finish()
+            .map_err(|error| self.broken(address, &error))?;
+        let reply = receive
+            .read_to_end(MESSAGE_BYTES_MAX)
+            .await
+            .map_err(|error| self.broken(address, &error))?;
+        decode(&reply)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<Connection> {
+        if let Some(connection) = self.held(address) {
+            return Ok(connection);
+        }
+        let connecting = self
+            .endpoint
+            .connect(address, HOST_NAME)
+            .map_err(|error| self.broken(address, &error))?;
+        let connection = connecting
+            .await
+            .map_err(|error| self.broken(address, &error))?;
+        tokio::spawn(read_datagrams(connection.clone(), self.inbox.clone()));
+        self.lock().insert(address, connection.clone());
+        Ok(connection)
+    }
+
+    fn held(&self, address: SocketAddr) -> Option<Connection> {
+        let mut connections = self.lock();
+        let connection = connections.get(&address)?.clone();
+        if connection.close_reason().is_some() {
+            connections.remove(&address);
+            return None;
+        }
+        Some(connection)
+    }
+
+    fn broken(&self, address: SocketAddr, error: &impl std::error::Error) -> Error {
+        Error::Unreachable {
+            address,
+            message: error.to_string(),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Connection>> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Closes every connection.
+    pub fn close(&self) {
+        self.endpoint.close(0u32.into(), b"stopped");
+    }
+}
+
+async fn accept(endpoint: Endpoint, inbox: mpsc::Sender<Inbound>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let inbox = inbox.clone();
+        tokio::spawn(async move {
+            let Ok(connection) = incoming.await else {
+                return;
+            };
+            tokio::spawn(read_datagrams(connection.clone(), inbox.clone()));
+            while let Ok((send, receive)) = connection.accept_bi().await {
+                tokio::spawn(answer(send, receive, inbox.clone()));
+            }
+        });
+    }
+}
+
+async fn read_datagrams(connection: Connection, inbox: mpsc::Sender<Inbound>) {
+    while let Ok(bytes) = connection.read_datagram().await {
+        let Ok(datagram) = decode(&bytes) else {
+            log::warn!("a peer's heartbeat cannot be read");
+            continue;
+        };
+        let connection = connection.clone();
+        let _ = inbox.try_send(Inbound::Datagram {
+            connection,
+            datagram,
+        });
+    }
+}
+
+async fn answer(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    inbox: mpsc::Sender<Inbound>,
+) -> Result<()> {
+    let Ok(bytes) = receive.read_to_end(MESSAGE_BYTES_MAX).await else {
+        return Ok(());
+    };
+    let request = decode(&bytes)?;
+    let (reply, replied) = oneshot::channel();
+    let _ = inbox.send(Inbound::Request { request, reply }).await;
+    // Dropping the stream resets it, so that the caller sees a failure and not an empty reply.
+    let Ok(reply) = replied.await else {
+        return Ok(());
+    };
+    let bytes = encode(&reply)?;
+    let _ = send.write_all(&bytes).await;
+    let _ = send.finish();
+    let _ = send.stopped().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/peer/keys.rs
@@ -0,0 +1,168 @@
+//! Certificates: reading them, and making a certificate authority and hosts' certificates.
+
+use std::{fs, path::Path, sync::Arc};
+
+use quinn::{
+    ClientConfig, IdleTimeout, ServerConfig, TransportConfig,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose};
+use rustls::{
+    RootCertStore,
+    crypto::{CryptoProvider, ring},
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
+    server::WebPkiClientVerifier,
+};
+use snafu::ResultExt;
+
+use super::error::{Error, GenerateSnafu, Result};
+use crate::settings::Peers;
+
+/// Name in every host's certificate: what matters is the authority that signed it.
+pub const HOST_NAME: &str = "ashroad-host";
+/// File of the authority's certificate.
+pub const CA_FILE: &str = "ca.pem";
+/// File of the authority's private key.
+pub const CA_KEY_FILE: &str = "ca-key.pem";
+const PROTOCOL: &[u8] = b"ashroad/1";
+const IDLE_MS: u32 = 1_000;
+const KEEP_ALIVE_MS: u64 = 300;
+const STREAMS_MAX: u32 = 256;
+
+/// Both directions' TLS set-up.
+#[derive(Clone, Debug)]
+pub struct TlsConfigs {
+    /// For accepted connections.
+    pub server: ServerConfig,
+    /// For own connections.
+    pub client: ClientConfig,
+}
+
+/// Installs the process's crypto provider; needed once before any TLS.
+pub fn install_crypto_provider() {
+    let _ = ring::default_provider().install_default();
+}
+
+/// Reads the files that the settings name.
+pub fn load(peers: &Peers) -> Result<TlsConfigs> {
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates(&peers.ca_file)? {
+        roots.add(certificate).map_err(tls)?;
+    }
+    let roots = Arc::new(roots);
+    let chain = certificates(&peers.certificate_file)?;
+    let key_file = &peers.private_key_file;
+    let key =
+        PrivateKeyDer::from_pem_file(key_file).map_err(|error| key_error(key_file, &error))?;
+    let provider = Arc::new(ring::default_provider());
+    Ok(TlsConfigs {
+        server: server(&provider, &roots, chain.clone(), key.clone_key())?,
+        client: client(&provider, &roots, chain, key)?,
+    })
+}
+
+fn server(
+    provider: &Arc<CryptoProvider>,
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ServerConfig> {
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone())
+        .build()
+        .map_err(tls)?;
+    let mut config = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(tls)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)
+        .map_err(tls)?;
+    config.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let config = QuicServerConfig::try_from(config).map_err(tls)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(config));
+    config.transport_config(transport());
+    Ok(config)
+}
+
+fn client(
+    provider: &Arc<CryptoProvider>,
+    roots: &Arc<RootCertStore>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+) -> Result<ClientConfig> {
+    let mut config = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(tls)?
+        .with_root_certificates(roots.clone())
+        .with_client_auth_cert(chain, key)
+        .map_err(tls)?;
+    config.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let config = QuicClientConfig::try_from(config).map_err(tls)?;
+    let mut config = ClientConfig::new(Arc::new(config));
+    config.transport_config(transport());
+    Ok(config)
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(IdleTimeout::from(quinn::VarInt::from_u32(IDLE_MS))))
+        .keep_alive_interval(Some(std::time::Duration::from_millis(KEEP_ALIVE_MS)))
+        .max_concurrent_bidi_streams(STREAMS_MAX.into())
+        .max_concurrent_uni_streams(0u32.into());
+    Arc::new(transport)
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>> {
+    let found = CertificateDer::pem_file_iter(path).map_err(|error| key_error(path, &error))?;
+    found
+        .collect::<std::result::Result<Vec<_>, _>>()
+        .map_err(|error| key_error(path, &error))
+}
+
+fn key_error(path: &Path, error: &impl std::error::Error) -> Error {
+    Error::Key {
+        path: path.to_owned(),
+        message: error.to_string(),
+    }
+}
+
+fn tls(error: impl std::error::Error) -> Error {
+    Error::Tls {
+        message: error.to_string(),
+    }
+}
+
+/// Makes a certificate authority in `directory`.
+pub fn create_ca(directory: &Path) -> Result<()> {
+    let key = KeyPair::generate().context(GenerateSnafu)?;
+    let mut params = CertificateParams::new(Vec::new()).context(GenerateSnafu)?;
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    let certificate = params.self_signed(&key).context(GenerateSnafu)?;
+    write(&directory.join(CA_FILE), &certificate.pem())?;
+    write(&directory.join(CA_KEY_FILE), &key.serialize_pem())
+}
+
+/// Makes a certificate `NAME.pem` and a key `NAME-key.pem` in `directory`, signed by its authority.
+pub fn create_host(directory: &Path, name: &str) -> Result<()> {
+    let ca = read(&directory.join(CA_FILE))?;
+    let ca_key = read(&directory.join(CA_KEY_FILE))?;
+    let ca_key = KeyPair::from_pem(&ca_key).context(GenerateSnafu)?;
+    let issuer = Issuer::from_ca_cert_pem(&ca, ca_key).context(GenerateSnafu)?;
+    let key = KeyPair::generate().context(GenerateSnafu)?;
+    let params = CertificateParams::new(vec![HOST_NAME.to_owned()]).context(GenerateSnafu)?;
+    let certificate = params.signed_by(&key, &issuer).context(GenerateSnafu)?;
+    write(&directory.join(format!("{name}.pem")), &certificate.pem())?;
+    write(
+        &directory.join(format!("{name}-key.pem")),
+        &key.serialize_pem(),
+    )
+}
+
+fn read(path: &Path) -> Result<String> {
+    fs::read_to_string(path).map_err(|error| key_error(path, &error))
+}
+
+fn write(path: &Path, text: &str) -> Result<()> {
+    fs::write(path, text).map_err(|error| key_error(path, &error))
+}
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,89 @@
+//! Calls to the platform.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::Method;
+use snafu::ResultExt;
+
+use super::{
+    error::{CallSnafu, Result},
+    message::{
+        HOSTS_PATH, HostList, OBJECT_PATH, RANGE_PATH, RangeRead, Row, Rows, TRANSACT_PATH,
+        Transacted, Transaction,
+    },
+};
+use crate::transport::JsonClient;
+
+/// Client of the platform's table service, object store and list of hosts.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    address: SocketAddr,
+    client: JsonClient,
+}
+
+impl Platform {
+    /// A client whose calls take at most `timeout_ms`.
+    pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
+        Self {
+            address,
+            client: JsonClient::new(timeout_ms),
+        }
+    }
+
+    /// Runs a conditional transaction. After an error it is unknown whether it took effect.
+    pub async fn transact(&self, transaction: &Transaction) -> Result<Transacted> {
+        self.client
+            .post(self.address, TRANSACT_PATH, transaction)
+            .await
+            .context(CallSnafu)
+    }
+
+    /// Reads at most `limit` rows with `prefix` whose key is greater than `after`.
+    pub async fn range(&self, prefix: &str, after: &str, limit: usize) -> Result<Vec<Row>> {
+        let read = RangeRead {
+            prefix: prefix.to_owned(),
+            after: after.to_owned(),
+            limit,
+        };
+        let rows: Rows = self
+            .client
+            .post(self.address, RANGE_PATH, &read)
+            .await
+            .context(CallSnafu)?;
+        Ok(rows.rows)
+    }
+
+    /// Reads the row `key`.
+    pub async fn row(&self, key: &str) -> Result<Option<Row>> {
+        let rows = self.range(key, "", 1).await?;
+        Ok(rows.into_iter().find(|row| row.key == key))
+    }
+
+    /// Stores an object under `name`.
+    pub async fn put_object(&self, name: &str, body: Bytes) -> Result<()> {
+        let path = format!("{OBJECT_PATH}{name}");
+        self.client
+            .send(Method::PUT, self.address, &path, body)
+            .await
+            .context(CallSnafu)?;
+        Ok(())
+    }
+
+    /// Reads the object `name`.
+    pub async fn object(&self, name: &str) -> Result<Bytes> {
+        let path = format!("{OBJECT_PATH}{name}");
+        self.client
+            .send(Method::GET, self.address, &path, Bytes::new())
+            .await
+            .context(CallSnafu)
+    }
+
+    /// Reads the lagging list of hosts.
+    pub async fn hosts(&self) -> Result<HostList> {
+        self.client
+            .get(self.address, HOSTS_PATH)
+            .await
+            .context(CallSnafu)
+    }
+}
--- /dev/null
+++ b/src/routing/router.rs
@@ -0,0 +1,454 @@
+//! The way of one caller's request: service, key, slot, owner, attempts, outcome.
+
+use std::{sync::Arc, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time;
+
+use super::{
+    key::{self, CallerPath},
+    outcome::{Failure, Outcome, Reason},
+    target::Attempt,
+    traffic::ServiceTraffic,
+};
+use crate::{
+    claims::{Claim, Claimed, Fingerprint, KEPT_BODY_BYTES, StoredAnswer, request_id},
+    clock,
+    host::Host,
+    id::{Epoch, Incarnation, ServiceKey, Slot},
+    ownership::message::{
+        DEADLINE_HEADER, EPOCH_HEADER, IDEMPOTENCY_HEADER, INCARNATION_HEADER, REQUEST_HEADER,
+        SERVICE_HEADER, SLOT_HEADER,
+    },
+    state::{ServerState, State},
+    transport::{self, AnswerBody},
+};
+
+/// Path on which the balancer asks whether to send requests here.
+pub const READY_PATH: &str = "/_ashroad/ready";
+/// Path on which the platform asks whether the process lives.
+pub const ALIVE_PATH: &str = "/_ashroad/alive";
+/// Longest deadline that a caller may ask for.
+const DEADLINE_MS_MAX: u64 = 300_000;
+/// Pause before a slot's owner is looked up again when the server's view differs.
+const STALE_PAUSE_MS: u64 = 3;
+/// Pause before a retry.
+const RETRY_PAUSE_MS: u64 = 10;
+/// Pause before a connection that failed is tried again.
+const RECONNECT_PAUSE_MS: u64 = 25;
+
+/// Headers that concern only one connection, and those that ashroad sets itself.
+const DROPPED_HEADERS: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::CONTENT_LENGTH,
+    header::HOST,
+    header::UPGRADE,
+    header::TE,
+    header::EXPECT,
+];
+
+/// A request with everything that its attempts need.
+struct Routed {
+    request_id: String,
+    service: ServiceKey,
+    service_name: String,
+    slot: Slot,
+    method: Method,
+    path_and_query: String,
+    headers: HeaderMap,
+    body: Bytes,
+    deadline_ms: u64,
+    unrepeatable: bool,
+    traffic: Arc<ServiceTraffic>,
+}
+
+/// The owner of a slot at one moment.
+#[derive(Clone, Copy, Debug)]
+struct Owner {
+    address: std::net::SocketAddr,
+    incarnation: Incarnation,
+    epoch: Epoch,
+    permits: usize,
+}
+
+/// Answers one caller's request.
+pub async fn answer(host: Arc<Host>, request: Request<Incoming>) -> Response<AnswerBody> {
+    match request.uri().path() {
+        READY_PATH => return readiness(host.ready()),
+        ALIVE_PATH => return readiness(true),
+        _ => {}
+    }
+    let request_id = request_id();
+    match route(&host, request, &request_id).await {
+        Ok(answer) => {
+            host.metrics.count("answered");
+            answer
+        }
+        Err(failure) => {
+            count_failure(&host, failure);
+            log::debug!(request = request_id.as_str(); "{failure:?}");
+            failure.answer(&request_id)
+        }
+    }
+}
+
+fn readiness(ready: bool) -> Response<AnswerBody> {
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    transport::whole(status, "text/plain", Bytes::new())
+}
+
+fn count_failure(host: &Host, failure: Failure) {
+    match failure.outcome {
+        Outcome::NotRun => host.metrics.count("not_run"),
+        Outcome::Unknown => host.metrics.count("unknown"),
+    }
+}
+
+async fn route(
+    host: &Arc<Host>,
+    request: Request<Incoming>,
+    request_id: &str,
+) -> Result<Response<AnswerBody>, Failure> {
+    let path = request.uri().path();
+    let no_service = Failure::not_run(Reason::NoSuchService);
+    let caller_path = key::split(path).ok_or(no_service)?;
+    let state = host.view.state();
+    let service = state.service_key(caller_path.service).ok_or(no_service)?;
+    let entry = state.service(service).filter(|entry| entry.active);
+    let entry = entry.ok_or(no_service)?;
+    let spec = &entry.spec;
+    let traffic = host.traffic.of(service, entry.slots.len());
+    let overloaded = Failure::not_run(Reason::Overloaded);
+    let place = traffic.admission.enter(spec.queue_requests);
+    let _place = place.ok_or(overloaded)?;
+    let routed = prepare(
+        host,
+        &state,
+        service,
+        caller_path,
+        &request,
+        request_id,
+        traffic,
+    )?;
+    let body = read_body(request, host.settings.callers.body_bytes).await?;
+    let routed = Routed { body, ..routed };
+    routed.traffic.count(routed.slot);
+    routed.traffic.retries.request();
+    let idempotency_key = routed.headers.get(IDEMPOTENCY_HEADER);
+    match idempotency_key.and_then(|value| value.to_str().ok()) {
+        Some(key) => run_once(host, &routed, key).await,
+        None => run(host, &routed).await,
+    }
+}
+
+fn prepare(
+    host: &Arc<Host>,
+    state: &State,
+    service: ServiceKey,
+    caller_path: CallerPath<'_>,
+    request: &Request<Incoming>,
+    request_id: &str,
+    traffic: Arc<ServiceTraffic>,
+) -> Result<Routed, Failure> {
+    let no_service = Failure::not_run(Reason::NoSuchService);
+    let spec = &state.service(service).ok_or(no_service)?.spec;
+    let headers = request.headers();
+    let key = key::key(&spec.key, caller_path.rest, headers);
+    let key = key.ok_or(Failure::not_run(Reason::NoKey))?;
+    let asked_ms = headers.get(DEADLINE_HEADER).and_then(number);
+    let deadline_ms = asked_ms.unwrap_or(spec.deadline_ms).min(DEADLINE_MS_MAX);
+    let path_and_query = request.uri().path_and_query();
+    let idempotent_key = headers.contains_key(IDEMPOTENCY_HEADER);
+    let marked = key::unrepeatable(spec, request.method(), caller_path.rest);
+    host.metrics.count("requests");
+    Ok(Routed {
+        request_id: request_id.to_owned(),
+        service,
+        service_name: spec.name.clone(),
+        slot: key::slot(key, spec.slots),
+        method: request.method().clone(),
+        path_and_query: path_and_query.map_or("/", |p| p.as_str()).to_owned(),
+        headers: headers.clone(),
+        body: Bytes::new(),
+        deadline_ms: clock::now_ms() + deadline_ms,
+        unrepeatable: marked || idempotent_key,
+        traffic,
+    })
+}
+
+fn number(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.parse().ok()
+}
+
+async fn read_body(request: Request<Incoming>, body_bytes: usize) -> Result<Bytes, Failure> {
+    let body = Limited::new(request.into_body(), body_bytes)
+        .collect()
+        .await;
+    let body = body.map_err(|error| {
+        let too_long = error.downcast_ref::<LengthLimitError>().is_some();
+        Failure::not_run(if too_long {
+            Reason::BodyTooLarge
+        } else {
+            Reason::BodyBroken
+        })
+    })?;
+    Ok(body.to_bytes())
+}
+
+/// Runs an unrepeatable request under a claim.
+async fn run_once(
+    host: &Arc<Host>,
+    routed: &Routed,
+    idempotency_key: &str,
+) -> Result<Response<AnswerBody>, Failure> {
+    let path = &routed.path_and_query;
+    let fingerprint = Fingerprint::of(routed.method.as_str(), path, &routed.body);
+    let claimed = host
+        .claims
+        .claim(
+            &routed.service_name,
+            idempotency_key,
+            fingerprint,
+            routed.deadline_ms,
+        )
+        .await;
+    let claim = match claimed {
+        Claimed::Granted(claim) => claim,
+        Claimed::Answered(answer) => return stored(&answer),
+        Claimed::Unavailable => return Err(Failure::not_run(Reason::ClaimsUnavailable)),
+        Claimed::Refused(Reason::KeyReused) => return Err(Failure::not_run(Reason::KeyReused)),
+        Claimed::Refused(reason) => return Err(Failure::unknown(reason)),
+    };
+    // The claim is ended even if the caller goes away.
+    let ended = EndClaim::new(host.clone(), claim);
+    match run(host, routed).await {
+        Ok(answer) => ended.answered(answer).await,
+        Err(failure) => {
+            ended.failed(failure.outcome);
+            Err(failure)
+        }
+    }
+}
+
+/// A claim whose request runs; when dropped without an end, the end is unknown.
+struct EndClaim {
+    host: Arc<Host>,
+    claim: Option<Claim>,
+}
+
+impl EndClaim {
+    fn new(host: Arc<Host>, claim: Claim) -> Self {
+        Self {
+            host,
+            claim: Some(claim),
+        }
+    }
+
+    fn failed(mut self, outcome: Outcome) {
+        let Some(claim) = self.claim.take() else {
+            return;
+        };
+        match outcome {
+            Outcome::NotRun => self.host.claims.released(claim),
+            Outcome::Unknown => self.host.claims.unknown(claim),
+        }
+    }
+
+    /// Keeps the answer and gives it to the caller. An answer that breaks off is unknown.
+    async fn answered(
+        mut self,
+        answer: Response<AnswerBody>,
+    ) -> Result<Response<AnswerBody>, Failure> {
+        let (parts, body) = answer.into_parts();
+        let Ok(body) = body.collect().await else {
+            return Err(Failure::unknown(Reason::Broken));
+        };
+        let body = body.to_bytes();
+        let content_type = parts.headers.get(header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        let kept = (body.len() <= KEPT_BODY_BYTES).then(|| StoredAnswer {
+            status: parts.status.as_u16(),
+            content_type: content_type.map(str::to_owned),
+            body_base64: STANDARD.encode(&body),
+        });
+        if let Some(claim) = self.claim.take() {
+            self.host.claims.answered(claim, kept);
+        }
+        let body = Full::new(body).map_err(|never| match never {}).boxed();
+        Ok(Response::from_parts(parts, body))
+    }
+}
+
+impl Drop for EndClaim {
+    fn drop(&mut self) {
+        if let Some(claim) = self.claim.take() {
+            self.host.claims.unknown(claim);
+        }
+    }
+}
+
+fn stored(answer: &StoredAnswer) -> Result<Response<AnswerBody>, Failure> {
+    let unsettled = Failure::unknown(Reason::Unsettled);
+    let body = STANDARD.decode(&answer.body_base64);
+    let body = body.map_err(|_| unsettled)?;
+    let status = StatusCode::from_u16(answer.status).map_err(|_| unsettled)?;
+    let mut response = transport::whole(status, "application/octet-stream", body.into());
+    let content_type = answer.content_type.as_deref();
+    if let Some(Ok(value)) = content_type.map(HeaderValue::from_str) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    Ok(response)
+}
+
+/// Makes attempts until one is answered, the deadline passes, or none may follow.
+async fn run(host: &Arc<Host>, routed: &Routed) -> Result<Response<AnswerBody>, Failure> {
+    loop {
+        let owner = owner(host, routed).await?;
+        let deadline = Failure::not_run(Reason::Deadline);
+        let permit = host
+            .targets
+            .permit(owner.address, owner.permits, routed.deadline_ms)
+            .await;
+        let permit = permit.ok_or(deadline)?;
+        // The wait for the permit may have been long: look at the owner again before sending.
+        if !still_owner(host, routed, owner) {
+            continue;
+        }
+        let request = attempt(routed, owner);
+        match host.targets.send(request, permit, routed.deadline_ms).await {
+            Attempt::Answered(answer) => return Ok(answer),
+            Attempt::Unknown(reason) => {
+                if routed.unrepeatable || !idempotent(&routed.method) {
+                    return Err(Failure::unknown(reason));
+                }
+                if clock::now_ms() >= routed.deadline_ms || !routed.traffic.retries.retry() {
+                    return Err(Failure::unknown(reason));
+                }
+                time::sleep(Duration::from_millis(RETRY_PAUSE_MS)).await;
+            }
+            Attempt::Stale => pause(routed, STALE_PAUSE_MS).await?,
+            // Nothing was sent, and a lost server's keys are served elsewhere within seconds.
+            Attempt::NotRun(Reason::NoConnection) => pause(routed, RECONNECT_PAUSE_MS).await?,
+            Attempt::NotRun(reason) => {
+                if !routed.traffic.retries.retry() {
+                    return Err(Failure::not_run(reason));
+                }
+                pause(routed, RETRY_PAUSE_MS).await?;
+            }
+        }
+    }
+}
+
+fn idempotent(method: &Method) -> bool {
+    matches!(
+        *method,
+        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS
+    )
+}
+
+/// Pauses, unless the deadline comes first.
+async fn pause(routed: &Routed, pause_ms: u64) -> Result<(), Failure> {
+    if clock::now_ms() + pause_ms >= routed.deadline_ms {
+        return Err(Failure::not_run(Reason::Deadline));
+    }
+    time::sleep(Duration::from_millis(pause_ms)).await;
+    Ok(())
+}
+
+/// Waits until the slot has an owner and this host may act, but not past the deadline.
+async fn owner(host: &Arc<Host>, routed: &Routed) -> Result<Owner, Failure> {
+    if host.view.fresh()
+        && let Some(owner) = look_up(&host.view.peek(), routed)
+    {
+        return Ok(owner);
+    }
+    // Subscribed before the next look, so that no change falls between look and wait.
+    let mut changes = host.view.watch();
+    loop {
+        let fresh = host.view.fresh();
+        if fresh && let Some(owner) = look_up(&host.view.peek(), routed) {
+            return Ok(owner);
+        }
+        let left_ms = routed.deadline_ms.saturating_sub(clock::now_ms());
+        if left_ms == 0 {
+            let reason = if fresh {
+                Reason::Deadline
+            } else {
+                Reason::NotFresh
+            };
+            return Err(Failure::not_run(reason));
+        }
+        // Freshness comes without a change, so it is polled for.
+        let wait_ms = if fresh {
+            left_ms
+        } else {
+            left_ms.min(RETRY_PAUSE_MS)
+        };
+        let wait = time::timeout(Duration::from_millis(wait_ms), changes.changed());
+        let _ = wait.await;
+    }
+}
+
+fn look_up(state: &State, routed: &Routed) -> Option<Owner> {
+    let service = state.service(routed.service)?;
+    let slot = service.slots.get(routed.slot.0 as usize)?;
+    let server = state.server(slot.settled()?)?;
+    if server.state != ServerState::Live {
+        return None;
+    }
+    Some(Owner {
+        address: server.address,
+        incarnation: server.incarnation,
+        epoch: slot.epoch,
+        permits: service.spec.server_slots as usize,
+    })
+}
+
+fn still_owner(host: &Host, routed: &Routed, owner: Owner) -> bool {
+    let found = look_up(&host.view.peek(), routed);
+    let same = found.is_some_and(|f| f.epoch == owner.epoch && f.incarnation == owner.incarnation);
+    same && host.view.fresh()
+}
+
+fn attempt(routed: &Routed, owner: Owner) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(routed.body.clone()));
+    *request.method_mut() = routed.method.clone();
+    let uri = format!("http://{}{}", owner.address, routed.path_and_query);
+    if let Ok(uri) = uri.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    *headers = routed.headers.clone();
+    for name in &DROPPED_HEADERS {
+        headers.remove(name);
+    }
+    let left_ms = routed.deadline_ms.saturating_sub(clock::now_ms());
+    let numbers = [
+        (SLOT_HEADER, u64::from(routed.slot.0)),
+        (EPOCH_HEADER, owner.epoch.0),
+        (INCARNATION_HEADER, owner.incarnation.0),
+        (DEADLINE_HEADER, left_ms),
+    ];
+    for (name, value) in numbers {
+        headers.insert(name, HeaderValue::from(value));
+    }
+    let texts = [
+        (SERVICE_HEADER, &routed.service_name),
+        (REQUEST_HEADER, &routed.request_id),
+    ];
+    for (name, value) in texts {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    }
+    request
+}
--- /dev/null
+++ b/src/routing/target.rs
@@ -0,0 +1,159 @@
+//! Sending one attempt to one backend server: its permits, its connections, and what came of it.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    time,
+};
+
+use super::outcome::Reason;
+use crate::{
+    clock,
+    ownership::message::{OUTCOME_HEADER, REASON_HEADER},
+    transport::AnswerBody,
+};
+
+const CONNECT_TIMEOUT_MS: u64 = 500;
+const IDLE_CONNECTION_MS: u64 = 30_000;
+
+/// What came of one attempt.
+#[derive(Debug)]
+pub enum Attempt {
+    /// The server answered.
+    Answered(Response<AnswerBody>),
+    /// The attempt provably did not run, because the server's view or the slot's owner differs.
+    Stale,
+    /// The attempt provably did not run.
+    NotRun(Reason),
+    /// The attempt may have run.
+    Unknown(Reason),
+}
+
+/// Backend servers as one host sees them.
+#[derive(Debug)]
+pub struct Targets {
+    client: Client<HttpConnector, Full<Bytes>>,
+    permits: Mutex<HashMap<SocketAddr, Arc<Semaphore>>>,
+}
+
+/// The right to send one request to a server; given back when dropped.
+pub type Permit = OwnedSemaphorePermit;
+
+impl Targets {
+    /// No connections yet; at most `idle_connections` idle ones are kept for each server.
+    pub fn new(idle_connections: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_millis(IDLE_CONNECTION_MS))
+            .pool_max_idle_per_host(idle_connections)
+            .build(connector);
+        Self {
+            client,
+            permits: Mutex::default(),
+        }
+    }
+
+    /// Waits for a permit of `address` until `deadline_ms`.
+    pub async fn permit(
+        &self,
+        address: SocketAddr,
+        permits: usize,
+        deadline_ms: u64,
+    ) -> Option<Permit> {
+        let semaphore = {
+            let mut held = self.permits.lock().unwrap_or_else(PoisonError::into_inner);
+            let semaphore = held
+                .entry(address)
+                .or_insert_with(|| Arc::new(Semaphore::new(permits)));
+            semaphore.clone()
+        };
+        if let Ok(permit) = semaphore.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        let left_ms = deadline_ms.saturating_sub(clock::now_ms());
+        let acquired = time::timeout(Duration::from_millis(left_ms), semaphore.acquire_owned());
+        acquired.await.ok()?.ok()
+    }
+
+    /// Sends one attempt and waits for the head of its answer until `deadline_ms`. The permit is
+    /// held until the caller has the whole answer.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        permit: Permit,
+        deadline_ms: u64,
+    ) -> Attempt {
+        let left_ms = deadline_ms.saturating_sub(clock::now_ms());
+        let answer = time::timeout(Duration::from_millis(left_ms), self.client.request(request));
+        match answer.await {
+            // Dropping the exchange closes its connection, so the server sees it cancelled.
+            Err(_) => Attempt::Unknown(Reason::NoAnswer),
+            Ok(Err(error)) if error.is_connect() => Attempt::NotRun(Reason::NoConnection),
+            Ok(Err(_)) => Attempt::Unknown(Reason::Broken),
+            Ok(Ok(answer)) => classify(answer, permit),
+        }
+    }
+}
+
+fn classify(answer: Response<Incoming>, permit: Permit) -> Attempt {
+    let headers = answer.headers();
+    if header(headers, OUTCOME_HEADER) != Some("not-run") {
+        let held = |body| Held { body, permit }.boxed();
+        return Attempt::Answered(answer.map(held));
+    }
+    match header(headers, REASON_HEADER) {
+        Some("stale-epoch" | "stale-incarnation" | "draining") => Attempt::Stale,
+        Some("deadline") => Attempt::NotRun(Reason::Deadline),
+        _ => Attempt::NotRun(Reason::Shed),
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// An answer's body together with the permit that it occupies.
+struct Held {
+    body: Incoming,
+    #[allow(dead_code, reason = "held until the body is dropped")]
+    permit: Permit,
+}
+
+impl Body for Held {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- /dev/null
+++ b/src/standin/backend.rs
@@ -0,0 +1,460 @@
+//! Stand-in of a backend server: accepts fenced grants, drains, sheds, honours deadlines and
+//! cancellation, and records who owned what and which request ran.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header::CONTENT_LENGTH};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming};
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::TcpListener,
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    time,
+};
+
+use super::{
+    Running,
+    grants::{Grants, HeldSpan, Reading},
+};
+use crate::{
+    clock,
+    id::{Epoch, Incarnation, Slot},
+    ownership::message::{
+        DEADLINE_HEADER, EPOCH_HEADER, IDEMPOTENCY_HEADER, INCARNATION_HEADER, LEASE_PATH,
+        LeaseAnswer, LeaseRequest, OUTCOME_HEADER, REASON_HEADER, REQUEST_HEADER, REVOKE_PATH,
+        RevokeAnswer, RevokeRequest, SERVICE_HEADER, SLOT_HEADER,
+    },
+    transport::{self, AnswerBody, ListenerLimits},
+};
+
+/// Path that sets faults (POST).
+pub const FAULTS_PATH: &str = "/_server/faults";
+/// Path of the record of ownership and runs (GET).
+pub const RECORD_PATH: &str = "/_server/record";
+/// Path of the health endpoint (GET).
+pub const HEALTH_PATH: &str = "/_server/health";
+
+const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
+const DRAIN_POLL_MS: u64 = 1;
+
+/// Shape of one stand-in.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Listening address.
+    pub listen: SocketAddr,
+    /// Requests that run at a time.
+    pub slots: usize,
+    /// Requests that wait for a slot; further ones are shed.
+    pub queue: usize,
+    /// Time that a request occupies its slot.
+    pub work_ms: u64,
+    /// False for a server that takes orders from anyone, however old.
+    pub checks_orders: bool,
+}
+
+/// Faults that the stand-in shows until told otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Nothing is answered until this is lifted; then everything goes on where it was.
+    pub frozen: bool,
+    /// The server asks to leave.
+    pub draining: bool,
+    /// The health endpoint says the opposite of the truth.
+    pub health_lies: bool,
+    /// Extra time for each request.
+    pub extra_ms: u64,
+    /// Answers are cut off in the middle of the body.
+    pub cut_answers: bool,
+}
+
+/// Number of runs of one request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RunCount {
+    /// Idempotency key if the request had one, else its request id.
+    pub request: String,
+    /// Times that it ran.
+    pub runs: u64,
+}
+
+/// What a server saw.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    /// Process that recorded.
+    pub incarnation: Incarnation,
+    /// Spans in which it owned a slot.
+    pub held: Vec<HeldSpan>,
+    /// Requests that ran.
+    pub runs: Vec<RunCount>,
+    /// Most requests that ran at a time.
+    pub running_max: usize,
+}
+
+/// Body of an answer.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    /// Identifier that the request came with.
+    pub request: String,
+    /// Path that was asked.
+    pub path: String,
+    /// Process that ran the request.
+    pub incarnation: Incarnation,
+    /// Bytes of the request's body.
+    pub body_bytes: usize,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    grants: Grants,
+    in_flight: HashMap<(String, Slot), usize>,
+    runs: HashMap<String, u64>,
+    running: usize,
+    running_max: usize,
+    waiting: usize,
+    faults: Faults,
+}
+
+#[derive(Clone, Debug)]
+struct Backend {
+    config: Arc<Config>,
+    incarnation: Incarnation,
+    inner: Arc<Mutex<Inner>>,
+    permits: Arc<Semaphore>,
+}
+
+/// Starts a stand-in.
+pub async fn start(config: Config) -> std::io::Result<Running> {
+    let listener = TcpListener::bind(config.listen).await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let backend = Backend {
+        permits: Arc::new(Semaphore::new(config.slots)),
+        config: Arc::new(config),
+        incarnation: Incarnation::random(),
+        inner: Arc::default(),
+    };
+    let limits = ListenerLimits {
+        drain_ms: 1_000,
+        ..ListenerLimits::default()
+    };
+    let task = tokio::spawn(transport::serve(
+        listener,
+        limits,
+        stopped,
+        move |request| {
+            let backend = backend.clone();
+            async move { backend.answer(request).await }
+        },
+    ));
+    Ok(Running::new(address, stop, task))
+}
+
+fn reading() -> Reading {
+    Reading {
+        clock_ms: clock::now_ms(),
+        unix_us: clock::unix_us(),
+    }
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    header(headers, name)?.parse().ok()
+}
+
+fn not_run(status: StatusCode, reason: &'static str) -> Response<AnswerBody> {
+    let mut answer = transport::whole(status, "text/plain", Bytes::from_static(reason.as_bytes()));
+    let headers = answer.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
+    headers.insert(REASON_HEADER, HeaderValue::from_static(reason));
+    answer
+}
+
+/// Counts a request of a slot as in flight until dropped.
+struct InFlight {
+    backend: Backend,
+    key: (String, Slot),
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut inner = self.backend.lock();
+        let Some(count) = inner.in_flight.get_mut(&self.key) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            inner.in_flight.remove(&self.key);
+        }
+    }
+}
+
+/// Counts a request as running until dropped.
+struct Occupied(Backend);
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.0.lock().running -= 1;
+    }
+}
+
+/// Counts a request as waiting until dropped.
+struct Waiting(Backend);
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
+impl Backend {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn thaw(&self) {
+        while self.lock().faults.frozen {
+            time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match request.uri().path() {
+            FAULTS_PATH => return self.set_faults(request).await,
+            RECORD_PATH => return transport::json(StatusCode::OK, &self.record()),
+            _ => self.thaw().await,
+        }
+        match request.uri().path() {
+            LEASE_PATH => self.lease(request).await,
+            REVOKE_PATH => self.revoke(request).await,
+            HEALTH_PATH => self.health(),
+            _ => self.run(request).await,
+        }
+    }
+
+    async fn set_faults(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match transport::read_json::<Faults>(request, BODY_BYTES_MAX).await {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                transport::json(StatusCode::OK, &faults)
+            }
+            Err(answer) => answer,
+        }
+    }
+
+    fn record(&self) -> Record {
+        let inner = self.lock();
+        let run = |(request, runs): (&String, &u64)| RunCount {
+            request: request.clone(),
+            runs: *runs,
+        };
+        Record {
+            incarnation: self.incarnation,
+            held: inner.grants.record(reading()),
+            runs: inner.runs.iter().map(run).collect(),
+            running_max: inner.running_max,
+        }
+    }
+
+    fn health(&self) -> Response<AnswerBody> {
+        let faults = self.lock().faults;
+        let healthy = !faults.draining;
+        let status = if healthy != faults.health_lies {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        transport::whole(status, "text/plain", Bytes::new())
+    }
+
+    async fn lease(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let order: LeaseRequest = match transport::read_json(request, BODY_BYTES_MAX).await {
+            Ok(order) => order,
+            Err(answer) => return answer,
+        };
+        let now = reading();
+        let mut inner = self.lock();
+        let meant = order.incarnation == Some(self.incarnation);
+        let accepted = meant && inner.grants.renew(&order, now);
+        let answer = LeaseAnswer {
+            incarnation: self.incarnation,
+            clock_ms: now.clock_ms,
+            lease_epoch: inner.grants.lease_epoch(),
+            accepted,
+            draining: inner.faults.draining,
+            grants_digest: inner.grants.digest(),
+        };
+        transport::json(StatusCode::OK, &answer)
+    }
+
+    async fn revoke(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let order: RevokeRequest = match transport::read_json(request, BODY_BYTES_MAX).await {
+            Ok(order) => order,
+            Err(answer) => return answer,
+        };
+        let meant = order.incarnation == self.incarnation;
+        let released = meant && self.release(&order).await;
+        let answer = RevokeAnswer {
+            incarnation: self.incarnation,
+            released,
+        };
+        transport::json(StatusCode::OK, &answer)
+    }
+
+    async fn release(&self, order: &RevokeRequest) -> bool {
+        let now = reading();
+        for next in &order.slots {
+            self.lock().grants.revoke(next, now);
+        }
+        let busy = || {
+            let inner = self.lock();
+            order.slots.iter().any(|next| {
+                inner
+                    .in_flight
+                    .contains_key(&(next.service.clone(), next.slot))
+            })
+        };
+        let deadline_ms = clock::now_ms() + order.drain_ms;
+        while busy() {
+            if clock::now_ms() >= deadline_ms {
+                return false;
+            }
+            time::sleep(Duration::from_millis(DRAIN_POLL_MS)).await;
+        }
+        true
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let headers = request.headers().clone();
+        let path = request.uri().path().to_owned();
+        let Ok(body) = request.into_body().collect().await else {
+            return not_run(StatusCode::BAD_REQUEST, "broken-body");
+        };
+        self.thaw().await;
+        let in_flight = match self.admit(&headers) {
+            Ok(in_flight) => in_flight,
+            Err(reason) => return not_run(StatusCode::CONFLICT, reason),
+        };
+        let occupied = match self.occupy(&headers).await {
+            Ok(occupied) => occupied,
+            Err(reason) => return not_run(StatusCode::SERVICE_UNAVAILABLE, reason),
+        };
+        let id = header(&headers, REQUEST_HEADER)
+            .unwrap_or_default()
+            .to_owned();
+        let run = header(&headers, IDEMPOTENCY_HEADER)
+            .unwrap_or(&id)
+            .to_owned();
+        *self.lock().runs.entry(run).or_default() += 1;
+        let extra_ms = self.lock().faults.extra_ms;
+        time::sleep(Duration::from_millis(self.config.work_ms + extra_ms)).await;
+        self.thaw().await;
+        drop(occupied);
+        drop(in_flight);
+        let answer = Answer {
+            request: id,
+            path,
+            incarnation: self.incarnation,
+            body_bytes: body.to_bytes().len(),
+        };
+        if self.lock().faults.cut_answers {
+            return cut(&answer);
+        }
+        transport::json(StatusCode::OK, &answer)
+    }
+
+    /// Checks the order and counts the request as in flight in one step.
+    fn admit(&self, headers: &HeaderMap) -> Result<Option<InFlight>, &'static str> {
+        let Some(service) = header(headers, SERVICE_HEADER) else {
+            return Ok(None);
+        };
+        let Some(slot) = number(headers, SLOT_HEADER) else {
+            return Ok(None);
+        };
+        let slot = Slot(slot as u32);
+        let epoch = Epoch(number(headers, EPOCH_HEADER).unwrap_or_default());
+        let incarnation = number(headers, INCARNATION_HEADER).map(Incarnation);
+        let mut inner = self.lock();
+        if self.config.checks_orders {
+            if incarnation != Some(self.incarnation) {
+                return Err("stale-incarnation");
+            }
+            if !inner.grants.admits(service, slot, epoch, clock::now_ms()) {
+                return Err("stale-epoch");
+            }
+        }
+        let key = (service.to_owned(), slot);
+        *inner.in_flight.entry(key.clone()).or_default() += 1;
+        Ok(Some(InFlight {
+            backend: self.clone(),
+            key,
+        }))
+    }
+
+    async fn occupy(&self, headers: &HeaderMap) -> Result<Slotted, &'static str> {
+        let waiting = {
+            let mut inner = self.lock();
+            if inner.waiting >= self.config.queue + self.permits.available_permits() {
+                return Err("shed");
+            }
+            inner.waiting += 1;
+            Waiting(self.clone())
+        };
+        let deadline_ms = number(headers, DEADLINE_HEADER).unwrap_or(60_000);
+        let permit = self.permits.clone().acquire_owned();
+        let permit = time::timeout(Duration::from_millis(deadline_ms), permit).await;
+        drop(waiting);
+        let Ok(Ok(permit)) = permit else {
+            return Err("deadline");
+        };
+        let mut inner = self.lock();
+        inner.running += 1;
+        inner.running_max = inner.running_max.max(inner.running);
+        Ok(Slotted {
+            _occupied: Occupied(self.clone()),
+            _permit: permit,
+        })
+    }
+}
+
+/// A running request's slot; given back when dropped.
+struct Slotted {
+    _occupied: Occupied,
+    _permit: OwnedSemaphorePermit,
+}
+
+/// Body that ends before the announced length.
+struct CutBody(Option<Bytes>);
+
+impl Body for CutBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        Poll::Ready(self.0.take().map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
+
+/// An answer that announces its whole length and breaks off in the middle.
+fn cut(answer: &Answer) -> Response<AnswerBody> {
+    let mut whole = Bytes::from(serde_json::to_vec(answer).unwrap_or_default());
+    let announced = HeaderValue::from(whole.len());
+    let half = whole.split_to(whole.len() / 2);
+    let mut response = Response::new(CutBody(Some(half)).boxed());
+    response.headers_mut().insert(CONTENT_LENGTH, announced);
+    response
+}
--- /dev/null
+++ b/src/standin/grants.rs
@@ -0,0 +1,180 @@
+//! The grants that a backend server holds, as a state machine that takes time as an argument.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    id::{Epoch, LeaseEpoch, Slot},
+    ownership::message::{LeaseRequest, SlotGrant, grant_hash},
+};
+
+/// A span of time in which a server held a slot, on the machine's wall clock.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldSpan {
+    /// Service.
+    pub service: String,
+    /// Slot.
+    pub slot: Slot,
+    /// Epoch of the grant.
+    pub epoch: Epoch,
+    /// Start.
+    pub from_us: u64,
+    /// End.
+    pub until_us: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    epoch: Epoch,
+    /// Start of the tenure; none if the slot was given up at `epoch`.
+    since_us: Option<u64>,
+}
+
+/// A reading of the server's clock together with wall time.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// Monotonic time of the server.
+    pub clock_ms: u64,
+    /// Wall time, for the record.
+    pub unix_us: u64,
+}
+
+/// Grants of one server process.
+#[derive(Clone, Debug, Default)]
+pub struct Grants {
+    lease_epoch: LeaseEpoch,
+    not_after_ms: u64,
+    slots: HashMap<(String, Slot), Held>,
+    digest: u64,
+    leases_us: Vec<(u64, u64)>,
+    ended: Vec<HeldSpan>,
+}
+
+impl Grants {
+    /// Highest membership period seen.
+    pub fn lease_epoch(&self) -> LeaseEpoch {
+        self.lease_epoch
+    }
+
+    /// Digest over the grants held.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Extends the lease and takes the grants; false if the order is outdated.
+    pub fn renew(&mut self, request: &LeaseRequest, now: Reading) -> bool {
+        if request.lease_epoch < self.lease_epoch {
+            return false;
+        }
+        self.lease_epoch = request.lease_epoch;
+        self.extend(request.not_after_ms, now);
+        for grant in &request.grants {
+            self.grant(grant, now);
+        }
+        true
+    }
+
+    fn extend(&mut self, not_after_ms: u64, now: Reading) {
+        if not_after_ms <= now.clock_ms || not_after_ms <= self.not_after_ms {
+            return;
+        }
+        let lapsed = self.not_after_ms <= now.clock_ms;
+        self.not_after_ms = not_after_ms;
+        let until_us = now.unix_us + (not_after_ms - now.clock_ms) * 1000;
+        match self.leases_us.last_mut() {
+            Some(lease) if !lapsed => lease.1 = until_us,
+            _ => self.leases_us.push((now.unix_us, until_us)),
+        }
+    }
+
+    fn grant(&mut self, grant: &SlotGrant, now: Reading) {
+        let key = (grant.service.clone(), grant.slot);
+        if self
+            .slots
+            .get(&key)
+            .is_some_and(|held| grant.epoch <= held.epoch)
+        {
+            return;
+        }
+        self.end_tenure(&key, now);
+        self.digest ^= grant_hash(&grant.service, grant.slot, grant.epoch);
+        let held = Held {
+            epoch: grant.epoch,
+            since_us: Some(now.unix_us),
+        };
+        self.slots.insert(key, held);
+    }
+
+    /// Gives up a slot; grants below `next.epoch` are refused from now on.
+    pub fn revoke(&mut self, next: &SlotGrant, now: Reading) {
+        let key = (next.service.clone(), next.slot);
+        if self
+            .slots
+            .get(&key)
+            .is_some_and(|held| next.epoch <= held.epoch)
+        {
+            return;
+        }
+        self.end_tenure(&key, now);
+        let held = Held {
+            epoch: Epoch(next.epoch.0 - 1),
+            since_us: None,
+        };
+        self.slots.insert(key, held);
+    }
+
+    fn end_tenure(&mut self, key: &(String, Slot), now: Reading) {
+        let Some(held) = self.slots.get_mut(key) else {
+            return;
+        };
+        let Some(since_us) = held.since_us.take() else {
+            return;
+        };
+        self.digest ^= grant_hash(&key.0, key.1, held.epoch);
+        self.ended.push(HeldSpan {
+            service: key.0.clone(),
+            slot: key.1,
+            epoch: held.epoch,
+            from_us: since_us,
+            until_us: now.unix_us,
+        });
+    }
+
+    /// True if a request for `slot` at `epoch` may run at `clock_ms`.
+    pub fn admits(&self, service: &str, slot: Slot, epoch: Epoch, clock_ms: u64) -> bool {
+        if clock_ms >= self.not_after_ms {
+            return false;
+        }
+        self.slots
+            .get(&(service.to_owned(), slot))
+            .is_some_and(|held| held.since_us.is_some() && held.epoch == epoch)
+    }
+
+    /// Every span in which a slot was held under a valid lease, up to now.
+    pub fn record(&self, now: Reading) -> Vec<HeldSpan> {
+        let open = self.slots.iter().filter_map(|((service, slot), held)| {
+            Some(HeldSpan {
+                service: service.clone(),
+                slot: *slot,
+                epoch: held.epoch,
+                from_us: held.since_us?,
+                until_us: now.unix_us,
+            })
+        });
+        let spans: Vec<HeldSpan> = self.ended.iter().cloned().chain(open).collect();
+        let mut record = Vec::new();
+        for (start_us, end_us) in &self.leases_us {
+            record.extend(spans.iter().filter_map(|span| {
+                let from_us = span.from_us.max(*start_us);
+                let until_us = span.until_us.min(*end_us);
+                (from_us < until_us).then(|| HeldSpan {
+                    from_us,
+                    until_us,
+                    ..span.clone()
+                })
+            }));
+        }
+        record
+    }
+}
--- /dev/null
+++ b/src/standin/platform.rs
@@ -0,0 +1,265 @@
+//! Stand-in of the platform: table service, object store and lagging list of hosts.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    ops::Bound,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::{net::TcpListener, sync::watch, time};
+
+use super::Running;
+use crate::{
+    clock,
+    platform::message::{
+        Expect, HOSTS_PATH, HostList, OBJECT_PATH, RANGE_PATH, RangeRead, Row, Rows, TRANSACT_PATH,
+        Transacted, Transaction,
+    },
+    transport::{self, AnswerBody, ListenerLimits},
+};
+
+/// Path that sets faults (POST).
+pub const FAULTS_PATH: &str = "/faults";
+/// Path of the counters (GET).
+pub const COUNTERS_PATH: &str = "/counters";
+
+const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
+
+/// Faults that the stand-in shows until told otherwise.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Nothing is answered, nothing takes effect.
+    pub down: bool,
+    /// Extra time before each call takes effect.
+    pub slow_ms: u64,
+    /// The answer of every n-th transaction is lost after it took effect; 0 for none.
+    pub lose_answer_every: u64,
+    /// Time by which the list of hosts lags.
+    pub list_lag_ms: u64,
+}
+
+/// Calls seen so far.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct Counters {
+    /// Range reads.
+    pub reads: u64,
+    /// Transactions.
+    pub transactions: u64,
+    /// Transactions that took effect.
+    pub committed: u64,
+    /// Answers lost on purpose.
+    pub lost_answers: u64,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    rows: BTreeMap<String, (u64, String)>,
+    objects: BTreeMap<String, Bytes>,
+    lists: Vec<(u64, HostList)>,
+    faults: Faults,
+    counters: Counters,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Store {
+    table: Arc<Mutex<Table>>,
+}
+
+/// Starts the stand-in on `listen`.
+pub async fn start(listen: SocketAddr) -> std::io::Result<Running> {
+    let listener = TcpListener::bind(listen).await?;
+    let address = listener.local_addr()?;
+    let (stop, stopped) = watch::channel(false);
+    let store = Store::default();
+    let limits = ListenerLimits {
+        drain_ms: 100,
+        ..ListenerLimits::default()
+    };
+    let task = tokio::spawn(transport::serve(
+        listener,
+        limits,
+        stopped,
+        move |request| {
+            let store = store.clone();
+            async move { store.answer(request).await }
+        },
+    ));
+    Ok(Running::new(address, stop, task))
+}
+
+impl Store {
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match request.uri().path() {
+            FAULTS_PATH => return self.set_faults(request).await,
+            COUNTERS_PATH => return transport::json(StatusCode::OK, &self.lock().counters),
+            _ => {}
+        }
+        self.delay().await;
+        match self.dispatch(request).await {
+            Ok(answer) => answer,
+            Err(answer) => answer,
+        }
+    }
+
+    async fn set_faults(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        match transport::read_json::<Faults>(request, BODY_BYTES_MAX).await {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                transport::json(StatusCode::OK, &faults)
+            }
+            Err(answer) => answer,
+        }
+    }
+
+    async fn delay(&self) {
+        let faults = self.lock().faults;
+        if faults.slow_ms > 0 {
+            time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        }
+        // Silence, as of a cut network: callers notice by their own timeout.
+        while self.lock().faults.down {
+            time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    async fn dispatch(
+        &self,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Response<AnswerBody>> {
+        let path = request.uri().path().to_owned();
+        match (request.method().clone(), path.as_str()) {
+            (Method::POST, TRANSACT_PATH) => {
+                let transaction = transport::read_json(request, BODY_BYTES_MAX).await?;
+                let (outcome, lost) = self.lock().transact(transaction);
+                if lost {
+                    time::sleep(Duration::from_secs(3600)).await;
+                }
+                Ok(transport::json(StatusCode::OK, &outcome))
+            }
+            (Method::POST, RANGE_PATH) => {
+                let read = transport::read_json(request, BODY_BYTES_MAX).await?;
+                Ok(transport::json(StatusCode::OK, &self.lock().range(&read)))
+            }
+            (Method::GET, HOSTS_PATH) => Ok(transport::json(StatusCode::OK, &self.lock().hosts())),
+            (Method::POST, HOSTS_PATH) => {
+                let list: HostList = transport::read_json(request, BODY_BYTES_MAX).await?;
+                self.lock().lists.push((clock::now_ms(), list));
+                Ok(transport::json(StatusCode::OK, &()))
+            }
+            (method, path) => self.object(method, path, request).await,
+        }
+    }
+
+    async fn object(
+        &self,
+        method: Method,
+        path: &str,
+        request: Request<Incoming>,
+    ) -> Result<Response<AnswerBody>, Response<AnswerBody>> {
+        let not_found = || transport::whole(StatusCode::NOT_FOUND, "text/plain", Bytes::new());
+        let name = path.strip_prefix(OBJECT_PATH).ok_or_else(not_found)?;
+        if method != Method::PUT {
+            let body = self.lock().objects.get(name).cloned();
+            let body = body.ok_or_else(not_found)?;
+            return Ok(transport::whole(
+                StatusCode::OK,
+                "application/octet-stream",
+                body,
+            ));
+        }
+        let body = request.into_body().collect().await.map_err(|error| {
+            transport::whole(
+                StatusCode::BAD_REQUEST,
+                "text/plain",
+                error.to_string().into(),
+            )
+        })?;
+        self.lock().objects.insert(name.to_owned(), body.to_bytes());
+        Ok(transport::json(StatusCode::OK, &()))
+    }
+}
+
+impl Table {
+    /// Runs a transaction; the flag tells whether its answer is to be lost.
+    fn transact(&mut self, transaction: Transaction) -> (Transacted, bool) {
+        self.counters.transactions += 1;
+        let conflicts = self.conflicts(&transaction);
+        if !conflicts.is_empty() {
+            return (Transacted::Conflict { keys: conflicts }, false);
+        }
+        for write in transaction.writes {
+            self.write(write.key, write.value);
+        }
+        self.counters.committed += 1;
+        let every = self.faults.lose_answer_every;
+        let lost = every > 0 && self.counters.transactions.is_multiple_of(every);
+        self.counters.lost_answers += u64::from(lost);
+        (Transacted::Committed, lost)
+    }
+
+    fn conflicts(&self, transaction: &Transaction) -> Vec<String> {
+        let fails = |key: &str, expect: Expect| match (expect, self.rows.get(key)) {
+            (Expect::Absent, found) => found.is_some(),
+            (Expect::Version(version), found) => found.map(|row| row.0) != Some(version),
+        };
+        transaction
+            .conditions
+            .iter()
+            .filter(|condition| fails(&condition.key, condition.expect))
+            .map(|condition| condition.key.clone())
+            .collect()
+    }
+
+    fn write(&mut self, key: String, value: Option<String>) {
+        let Some(value) = value else {
+            self.rows.remove(&key);
+            return;
+        };
+        let row = self.rows.entry(key).or_default();
+        row.0 += 1;
+        row.1 = value;
+    }
+
+    fn range(&mut self, read: &RangeRead) -> Rows {
+        self.counters.reads += 1;
+        let start = if read.after < read.prefix {
+            Bound::Included(read.prefix.clone())
+        } else {
+            Bound::Excluded(read.after.clone())
+        };
+        let rows = self
+            .rows
+            .range((start, Bound::Unbounded))
+            .take_while(|(key, _)| key.starts_with(&read.prefix))
+            .take(read.limit)
+            .map(|(key, (version, value))| Row {
+                key: key.clone(),
+                version: *version,
+                value: value.clone(),
+            })
+            .collect();
+        Rows { rows }
+    }
+
+    fn hosts(&self) -> HostList {
+        let visible_ms = clock::now_ms().saturating_sub(self.faults.list_lag_ms);
+        self.lists
+            .iter()
+            .rev()
+            .find(|(at_ms, _)| *at_ms <= visible_ms)
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/src/state/log.rs
@@ -0,0 +1,247 @@
+//! The change log in the platform's table service.
+//!
+//! The row `head` is written with every entry, so its version equals the last revision. An entry
+//! is appended by one transaction on that version: of two writers at one revision only one can
+//! commit. An answer that was lost is settled by sending the same transaction again: it either
+//! takes effect now, or conflicts, and then the entry's operation id tells whose it is.
+
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use snafu::{ResultExt, Snafu, ensure};
+use tokio::time;
+
+use super::{
+    change::{Change, LogEntry},
+    entry::State,
+    snapshot::{Snapshot, SnapshotPointer},
+};
+use crate::{
+    clock,
+    id::{OperationId, Revision},
+    platform::{
+        self, Platform,
+        message::{Condition, Expect, Row, Transacted, Transaction, Write},
+    },
+};
+
+const HEAD_ROW: &str = "head";
+const LOG_PREFIX: &str = "log/";
+const SNAPSHOT_ROW: &str = "snapshot";
+const TAIL_ROWS: usize = 1_000;
+const SETTLE_PAUSE_MS: u64 = 50;
+
+/// Failure of the change log.
+#[derive(Debug, Snafu)]
+pub enum LogError {
+    /// The platform failed.
+    #[snafu(display("{source}"))]
+    Platform {
+        /// Cause.
+        source: platform::Error,
+    },
+    /// It could not be found out whether the change took effect.
+    #[snafu(display("it is unknown whether the change took effect: {source}"))]
+    Unsettled {
+        /// Last failure.
+        source: platform::Error,
+    },
+    /// A row cannot be read.
+    #[snafu(display("the row {key} cannot be read"))]
+    Row {
+        /// Row.
+        key: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
+    /// Entries after this revision are no longer in the log.
+    #[snafu(display("the log no longer holds the entry after revision {after}"))]
+    Truncated {
+        /// Revision asked for.
+        after: Revision,
+    },
+    /// A change cannot be applied.
+    #[snafu(display("{source}"))]
+    State {
+        /// Cause.
+        source: super::Error,
+    },
+}
+
+/// A change about to be appended.
+#[derive(Clone, Debug)]
+pub struct Proposal {
+    /// Identifier.
+    pub operation_id: OperationId,
+    /// Who makes it.
+    pub actor: String,
+    /// The change.
+    pub change: Change,
+}
+
+/// Outcome of an append.
+#[derive(Clone, Debug)]
+pub enum Appended {
+    /// The entry is in the log.
+    Committed(LogEntry),
+    /// Another entry took the place; read on and decide again.
+    Conflict,
+}
+
+/// Access to the change log.
+#[derive(Clone, Debug)]
+pub struct ChangeLog {
+    platform: Platform,
+    settle_ms: u64,
+}
+
+impl ChangeLog {
+    /// A log that tries for `settle_ms` to find out about a lost answer.
+    pub fn new(platform: Platform, settle_ms: u64) -> Self {
+        Self {
+            platform,
+            settle_ms,
+        }
+    }
+
+    /// Entries after `after`, oldest first, at most 1,000.
+    pub async fn tail(&self, after: Revision) -> Result<Vec<LogEntry>, LogError> {
+        let rows = self
+            .platform
+            .range(LOG_PREFIX, &log_row(after), TAIL_ROWS)
+            .await
+            .context(PlatformSnafu)?;
+        let mut entries = Vec::with_capacity(rows.len());
+        let mut expected = after.next();
+        for row in &rows {
+            let entry: LogEntry = read_row(row)?;
+            ensure!(entry.revision == expected, TruncatedSnafu { after });
+            expected = expected.next();
+            entries.push(entry);
+        }
+        Ok(entries)
+    }
+
+    /// Appends a change right after `after`.
+    pub async fn append(&self, after: Revision, proposal: Proposal) -> Result<Appended, LogError> {
+        let entry = LogEntry {
+            revision: after.next(),
+            operation_id: proposal.operation_id,
+            actor: proposal.actor,
+            at_unix_ms: clock::unix_ms(),
+            change: proposal.change,
+        };
+        let transaction = append_transaction(after, &entry)?;
+        match self.transact_settled(&transaction).await? {
+            Transacted::Committed => Ok(Appended::Committed(entry)),
+            Transacted::Conflict { .. } => self.settle_conflict(entry).await,
+        }
+    }
+
+    async fn transact_settled(&self, transaction: &Transaction) -> Result<Transacted, LogError> {
+        let deadline_ms = clock::now_ms() + self.settle_ms;
+        loop {
+            let source = match self.platform.transact(transaction).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(source) => source,
+            };
+            if clock::now_ms() >= deadline_ms {
+                return Err(LogError::Unsettled { source });
+            }
+            time::sleep(Duration::from_millis(SETTLE_PAUSE_MS)).await;
+        }
+    }
+
+    async fn settle_conflict(&self, entry: LogEntry) -> Result<Appended, LogError> {
+        let key = log_row(entry.revision);
+        let row = self.platform.row(&key).await;
+        let row = row.context(UnsettledSnafu)?;
+        let Some(row) = row else {
+            return Ok(Appended::Conflict);
+        };
+        let found: LogEntry = read_row(&row)?;
+        if found.operation_id == entry.operation_id {
+            return Ok(Appended::Committed(found));
+        }
+        Ok(Appended::Conflict)
+    }
+
+    /// The latest snapshot's state, or the empty state.
+    pub async fn load_snapshot(&self) -> Result<State, LogError> {
+        let row = self.platform.row(SNAPSHOT_ROW).await;
+        let Some(row) = row.context(PlatformSnafu)? else {
+            return Ok(State::default());
+        };
+        let pointer: SnapshotPointer = read_row(&row)?;
+        let body = self.platform.object(&pointer.object).await;
+        let body = body.context(PlatformSnafu)?;
+        Snapshot::decode(&pointer, &body).context(StateSnafu)
+    }
+
+    /// Stores a snapshot; an older one never replaces a newer one.
+    pub async fn store_snapshot(&self, state: &State) -> Result<(), LogError> {
+        let held = self.platform.row(SNAPSHOT_ROW).await;
+        let held = held.context(PlatformSnafu)?;
+        let expect = match &held {
+            None => Expect::Absent,
+            Some(row) => {
+                let pointer: SnapshotPointer = read_row(row)?;
+                if pointer.revision >= state.revision {
+                    return Ok(());
+                }
+                Expect::Version(row.version)
+            }
+        };
+        let snapshot = Snapshot::encode(state).context(StateSnafu)?;
+        let object = &snapshot.pointer.object;
+        let stored = self.platform.put_object(object, snapshot.body.into()).await;
+        stored.context(PlatformSnafu)?;
+        let pointer =
+            serde_json::to_string(&snapshot.pointer).context(RowSnafu { key: SNAPSHOT_ROW })?;
+        let transaction = Transaction {
+            conditions: vec![condition(SNAPSHOT_ROW, expect)],
+            writes: vec![write(SNAPSHOT_ROW, Some(pointer))],
+        };
+        let outcome = self.platform.transact(&transaction).await;
+        outcome.context(PlatformSnafu)?;
+        Ok(())
+    }
+}
+
+fn append_transaction(after: Revision, entry: &LogEntry) -> Result<Transaction, LogError> {
+    let expect = match after.0 {
+        0 => Expect::Absent,
+        version => Expect::Version(version),
+    };
+    let key = log_row(entry.revision);
+    let value = serde_json::to_string(entry).context(RowSnafu { key: &key })?;
+    Ok(Transaction {
+        conditions: vec![condition(HEAD_ROW, expect)],
+        writes: vec![
+            write(HEAD_ROW, Some(entry.revision.to_string())),
+            write(&key, Some(value)),
+        ],
+    })
+}
+
+fn condition(key: &str, expect: Expect) -> Condition {
+    Condition {
+        key: key.to_owned(),
+        expect,
+    }
+}
+
+fn write(key: &str, value: Option<String>) -> Write {
+    Write {
+        key: key.to_owned(),
+        value,
+    }
+}
+
+fn log_row(revision: Revision) -> String {
+    format!("{LOG_PREFIX}{:020}", revision.0)
+}
+
+fn read_row<T: DeserializeOwned>(row: &Row) -> Result<T, LogError> {
+    serde_json::from_str(&row.value).context(RowSnafu { key: &row.key })
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,22 @@
+//! The agreed state: a fold over the change log that the platform's table service holds.
+//!
+//! Every entry host applies the same changes in the same order, so all hosts at one revision hold
+//! the same state. A host keeps it in memory only.
+
+mod apply;
+mod change;
+mod entry;
+mod error;
+mod log;
+mod snapshot;
+
+pub use self::{
+    change::{Change, LogEntry, MoveDone, SlotMove},
+    entry::{
+        Document, HostEntry, HostState, RecentOperation, ServerEntry, ServerState, ServiceEntry,
+        SlotEntry, State,
+    },
+    error::{Error, Result},
+    log::{Appended, ChangeLog, LogError, Proposal},
+    snapshot::{Snapshot, SnapshotPointer},
+};
--- /dev/null
+++ b/src/transport.rs
@@ -0,0 +1,311 @@
+//! HTTP plumbing that every part shares: a bounded HTTP/1 listener and a JSON client.
+
+use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use serde::{Serialize, de::DeserializeOwned};
+use snafu::{ResultExt, Snafu, ensure};
+use tokio::{net::TcpListener, sync::watch, time};
+
+/// Body of an answer: either whole in memory or passed on as it arrives.
+pub type AnswerBody = BoxBody<Bytes, hyper::Error>;
+
+/// Limits of one listener.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Connections open at a time; further ones wait in the accept queue.
+    pub connections: usize,
+    /// Time for a caller to send its whole request head.
+    pub head_timeout_ms: u64,
+    /// Size of the buffer for a request head.
+    pub head_bytes: usize,
+    /// Time for requests in flight to end after the listener was told to stop.
+    pub drain_ms: u64,
+}
+
+impl Default for ListenerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            head_timeout_ms: 10_000,
+            head_bytes: 32 * 1024,
+            drain_ms: 30_000,
+        }
+    }
+}
+
+/// Failure of a JSON call.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum CallError {
+    /// No connection could be made, so the request was never sent.
+    #[snafu(display("no connection to {address}"))]
+    Connect {
+        /// Peer that was called.
+        address: String,
+    },
+    /// The call broke off after it may have been sent.
+    #[snafu(display("the call to {address} broke off: {message}"))]
+    Broken {
+        /// Peer that was called.
+        address: String,
+        /// Cause as the library tells it.
+        message: String,
+    },
+    /// No answer came in time.
+    #[snafu(display("{address} gave no answer within {timeout_ms} ms"))]
+    Timeout {
+        /// Peer that was called.
+        address: String,
+        /// Time given to the call.
+        timeout_ms: u64,
+    },
+    /// The peer answered with a status other than success.
+    #[snafu(display("{address} answered {status}: {body}"))]
+    Refused {
+        /// Peer that was called.
+        address: String,
+        /// Status of the answer.
+        status: StatusCode,
+        /// Body of the answer.
+        body: String,
+    },
+    /// The answer was not of the expected form.
+    #[snafu(display("{address} sent an answer that cannot be read"))]
+    Decode {
+        /// Peer that was called.
+        address: String,
+        /// Cause.
+        source: serde_json::Error,
+    },
+}
+
+impl CallError {
+    /// True if the request provably never reached the peer.
+    pub fn never_sent(&self) -> bool {
+        matches!(self, Self::Connect { .. })
+    }
+}
+
+/// Accepts connections on `listener` and answers each request with `handler` until `stop` turns
+/// true; then finishes the requests in flight and returns.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let permits = std::sync::Arc::new(tokio::sync::Semaphore::new(limits.connections));
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stopped| *stopped) => break,
+        };
+        let Ok((stream, _)) = accepted else {
+            // Out of descriptors, most likely; give others time to close.
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        let service = service_fn(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+            .max_buf_size(limits.head_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    let drain = Duration::from_millis(limits.drain_ms);
+    let _ = time::timeout(drain, graceful.shutdown()).await;
+}
+
+/// An answer whose body is whole in memory.
+pub fn whole(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<AnswerBody> {
+    let mut response = Response::new(Full::new(body).map_err(|never| match never {}).boxed());
+    *response.status_mut() = status;
+    let value = header::HeaderValue::from_static(content_type);
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+/// An answer with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<AnswerBody> {
+    match serde_json::to_vec(value) {
+        Ok(body) => whole(status, "application/json", body.into()),
+        Err(error) => whole(
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "text/plain",
+            error.to_string().into(),
+        ),
+    }
+}
+
+/// Reads a request's JSON body of at most `body_bytes`.
+pub async fn read_json<T: DeserializeOwned>(
+    request: Request<Incoming>,
+    body_bytes: usize,
+) -> Result<T, Response<AnswerBody>> {
+    let bad = |message: String| whole(StatusCode::BAD_REQUEST, "text/plain", message.into());
+    let body = Limited::new(request.into_body(), body_bytes);
+    let body = body
+        .collect()
+        .await
+        .map_err(|error| bad(error.to_string()))?;
+    serde_json::from_slice(&body.to_bytes()).map_err(|error| bad(error.to_string()))
+}
+
+/// Client for small JSON calls with pooled connections.
+#[derive(Clone, Debug)]
+pub struct JsonClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    timeout_ms: u64,
+    token: Option<String>,
+}
+
+impl JsonClient {
+    /// A client whose calls take at most `timeout_ms`.
+    pub fn new(timeout_ms: u64) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms)));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(30))
+            .build(connector);
+        Self {
+            client,
+            timeout_ms,
+            token: None,
+        }
+    }
+
+    /// The same client, whose calls carry a bearer token.
+    pub fn with_token(mut self, token: Option<String>) -> Self {
+        self.token = token;
+        self
+    }
+
+    /// Sends `body` to `http://address/path` and reads the answer as `T`.
+    pub async fn post<B: Serialize, T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        body: &B,
+    ) -> Result<T, CallError> {
+        let body = serde_json::to_vec(body).context(DecodeSnafu {
+            address: address.to_string(),
+        })?;
+        let answer = self.send(Method::POST, address, path, body.into()).await?;
+        self.decode(address, &answer)
+    }
+
+    /// Reads `http://address/path` as `T`.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        path: &str,
+    ) -> Result<T, CallError> {
+        let answer = self.send(Method::GET, address, path, Bytes::new()).await?;
+        self.decode(address, &answer)
+    }
+
+    /// Sends raw bytes and returns the raw answer.
+    pub async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, CallError> {
+        let deadline = Duration::from_millis(self.timeout_ms);
+        match time::timeout(deadline, self.exchange(method, address, path, body)).await {
+            Ok(result) => result,
+            Err(_) => TimeoutSnafu {
+                address: address.to_string(),
+                timeout_ms: self.timeout_ms,
+            }
+            .fail(),
+        }
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Bytes, CallError> {
+        let broken = |message: String| CallError::Broken {
+            address: address.to_string(),
+            message,
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(token) = &self.token {
+            request = request.header(header::AUTHORIZATION, format!("Bearer {token}"));
+        }
+        let request = request
+            .body(Full::new(body))
+            .map_err(|error| broken(error.to_string()))?;
+        let answer = self.client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                return CallError::Connect {
+                    address: address.to_string(),
+                };
+            }
+            broken(error.to_string())
+        })?;
+        let status = answer.status();
+        let body = answer
+            .into_body()
+            .collect()
+            .await
+            .map_err(|error| broken(error.to_string()))?
+            .to_bytes();
+        ensure!(
+            status.is_success(),
+            RefusedSnafu {
+                address: address.to_string(),
+                status,
+                body: String::from_utf8_lossy(&body).into_owned(),
+            }
+        );
+        Ok(body)
+    }
+
+    fn decode<T: DeserializeOwned>(
+        &self,
+        address: SocketAddr,
+        body: &[u8],
+    ) -> Result<T, CallError> {
+        serde_json::from_slice(body).context(DecodeSnafu {
+            address: address.to_string(),
+        })
+    }
+}
