Losses, freezes, outages and once-only requests on real processes

Found: a server that was frozen past its lease and then got a new membership period used the grants of the last one (10 slots owned twice in the run). Ruled out: late renewals (the overlap began with the new period's lease). Change: a lease of a higher membership period ends all grants held so far; a sole counted host is a majority by itself, so a single host serves through an outage of the store.

--- a/src/host/duties.rs
+++ b/src/host/duties.rs
@@ -174,7 +174,8 @@
             let wait_ms = self.settings.ownership.lapse_ms();
             // All hosts at once need no wait for the rest.
             let all = registered(state).iter().all(|host| applied.contains(host));
-            let wait_ms = if all && state.removal < latest {
+            let first = voters.is_empty();
+            let wait_ms = if first || (all && state.removal < latest) {
                 0
             } else {
                 wait_ms
--- a/src/host/heartbeat.rs
+++ b/src/host/heartbeat.rs
@@ -6,7 +6,12 @@
 use tokio::time;
 
 use super::Host;
-use crate::{clock, id::HostKey, membership::tree, peer::message::Datagram};
+use crate::{
+    clock,
+    id::HostKey,
+    membership::{freshness::Voter, tree},
+    peer::message::Datagram,
+};
 
 impl Host {
     /// Runs until the process ends.
@@ -22,6 +27,10 @@
 
     fn beat(self: &Arc<Self>) {
         let Some(own) = self.key() else { return };
+        self.view.beat(Voter {
+            host: own,
+            incarnation: self.incarnation,
+        });
         let state = self.view.state();
         let hosts: Vec<HostKey> = state.registered_hosts().map(|(key, _)| key).collect();
         for key in tree::asked(&hosts, own) {
--- a/src/host/view.rs
+++ b/src/host/view.rs
@@ -190,6 +190,14 @@
         self.store_basis(&inner);
     }
 
+    /// Called with each heartbeat.
+    pub fn beat(&self, own: Voter) {
+        let mut inner = self.lock();
+        let voters = voters(&self.state.load());
+        inner.freshness.alone(clock::now_ms(), own, &voters);
+        self.store_basis(&inner);
+    }
+
     fn store_basis(&self, inner: &Inner) {
         let basis_ms = inner.freshness.basis_ms().unwrap_or_default();
         self.basis_ms.fetch_max(basis_ms, Ordering::AcqRel);
--- a/src/membership/freshness.rs
+++ b/src/membership/freshness.rs
@@ -96,6 +96,13 @@
         }
     }
 
+    /// A host that is the only counted one is a majority by itself.
+    pub fn alone(&mut self, now_ms: u64, own: Voter, voters: &[Voter]) {
+        if voters == [own] {
+            self.raise(now_ms);
+        }
+    }
+
     fn note(&mut self, answer: PeerAnswer) {
         let mut heard = Heard {
             host: answer.host,
--- a/src/ownership/message.rs
+++ b/src/ownership/message.rs
@@ -3,7 +3,8 @@
 //! A server holds one lease for itself and a grant for each slot. It serves a slot while its lease
 //! is valid and the request carries the epoch of the grant. The lease's end is given on the
 //! server's own monotonic clock, so that a renewal that was delayed on its way cannot extend the
-//! lease past the time that its sender vouched for.
+//! lease past the time that its sender vouched for. A lease of a higher membership period ends all
+//! grants held so far: a server that was given up as lost may find its slots elsewhere.
 
 use serde::{Deserialize, Serialize};
 
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -45,6 +45,7 @@
 
 const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
 const DRAIN_POLL_MS: u64 = 1;
+const CUT_PAUSE_MS: u64 = 30;
 
 /// Shape of one stand-in.
 #[derive(Clone, Debug)]
@@ -434,8 +435,11 @@
     _permit: OwnedSemaphorePermit,
 }
 
-/// Body that ends before the announced length.
-struct CutBody(Option<Bytes>);
+/// Body that ends before the announced length, a moment after its first half.
+struct CutBody {
+    half: Option<Bytes>,
+    pause: Pin<Box<time::Sleep>>,
+}
 
 impl Body for CutBody {
     type Data = Bytes;
@@ -443,9 +447,12 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        Poll::Ready(self.0.take().map(|bytes| Ok(Frame::data(bytes))))
+        if let Some(half) = self.half.take() {
+            return Poll::Ready(Some(Ok(Frame::data(half))));
+        }
+        self.pause.as_mut().poll(context).map(|()| None)
     }
 }
 
@@ -454,7 +461,13 @@
     let mut whole = Bytes::from(serde_json::to_vec(answer).unwrap_or_default());
     let announced = HeaderValue::from(whole.len());
     let half = whole.split_to(whole.len() / 2);
-    let mut response = Response::new(CutBody(Some(half)).boxed());
+    let mut response = Response::new(
+        CutBody {
+            half: Some(half),
+            pause: Box::pin(time::sleep(Duration::from_millis(CUT_PAUSE_MS))),
+        }
+        .boxed(),
+    );
     response.headers_mut().insert(CONTENT_LENGTH, announced);
     response
 }
--- a/src/standin/grants.rs
+++ b/src/standin/grants.rs
@@ -67,6 +67,9 @@
         if request.lease_epoch < self.lease_epoch {
             return false;
         }
+        if request.lease_epoch > self.lease_epoch {
+            self.end_all(now);
+        }
         self.lease_epoch = request.lease_epoch;
         self.extend(request.not_after_ms, now);
         for grant in &request.grants {
@@ -75,6 +78,15 @@
         true
     }
 
+    /// A new membership period begins without grants: those of the last one may have moved on.
+    fn end_all(&mut self, now: Reading) {
+        let keys: Vec<(String, Slot)> = self.slots.keys().cloned().collect();
+        for key in keys {
+            self.end_tenure(&key, now);
+        }
+        self.not_after_ms = 0;
+    }
+
     fn extend(&mut self, not_after_ms: u64, now: Reading) {
         if not_after_ms <= now.clock_ms || not_after_ms <= self.not_after_ms {
             return;
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -4,6 +4,7 @@
 pub mod backend;
 pub mod grants;
 pub mod platform;
+pub mod verdict;
 
 use std::net::SocketAddr;
 
--- /dev/null
+++ b/src/standin/verdict.rs
@@ -0,0 +1,60 @@
+//! Judges the records of backend servers from outside: double ownership and double runs.
+
+use std::collections::HashMap;
+
+use super::{
+    backend::{Record, RunCount},
+    grants::HeldSpan,
+};
+
+/// Two servers that owned one slot at the same time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DoubleOwned {
+    /// One span.
+    pub one: HeldSpan,
+    /// Another span, of another server, that overlaps it.
+    pub other: HeldSpan,
+}
+
+/// Every pair of overlapping spans of different servers.
+pub fn double_owned(records: &[Record]) -> Vec<DoubleOwned> {
+    let mut spans: Vec<(usize, &HeldSpan)> = Vec::new();
+    for (server, record) in records.iter().enumerate() {
+        spans.extend(record.held.iter().map(|span| (server, span)));
+    }
+    spans.sort_by(|(_, a), (_, b)| place(a).cmp(&place(b)));
+    let mut found = Vec::new();
+    for (index, (server, span)) in spans.iter().enumerate() {
+        let later = spans[index + 1..].iter();
+        let overlapping = later
+            .take_while(|(_, other)| same_slot(span, other) && other.from_us < span.until_us)
+            .filter(|(other_server, _)| other_server != server);
+        found.extend(overlapping.map(|(_, other)| DoubleOwned {
+            one: (*span).clone(),
+            other: (*other).clone(),
+        }));
+    }
+    found
+}
+
+fn place(span: &HeldSpan) -> (&str, u32, u64) {
+    (&span.service, span.slot.0, span.from_us)
+}
+
+fn same_slot(one: &HeldSpan, other: &HeldSpan) -> bool {
+    one.service == other.service && one.slot == other.slot
+}
+
+/// Requests that ran more than once, over all servers.
+pub fn double_runs(records: &[Record]) -> Vec<RunCount> {
+    let mut runs: HashMap<&str, u64> = HashMap::new();
+    for run in records.iter().flat_map(|record| &record.runs) {
+        *runs.entry(&run.request).or_default() += run.runs;
+    }
+    let double = runs.into_iter().filter(|(_, runs)| *runs > 1);
+    let count = |(request, runs): (&str, u64)| RunCount {
+        request: request.to_owned(),
+        runs,
+    };
+    double.map(count).collect()
+}
--- /dev/null
+++ b/tests/once_only.rs
@@ -0,0 +1,197 @@
+//! Unrepeatable requests on real processes: duplicates, kills and lost answers of the store.
+
+mod common;
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use ashroad::standin::{backend, platform, verdict};
+use common::{Answered, Caller, Cluster, PLAIN};
+use tokio::{sync::Mutex, time};
+
+const RULE: &str = "    unrepeatable:\n      - { method: POST, path_prefix: / }\n";
+
+#[tokio::test]
+async fn a_duplicate_at_another_host_gets_the_stored_answer() {
+    let cluster = Cluster::start(2, 2, PLAIN);
+    cluster.declare(RULE).await;
+    let caller = Caller::default();
+    let (one, other) = (cluster.hosts[0].callers, cluster.hosts[1].callers);
+    let first = caller.post(one, "/w/s/parcel-7", "order-1").await;
+    let first = first.expect("an answer");
+    assert_eq!(first.status, 200);
+    // The answer is recorded a moment after it was given.
+    time::sleep(Duration::from_millis(300)).await;
+    let second = caller.post(other, "/w/s/parcel-7", "order-1").await;
+    let second = second.expect("an answer");
+    assert_eq!((second.status, second.body), (200, first.body));
+    let reused = caller.post(other, "/w/s/parcel-8", "order-1").await;
+    let reused = reused.expect("an answer");
+    assert_eq!(reused.status, 422, "{reused:?}");
+    assert_eq!(reused.outcome.as_deref(), Some("not-run"));
+    let records = cluster.records(&[0, 1]).await;
+    assert!(verdict::double_runs(&records).is_empty());
+}
+
+#[tokio::test]
+async fn a_duplicate_of_a_running_request_does_not_run() {
+    let cluster = Cluster::start(1, 2, &["--work-ms", "400"]);
+    cluster.declare(RULE).await;
+    let (one, other) = (cluster.hosts[0].callers, cluster.hosts[1].callers);
+    let first = tokio::spawn(async move {
+        Caller::default()
+            .post(one, "/w/s/parcel-7", "order-1")
+            .await
+    });
+    time::sleep(Duration::from_millis(200)).await;
+    let second = Caller::default()
+        .post(other, "/w/s/parcel-7", "order-1")
+        .await;
+    let second = second.expect("an answer");
+    assert_eq!(second.status, 409, "{second:?}");
+    assert_eq!(second.reason.as_deref(), Some("in-progress"));
+    assert!(second.retry_after.is_some());
+    let first = first.await.expect("the task ends").expect("an answer");
+    assert_eq!(first.status, 200);
+}
+
+#[tokio::test]
+async fn without_the_store_an_unrepeatable_request_is_refused_as_not_run() {
+    let cluster = Cluster::start(1, 1, PLAIN);
+    cluster.declare(RULE).await;
+    cluster
+        .platform_faults(platform::Faults {
+            down: true,
+            ..platform::Faults::default()
+        })
+        .await;
+    let caller = Caller::default();
+    let host = cluster.hosts[0].callers;
+    let refused = caller.post(host, "/w/s/parcel-7", "order-1").await;
+    let refused = refused.expect("an answer");
+    assert_eq!(refused.reason.as_deref(), Some("claims-unavailable"));
+    assert_eq!(refused.outcome.as_deref(), Some("not-run"));
+    assert!(refused.retry_after.is_some());
+    let plain = caller.get(host, "/w/s/parcel-7").await.expect("an answer");
+    assert_eq!(plain.status, 200);
+    let records = cluster.records(&[0]).await;
+    assert!(records[0].runs.iter().all(|run| run.request != "order-1"));
+}
+
+#[tokio::test]
+async fn a_cut_answer_is_not_taken_as_whole_and_its_request_not_run_again() {
+    let cluster = Cluster::start(1, 1, PLAIN);
+    cluster.declare(RULE).await;
+    cluster
+        .server_faults(
+            0,
+            backend::Faults {
+                cut_answers: true,
+                ..backend::Faults::default()
+            },
+        )
+        .await;
+    let caller = Caller::default();
+    let host = cluster.hosts[0].callers;
+    let cut = caller.get(host, "/w/s/parcel-7").await;
+    assert!(cut.is_err(), "taken as whole: {cut:?}");
+    let order = caller.post(host, "/w/s/parcel-7", "order-1").await;
+    let order = order.expect("an answer");
+    assert_eq!(order.outcome.as_deref(), Some("unknown"), "{order:?}");
+    cluster.server_faults(0, backend::Faults::default()).await;
+    time::sleep(Duration::from_millis(200)).await;
+    let again = caller.post(host, "/w/s/parcel-7", "order-1").await;
+    let again = again.expect("an answer");
+    assert_eq!(again.reason.as_deref(), Some("unsettled"), "{again:?}");
+    let records = cluster.records(&[0]).await;
+    assert!(verdict::double_runs(&records).is_empty());
+}
+
+/// What callers were told of one order, over all its arrivals.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    answered: bool,
+    unknown: bool,
+}
+
+async fn send_order(
+    told: &Mutex<HashMap<String, Told>>,
+    caller: &Caller,
+    host: SocketAddr,
+    order: &str,
+) {
+    let path = format!("/w/s/{order}");
+    let answer = caller.post(host, &path, order).await;
+    let mut told = told.lock().await;
+    let told = told.entry(order.to_owned()).or_default();
+    match answer {
+        Ok(Answered { status: 200, .. }) => told.answered = true,
+        Ok(Answered { outcome, .. }) if outcome.as_deref() == Some("not-run") => {}
+        _ => told.unknown = true,
+    }
+}
+
+#[tokio::test]
+async fn orders_run_at_most_once_through_kills_and_lost_answers() {
+    let mut cluster = Cluster::start(3, 3, PLAIN);
+    cluster.declare(RULE).await;
+    cluster
+        .platform_faults(platform::Faults {
+            lose_answer_every: 17,
+            ..platform::Faults::default()
+        })
+        .await;
+    let told = Arc::new(Mutex::new(HashMap::new()));
+    let hosts: Vec<SocketAddr> = cluster.hosts.iter().map(|host| host.callers).collect();
+    let mut tasks = Vec::new();
+    for task in 0..20_usize {
+        let (told, hosts) = (told.clone(), hosts.clone());
+        tasks.push(tokio::spawn(async move {
+            let caller = Caller::default();
+            for number in 0..60_usize {
+                let order = format!("order-{task}-{number}");
+                let host = hosts[(task + number) % 3];
+                if number % 3 > 0 {
+                    send_order(&told, &caller, host, &order).await;
+                    continue;
+                }
+                let other = hosts[(task + number + 1) % 3];
+                let one = send_order(&told, &caller, host, &order);
+                let two = send_order(&told, &caller, other, &order);
+                tokio::join!(one, two);
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        }));
+    }
+    time::sleep(Duration::from_millis(500)).await;
+    cluster.hosts[2].process.kill();
+    time::sleep(Duration::from_millis(300)).await;
+    // Frozen and not killed, so that its record can be read afterwards.
+    cluster.servers[0].process.signal("STOP");
+    for task in tasks {
+        task.await.expect("a caller ends");
+    }
+    cluster.servers[0].process.signal("CONT");
+    time::sleep(Duration::from_millis(500)).await;
+    let records = cluster.records(&[0, 1, 2]).await;
+    assert_eq!(verdict::double_runs(&records).len(), 0);
+    assert_eq!(verdict::double_owned(&records).len(), 0);
+    let ran = |order: &str| {
+        let mut runs = records.iter().flat_map(|record| &record.runs);
+        runs.any(|run| run.request == order)
+    };
+    let told = told.lock().await;
+    assert_eq!(told.len(), 1_200);
+    for (order, told) in told.iter() {
+        assert!(
+            !told.answered || ran(order),
+            "{order} was answered but never ran"
+        );
+        let only_not_run = !told.answered && !told.unknown;
+        assert!(
+            !only_not_run || !ran(order),
+            "{order} ran but was told not run"
+        );
+    }
+    let answered = told.values().filter(|told| told.answered).count();
+    assert!(answered > 600, "{answered} of {} answered", told.len());
+}
