--- a/src/host/controller.rs
+++ b/src/host/controller.rs
@@ -5,10 +5,11 @@
 
 use tokio::time;
 
-use super::{Host, moves::MoveGroup};
+use super::Host;
 use crate::{
     id::{Revision, ServerKey},
-    ownership::planner::PlannedMove,
+    membership::registry::RegistryWatch,
+    ownership::{moves::MoveGroup, planner::PlannedMove},
 };
 
 const TICK_MS: u64 = 25;
@@ -31,19 +32,10 @@
     /// Revision and loads that the last plan was made for.
     pub(super) planned: Option<(Revision, u64)>,
     /// Progress of the last change of the registry.
-    pub(super) registry: RegistryChange,
+    pub(super) registry: RegistryWatch,
     snapshot: Revision,
 }
 
-/// Progress of the latest change of the registry of hosts.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct RegistryChange {
-    /// Revision.
-    pub(super) revision: Revision,
-    /// When every host that missed it has stopped acting.
-    pub(super) settled_ms: Option<u64>,
-}
-
 /// What a finished task tells the controller.
 #[derive(Debug)]
 pub(super) enum Done {
--- a/src/host/duties.rs
+++ b/src/host/duties.rs
@@ -6,16 +6,18 @@
 
 use super::{
     Host,
-    controller::{Controller, Done, RegistryChange},
-    view::{registered, voters},
+    controller::{Controller, Done},
 };
 use crate::{
     clock,
     id::{HostKey, Incarnation, LeaseEpoch, Revision, ServerKey},
-    membership::freshness::Voter,
+    membership::{
+        freshness::Voter,
+        registry::{self, RegistryLimits, Silence, registered, voters},
+    },
     ownership::lapse::{Holders, HorizonReport, lapsed_at_ms},
     peer::message::{PeerReply, PeerRequest},
-    state::{Change, HostEntry, HostState, ServerState, State},
+    state::{Change, HostEntry, ServerState, State},
 };
 
 const ASK_SERVERS_MS: u64 = 300;
@@ -30,7 +32,6 @@
         done: &UnboundedSender<Done>,
     ) {
         let state = self.view.state();
-        let complete = controller.registry.settled();
         for (server, entry) in state.server_entries() {
             if entry.state != ServerState::Lost || !controller.lapsing.insert(server) {
                 continue;
@@ -43,20 +44,24 @@
                 revision: entry.changed,
             };
             tokio::spawn(async move {
-                host.wait_for_lapse(lost, complete).await;
+                host.wait_for_lapse(lost).await;
                 let _ = done.send(Done::Lapsed(server));
             });
         }
     }
 
     /// One round of questions, then the wait that they allow.
-    async fn wait_for_lapse(self: &Arc<Self>, lost: Loss, complete: bool) {
+    async fn wait_for_lapse(self: &Arc<Self>, lost: Loss) {
         let reports = self.horizon_reports(lost).await;
         let state = self.view.state();
+        // An age that is not known counts as none, which only makes the wait longer.
+        let since_age_ms = self.view.applied_age_ms(state.registry.since());
         let holders = Holders {
             registered: &registered(&state),
             voters: &voters(&state),
-            complete,
+            previous: &state.registry.previous_voters,
+            since_ms: clock::now_ms() - since_age_ms.unwrap_or_default(),
+            settled: state.registry.is_settled(),
         };
         let ownership = &self.settings.ownership;
         let at_ms = lapsed_at_ms(holders, &reports, ownership.lapse_ms(), ownership.margin_ms);
@@ -141,46 +146,23 @@
         }
     }
 
-    /// Promotes and removes hosts, one change at a time: the next one waits until the last one
-    /// has reached more than half of the hosts and the rest has stopped acting, so that the
-    /// majorities of any two views that hosts may act on share a host.
+    /// Promotes and removes hosts, one change at a time (see [`crate::membership::registry`]).
     pub(super) async fn keep_registry(self: &Arc<Self>, controller: &mut Controller) {
         let state = self.view.state();
-        self.follow_registry(controller, &state).await;
-        if !controller.registry.settled() {
-            return;
+        if controller.registry.pending(&state) {
+            let applied = self.hosts_at(state.registry.changed).await;
+            let lapse_ms = self.settings.ownership.lapse_ms();
+            controller
+                .registry
+                .follow(&state, &applied, clock::now_ms(), lapse_ms);
         }
-        let Some(change) = self.registry_change(&state) else {
-            return;
+        let settlement = controller.registry.settlement(&state, clock::now_ms());
+        let change = match settlement {
+            None if state.registry.is_settled() => self.registry_change(&state),
+            settlement => settlement,
         };
-        let _ = self.commit_own(change).await;
-    }
-
-    async fn follow_registry(&self, controller: &mut Controller, state: &State) {
-        let latest = state.registry;
-        if controller.registry.revision != latest {
-            controller.registry = RegistryChange {
-                revision: latest,
-                settled_ms: None,
-            };
-        }
-        if controller.registry.settled_ms.is_some() {
-            return;
-        }
-        let applied = self.hosts_at(latest).await;
-        let voters = voters(state);
-        let counted = voters.iter().filter(|voter| applied.contains(voter));
-        if counted.count() * 2 > voters.len() || voters.is_empty() {
-            let wait_ms = self.settings.ownership.lapse_ms();
-            // All hosts at once need no wait for the rest.
-            let all = registered(state).iter().all(|host| applied.contains(host));
-            let first = voters.is_empty();
-            let wait_ms = if first || (all && state.removal < latest) {
-                0
-            } else {
-                wait_ms
-            };
-            controller.registry.settled_ms = Some(clock::now_ms() + wait_ms);
+        if let Some(change) = change {
+            let _ = self.commit_own(change).await;
         }
     }
 
@@ -212,30 +194,20 @@
     }
 
     fn registry_change(&self, state: &State) -> Option<Change> {
-        let own = self.key();
-        let silent_ms = self.settings.ownership.host_removal_ms;
-        let now_ms = clock::now_ms();
-        for (host, entry) in state.registered_hosts() {
-            let incarnation = entry.incarnation;
+        let ownership = &self.settings.ownership;
+        let limits = RegistryLimits {
+            removal_ms: ownership.host_removal_ms,
+            leaving_ms: ownership.lapse_ms(),
+        };
+        let silence_ms = |host: HostKey, entry: &HostEntry| {
             let heard_ms = self.view.heard_ms(host);
-            let heard = |within_ms: u64| heard_ms.is_some_and(|ms| now_ms <= ms + within_ms);
-            if entry.state == HostState::Joining && (Some(host) == own || heard(1_000)) {
-                return Some(Change::HostPromoted { host, incarnation });
-            }
-            let replaced = is_replaced(state, entry);
-            let leaving = entry.state == HostState::Leaving;
-            let gone_ms = if leaving || replaced {
-                self.settings.ownership.lapse_ms()
-            } else {
-                silent_ms
-            };
-            let seen =
-                heard_ms.is_some() || self.view.applied_age_ms(entry.changed) > Some(gone_ms);
-            if Some(host) != own && seen && !heard(gone_ms) {
-                return Some(Change::HostRemoved { host, incarnation });
+            let silent_ms = heard_ms.map(|heard_ms| clock::now_ms().saturating_sub(heard_ms));
+            Silence {
+                silent_ms,
+                known_ms: self.view.applied_age_ms(entry.changed).unwrap_or_default(),
             }
-        }
-        None
+        };
+        registry::next_change(state, self.key(), limits, silence_ms)
     }
 }
 
@@ -247,14 +219,6 @@
     revision: Revision,
 }
 
-impl RegistryChange {
-    /// True if no host acts on an earlier registry any more.
-    pub(super) fn settled(&self) -> bool {
-        self.settled_ms
-            .is_some_and(|settled_ms| clock::now_ms() >= settled_ms)
-    }
-}
-
 fn report(host: HostKey, incarnation: Incarnation, reply: PeerReply) -> Option<HorizonReport> {
     let PeerReply::Horizon {
         applied_age_ms,
@@ -273,12 +237,6 @@
     })
 }
 
-/// True if a later process runs under the same name.
-fn is_replaced(state: &State, entry: &HostEntry) -> bool {
-    let mut hosts = state.registered_hosts();
-    hosts.any(|(_, other)| other.name == entry.name && other.changed > entry.changed)
-}
-
 fn is_target(state: &State, server: ServerKey) -> bool {
     let mut services = state.active_services();
     services.any(|(_, service)| service.targets.contains(&server))
--- a/src/host/moves.rs
+++ b/src/host/moves.rs
@@ -1,7 +1,7 @@
 //! Begins planned moves and carries them to their end. Every step is read from the state and can
 //! be repeated, so any leader can finish what another began.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use snafu::Snafu;
 use tokio::{sync::mpsc::UnboundedSender, time};
@@ -13,12 +13,13 @@
 };
 use crate::{
     clock,
-    id::{ServerKey, ServiceKey, Slot},
+    id::{ServerKey, Slot},
     ownership::{
         message::{
             LEASE_PATH, LeaseAnswer, LeaseRequest, REVOKE_PATH, RevokeAnswer, RevokeRequest,
             SlotGrant,
         },
+        moves::{MoveGroup, is_live, next_grants, ready_groups},
         planner::{PlannedMove, PlannerInput, PlannerServer, PlannerSlot, plan},
     },
     state::{Change, MoveDone, ServerEntry, ServerState, ServiceEntry, SlotMove, State},
@@ -37,14 +38,6 @@
 /// Requests in one reading below which loads are too thin to balance on.
 const LOAD_REQUESTS_MIN: f64 = 200.0;
 
-/// Slots that move together: of one service, between the same two servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) struct MoveGroup {
-    service: ServiceKey,
-    from: Option<ServerKey>,
-    to: ServerKey,
-}
-
 /// Why a move did not come to its end yet.
 #[derive(Debug, Snafu)]
 enum MoveError {
@@ -70,9 +63,8 @@
         done: &UnboundedSender<Done>,
     ) {
         let state = self.view.state();
-        for (group, slots) in groups(&state) {
-            let waits = group.from.is_some_and(|from| !live(&state, from));
-            if waits || !controller.moving.insert(group) {
+        for (group, slots) in ready_groups(&state) {
+            if !controller.moving.insert(group) {
                 continue;
             }
             let host = self.clone();
@@ -96,7 +88,7 @@
         slots: &[MoveDone],
     ) -> Result<(), MoveError> {
         let service = state.service(group.service).ok_or(MoveError::Changed)?;
-        let grants = grants(service, slots);
+        let grants = next_grants(service, slots);
         if let Some(from) = group.from {
             let from = state.server(from).ok_or(MoveError::Changed)?;
             self.revoke(from, &grants).await?;
@@ -145,7 +137,7 @@
         };
         // A host that is not fresh must not order anything.
         let state = self.view.state();
-        if !self.view.fresh() || !live(&state, key) {
+        if !self.view.fresh() || !is_live(&state, key) {
             return Err(MoveError::Changed);
         }
         let answer: LeaseAnswer = self
@@ -235,45 +227,6 @@
     }
 }
 
-fn live(state: &State, server: ServerKey) -> bool {
-    let entry = state.server(server);
-    entry.is_some_and(|entry| entry.state == ServerState::Live)
-}
-
-/// Moving slots whose next owner is live, by group.
-fn groups(state: &State) -> HashMap<MoveGroup, Vec<MoveDone>> {
-    let mut groups: HashMap<MoveGroup, Vec<MoveDone>> = HashMap::new();
-    let services = (0..).map(ServiceKey).zip(&state.services);
-    for (service, entry) in services {
-        for (slot, slot_entry) in entry.slot_entries() {
-            let Some(to) = slot_entry.next else { continue };
-            if !live(state, to) {
-                continue;
-            }
-            let group = MoveGroup {
-                service,
-                from: slot_entry.owner,
-                to,
-            };
-            let epoch = slot_entry.epoch;
-            groups
-                .entry(group)
-                .or_default()
-                .push(MoveDone { slot, epoch });
-        }
-    }
-    groups
-}
-
-fn grants(service: &ServiceEntry, slots: &[MoveDone]) -> Vec<SlotGrant> {
-    let grant = |done: &MoveDone| SlotGrant {
-        service: service.spec.name.clone(),
-        slot: done.slot,
-        epoch: done.epoch,
-    };
-    slots.iter().map(grant).collect()
-}
-
 fn plans(state: &State, controller: &Controller) -> Vec<ServicePlan> {
     let mut plans = Vec::new();
     for (service, entry) in state.active_services() {
--- a/src/host/renew.rs
+++ b/src/host/renew.rs
@@ -152,6 +152,8 @@
     fn order(&self, leased: Leased) -> Option<LeaseRequest> {
         let mut contacts = self.contacts();
         let state = self.view.state();
+        // Only registered hosts are asked for their horizon.
+        state.host_key(self.incarnation)?;
         let entry = state.server(leased.server)?;
         let current = entry.state == ServerState::Live && entry.lease_epoch == leased.lease_epoch;
         if !current || !self.view.fresh() {
--- a/src/host/view.rs
+++ b/src/host/view.rs
@@ -13,8 +13,11 @@
 
 use crate::{
     clock,
-    id::{HostKey, Incarnation, Revision},
-    membership::freshness::{Freshness, HeardRevision, PeerAnswer, Voter},
+    id::{HostKey, Revision},
+    membership::{
+        freshness::{Freshness, HeardRevision, PeerAnswer, Voter},
+        registry::voters,
+    },
     state::{self, LogEntry, State},
 };
 
@@ -213,24 +216,3 @@
         self.lock().freshness.heard_ms(host)
     }
 }
-
-/// Hosts of a state that count in the majority.
-pub fn voters(state: &State) -> Vec<Voter> {
-    state
-        .registered_hosts()
-        .filter(|(_, host)| host.counted())
-        .map(|(key, host)| voter(key, host.incarnation))
-        .collect()
-}
-
-/// Every registered host of a state.
-pub fn registered(state: &State) -> Vec<Voter> {
-    state
-        .registered_hosts()
-        .map(|(key, host)| voter(key, host.incarnation))
-        .collect()
-}
-
-fn voter(host: HostKey, incarnation: Incarnation) -> Voter {
-    Voter { host, incarnation }
-}
--- a/src/membership/freshness.rs
+++ b/src/membership/freshness.rs
@@ -14,6 +14,8 @@
 //! a host. Every source takes the time of the question, so that a delayed answer makes the basis
 //! no younger. An answer counts only if this host has applied the revision that it carries.
 
+use serde::{Deserialize, Serialize};
+
 use crate::id::{HostKey, Incarnation, Revision};
 
 /// What one peer said last.
@@ -54,7 +56,7 @@
 }
 
 /// A host that counts in the majority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Voter {
     /// Host.
     pub host: HostKey,
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Which hosts there are, which of them are heard, and how fresh a host's view is.
 
 pub mod freshness;
+pub mod registry;
 pub mod ring;
 pub mod tree;
--- a/src/ownership/lapse.rs
+++ b/src/ownership/lapse.rs
@@ -30,27 +30,38 @@
     pub registered: &'a [Voter],
     /// Those that count in the majority.
     pub voters: &'a [Voter],
-    /// False while a host that was removed a short time ago may still act.
-    pub complete: bool,
+    /// Those that counted before the registry's last change; none once that is settled.
+    pub previous: &'a [Voter],
+    /// No earlier than this did [`crate::state::Registry::since`] come into force.
+    pub since_ms: u64,
+    /// True if the registry is settled, so that no host besides the registered ones acts.
+    pub settled: bool,
 }
 
 /// Time at which the lease has lapsed for certain; none as long as too few hosts have reported.
+///
+/// A host may act on the last registry or, until that is settled, on the one before it. So before
+/// then a majority of each is needed, and no majority counts from before its registry was the only
+/// one of its predecessors to act on.
 pub fn lapsed_at_ms(
     holders: Holders<'_>,
     reports: &[HorizonReport],
     lapse_ms: u64,
     margin_ms: u64,
 ) -> Option<u64> {
+    let majority = majority_ms(holders.voters, reports);
+    let previous = match holders.previous {
+        [] => Some(0),
+        previous => majority_ms(previous, reports),
+    };
+    let joint = majority.zip(previous).map(|(one, other)| one.max(other));
+    let joint = joint.map(|at_ms| at_ms.max(holders.since_ms) + lapse_ms);
     let by_all = all_reported(holders, reports, margin_ms);
-    let by_majority = majority_reported(holders, reports, lapse_ms);
-    match (by_all, by_majority) {
-        (Some(all), Some(majority)) => Some(all.min(majority)),
-        (one, other) => one.or(other),
-    }
+    [joint, by_all].into_iter().flatten().min()
 }
 
 fn all_reported(holders: Holders<'_>, reports: &[HorizonReport], margin_ms: u64) -> Option<u64> {
-    if !holders.complete {
+    if !holders.settled {
         return None;
     }
     let mut latest_ms = 0;
@@ -61,23 +72,19 @@
     Some(latest_ms + margin_ms)
 }
 
-fn majority_reported(
-    holders: Holders<'_>,
-    reports: &[HorizonReport],
-    lapse_ms: u64,
-) -> Option<u64> {
-    let mut applied: Vec<u64> = holders
-        .voters
+/// When more than half of `voters` had applied the loss.
+fn majority_ms(voters: &[Voter], reports: &[HorizonReport]) -> Option<u64> {
+    let mut applied: Vec<u64> = voters
         .iter()
         .filter_map(|voter| reports.iter().find(|report| says(report, voter)))
         .map(|report| report.applied_ms)
         .collect();
-    let needed = holders.voters.len() / 2 + 1;
+    let needed = voters.len() / 2 + 1;
     if applied.len() < needed {
         return None;
     }
     applied.sort_unstable();
-    Some(applied[needed - 1] + lapse_ms)
+    Some(applied[needed - 1])
 }
 
 fn says(report: &HorizonReport, voter: &Voter) -> bool {
--- a/src/ownership/mod.rs
+++ b/src/ownership/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod lapse;
 pub mod message;
+pub mod moves;
 pub mod planner;
 pub mod renewal;
--- a/src/standin/grants.rs
+++ b/src/standin/grants.rs
@@ -163,6 +163,12 @@
             .is_some_and(|held| held.since_us.is_some() && held.epoch == epoch)
     }
 
+    /// True if some request for `slot` would be admitted at `clock_ms`.
+    pub fn owns(&self, service: &str, slot: Slot, clock_ms: u64) -> bool {
+        let held = self.slots.get(&(service.to_owned(), slot));
+        clock_ms < self.not_after_ms && held.is_some_and(|held| held.since_us.is_some())
+    }
+
     /// Every span in which a slot was held under a valid lease, up to now.
     pub fn record(&self, now: Reading) -> Vec<HeldSpan> {
         let open = self.slots.iter().filter_map(|((service, slot), held)| {
--- a/src/state/apply.rs
+++ b/src/state/apply.rs
@@ -15,6 +15,7 @@
 use crate::{
     configuration::{self, ServiceSpec, Template, Workspace, expand, workspace::Target},
     id::{Epoch, HostKey, Incarnation, LeaseEpoch, ServerKey, ServiceKey, Slot},
+    membership::registry::voters,
 };
 
 /// Identifiers of changes that are remembered.
@@ -72,17 +73,22 @@
                 Ok(())
             }
             Change::HostPromoted { host, incarnation } => {
-                self.set_host(*host, *incarnation, HostState::Live)?;
-                self.registry = self.revision;
-                Ok(())
+                self.change_voters(*host, *incarnation, HostState::Live)
             }
             Change::HostLeaving { host, incarnation } => {
                 self.set_host(*host, *incarnation, HostState::Leaving)
             }
             Change::HostRemoved { host, incarnation } => {
-                self.set_host(*host, *incarnation, HostState::Removed)?;
-                self.registry = self.revision;
-                self.removal = self.revision;
+                self.change_voters(*host, *incarnation, HostState::Removed)?;
+                self.registry.removal = self.revision;
+                Ok(())
+            }
+            Change::RegistrySettled { registry } => {
+                let reason = "the registry has changed or is settled";
+                let due = self.registry.changed == *registry && !self.registry.is_settled();
+                ensure!(due, OutdatedSnafu { reason });
+                self.registry.settled = self.revision;
+                self.registry.previous_voters.clear();
                 Ok(())
             }
             Change::ServerJoined {
@@ -269,7 +275,25 @@
         ServerKey(self.servers.len() as u32 - 1)
     }
 
-    fn register_host(&mut self, entry: HostEntry) {
+    fn register_host(&mut self, mut entry: HostEntry) {
+        let address = entry.peer_address;
+        let is_predecessor =
+            |host: &&mut HostEntry| host.registered() && host.peer_address == address;
+        // Two processes cannot hold one address, so the earlier one is dead. Its successor takes
+        // its place in the majority: it has applied everything that the dead one had confirmed.
+        if let Some(dead) = self.hosts.iter_mut().find(is_predecessor) {
+            if dead.counted() {
+                entry.state = HostState::Live;
+                self.registry.changed = self.revision;
+                self.registry.removal = self.revision;
+                let mut previous = self.registry.previous_voters.iter_mut();
+                if let Some(seat) = previous.find(|v| v.incarnation == dead.incarnation) {
+                    seat.incarnation = entry.incarnation;
+                }
+            }
+            *dead = entry;
+            return;
+        }
         // An earlier process of the same name stays counted until its removal is settled.
         match self.hosts.iter_mut().find(|host| !host.registered()) {
             Some(free) => *free = entry,
@@ -277,6 +301,23 @@
         }
     }
 
+    /// Promotes or removes a host. The last such change must be settled.
+    fn change_voters(
+        &mut self,
+        key: HostKey,
+        incarnation: Incarnation,
+        to: HostState,
+    ) -> Result<()> {
+        let reason = "the registry's last change is not settled";
+        ensure!(self.registry.is_settled(), OutdatedSnafu { reason });
+        let before = voters(self);
+        self.set_host(key, incarnation, to)?;
+        self.registry.changed = self.revision;
+        self.registry.voters_changed = self.revision;
+        self.registry.previous_voters = before;
+        Ok(())
+    }
+
     fn set_host(&mut self, key: HostKey, incarnation: Incarnation, to: HostState) -> Result<()> {
         let revision = self.revision;
         let entry = self.hosts.get_mut(key.0 as usize);
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -79,6 +79,11 @@
         /// Process.
         incarnation: Incarnation,
     },
+    /// No host acts on an earlier registry any more.
+    RegistrySettled {
+        /// Revision of the registry's last change.
+        registry: Revision,
+    },
     /// A server process was found and gets a new membership period.
     ServerJoined {
         /// Server.
--- a/src/state/entry.rs
+++ b/src/state/entry.rs
@@ -13,6 +13,7 @@
     id::{
         Epoch, HostKey, Incarnation, LeaseEpoch, OperationId, Revision, ServerKey, ServiceKey, Slot,
     },
+    membership::freshness::Voter,
 };
 
 /// A declaration in force.
@@ -79,6 +80,37 @@
     Lost,
 }
 
+/// Progress of the registry of hosts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Registry {
+    /// Last promotion, removal or replacement of a counted host.
+    pub changed: Revision,
+    /// Last removal or replacement.
+    pub removal: Revision,
+    /// Last promotion or removal.
+    pub voters_changed: Revision,
+    /// Last settlement: since then no host acts on a registry from before `changed`.
+    pub settled: Revision,
+    /// Hosts that counted before the last promotion or removal, until that is settled.
+    pub previous_voters: Vec<Voter>,
+}
+
+impl Registry {
+    /// True if no host acts on an earlier registry any more.
+    pub fn is_settled(&self) -> bool {
+        self.settled >= self.changed
+    }
+
+    /// Revision from which on a majority counts.
+    pub fn since(&self) -> Revision {
+        if self.previous_voters.is_empty() {
+            self.settled
+        } else {
+            self.voters_changed
+        }
+    }
+}
+
 /// One backend server.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
@@ -164,10 +196,8 @@
     pub templates: BTreeMap<String, Document>,
     /// Workspaces by name.
     pub workspaces: BTreeMap<String, Document>,
-    /// Last promotion or removal of a host.
-    pub registry: Revision,
-    /// Last removal of a host.
-    pub removal: Revision,
+    /// The registry of hosts.
+    pub registry: Registry,
     /// Entry hosts, one entry a process; entries of removed ones are used again.
     pub hosts: Vec<HostEntry>,
     /// Backend servers.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -13,8 +13,8 @@
 pub use self::{
     change::{Change, LogEntry, MoveDone, SlotMove},
     entry::{
-        Document, HostEntry, HostState, RecentOperation, ServerEntry, ServerState, ServiceEntry,
-        SlotEntry, State,
+        Document, HostEntry, HostState, RecentOperation, Registry, ServerEntry, ServerState,
+        ServiceEntry, SlotEntry, State,
     },
     error::{Error, Result},
     log::{Appended, ChangeLog, LogError, Proposal},
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -96,6 +96,10 @@
         if answer.is_ok_and(|answer| answer.status == 200) {
             break;
         }
+        assert!(
+            killed.elapsed() < Duration::from_secs(15),
+            "never served again"
+        );
     }
     let unavailable = killed.elapsed();
     assert!(unavailable < Duration::from_secs(3), "{unavailable:?}");
@@ -125,6 +129,10 @@
         if answer.is_ok_and(|answer| answer.status == 200) {
             break;
         }
+        assert!(
+            killed.elapsed() < Duration::from_secs(15),
+            "never served again"
+        );
     }
     let unavailable = killed.elapsed();
     assert!(unavailable < Duration::from_secs(3), "{unavailable:?}");
--- /dev/null
+++ b/tests/model/host.rs
@@ -0,0 +1,622 @@
+//! A host of the model: the real decisions, with the timers of the real tasks around them.
+
+use ashroad::{
+    id::{HostKey, Incarnation, LeaseEpoch, Revision, ServerKey},
+    membership::{
+        freshness::{Freshness, PeerAnswer, Voter},
+        registry::{self, RegistryLimits, RegistryWatch, Silence, registered, voters},
+    },
+    ownership::{
+        lapse::{Holders, HorizonReport, lapsed_at_ms},
+        message::{LeaseRequest, SlotGrant, grant_hash},
+        moves::{next_grants, ready_groups},
+        renewal::{Contact, Finding},
+    },
+    state::{Change, LogEntry, MoveDone, ServerState, State},
+};
+use rand::{Rng, rngs::StdRng};
+
+use super::{
+    Broken, FRESHNESS_MS, LAPSE_MS, MARGIN_MS, Message, Party, SERVERS, SERVICE, TTL_MS, World,
+    local_ms, wanted_moves,
+};
+
+const RENEW_MS: u64 = 300;
+const SUSPECT_MS: u64 = 350;
+const ORDER_MS: u64 = 200;
+const MOVE_MS: u64 = 150;
+const READ_MS: u64 = 150;
+
+/// Answer to a question for a horizon.
+#[derive(Clone, Copy, Debug)]
+pub struct Reported {
+    pub host: HostKey,
+    pub incarnation: Incarnation,
+    pub server: ServerKey,
+    pub lost: Revision,
+    pub applied_age_ms: u64,
+    pub remaining_ms: u64,
+}
+
+pub struct Host {
+    pub incarnation: Incarnation,
+    pub paused_until_ms: u64,
+    pub leading: bool,
+    pub suspect_wrongly: bool,
+    pub state: State,
+    index: usize,
+    offset_ms: u64,
+    drift_ppt: u64,
+    freshness: Freshness,
+    contacts: Vec<Contact>,
+    waiting: Vec<Option<u64>>,
+    applied_ms: Vec<(Revision, u64)>,
+    reports: Vec<(ServerKey, Revision, HorizonReport)>,
+    registry: RegistryWatch,
+    read_ms: u64,
+    append_ms: u64,
+    move_ms: u64,
+    ask_ms: u64,
+}
+
+impl Host {
+    pub fn new(index: usize, rng: &mut StdRng) -> Self {
+        Self {
+            incarnation: Incarnation(rng.random()),
+            paused_until_ms: 0,
+            leading: rng.random_bool(0.5),
+            suspect_wrongly: false,
+            state: State::default(),
+            index,
+            offset_ms: rng.random_range(0..1_000_000),
+            drift_ppt: rng.random_range(0..5),
+            freshness: Freshness::default(),
+            contacts: vec![Contact::default(); SERVERS],
+            waiting: vec![None; SERVERS],
+            applied_ms: Vec::new(),
+            reports: Vec::new(),
+            registry: RegistryWatch::default(),
+            read_ms: 0,
+            append_ms: 0,
+            move_ms: 0,
+            ask_ms: 0,
+        }
+    }
+
+    pub fn registration(&self) -> Change {
+        Change::HostRegistered {
+            name: format!("host-{}", self.index),
+            incarnation: self.incarnation,
+            peer_address: ([10, 0, 1, self.index as u8], 1).into(),
+            availability_zone: "z".to_owned(),
+        }
+    }
+
+    fn key(&self) -> Option<HostKey> {
+        self.state.host_key(self.incarnation)
+    }
+
+    fn own(&self) -> Option<Voter> {
+        Some(Voter {
+            host: self.key()?,
+            incarnation: self.incarnation,
+        })
+    }
+
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        local_ms(now_ms, self.offset_ms, self.drift_ppt)
+    }
+
+    fn fresh(&self, clock_ms: u64, broken: Broken) -> bool {
+        let basis_ms = self.freshness.basis_ms();
+        broken == Broken::Freshness || basis_ms.is_some_and(|b| clock_ms <= b + FRESHNESS_MS)
+    }
+
+    fn apply(&mut self, entries: &[LogEntry], clock_ms: u64) {
+        for entry in entries {
+            if entry.revision == self.state.revision.next() {
+                self.state
+                    .apply(entry)
+                    .expect("an entry of the log applies");
+                self.applied_ms.push((entry.revision, clock_ms));
+            }
+        }
+    }
+
+    fn applied_at(&self, revision: Revision) -> u64 {
+        let applied = self.applied_ms.iter().find(|(r, _)| *r == revision);
+        applied.map_or(0, |(_, applied_ms)| *applied_ms)
+    }
+
+    fn applied_age_ms(&self, revision: Revision, clock_ms: u64) -> Option<u64> {
+        let applied = self.applied_ms.iter().find(|(r, _)| *r == revision)?;
+        Some(clock_ms - applied.1)
+    }
+
+    fn pong(&self, asked_ms: u64, clock_ms: u64) -> Option<PeerAnswer> {
+        let basis_ms = self.freshness.basis_ms();
+        Some(PeerAnswer {
+            host: self.key()?,
+            incarnation: self.incarnation,
+            asked_ms,
+            revision: self.state.revision,
+            basis_age_ms: basis_ms.map(|basis_ms| clock_ms - basis_ms),
+        })
+    }
+
+    fn reported(&self, server: ServerKey, lost: Revision, clock_ms: u64) -> Option<Reported> {
+        let lease_epoch = self.state.server(server)?.lease_epoch;
+        let contact = self.contacts[server.0 as usize];
+        Some(Reported {
+            host: self.key()?,
+            incarnation: self.incarnation,
+            server,
+            lost,
+            applied_age_ms: self.applied_age_ms(lost, clock_ms)?,
+            remaining_ms: contact.remaining_ms(lease_epoch, clock_ms),
+        })
+    }
+
+    /// The order of a renewal, decided as the real host does.
+    fn order(&mut self, server: usize, clock_ms: u64, broken: Broken) -> Option<LeaseRequest> {
+        let key = ServerKey(server as u32);
+        self.key()?;
+        let entry = self.state.server(key)?.clone();
+        if entry.state != ServerState::Live || !self.fresh(clock_ms, broken) {
+            return None;
+        }
+        let contact = &mut self.contacts[server];
+        contact.enter(entry.lease_epoch, clock_ms);
+        if !contact.due(clock_ms) {
+            return None;
+        }
+        contact.sent(clock_ms, ORDER_MS);
+        let not_after_ms = contact.order(entry.incarnation, clock_ms, TTL_MS);
+        let grants = missing(&self.state, key, contact.digest);
+        Some(LeaseRequest {
+            incarnation: not_after_ms.map(|_| entry.incarnation),
+            lease_epoch: entry.lease_epoch,
+            not_after_ms: not_after_ms.unwrap_or_default(),
+            grants,
+        })
+    }
+
+    fn lapsed(&self, server: ServerKey, lost: Revision, clock_ms: u64, broken: Broken) -> bool {
+        let reports: Vec<HorizonReport> = self
+            .reports
+            .iter()
+            .filter(|(s, r, _)| *s == server && *r == lost)
+            .map(|(_, _, report)| *report)
+            .collect();
+        let (registered, voters) = (registered(&self.state), voters(&self.state));
+        let few = [voters.first().copied()]
+            .into_iter()
+            .flatten()
+            .collect::<Vec<_>>();
+        let holders = Holders {
+            registered: &registered,
+            voters: if broken == Broken::Majority {
+                &few
+            } else {
+                &voters
+            },
+            previous: if broken == Broken::Majority {
+                &[]
+            } else {
+                &self.state.registry.previous_voters
+            },
+            since_ms: self.applied_at(self.state.registry.since()),
+            settled: self.state.registry.is_settled(),
+        };
+        let at_ms = lapsed_at_ms(holders, &reports, LAPSE_MS, MARGIN_MS);
+        broken == Broken::LapseWait || at_ms.is_some_and(|at_ms| clock_ms >= at_ms)
+    }
+
+    fn registry_change(&self, clock_ms: u64) -> Option<Change> {
+        let limits = RegistryLimits {
+            removal_ms: 5_000,
+            leaving_ms: LAPSE_MS,
+        };
+        let silence = |host, entry: &ashroad::state::HostEntry| {
+            let heard_ms = self.freshness.heard_ms(host);
+            Silence {
+                silent_ms: heard_ms.map(|heard_ms| clock_ms.saturating_sub(heard_ms)),
+                known_ms: self
+                    .applied_age_ms(entry.changed, clock_ms)
+                    .unwrap_or_default(),
+            }
+        };
+        registry::next_change(&self.state, self.key(), limits, silence)
+    }
+}
+
+fn missing(state: &State, server: ServerKey, digest: Option<u64>) -> Vec<SlotGrant> {
+    let mut grants = Vec::new();
+    let mut expected = 0;
+    for (_, service) in state.active_services() {
+        for (slot, entry) in service.slot_entries() {
+            if entry.settled() == Some(server) {
+                expected ^= grant_hash(SERVICE, slot, entry.epoch);
+                let epoch = entry.epoch;
+                grants.push(super::slot_grant(&MoveDone { slot, epoch }));
+            }
+        }
+    }
+    if digest.is_none_or(|digest| digest == expected) {
+        grants.clear();
+    }
+    grants
+}
+
+impl World {
+    pub fn host_receives(&mut self, index: usize, message: Message) {
+        let host = &mut self.hosts[index];
+        let clock_ms = host.clock_ms(self.now_ms);
+        let me = Party::Host(index);
+        match message {
+            Message::Ping { from, asked_ms } => {
+                if let Some(pong) = host.pong(asked_ms, clock_ms) {
+                    self.reply(me, from, Message::Pong(pong));
+                }
+            }
+            Message::Pong(answer) => {
+                let (applied, voters) = (host.state.revision, voters(&host.state));
+                if let Some(own) = host.own() {
+                    host.freshness.peer_answered(answer, applied, own, &voters);
+                }
+            }
+            Message::LogRead { entries, asked_ms } => {
+                host.apply(&entries, clock_ms);
+                let end = entries.last().map(|entry| entry.revision);
+                if end.is_none_or(|end| host.state.revision >= end) {
+                    host.freshness.log_read(asked_ms);
+                }
+            }
+            Message::Appended(entry) => {
+                host.append_ms = 0;
+                host.apply(&[entry], clock_ms);
+            }
+            Message::LeaseAnswered {
+                server,
+                ordered,
+                meant,
+                answer,
+            } => {
+                self.lease_answered(index, server, ordered, meant, &answer);
+            }
+            Message::Released { slots } => self.grant(index, &slots),
+            Message::Granted { slots } => {
+                let service = host.state.active_services().next().map(|(key, _)| key);
+                if let Some(service) = service {
+                    let done = slots;
+                    self.append(index, Change::MovesCompleted { service, done });
+                }
+            }
+            Message::AskHorizon { from, server, lost } => {
+                if let Some(reported) = host.reported(server, lost, clock_ms) {
+                    self.reply(me, from, Message::Horizon(reported));
+                }
+            }
+            Message::Horizon(reported) => {
+                let report = HorizonReport {
+                    host: reported.host,
+                    incarnation: reported.incarnation,
+                    applied_ms: clock_ms - reported.applied_age_ms,
+                    horizon_ms: clock_ms + reported.remaining_ms,
+                };
+                host.reports.push((reported.server, reported.lost, report));
+            }
+            _ => {}
+        }
+    }
+
+    fn lease_answered(
+        &mut self,
+        index: usize,
+        server: usize,
+        ordered: bool,
+        meant: Incarnation,
+        answer: &ashroad::ownership::message::LeaseAnswer,
+    ) {
+        let host = &mut self.hosts[index];
+        let clock_ms = host.clock_ms(self.now_ms);
+        let key = ServerKey(server as u32);
+        let Some(entry) = host.state.server(key).cloned() else {
+            return;
+        };
+        if entry.state == ServerState::Absent {
+            let incarnation = answer.incarnation;
+            self.append(
+                index,
+                Change::ServerJoined {
+                    server: key,
+                    incarnation,
+                },
+            );
+            return;
+        }
+        host.waiting[server] = None;
+        let meant = if ordered { meant } else { entry.incarnation };
+        let finding = host.contacts[server].answered(answer, meant, ordered, clock_ms, RENEW_MS);
+        if finding == Finding::Replaced && answer.incarnation != entry.incarnation {
+            let lease_epoch = entry.lease_epoch;
+            self.append(
+                index,
+                Change::ServerLost {
+                    server: key,
+                    lease_epoch,
+                },
+            );
+        }
+    }
+
+    /// Appends a change that fits the host's present state, as one conditional write.
+    fn append(&mut self, index: usize, change: Change) {
+        let now_ms = self.now_ms;
+        let host = &mut self.hosts[index];
+        if host.append_ms > now_ms {
+            return;
+        }
+        let entry = super::entry(host.state.revision.0 + 1, change);
+        if host.state.clone().apply(&entry).is_err() {
+            return;
+        }
+        host.append_ms = now_ms + 100;
+        let message = Message::Append {
+            from: self.asker(index),
+            entry,
+        };
+        // Written again after a lost answer: the condition on the head settles it.
+        if self.rng.random_bool(0.1) {
+            self.send(Party::Host(index), Party::Store, message.clone());
+        }
+        self.send(Party::Host(index), Party::Store, message);
+    }
+
+    fn grant(&mut self, index: usize, slots: &[MoveDone]) {
+        let host = &self.hosts[index];
+        let clock_ms = host.clock_ms(self.now_ms);
+        if !host.fresh(clock_ms, self.broken) {
+            return;
+        }
+        let Some((_, service)) = host.state.active_services().next() else {
+            return;
+        };
+        // The slots as this host sees them now must be those that were given up.
+        let same = |done: &MoveDone| service.slots[done.slot.0 as usize].epoch == done.epoch;
+        let Some(first) = slots.first().filter(|_| slots.iter().all(same)) else {
+            return;
+        };
+        let to = service.slots[first.slot.0 as usize].next;
+        let entry = to.and_then(|to| host.state.server(to));
+        let (Some(to), Some(entry)) = (to, entry) else {
+            return;
+        };
+        let order = LeaseRequest {
+            incarnation: Some(entry.incarnation),
+            lease_epoch: entry.lease_epoch,
+            not_after_ms: 0,
+            grants: next_grants(service, slots),
+        };
+        let slots = slots.to_vec();
+        let message = Message::Grant {
+            from: self.asker(index),
+            order,
+            slots,
+        };
+        self.send(Party::Host(index), Party::Server(to.0 as usize), message);
+    }
+
+    pub fn tick(&mut self, index: usize) {
+        if self.hosts[index].paused_until_ms > self.now_ms {
+            return;
+        }
+        self.read_and_beat(index);
+        let host = &self.hosts[index];
+        if host.state.revision.0 > 0 && host.key().is_none() {
+            let change = host.registration();
+            self.append(index, change);
+        }
+        self.renew(index);
+        let host = &self.hosts[index];
+        if host.leading && host.key().is_some() {
+            self.lead(index);
+        }
+    }
+
+    fn read_and_beat(&mut self, index: usize) {
+        let host = &mut self.hosts[index];
+        let clock_ms = host.clock_ms(self.now_ms);
+        if let Some(own) = host.own() {
+            let voters = voters(&host.state);
+            host.freshness.alone(clock_ms, own, &voters);
+        }
+        let after = host.state.revision;
+        if clock_ms >= host.read_ms + READ_MS {
+            host.read_ms = clock_ms;
+            let read = Message::ReadLog {
+                from: self.asker(index),
+                after,
+                asked_ms: clock_ms,
+            };
+            self.send(Party::Host(index), Party::Store, read);
+        }
+        for peer in 0..self.hosts.len() {
+            if peer != index {
+                let ping = Message::Ping {
+                    from: self.asker(index),
+                    asked_ms: clock_ms,
+                };
+                self.send(Party::Host(index), Party::Host(peer), ping);
+            }
+        }
+    }
+
+    fn renew(&mut self, index: usize) {
+        for server in 0..SERVERS {
+            let broken = self.broken;
+            let host = &mut self.hosts[index];
+            let clock_ms = host.clock_ms(self.now_ms);
+            let mut lost = std::mem::take(&mut host.suspect_wrongly);
+            if host.waiting[server].is_some_and(|sent_ms| clock_ms > sent_ms + ORDER_MS) {
+                host.waiting[server] = None;
+                lost |= host.contacts[server].failed(clock_ms, SUSPECT_MS);
+            }
+            let key = ServerKey(server as u32);
+            let lease_epoch = host.state.server(key).map(|entry| entry.lease_epoch);
+            if lost && let Some(lease_epoch) = lease_epoch {
+                self.append(
+                    index,
+                    Change::ServerLost {
+                        server: key,
+                        lease_epoch,
+                    },
+                );
+                continue;
+            }
+            if let Some(order) = host.order(server, clock_ms, broken) {
+                host.waiting[server] = Some(clock_ms);
+                let message = Message::Lease {
+                    from: self.asker(index),
+                    order,
+                };
+                self.send(Party::Host(index), Party::Server(server), message);
+            }
+        }
+    }
+
+    fn lead(&mut self, index: usize) {
+        let clock_ms = self.hosts[index].clock_ms(self.now_ms);
+        self.lead_registry(index, clock_ms);
+        self.lead_losses(index, clock_ms);
+        let host = &mut self.hosts[index];
+        if !host.fresh(clock_ms, self.broken) {
+            return;
+        }
+        if clock_ms >= host.ask_ms + RENEW_MS {
+            host.ask_ms = clock_ms;
+            self.ask_absent(index);
+        }
+        let host = &mut self.hosts[index];
+        if clock_ms >= host.move_ms + MOVE_MS {
+            host.move_ms = clock_ms;
+            self.lead_moves(index);
+        }
+        let change = wanted_moves(&self.hosts[index].state, &mut self.rng, self.calm);
+        if let Some(change) = change {
+            self.append(index, change);
+        }
+    }
+
+    fn lead_registry(&mut self, index: usize, clock_ms: u64) {
+        let host = &self.hosts[index];
+        let mut watch = host.registry;
+        if watch.pending(&host.state) {
+            let latest = host.state.registry.changed;
+            let own = host.own();
+            // Asked in one instant here; cut and paused hosts do not answer.
+            let reach = |peer: usize| {
+                let link = (Party::Host(index), Party::Host(peer));
+                let back = (Party::Host(peer), Party::Host(index));
+                let cut = |link| self.cut.get(link).is_some_and(|ms| *ms > self.now_ms);
+                !cut(&link) && !cut(&back) && self.hosts[peer].paused_until_ms <= self.now_ms
+            };
+            let applied: Vec<Voter> = (0..self.hosts.len())
+                .filter(|peer| *peer == index || reach(*peer))
+                .filter(|peer| self.hosts[*peer].state.revision >= latest)
+                .filter_map(|peer| self.hosts[peer].own())
+                .chain(own)
+                .collect();
+            watch.follow(&self.hosts[index].state, &applied, clock_ms, LAPSE_MS);
+        }
+        self.hosts[index].registry = watch;
+        let host = &self.hosts[index];
+        let change = match watch.settlement(&host.state, clock_ms) {
+            None if host.state.registry.is_settled() => host.registry_change(clock_ms),
+            settlement => settlement,
+        };
+        if let Some(change) = change {
+            self.append(index, change);
+        }
+    }
+
+    fn lead_losses(&mut self, index: usize, clock_ms: u64) {
+        let lost: Vec<(ServerKey, LeaseEpoch, Revision)> = self.hosts[index]
+            .state
+            .server_entries()
+            .filter(|(_, entry)| entry.state == ServerState::Lost)
+            .map(|(key, entry)| (key, entry.lease_epoch, entry.changed))
+            .collect();
+        for (server, lease_epoch, revision) in lost {
+            let host = &mut self.hosts[index];
+            if let Some(own) = host.reported(server, revision, clock_ms) {
+                let report = HorizonReport {
+                    host: own.host,
+                    incarnation: own.incarnation,
+                    applied_ms: clock_ms - own.applied_age_ms,
+                    horizon_ms: clock_ms + own.remaining_ms,
+                };
+                host.reports.push((server, revision, report));
+            }
+            if host.lapsed(server, revision, clock_ms, self.broken) {
+                self.append(
+                    index,
+                    Change::ServerLapsed {
+                        server,
+                        lease_epoch,
+                    },
+                );
+                continue;
+            }
+            for peer in 0..self.hosts.len() {
+                if peer != index {
+                    let ask = Message::AskHorizon {
+                        from: self.asker(index),
+                        server,
+                        lost: revision,
+                    };
+                    self.send(Party::Host(index), Party::Host(peer), ask);
+                }
+            }
+        }
+    }
+
+    fn ask_absent(&mut self, index: usize) {
+        for server in 0..SERVERS {
+            let key = ServerKey(server as u32);
+            let entry = self.hosts[index].state.server(key);
+            if entry.is_some_and(|entry| entry.state == ServerState::Absent) {
+                let order = LeaseRequest {
+                    incarnation: None,
+                    lease_epoch: LeaseEpoch::default(),
+                    not_after_ms: 0,
+                    grants: Vec::new(),
+                };
+                let message = Message::Lease {
+                    from: self.asker(index),
+                    order,
+                };
+                self.send(Party::Host(index), Party::Server(server), message);
+            }
+        }
+    }
+
+    fn lead_moves(&mut self, index: usize) {
+        let state = self.hosts[index].state.clone();
+        for (group, slots) in ready_groups(&state) {
+            let Some(from) = group.from else {
+                self.grant(index, &slots);
+                continue;
+            };
+            let Some(entry) = state.server(from) else {
+                continue;
+            };
+            let message = Message::Revoke {
+                from: self.asker(index),
+                incarnation: entry.incarnation,
+                slots,
+            };
+            self.send(Party::Host(index), Party::Server(from.0 as usize), message);
+        }
+    }
+}
--- /dev/null
+++ b/tests/model/mod.rs
@@ -0,0 +1,631 @@
+//! A small world around the real decisions of ownership: the state, freshness, renewals, lapses,
+//! the registry and a server's grants. Time is virtual; messages are delayed, lost, doubled and
+//! reordered; processes are paused, killed and restarted; the store is down or loses answers.
+
+mod host;
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+};
+
+use ashroad::{
+    id::{HostKey, Incarnation, OperationId, Revision, ServerKey, Slot},
+    membership::freshness::PeerAnswer,
+    ownership::message::{LeaseAnswer, LeaseRequest, SlotGrant},
+    standin::grants::{Grants, Reading},
+    state::{Change, LogEntry, MoveDone, SlotMove, State},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use self::host::Host;
+
+pub const SERVICE: &str = "w/s";
+pub const SLOTS: u32 = 4;
+pub const FRESHNESS_MS: u64 = 700;
+pub const TTL_MS: u64 = 1_200;
+pub const MARGIN_MS: u64 = 100;
+pub const LAPSE_MS: u64 = FRESHNESS_MS + TTL_MS + MARGIN_MS;
+const TICK_MS: u64 = 50;
+const SERVERS: usize = 3;
+
+/// Rules that a test can take away, to show that the check sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Broken {
+    Nothing,
+    /// A server forgets what was revoked.
+    Fence,
+    /// A server keeps its grants in a new membership period.
+    LeaseEpoch,
+    /// Leases are declared lapsed without any wait.
+    LapseWait,
+    /// The wait ends when one host has reported.
+    Majority,
+    /// Hosts renew however old their view is.
+    Freshness,
+    /// The lease's end is counted from the order's arrival.
+    ClockBound,
+    /// A writer whose answer was lost writes again behind the present head.
+    OperationId,
+}
+
+/// A host process that asked. Answers go back on its connection, so a successor gets none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Asker {
+    host: usize,
+    incarnation: Incarnation,
+}
+
+/// Messages; each is between processes that may have been replaced since it was sent.
+#[derive(Clone, Debug)]
+pub enum Message {
+    Ping {
+        from: Asker,
+        asked_ms: u64,
+    },
+    Pong(PeerAnswer),
+    ReadLog {
+        from: Asker,
+        after: Revision,
+        asked_ms: u64,
+    },
+    LogRead {
+        entries: Vec<LogEntry>,
+        asked_ms: u64,
+    },
+    Append {
+        from: Asker,
+        entry: LogEntry,
+    },
+    Appended(LogEntry),
+    Lease {
+        from: Asker,
+        order: LeaseRequest,
+    },
+    LeaseAnswered {
+        server: usize,
+        ordered: bool,
+        meant: Incarnation,
+        answer: LeaseAnswer,
+    },
+    Revoke {
+        from: Asker,
+        incarnation: Incarnation,
+        slots: Vec<MoveDone>,
+    },
+    Released {
+        slots: Vec<MoveDone>,
+    },
+    Grant {
+        from: Asker,
+        order: LeaseRequest,
+        slots: Vec<MoveDone>,
+    },
+    Granted {
+        slots: Vec<MoveDone>,
+    },
+    AskHorizon {
+        from: Asker,
+        server: ServerKey,
+        lost: Revision,
+    },
+    Horizon(host::Reported),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Party {
+    Host(usize),
+    Server(usize),
+    Store,
+}
+
+#[derive(Clone, Debug)]
+struct Envelope {
+    to: Party,
+    incarnation: Incarnation,
+    message: Message,
+}
+
+pub struct Server {
+    pub incarnation: Incarnation,
+    pub grants: Grants,
+    frozen_until_ms: u64,
+    offset_ms: u64,
+    drift_ppt: u64,
+}
+
+pub struct World {
+    pub broken: Broken,
+    pub now_ms: u64,
+    pub hosts: Vec<Host>,
+    pub servers: Vec<Server>,
+    pub log: Vec<LogEntry>,
+    rng: StdRng,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    envelopes: HashMap<u64, Envelope>,
+    next_envelope: u64,
+    store_down_until_ms: u64,
+    cut: BTreeMap<(Party, Party), u64>,
+    pub calm: bool,
+    trace: bool,
+}
+
+fn local_ms(now_ms: u64, offset_ms: u64, drift_ppt: u64) -> u64 {
+    offset_ms + now_ms * (1_000 + drift_ppt) / 1_000
+}
+
+impl World {
+    pub fn new(seed: u64, broken: Broken) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let hosts = rng.random_range(1..=5);
+        let mut world = Self {
+            broken,
+            now_ms: 10_000,
+            hosts: Vec::new(),
+            servers: Vec::new(),
+            log: declarations(),
+            queue: BinaryHeap::new(),
+            envelopes: HashMap::new(),
+            next_envelope: 0,
+            store_down_until_ms: 0,
+            cut: BTreeMap::new(),
+            calm: false,
+            trace: std::env::var_os("ASHROAD_TRACE").is_some(),
+            rng,
+        };
+        for index in 0..hosts {
+            let host = Host::new(index, &mut world.rng);
+            world.hosts.push(host);
+        }
+        // Most cases begin with a formed system, so that the steps go into its faults.
+        if world.rng.random_bool(0.8) {
+            world.form();
+        }
+        for _ in 0..SERVERS {
+            let server = Server {
+                incarnation: Incarnation(world.rng.random()),
+                grants: Grants::default(),
+                frozen_until_ms: 0,
+                offset_ms: world.rng.random_range(0..1_000_000),
+                drift_ppt: world.rng.random_range(0..5),
+            };
+            world.servers.push(server);
+        }
+        world
+    }
+
+    /// Registers and counts every host.
+    fn form(&mut self) {
+        let changes: Vec<Change> = self.hosts.iter().map(Host::registration).collect();
+        let promote = |(key, host): (u32, &Host)| Change::HostPromoted {
+            host: HostKey(key),
+            incarnation: host.incarnation,
+        };
+        let promotions = (0..).zip(&self.hosts).map(promote);
+        for change in changes.into_iter().chain(promotions) {
+            let revision = self.log.len() as u64 + 1;
+            let promoted = matches!(change, Change::HostPromoted { .. });
+            self.log.push(entry(revision, change));
+            if promoted {
+                let registry = Revision(revision);
+                self.log
+                    .push(entry(revision + 1, Change::RegistrySettled { registry }));
+            }
+        }
+    }
+
+    /// One step: a fault perhaps, then some time.
+    pub fn step(&mut self) {
+        if !self.calm {
+            self.fault();
+        }
+        let span_ms = self.rng.random_range(1..=150);
+        self.run(span_ms);
+    }
+
+    /// Runs for a while, checking after each event.
+    pub fn run(&mut self, span_ms: u64) {
+        let end_ms = self.now_ms + span_ms;
+        while self.now_ms < end_ms {
+            let next = self.queue.peek().map(|Reverse((at_ms, _))| *at_ms);
+            let tick_ms = (self.now_ms / TICK_MS + 1) * TICK_MS;
+            let until_ms = next
+                .unwrap_or(u64::MAX)
+                .max(self.now_ms)
+                .min(tick_ms)
+                .min(end_ms);
+            self.now_ms = until_ms;
+            while let Some(Reverse((at_ms, id))) = self.queue.peek().copied() {
+                if at_ms > self.now_ms {
+                    break;
+                }
+                self.queue.pop();
+                if let Some(envelope) = self.envelopes.remove(&id) {
+                    self.deliver(envelope);
+                }
+            }
+            if self.now_ms == tick_ms {
+                for index in 0..self.hosts.len() {
+                    self.tick(index);
+                }
+            }
+            self.check();
+        }
+    }
+
+    /// Ends all faults, gives the lead to one host and lets things settle.
+    pub fn settle(&mut self) {
+        self.calm = true;
+        self.cut.clear();
+        self.store_down_until_ms = 0;
+        for server in &mut self.servers {
+            server.frozen_until_ms = 0;
+        }
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            host.paused_until_ms = 0;
+            host.leading = index == 0;
+        }
+        self.run(30_000);
+    }
+
+    fn fault(&mut self) {
+        let until_ms = self.now_ms + self.rng.random_range(1..6_000);
+        let host = self.rng.random_range(0..self.hosts.len());
+        let server = self.rng.random_range(0..SERVERS);
+        match self.rng.random_range(0..50) {
+            0 => self.hosts[host].paused_until_ms = until_ms,
+            1 => self.servers[server].frozen_until_ms = until_ms,
+            2 => self.store_down_until_ms = until_ms,
+            3..5 => {
+                let one = self.any_party();
+                let other = self.any_party();
+                // One way only, every second time.
+                self.cut.insert((one, other), until_ms);
+                if self.rng.random() {
+                    self.cut.insert((other, one), until_ms);
+                }
+            }
+            5 => {
+                let number = self.rng.random_range(0..3);
+                for peer in 0..self.hosts.len() {
+                    let cut = Party::Host(peer);
+                    self.cut.insert((cut, Party::Server(number)), until_ms);
+                }
+            }
+            6 => self.hosts[host].leading ^= true,
+            7 => {
+                let fresh = Host::new(host, &mut self.rng);
+                self.hosts[host] = fresh;
+            }
+            8 => {
+                self.servers[server].grants = Grants::default();
+                self.servers[server].incarnation = Incarnation(self.rng.random());
+            }
+            9 => self.hosts[host].suspect_wrongly = true,
+            10 => self.split(until_ms),
+            _ => {}
+        }
+    }
+
+    /// Cuts some hosts off from the store and from the other hosts; servers stay in reach of all.
+    fn split(&mut self, until_ms: u64) {
+        let away: Vec<bool> = self.hosts.iter().map(|_| self.rng.random()).collect();
+        // The others go on to make changes, long enough to carry them out.
+        let until_ms = until_ms + LAPSE_MS * 2;
+        for (host, _) in self.hosts.iter_mut().zip(&away).filter(|(_, away)| !**away) {
+            host.leading = true;
+            host.suspect_wrongly = true;
+        }
+        for (one, one_away) in away.iter().enumerate() {
+            let host = Party::Host(one);
+            if *one_away {
+                self.cut.insert((host, Party::Store), until_ms);
+                self.cut.insert((Party::Store, host), until_ms);
+            }
+            for (other, other_away) in away.iter().enumerate() {
+                if one_away != other_away {
+                    self.cut.insert((host, Party::Host(other)), until_ms);
+                }
+            }
+        }
+    }
+
+    fn any_party(&mut self) -> Party {
+        match self.rng.random_range(0..5) {
+            0 => Party::Store,
+            1 | 2 => Party::Server(self.rng.random_range(0..SERVERS)),
+            _ => Party::Host(self.rng.random_range(0..self.hosts.len())),
+        }
+    }
+
+    fn incarnation(&self, party: Party) -> Incarnation {
+        match party {
+            Party::Host(host) => self.hosts[host].incarnation,
+            Party::Server(server) => self.servers[server].incarnation,
+            Party::Store => Incarnation::default(),
+        }
+    }
+
+    pub fn send(&mut self, from: Party, to: Party, message: Message) {
+        if !self.calm {
+            let cut_ms = self.cut.get(&(from, to)).copied().unwrap_or_default();
+            if cut_ms > self.now_ms || self.rng.random_bool(0.02) {
+                return;
+            }
+            if self.rng.random_bool(0.02) {
+                self.post(to, message.clone());
+            }
+        }
+        self.post(to, message);
+    }
+
+    pub fn asker(&self, host: usize) -> Asker {
+        Asker {
+            host,
+            incarnation: self.hosts[host].incarnation,
+        }
+    }
+
+    pub fn reply(&mut self, from: Party, to: Asker, message: Message) {
+        if self.hosts[to.host].incarnation == to.incarnation {
+            self.send(from, Party::Host(to.host), message);
+        }
+    }
+
+    fn post(&mut self, to: Party, message: Message) {
+        let slow = !self.calm && self.rng.random_bool(0.03);
+        let delay_ms = self.rng.random_range(if slow { 100..3_000 } else { 0..15 });
+        let id = self.next_envelope;
+        self.next_envelope += 1;
+        let envelope = Envelope {
+            to,
+            // An address outlives a process, so a late message reaches the successor.
+            incarnation: self.incarnation(to),
+            message,
+        };
+        self.envelopes.insert(id, envelope);
+        self.queue.push(Reverse((self.now_ms + delay_ms, id)));
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        if self.trace {
+            eprintln!(
+                "{} {:?} receives {:?}",
+                self.now_ms, envelope.to, envelope.message
+            );
+        }
+        let held_until_ms = match envelope.to {
+            Party::Host(host) => self.hosts[host].paused_until_ms,
+            Party::Server(server) => self.servers[server].frozen_until_ms,
+            Party::Store => self.store_down_until_ms,
+        };
+        if held_until_ms > self.now_ms {
+            // A paused process reads what had arrived once it goes on.
+            let id = self.next_envelope;
+            self.next_envelope += 1;
+            self.envelopes.insert(id, envelope);
+            self.queue.push(Reverse((held_until_ms, id)));
+            return;
+        }
+        match envelope.to {
+            Party::Store => self.store(envelope.message),
+            Party::Server(server) => self.server(server, envelope.message),
+            // Connections end with their process, unlike a server's orders.
+            Party::Host(host) if envelope.incarnation == self.hosts[host].incarnation => {
+                self.host_receives(host, envelope.message);
+            }
+            Party::Host(_) => {}
+        }
+    }
+
+    fn store(&mut self, message: Message) {
+        match message {
+            Message::ReadLog {
+                from,
+                after,
+                asked_ms,
+            } => {
+                let entries = self.log[after.0 as usize..].to_vec();
+                let answer = Message::LogRead { entries, asked_ms };
+                self.reply(Party::Store, from, answer);
+            }
+            Message::Append { from, mut entry } => {
+                let next = self.log.len() as u64 + 1;
+                if entry.revision.0 != next {
+                    let own = |held: &LogEntry| held.operation_id == entry.operation_id;
+                    if self.broken != Broken::OperationId || !self.log.iter().any(own) {
+                        return;
+                    }
+                    entry.revision = Revision(next);
+                }
+                self.log.push(entry.clone());
+                self.reply(Party::Store, from, Message::Appended(entry));
+            }
+            _ => {}
+        }
+    }
+
+    fn reading(&self, server: usize) -> Reading {
+        let held = &self.servers[server];
+        Reading {
+            clock_ms: local_ms(self.now_ms, held.offset_ms, held.drift_ppt),
+            unix_us: self.now_ms * 1_000,
+        }
+    }
+
+    fn server(&mut self, index: usize, message: Message) {
+        let now = self.reading(index);
+        let broken = self.broken;
+        let server = &mut self.servers[index];
+        match message {
+            Message::Lease { from, mut order }
+            | Message::Grant {
+                from, mut order, ..
+            } if order.incarnation.is_none() => {
+                order.grants.clear();
+                let answer = lease_answer(server, now, false);
+                self.answer_lease(index, from, &order, answer);
+            }
+            Message::Lease { from, mut order } => {
+                let accepted = renew(server, &mut order, now, broken);
+                let answer = lease_answer(server, now, accepted);
+                self.answer_lease(index, from, &order, answer);
+            }
+            Message::Grant {
+                from,
+                mut order,
+                slots,
+            } => {
+                let accepted = renew(server, &mut order, now, broken);
+                if accepted {
+                    self.reply(Party::Server(index), from, Message::Granted { slots });
+                }
+            }
+            Message::Revoke {
+                from,
+                incarnation,
+                slots,
+            } if incarnation == server.incarnation => {
+                for done in &slots {
+                    if broken != Broken::Fence {
+                        server.grants.revoke(&slot_grant(done), now);
+                    }
+                }
+                self.reply(Party::Server(index), from, Message::Released { slots });
+            }
+            _ => {}
+        }
+    }
+
+    fn answer_lease(&mut self, index: usize, to: Asker, order: &LeaseRequest, answer: LeaseAnswer) {
+        let message = Message::LeaseAnswered {
+            server: index,
+            ordered: order.incarnation.is_some(),
+            meant: order.incarnation.unwrap_or_default(),
+            answer,
+        };
+        self.reply(Party::Server(index), to, message);
+    }
+
+    /// The invariant: no slot is owned by two servers.
+    fn check(&self) {
+        for slot in (0..SLOTS).map(Slot) {
+            let owners = self.owners(slot);
+            assert!(owners.len() <= 1, "{slot:?} is owned by servers {owners:?}");
+        }
+    }
+
+    /// The leader's view, for the report of a failed case.
+    pub fn describe(&self) -> String {
+        let state = &self.hosts[0].state;
+        let (hosts, servers) = (&state.hosts, &state.servers);
+        let slots: Vec<_> = state
+            .services
+            .iter()
+            .map(|service| &service.slots)
+            .collect();
+        let log = self.log.len();
+        format!("log {log}, hosts {hosts:#?}, servers {servers:#?}, slots {slots:#?}")
+    }
+
+    /// Servers that would serve a slot now.
+    pub fn owners(&self, slot: Slot) -> Vec<usize> {
+        let owns = |index: &usize| {
+            let clock_ms = self.reading(*index).clock_ms;
+            self.servers[*index].grants.owns(SERVICE, slot, clock_ms)
+        };
+        (0..SERVERS).filter(owns).collect()
+    }
+}
+
+fn renew(server: &mut Server, order: &mut LeaseRequest, now: Reading, broken: Broken) -> bool {
+    if order.incarnation != Some(server.incarnation) {
+        return false;
+    }
+    if broken == Broken::LeaseEpoch && server.grants.lease_epoch().0 > 0 {
+        order.lease_epoch = server.grants.lease_epoch();
+    }
+    if broken == Broken::ClockBound && order.not_after_ms > 0 {
+        order.not_after_ms = now.clock_ms + TTL_MS;
+    }
+    server.grants.renew(order, now)
+}
+
+fn lease_answer(server: &Server, now: Reading, accepted: bool) -> LeaseAnswer {
+    LeaseAnswer {
+        incarnation: server.incarnation,
+        clock_ms: now.clock_ms,
+        lease_epoch: server.grants.lease_epoch(),
+        accepted,
+        draining: false,
+        grants_digest: server.grants.digest(),
+    }
+}
+
+pub fn slot_grant(done: &MoveDone) -> SlotGrant {
+    SlotGrant {
+        service: SERVICE.to_owned(),
+        slot: done.slot,
+        epoch: done.epoch,
+    }
+}
+
+fn declarations() -> Vec<LogEntry> {
+    let template = format!(
+        "template: t\nparameters: [{{ name: targets, type: targets, max: 9 }}]\n\
+         services:\n  - {{ name: s, targets: targets, key: {{ path: 0 }}, slots: {SLOTS}, \
+         server_slots: 4, server_connections: 9 }}\n"
+    );
+    let mut workspace = "workspace: w\ntemplate: t\nparameters:\n  targets:\n".to_owned();
+    for server in 0..SERVERS {
+        workspace += &format!(
+            "    - {{ address: '10.0.0.{}:80', availability_zone: z }}\n",
+            server + 1
+        );
+    }
+    vec![
+        entry(1, Change::TemplateSubmitted { document: template }),
+        entry(
+            2,
+            Change::WorkspaceSubmitted {
+                document: workspace,
+            },
+        ),
+    ]
+}
+
+pub fn entry(revision: u64, change: Change) -> LogEntry {
+    LogEntry {
+        revision: Revision(revision),
+        operation_id: OperationId::random(),
+        actor: String::new(),
+        at_unix_ms: 0,
+        change,
+    }
+}
+
+/// Moves of slots that have no owner, and now and then of others.
+pub fn wanted_moves(state: &State, rng: &mut StdRng, calm: bool) -> Option<Change> {
+    let live: Vec<ServerKey> = state
+        .server_entries()
+        .filter(|(_, server)| server.state == ashroad::state::ServerState::Live)
+        .map(|(key, _)| key)
+        .collect();
+    let (service, entry) = state.active_services().next()?;
+    let mut moves = Vec::new();
+    for (slot, held) in entry.slot_entries() {
+        if held.next.is_some() || live.is_empty() {
+            continue;
+        }
+        let owned = held.owner.is_some_and(|owner| live.contains(&owner));
+        if owned && (calm || !rng.random_bool(0.02)) {
+            continue;
+        }
+        moves.push(SlotMove {
+            slot,
+            to: live[rng.random_range(0..live.len())],
+            epoch: held.epoch.next(),
+        });
+    }
+    (!moves.is_empty()).then_some(Change::MovesBegun { service, moves })
+}
--- /dev/null
+++ b/tests/ownership_rules.rs
@@ -0,0 +1,273 @@
+//! Rules of ownership, each with the case that taught it.
+
+use ashroad::{
+    id::{Epoch, HostKey, Incarnation, LeaseEpoch, OperationId, Revision, Slot},
+    membership::{
+        freshness::{Freshness, PeerAnswer, Voter},
+        registry::{RegistryWatch, voters},
+    },
+    ownership::{
+        lapse::{Holders, HorizonReport, lapsed_at_ms},
+        message::{LeaseRequest, SlotGrant},
+    },
+    standin::grants::{Grants, Reading},
+    state::{Change, LogEntry, State},
+};
+
+const LAPSE_MS: u64 = 2_000;
+const MARGIN_MS: u64 = 100;
+
+fn voter(number: u32) -> Voter {
+    Voter {
+        host: HostKey(number),
+        incarnation: Incarnation(number.into()),
+    }
+}
+
+fn report(number: u32, applied_ms: u64, horizon_ms: u64) -> HorizonReport {
+    HorizonReport {
+        host: HostKey(number),
+        incarnation: Incarnation(number.into()),
+        applied_ms,
+        horizon_ms,
+    }
+}
+
+struct LapseCase {
+    name: &'static str,
+    voters: &'static [u32],
+    previous: &'static [u32],
+    since_ms: u64,
+    settled: bool,
+    reports: &'static [(u32, u64, u64)],
+    lapsed_at_ms: Option<u64>,
+}
+
+#[test]
+fn a_lease_is_lapsed_only_when_no_host_can_have_renewed_it() {
+    let cases = [
+        LapseCase {
+            name: "all hosts say when their last renewal ends",
+            voters: &[0, 1, 2],
+            previous: &[],
+            since_ms: 0,
+            settled: true,
+            reports: &[(0, 5_000, 5_900), (1, 5_010, 5_500), (2, 5_020, 5_600)],
+            lapsed_at_ms: Some(6_000),
+        },
+        LapseCase {
+            name: "a majority has applied the loss; the rest is bounded by its freshness",
+            voters: &[0, 1, 2],
+            previous: &[],
+            since_ms: 0,
+            settled: true,
+            reports: &[(0, 5_000, 5_900), (1, 5_010, 5_500)],
+            lapsed_at_ms: Some(7_010),
+        },
+        LapseCase {
+            name: "half of the hosts are not enough",
+            voters: &[0, 1, 2, 3],
+            previous: &[],
+            since_ms: 0,
+            settled: true,
+            reports: &[(0, 5_000, 5_900), (1, 5_010, 5_500)],
+            lapsed_at_ms: None,
+        },
+        LapseCase {
+            name: "hosts 1 and 2 were promoted after they had applied the loss, while host 0, \
+                   alone in the registry before, still acted on it",
+            voters: &[0, 1, 2],
+            previous: &[0, 1],
+            since_ms: 8_000,
+            settled: false,
+            reports: &[(1, 5_000, 5_000), (2, 5_000, 5_000)],
+            lapsed_at_ms: None,
+        },
+        LapseCase {
+            name: "the majority counts only from the change of the registry on",
+            voters: &[0, 1, 2],
+            previous: &[0, 1],
+            since_ms: 8_000,
+            settled: false,
+            reports: &[(0, 5_500, 5_000), (1, 5_000, 5_000), (2, 5_000, 5_000)],
+            lapsed_at_ms: Some(10_000),
+        },
+    ];
+    for case in cases {
+        let voters: Vec<Voter> = case.voters.iter().copied().map(voter).collect();
+        let previous: Vec<Voter> = case.previous.iter().copied().map(voter).collect();
+        let reports = case.reports.iter();
+        let reports: Vec<HorizonReport> = reports.map(|r| report(r.0, r.1, r.2)).collect();
+        let holders = Holders {
+            registered: &voters,
+            voters: &voters,
+            previous: &previous,
+            since_ms: case.since_ms,
+            settled: case.settled,
+        };
+        let lapsed = lapsed_at_ms(holders, &reports, LAPSE_MS, MARGIN_MS);
+        assert_eq!(lapsed, case.lapsed_at_ms, "{}", case.name);
+    }
+}
+
+fn apply(state: &mut State, change: Change) {
+    let entry = LogEntry {
+        revision: state.revision.next(),
+        operation_id: OperationId::random(),
+        actor: String::new(),
+        at_unix_ms: 0,
+        change,
+    };
+    state.apply(&entry).expect("the change fits");
+}
+
+fn register(state: &mut State, number: u32, port: u16) {
+    let change = Change::HostRegistered {
+        name: format!("host-{number}"),
+        incarnation: Incarnation(number.into()),
+        peer_address: ([10, 0, 0, 1], port).into(),
+        availability_zone: "z".to_owned(),
+    };
+    apply(state, change);
+}
+
+fn promote(state: &mut State, number: u32) {
+    let incarnation = Incarnation(number.into());
+    let host = state.host_key(incarnation).expect("registered");
+    apply(state, Change::HostPromoted { host, incarnation });
+    let registry = state.revision;
+    apply(state, Change::RegistrySettled { registry });
+}
+
+#[test]
+fn the_removal_of_the_only_counted_host_is_not_settled_without_it() {
+    let mut state = State::default();
+    register(&mut state, 0, 1);
+    register(&mut state, 1, 2);
+    promote(&mut state, 0);
+    let host = HostKey(0);
+    let incarnation = Incarnation(0);
+    apply(&mut state, Change::HostRemoved { host, incarnation });
+    let mut watch = RegistryWatch::default();
+    assert!(watch.pending(&state));
+    watch.follow(&state, &[voter(1)], 5_000, LAPSE_MS);
+    let settlement = watch.settlement(&state, 60_000);
+    assert!(settlement.is_none(), "host 0 may be fresh by itself");
+}
+
+#[test]
+fn a_process_restarted_at_its_address_takes_its_predecessors_place() {
+    let mut state = State::default();
+    register(&mut state, 0, 1);
+    promote(&mut state, 0);
+    register(&mut state, 7, 1);
+    let successor = Voter {
+        host: HostKey(0),
+        incarnation: Incarnation(7),
+    };
+    assert_eq!(voters(&state), [successor]);
+    let mut watch = RegistryWatch::default();
+    assert!(watch.pending(&state));
+    watch.follow(&state, &[successor], 5_000, LAPSE_MS);
+    let early = watch.settlement(&state, 5_000);
+    assert!(early.is_none(), "a late order of the dead one may arrive");
+    assert!(watch.settlement(&state, 5_000 + LAPSE_MS).is_some());
+}
+
+#[test]
+fn an_answer_counts_from_its_question_and_only_at_a_revision_that_was_applied() {
+    struct Case {
+        name: &'static str,
+        revision: u64,
+        basis_age_ms: Option<u64>,
+        voters: u32,
+        basis_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "a peer with a basis lends it",
+            revision: 5,
+            basis_age_ms: Some(40),
+            voters: 5,
+            basis_ms: Some(960),
+        },
+        Case {
+            name: "two of three hosts are a majority",
+            revision: 5,
+            basis_age_ms: None,
+            voters: 3,
+            basis_ms: Some(1_000),
+        },
+        Case {
+            name: "a revision that is not applied yet does not count",
+            revision: 6,
+            basis_age_ms: Some(0),
+            voters: 3,
+            basis_ms: None,
+        },
+    ];
+    for case in cases {
+        let mut freshness = Freshness::default();
+        let answer = PeerAnswer {
+            host: HostKey(1),
+            incarnation: Incarnation(1),
+            asked_ms: 1_000,
+            revision: Revision(case.revision),
+            basis_age_ms: case.basis_age_ms,
+        };
+        let voters: Vec<Voter> = (0..case.voters).map(voter).collect();
+        freshness.peer_answered(answer, Revision(5), voter(0), &voters);
+        assert_eq!(freshness.basis_ms(), case.basis_ms, "{}", case.name);
+    }
+}
+
+fn reading(clock_ms: u64) -> Reading {
+    Reading {
+        clock_ms,
+        unix_us: clock_ms * 1_000,
+    }
+}
+
+fn slot_grant(epoch: u64) -> SlotGrant {
+    SlotGrant {
+        service: "w/s".to_owned(),
+        slot: Slot(0),
+        epoch: Epoch(epoch),
+    }
+}
+
+fn order(lease_epoch: u64, not_after_ms: u64, epochs: &[u64]) -> LeaseRequest {
+    LeaseRequest {
+        incarnation: None,
+        lease_epoch: LeaseEpoch(lease_epoch),
+        not_after_ms,
+        grants: epochs.iter().copied().map(slot_grant).collect(),
+    }
+}
+
+#[test]
+fn a_server_holds_a_slot_only_under_a_valid_lease_and_the_latest_epoch() {
+    let admits =
+        |grants: &Grants, epoch, clock_ms| grants.admits("w/s", Slot(0), Epoch(epoch), clock_ms);
+    let mut grants = Grants::default();
+    assert!(grants.renew(&order(1, 1_000, &[3]), reading(0)));
+    assert!(admits(&grants, 3, 999));
+    assert!(!admits(&grants, 3, 1_000), "the lease is over");
+    assert!(!admits(&grants, 2, 500), "an older epoch");
+    grants.revoke(&slot_grant(4), reading(500));
+    assert!(!admits(&grants, 3, 500), "revoked");
+    grants.renew(&order(1, 1_500, &[3]), reading(600));
+    assert!(
+        !admits(&grants, 3, 700),
+        "a delayed grant of an older epoch"
+    );
+    grants.renew(&order(1, 1_500, &[4]), reading(600));
+    assert!(admits(&grants, 4, 700), "the slot came back");
+    // The server was lost, its slot moved on, and it joined again.
+    grants.renew(&order(2, 9_000, &[]), reading(8_000));
+    assert!(
+        !admits(&grants, 4, 8_500),
+        "a grant of the last membership period"
+    );
+    assert!(!grants.renew(&order(1, 9_900, &[4]), reading(8_600)));
+}
