Bench of policy, planner and control; witnesses, smoothed loads, flat reads

Change: heartbeat 150 ms; only the first 21 hosts count; a host is removed by those that it asks; hosts below the witnesses leave reading to them; the bench smooths loads as the hosts do; weights 1.0/2.4/1.0 and 4.0/1.0/4.0.

--- /dev/null
+++ b/src/bench/control.rs
@@ -0,0 +1,83 @@
+//! What control costs a host, against the number of hosts: real hosts, a platform stand-in and
+//! backend servers in this process, without any caller.
+
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::time;
+
+use super::process;
+use crate::{
+    demo::{Error, System},
+    standin::platform::Counters,
+};
+
+/// Time for hosts to register and settle before the measurement, per host.
+const SETTLE_MS_PER_HOST: u64 = 60;
+const SETTLE_MS: u64 = 6_000;
+const MEASURE_MS: u64 = 10_000;
+
+/// Figures at one number of hosts.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct ControlFigures {
+    /// Hosts.
+    pub hosts: usize,
+    /// Hosts that are counted at the time of the measurement.
+    pub counted: usize,
+    /// Bytes that one host sends in a second, its share of the stand-ins' included.
+    pub sent_bytes_per_s: f64,
+    /// Share of one processor core, its share of the stand-ins' included.
+    pub core_share: f64,
+    /// Memory of the process, per host.
+    pub resident_bytes: f64,
+    /// Reads of the table service in a second, all hosts together.
+    pub reads_per_s: f64,
+    /// Transactions in a second, all hosts together.
+    pub transactions_per_s: f64,
+}
+
+/// Measures one number of hosts.
+pub async fn run(hosts: usize) -> Result<ControlFigures, Error> {
+    let memory = process::resident_bytes();
+    let system = System::start(hosts).await?;
+    system.declare().await?;
+    time::sleep(Duration::from_millis(
+        SETTLE_MS + SETTLE_MS_PER_HOST * hosts as u64,
+    ))
+    .await;
+    let counted = system.counted_hosts();
+    let before = Reading::take(&system).await;
+    time::sleep(Duration::from_millis(MEASURE_MS)).await;
+    let after = Reading::take(&system).await;
+    let resident = process::resident_bytes().saturating_sub(memory);
+    system.stop().await;
+    let seconds = MEASURE_MS as f64 / 1_000.0;
+    let share = |span: u64| span as f64 / seconds / hosts as f64;
+    let (calls, earlier) = (after.counters, before.counters);
+    Ok(ControlFigures {
+        hosts,
+        counted,
+        sent_bytes_per_s: share(after.sent_bytes - before.sent_bytes),
+        core_share: share(after.cpu_ms - before.cpu_ms) / 1_000.0,
+        resident_bytes: resident as f64 / hosts as f64,
+        reads_per_s: (calls.reads - earlier.reads) as f64 / seconds,
+        transactions_per_s: (calls.transactions - earlier.transactions) as f64 / seconds,
+    })
+}
+
+/// Counters at one moment.
+struct Reading {
+    cpu_ms: u64,
+    sent_bytes: u64,
+    counters: Counters,
+}
+
+impl Reading {
+    async fn take(system: &System) -> Self {
+        Self {
+            cpu_ms: process::cpu_ms(),
+            sent_bytes: process::loopback_sent_bytes(),
+            counters: system.platform_counters().await,
+        }
+    }
+}
--- /dev/null
+++ b/src/bench/planner.rs
@@ -0,0 +1,189 @@
+//! Time and memory of the planner and the state against slots and servers.
+
+use std::{sync::Arc, time::Instant};
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+
+use super::process;
+use crate::{
+    configuration::template::Weights,
+    id::{Incarnation, OperationId, ServerKey, ServiceKey, Slot},
+    ownership::planner::{PlannerInput, PlannerServer, PlannerSlot, plan},
+    state::{Change, LogEntry, MoveDone, Snapshot, State},
+};
+
+/// Sizes that are measured: slots and servers.
+const SIZES: [(u32, u32); 4] = [
+    (10_000, 40),
+    (50_000, 200),
+    (250_000, 1_000),
+    (1_000_000, 4_000),
+];
+const SEED: u64 = 3;
+const TARGETS_PER_DOCUMENT: u32 = 4_000;
+
+/// Figures at one size.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct SizeFigures {
+    /// Slots.
+    pub slots: u32,
+    /// Servers.
+    pub servers: u32,
+    /// First placement of all slots.
+    pub place_ms: f64,
+    /// Plan after one server was lost.
+    pub loss_ms: f64,
+    /// Plan when nothing needs to move.
+    pub idle_ms: f64,
+    /// Memory of the state, per slot.
+    pub state_bytes_per_slot: f64,
+    /// Size of the snapshot, per slot.
+    pub snapshot_bytes_per_slot: f64,
+    /// Applying the end of one slot's move to the state.
+    pub apply_ms: f64,
+}
+
+/// Measures every size.
+pub fn run() -> Vec<SizeFigures> {
+    SIZES
+        .iter()
+        .map(|(slots, servers)| measure(*slots, *servers))
+        .collect()
+}
+
+fn measure(slots: u32, servers: u32) -> SizeFigures {
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut servers_in: Vec<PlannerServer> = (0..servers)
+        .map(|_| PlannerServer {
+            capacity: 4.0,
+            eligible: true,
+        })
+        .collect();
+    let mut slots_in: Vec<PlannerSlot> = (0..slots)
+        .map(|_| PlannerSlot {
+            owner: None,
+            load: rng.random_range(0.5..1.5),
+            moving: false,
+        })
+        .collect();
+    let place_ms = timed_plan(&servers_in, &mut slots_in);
+    let idle_ms = timed_plan(&servers_in, &mut slots_in);
+    servers_in[0].eligible = false;
+    let loss_ms = timed_plan(&servers_in, &mut slots_in);
+    let state = measure_state(slots, servers);
+    SizeFigures {
+        slots,
+        servers,
+        place_ms,
+        loss_ms,
+        idle_ms,
+        ..state
+    }
+}
+
+fn timed_plan(servers: &[PlannerServer], slots: &mut [PlannerSlot]) -> f64 {
+    let input = PlannerInput {
+        servers,
+        slots,
+        weights: Weights::default(),
+        balance_moves: 1_000,
+    };
+    let start = Instant::now();
+    let moves = plan(input);
+    let took_ms = start.elapsed().as_secs_f64() * 1_000.0;
+    for planned in moves {
+        slots[planned.slot as usize].owner = Some(planned.to);
+    }
+    took_ms
+}
+
+fn measure_state(slots: u32, servers: u32) -> SizeFigures {
+    let before = process::resident_bytes();
+    let state = build(slots, servers);
+    let held = process::resident_bytes().saturating_sub(before);
+    let snapshot = Snapshot::encode(&state).map_or(0, |snapshot| snapshot.body.len());
+    SizeFigures {
+        slots,
+        servers,
+        place_ms: 0.0,
+        loss_ms: 0.0,
+        idle_ms: 0.0,
+        state_bytes_per_slot: held as f64 / f64::from(slots),
+        snapshot_bytes_per_slot: snapshot as f64 / f64::from(slots),
+        apply_ms: timed_apply(&state),
+    }
+}
+
+/// A state whose slots are owned in turn.
+fn build(slots: u32, servers: u32) -> State {
+    let mut state = State::default();
+    let template = format!(
+        "template: t\nparameters: [{{ name: targets, type: targets, max: {TARGETS_PER_DOCUMENT} }}]\n\
+         services:\n  - {{ name: s, targets: targets, key: {{ path: 0 }}, slots: {slots}, \
+         server_slots: 4, server_connections: 130 }}\n"
+    );
+    apply(&mut state, Change::TemplateSubmitted { document: template });
+    let mut workspace = "workspace: w\ntemplate: t\nparameters:\n  targets:\n".to_owned();
+    for server in 0..servers {
+        let (high, low) = (server / 250, server % 250 + 1);
+        workspace +=
+            &format!("    - {{ address: '10.0.{high}.{low}:80', availability_zone: zone-a }}\n");
+    }
+    apply(
+        &mut state,
+        Change::WorkspaceSubmitted {
+            document: workspace,
+        },
+    );
+    for server in (0..servers).map(ServerKey) {
+        let incarnation = Incarnation(u64::from(server.0) + 1);
+        apply(
+            &mut state,
+            Change::ServerJoined {
+                server,
+                incarnation,
+            },
+        );
+    }
+    let service = Arc::make_mut(&mut state.services[0]);
+    for (index, slot) in service.slots.iter_mut().enumerate() {
+        slot.owner = Some(ServerKey(index as u32 % servers));
+        slot.epoch.0 = 1;
+    }
+    state
+}
+
+fn timed_apply(state: &State) -> f64 {
+    let mut state = state.clone();
+    let service = ServiceKey(0);
+    let slot = Slot(0);
+    let epoch = state.next_epoch(service, slot);
+    let moves = vec![crate::state::SlotMove {
+        slot,
+        to: ServerKey(1),
+        epoch,
+    }];
+    apply(&mut state, Change::MovesBegun { service, moves });
+    // As on a host, where readers still hold the state before.
+    let held = state.clone();
+    let start = Instant::now();
+    let done = vec![MoveDone { slot, epoch }];
+    apply(&mut state, Change::MovesCompleted { service, done });
+    let took = start.elapsed();
+    drop(held);
+    took.as_secs_f64() * 1_000.0
+}
+
+fn apply(state: &mut State, change: Change) {
+    let entry = LogEntry {
+        revision: state.revision.next(),
+        operation_id: OperationId::random(),
+        actor: String::new(),
+        at_unix_ms: 0,
+        change,
+    };
+    if let Err(error) = state.apply(&entry) {
+        log::error!("the measured state is not as meant: {error}");
+    }
+}
--- /dev/null
+++ b/src/bench/policy.rs
@@ -0,0 +1,206 @@
+//! The planner against baselines on the same generated days.
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::day::{Day, EVENTS, Event, MINUTES, SLOTS};
+use crate::{
+    configuration::template::Weights,
+    ownership::planner::{
+        EXPECTED_HOLD_S, PlannerInput, PlannerServer, PlannerSlot, imbalance, plan,
+    },
+};
+
+const SERVERS: usize = 10;
+const SEED: u64 = 5;
+const BOUND: f64 = 1.25;
+const HIGH_IMBALANCE: f64 = 1.25;
+/// Weight of the latest observation in the smoothed load.
+const SMOOTHING: f64 = 0.2;
+/// Balance moves in a minute.
+const MOVES_PER_MINUTE: usize = 64;
+/// Time from the loss of a server to the service of its keys, as measured by the demonstration.
+const LOSS_S: f64 = 2.5;
+
+/// Weights of the Verband's template.
+pub const VERBAND: Weights = Weights {
+    imbalance: 1.0,
+    churn: 2.4,
+    unavailable: 1.0,
+};
+/// Weights of Cartaneve's template.
+pub const CARTANEVE: Weights = Weights {
+    imbalance: 4.0,
+    churn: 1.0,
+    unavailable: 4.0,
+};
+
+/// A way to place slots.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Policy {
+    Planner(&'static str, Weights),
+    Modulo,
+    Rendezvous,
+    BoundedLoads,
+}
+
+const POLICIES: [Policy; 5] = [
+    Policy::Planner("planner, verband", VERBAND),
+    Policy::Planner("planner, cartaneve", CARTANEVE),
+    Policy::Modulo,
+    Policy::Rendezvous,
+    Policy::BoundedLoads,
+];
+
+/// Figures of one policy on one day.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct PolicyFigures {
+    /// Day.
+    pub event: Event,
+    /// Policy.
+    pub policy: &'static str,
+    /// Mean over the day of peak over mean load.
+    pub imbalance_mean: f64,
+    /// Share of the day with an imbalance over 1.25.
+    pub imbalanced_share: f64,
+    /// Share of all keys moved in an hour.
+    pub churn_per_h: f64,
+    /// Keys moved over the keys that had to move; none if none had to.
+    pub churn_ratio: Option<f64>,
+    /// Seconds in which a key could not be served, summed over the day, per 1,000 keys.
+    pub unavailable_s: f64,
+}
+
+/// Runs every policy on every day.
+pub fn run() -> Vec<PolicyFigures> {
+    let mut figures = Vec::new();
+    for event in EVENTS {
+        let day = Day::new(event, SERVERS, SEED);
+        figures.extend(POLICIES.iter().map(|policy| run_day(&day, event, *policy)));
+    }
+    figures
+}
+
+fn run_day(day: &Day, event: Event, policy: Policy) -> PolicyFigures {
+    let mut owners: Vec<Option<u32>> = vec![None; SLOTS];
+    let (mut moved, mut forced, mut lost) = (0_usize, 0_usize, 0_usize);
+    let (mut sum, mut high) = (0.0, 0_usize);
+    // Smoothed as the hosts do with their readings.
+    let mut seen: Vec<f64> = (0..SLOTS).map(|slot| day.observed(0, slot)).collect();
+    for minute in 0..MINUTES {
+        let servers = servers(day, minute);
+        let before = owners.clone();
+        for (slot, load) in seen.iter_mut().enumerate() {
+            *load += SMOOTHING * (day.observed(minute, slot) - *load);
+        }
+        place(policy, &seen, &servers, &mut owners);
+        if minute > 0 {
+            let gone = |owner: &&Option<u32>| owner.is_some_and(|o| !servers[o as usize].eligible);
+            let gone = before.iter().filter(gone).count();
+            forced += gone;
+            lost += if event == Event::ZoneLoss { gone } else { 0 };
+            moved += before.iter().zip(&owners).filter(|(b, o)| b != o).count();
+        }
+        let slots = slots(&owners, |slot| day.load(minute, slot));
+        let value = imbalance(&servers, &slots);
+        sum += value;
+        high += usize::from(value > HIGH_IMBALANCE);
+    }
+    let hours = MINUTES as f64 / 60.0;
+    let held = (moved - lost) as f64 * EXPECTED_HOLD_S + lost as f64 * LOSS_S;
+    PolicyFigures {
+        event,
+        policy: policy.name(),
+        imbalance_mean: sum / MINUTES as f64,
+        imbalanced_share: high as f64 / MINUTES as f64,
+        churn_per_h: moved as f64 / SLOTS as f64 / hours,
+        churn_ratio: (forced > 0).then(|| moved as f64 / forced as f64),
+        unavailable_s: held / SLOTS as f64 * 1_000.0,
+    }
+}
+
+fn servers(day: &Day, minute: usize) -> Vec<PlannerServer> {
+    let server = |index| PlannerServer {
+        capacity: 4.0,
+        eligible: day.is_up(minute, index),
+    };
+    (0..day.servers_max()).map(server).collect()
+}
+
+fn slots(owners: &[Option<u32>], load: impl Fn(usize) -> f64) -> Vec<PlannerSlot> {
+    let slot = |(index, owner): (usize, &Option<u32>)| PlannerSlot {
+        owner: *owner,
+        load: load(index),
+        moving: false,
+    };
+    owners.iter().enumerate().map(slot).collect()
+}
+
+fn place(policy: Policy, seen: &[f64], servers: &[PlannerServer], owners: &mut [Option<u32>]) {
+    let up: Vec<u32> = (0..servers.len() as u32)
+        .filter(|server| servers[*server as usize].eligible)
+        .collect();
+    match policy {
+        Policy::Planner(_, weights) => {
+            let slots = slots(owners, |slot| seen[slot]);
+            let moves = plan(PlannerInput {
+                servers,
+                slots: &slots,
+                weights,
+                balance_moves: MOVES_PER_MINUTE,
+            });
+            for planned in moves {
+                owners[planned.slot as usize] = Some(planned.to);
+            }
+        }
+        Policy::Modulo => {
+            for (slot, owner) in owners.iter_mut().enumerate() {
+                *owner = Some(up[slot % up.len()]);
+            }
+        }
+        Policy::Rendezvous => {
+            for (slot, owner) in owners.iter_mut().enumerate() {
+                *owner = up
+                    .iter()
+                    .copied()
+                    .max_by_key(|server| weight(*server, slot));
+            }
+        }
+        Policy::BoundedLoads => place_bounded(seen, &up, owners),
+    }
+}
+
+/// Consistent hashing with bounded loads: each slot goes to the first server behind it on the ring
+/// that stays within the bound.
+fn place_bounded(seen: &[f64], up: &[u32], owners: &mut [Option<u32>]) {
+    let total: f64 = seen.iter().sum();
+    let most = total / up.len() as f64 * BOUND;
+    let mut loads = vec![0.0; up.len()];
+    for (slot, owner) in owners.iter_mut().enumerate() {
+        let load = seen[slot];
+        let mut order: Vec<usize> = (0..up.len()).collect();
+        order.sort_by_key(|index| std::cmp::Reverse(weight(up[*index], slot)));
+        let fits = order
+            .iter()
+            .copied()
+            .find(|index| loads[*index] + load <= most);
+        let chosen = fits.unwrap_or(order[0]);
+        loads[chosen] += load;
+        *owner = Some(up[chosen]);
+    }
+}
+
+fn weight(server: u32, slot: usize) -> u64 {
+    xxh3_64_with_seed(&server.to_le_bytes(), slot as u64)
+}
+
+impl Policy {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Planner(name, _) => name,
+            Self::Modulo => "modulo hashing",
+            Self::Rendezvous => "rendezvous hashing",
+            Self::BoundedLoads => "bounded loads 1.25",
+        }
+    }
+}
--- a/src/bin/ashroad/app.rs
+++ b/src/bin/ashroad/app.rs
@@ -48,6 +48,8 @@
     Demo,
     /// Send requests at a fixed rate and print latencies.
     Load(LoadArgs),
+    /// Measure the decisions and the cost of control.
+    Bench(BenchArgs),
     /// Print a shell's completion script.
     Completions(CompletionsArgs),
 }
@@ -298,6 +300,29 @@
     pub seed: u64,
 }
 
+/// Flags of `bench`.
+#[derive(Debug, Args)]
+pub struct BenchArgs {
+    /// What to measure.
+    #[command(subcommand)]
+    pub kind: BenchKind,
+}
+
+/// Measurements.
+#[derive(Debug, Subcommand)]
+pub enum BenchKind {
+    /// The planner against baselines on generated days.
+    Policy,
+    /// Time and memory against slots and servers.
+    Planner,
+    /// The cost of control against the number of hosts.
+    Control {
+        /// Numbers of hosts.
+        #[arg(long, value_delimiter = ',', default_value = "8,32,128")]
+        hosts: Vec<usize>,
+    },
+}
+
 /// Flags of `completions`.
 #[derive(Debug, Args)]
 pub struct CompletionsArgs {
--- a/src/bin/ashroad/main.rs
+++ b/src/bin/ashroad/main.rs
@@ -1,6 +1,7 @@
 //! The command line of ashroad.
 
 mod app;
+mod bench;
 mod check;
 mod declaration;
 mod demo;
@@ -48,6 +49,7 @@
         Command::Status(api) => block_on(query::status(api, json)),
         Command::Owner(args) => block_on(query::owner(args, json)),
         Command::Audit(args) => block_on(query::audit(args, json)),
+        Command::Bench(args) => block_on(bench::run(args, json)),
         Command::Demo => block_on(demo::run(json)),
         Command::Load(args) => block_on(load::run(args, json)),
         Command::Host(args) => block_on(query::host(args, json)),
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -6,21 +6,20 @@
 mod system;
 mod verdict;
 
+pub(crate) use self::system::System;
 pub use self::{error::Error, verdict::Summary};
 
 use std::time::Duration;
 
 use tokio::time;
 
-use self::{
-    system::System,
-    verdict::{Baseline, Happenings},
-};
+use self::verdict::{Baseline, Happenings};
 use crate::{
     clock,
     load::{self, LoadConfig, LoadReport, Sample},
 };
 
+const HOSTS: usize = 3;
 const PAIRED_MS: u64 = 2_000;
 const LOSS_AT_MS: u64 = 4_000;
 const MOVE_AT_MS: u64 = 10_000;
@@ -33,7 +32,7 @@
 /// Runs the demonstration; `tell` gets a line for each thing that happens.
 pub async fn run(tell: impl Fn(&str)) -> Result<Summary, Error> {
     tell("starting a platform, 12 backend servers and 3 entry hosts");
-    let mut system = System::start().await?;
+    let mut system = System::start(HOSTS).await?;
     tell("declaring both users' templates and workspaces");
     system.declare().await?;
     let baseline = paired(&system, &tell).await;
--- a/src/demo/system.rs
+++ b/src/demo/system.rs
@@ -35,7 +35,6 @@
 };
 
 const SERVERS: usize = 12;
-const HOSTS: usize = 3;
 const ZONES: [&str; 3] = ["bern-ost", "solothurn", "aarau"];
 const SETTLE_LIMIT_MS: u64 = 15_000;
 const SUBMIT_LIMIT_MS: u64 = 10_000;
@@ -78,7 +77,7 @@
 }
 
 /// Paths of the services that find their key in the path.
-pub(super) fn service_paths() -> Vec<String> {
+pub(crate) fn service_paths() -> Vec<String> {
     let by_path = PLACEMENTS.iter().filter(|p| p.service != "beitrag");
     by_path
         .map(|p| format!("/{}/{}", p.workspace, p.service))
@@ -86,7 +85,7 @@
 }
 
 /// The running processes.
-pub(super) struct System {
+pub(crate) struct System {
     platform: Running,
     servers: Vec<Running>,
     hosts: Vec<RunningHost>,
@@ -95,8 +94,8 @@
 
 impl System {
     /// Starts everything.
-    pub(super) async fn start() -> Result<Self, Error> {
-        let name = format!("ashroad-demo-{}", std::process::id());
+    pub(crate) async fn start(hosts: usize) -> Result<Self, Error> {
+        let name = format!("ashroad-demo-{}-{hosts}", std::process::id());
         let directory = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&directory).context(DirectorySnafu)?;
         keys::create_ca(&directory).context(KeysSnafu)?;
@@ -113,31 +112,31 @@
             };
             servers.push(backend::start(config).await.context(StandinSnafu)?);
         }
-        let mut hosts = Vec::new();
-        for (index, zone) in (0..HOSTS).zip(ZONES) {
+        let mut running = Vec::new();
+        for (index, zone) in (0..hosts).zip(ZONES.iter().cycle()) {
             let name = format!("host-{index}");
             keys::create_host(&directory, &name).context(KeysSnafu)?;
             let settings = settings(&directory, &name, zone, platform.address);
-            hosts.push(host::start(settings).await.context(HostSnafu)?);
+            running.push(host::start(settings).await.context(HostSnafu)?);
         }
         Ok(Self {
             platform,
             servers,
-            hosts,
+            hosts: running,
             directory,
         })
     }
 
-    pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn caller_addresses(&self) -> Vec<SocketAddr> {
         self.hosts.iter().map(|host| host.callers).collect()
     }
 
-    pub(super) fn server_addresses(&self) -> Vec<SocketAddr> {
+    pub(crate) fn server_addresses(&self) -> Vec<SocketAddr> {
         self.servers.iter().map(|server| server.address).collect()
     }
 
     /// Declares both workspaces and waits until every slot has an owner on every host.
-    pub(super) async fn declare(&self) -> Result<(), Error> {
+    pub(crate) async fn declare(&self) -> Result<(), Error> {
         self.submit(Kind::Template, DRAINAGE.to_owned()).await?;
         self.submit(Kind::Template, RESORT.to_owned()).await?;
         for workspace in ["mittelland", "etna"] {
@@ -212,7 +211,7 @@
     }
 
     /// Keys of the load whose owner is the server that will be lost.
-    pub(super) fn keys_of_lost_server(&self, keys: u64) -> Vec<LostKey> {
+    pub(crate) fn keys_of_lost_server(&self, keys: u64) -> Vec<LostKey> {
         let state = self.hosts[0].host.view.state();
         let lost = state.server_key(self.servers[LOST_SERVER].address);
         let mut found = Vec::new();
@@ -235,11 +234,11 @@
         found
     }
 
-    pub(super) async fn freeze_server(&self) -> Result<(), Error> {
+    pub(crate) async fn freeze_server(&self) -> Result<(), Error> {
         self.set_frozen(true).await
     }
 
-    pub(super) async fn thaw_server(&self) -> Result<(), Error> {
+    pub(crate) async fn thaw_server(&self) -> Result<(), Error> {
         self.set_frozen(false).await
     }
 
@@ -256,13 +255,13 @@
     }
 
     /// Amends a workspace so that one server leaves it.
-    pub(super) async fn withdraw_target(&self) -> Result<(), Error> {
+    pub(crate) async fn withdraw_target(&self) -> Result<(), Error> {
         let document = self.workspace("mittelland", Some(LEAVING_SERVER));
         self.submit(Kind::Workspace, document).await
     }
 
     /// Stops one host in order.
-    pub(super) async fn stop_host(&mut self) -> Stopped {
+    pub(crate) async fn stop_host(&mut self) -> Stopped {
         let host = self.hosts.remove(STOPPED_HOST);
         let address = host.callers;
         // Its notice to the balancer begins now; a request that comes after it may be refused.
@@ -271,8 +270,22 @@
         Stopped { address, at_us }
     }
 
+    /// Hosts that count in the majority.
+    pub(crate) fn counted_hosts(&self) -> usize {
+        let state = self.hosts[0].host.view.state();
+        let counted = state.registered_hosts().filter(|(_, host)| host.counted());
+        counted.count()
+    }
+
+    /// Calls that the platform has seen.
+    pub(crate) async fn platform_counters(&self) -> platform::Counters {
+        let client = JsonClient::new(SUBMIT_LIMIT_MS);
+        let counters = client.get(self.platform.address, platform::COUNTERS_PATH);
+        counters.await.unwrap_or_default()
+    }
+
     /// Records of all servers.
-    pub(super) async fn records(&self) -> Vec<Record> {
+    pub(crate) async fn records(&self) -> Vec<Record> {
         let client = JsonClient::new(SUBMIT_LIMIT_MS);
         let mut records = Vec::new();
         for server in &self.servers {
@@ -282,7 +295,7 @@
         records
     }
 
-    pub(super) async fn stop(self) {
+    pub(crate) async fn stop(self) {
         for host in self.hosts {
             host.kill().await;
         }
--- a/src/host/controller.rs
+++ b/src/host/controller.rs
@@ -13,6 +13,8 @@
 };
 
 const TICK_MS: u64 = 25;
+/// Rounds between two looks of a host that does not lead at the hosts that ask it.
+const WATCH_EVERY_ROUNDS: u64 = 80;
 /// Entries after which a new snapshot is stored.
 const SNAPSHOT_EVERY: u64 = 500;
 
@@ -58,6 +60,7 @@
         let mut ticks = time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut controller = Controller::default();
+        let mut rounds = 0_u64;
         let (done, mut finished) = tokio::sync::mpsc::unbounded_channel();
         loop {
             ticks.tick().await;
@@ -65,6 +68,10 @@
                 controller.forget(&done);
             }
             if !self.leading() {
+                rounds += 1;
+                if rounds.is_multiple_of(WATCH_EVERY_ROUNDS) {
+                    self.remove_silent_askers().await;
+                }
                 controller = Controller {
                     moving: controller.moving,
                     lapsing: controller.lapsing,
--- a/src/host/duties.rs
+++ b/src/host/duties.rs
@@ -14,6 +14,7 @@
     membership::{
         freshness::Voter,
         registry::{self, RegistryLimits, Silence, registered, voters},
+        tree,
     },
     ownership::lapse::{Holders, HorizonReport, lapsed_at_ms},
     peer::message::{PeerReply, PeerRequest},
@@ -193,21 +194,43 @@
         applied
     }
 
+    /// A host outside of the witnesses watches over those that ask it, which the leader may not
+    /// hear.
+    pub(super) async fn remove_silent_askers(self: &Arc<Self>) {
+        let state = self.view.state();
+        if self.leading() || !self.view.fresh() || !state.registry.is_settled() {
+            return;
+        }
+        if let Some(change @ Change::HostRemoved { .. }) = self.registry_change(&state) {
+            let _ = self.commit_own(change).await;
+        }
+    }
+
     fn registry_change(&self, state: &State) -> Option<Change> {
         let ownership = &self.settings.ownership;
         let limits = RegistryLimits {
             removal_ms: ownership.host_removal_ms,
             leaving_ms: ownership.lapse_ms(),
         };
-        let silence_ms = |host: HostKey, entry: &HostEntry| {
-            let heard_ms = self.view.heard_ms(host);
+        let own = self.key();
+        let hosts: Vec<HostKey> = state.registered_hosts().map(|(key, _)| key).collect();
+        let asked = own.map(|own| tree::asked(&hosts, own)).unwrap_or_default();
+        let silence = |host: HostKey, entry: &HostEntry| {
+            let asker = Voter {
+                host,
+                incarnation: entry.incarnation,
+            };
+            let asked_ms = self.view.asked_ms(asker);
+            let heard_ms = self.view.heard_ms(host).max(asked_ms);
             let silent_ms = heard_ms.map(|heard_ms| clock::now_ms().saturating_sub(heard_ms));
             Silence {
                 silent_ms,
+                expected: asked_ms.is_some() || asked.contains(&host),
                 known_ms: self.view.applied_age_ms(entry.changed).unwrap_or_default(),
             }
         };
-        registry::next_change(state, self.key(), limits, silence_ms)
+        self.view.forget_askers(&registered(state));
+        registry::next_change(state, own, limits, silence)
     }
 }
 
--- a/src/host/heartbeat.rs
+++ b/src/host/heartbeat.rs
@@ -38,6 +38,8 @@
                 continue;
             };
             let ping = Datagram::Ping {
+                host: own,
+                incarnation: self.incarnation,
                 asked_ms: clock::now_ms(),
                 revision: state.revision,
             };
--- a/src/host/peers.rs
+++ b/src/host/peers.rs
@@ -35,7 +35,13 @@
 
     fn heartbeat(self: &Arc<Self>, connection: &quinn::Connection, datagram: Datagram) {
         match datagram {
-            Datagram::Ping { asked_ms, revision } => {
+            Datagram::Ping {
+                host,
+                incarnation,
+                asked_ms,
+                revision,
+            } => {
+                self.view.asked_by(host, incarnation);
                 let pong = self.pong(asked_ms).map(|pong| encode(&pong));
                 if let Some(Ok(bytes)) = pong {
                     let _ = connection.send_datagram(bytes.into());
--- a/src/host/sync.rs
+++ b/src/host/sync.rs
@@ -8,27 +8,36 @@
 use super::Host;
 use crate::{
     clock,
-    id::Revision,
+    id::{HostKey, Revision},
+    membership::tree,
     peer::message::{PeerReply, PeerRequest},
     state::{LogEntry, LogError, Snapshot},
 };
 
 /// Pause between looks at the own basis.
 const TICK_MS: u64 = 20;
-/// Age of the basis at which a host reads the log itself, as a share of the freshness allowed;
-/// while peers' answers keep the basis younger, it does not read.
-const READ_AT_SHARE: u64 = 3;
+/// Age of the basis at which a host reads the log itself, in percent of the freshness allowed;
+/// while peers' answers keep the basis younger, it does not read. The witnesses read early, so that
+/// the hosts below them in the tree need not.
+const WITNESS_READS_AT_PERCENT: u64 = 25;
+const OTHER_READS_AT_PERCENT: u64 = 75;
+/// Spread of these ages, in percent of the freshness allowed.
+const SPREAD_PERCENT: u64 = 12;
 const PEER_TIMEOUT_MS: u64 = 500;
 
 impl Host {
     /// Runs until the process ends.
     pub(super) async fn keep_synced(self: Arc<Self>) {
-        let read_at_ms = self.settings.ownership.freshness_ms / READ_AT_SHARE;
+        let percent_ms = |percent| self.settings.ownership.freshness_ms * percent / 100;
         loop {
             let wanted = time::timeout(Duration::from_millis(TICK_MS), self.sync_wanted.notified());
             let wanted = wanted.await.is_ok();
             // Spread, so that not every host reads at the same moment.
-            let spread_ms = rand::rng().random_range(0..=read_at_ms / 2);
+            let spread_ms = rand::rng().random_range(0..=percent_ms(SPREAD_PERCENT));
+            let read_at_ms = match self.is_witness() {
+                true => percent_ms(WITNESS_READS_AT_PERCENT),
+                false => percent_ms(OTHER_READS_AT_PERCENT),
+            };
             let age_ms = self.view.basis_age_ms().unwrap_or(u64::MAX);
             if wanted || age_ms >= read_at_ms + spread_ms {
                 self.read_log().await;
@@ -36,6 +45,14 @@
         }
     }
 
+    /// True until it is known that enough other hosts are witnesses.
+    fn is_witness(&self) -> bool {
+        let Some(own) = self.key() else { return true };
+        let state = self.view.state();
+        let hosts: Vec<HostKey> = state.registered_hosts().map(|(key, _)| key).collect();
+        tree::is_witness(&hosts, own)
+    }
+
     /// Reads the log to its end; false if that failed.
     pub(super) async fn read_log(&self) -> bool {
         loop {
--- a/src/host/view.rs
+++ b/src/host/view.rs
@@ -1,7 +1,7 @@
 //! The host's view: the agreed state at one revision, when it was applied, and its freshness.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -13,7 +13,7 @@
 
 use crate::{
     clock,
-    id::{HostKey, Revision},
+    id::{HostKey, Incarnation, Revision},
     membership::{
         freshness::{Freshness, HeardRevision, PeerAnswer, Voter},
         registry::voters,
@@ -33,6 +33,8 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    /// Hosts that ask this one, and when they last did.
+    askers: HashMap<Voter, u64>,
     recent: VecDeque<Applied>,
     freshness: Freshness,
     /// When a whole state was last taken over, and at which revision.
@@ -206,6 +208,23 @@
         self.basis_ms.fetch_max(basis_ms, Ordering::AcqRel);
     }
 
+    /// Notes a question of another host.
+    pub fn asked_by(&self, host: HostKey, incarnation: Incarnation) {
+        let asker = Voter { host, incarnation };
+        self.lock().askers.insert(asker, clock::now_ms());
+    }
+
+    /// When a host last asked this one.
+    pub fn asked_ms(&self, asker: Voter) -> Option<u64> {
+        self.lock().askers.get(&asker).copied()
+    }
+
+    /// Forgets askers that are no longer registered.
+    pub fn forget_askers(&self, registered: &[Voter]) {
+        let mut inner = self.lock();
+        inner.askers.retain(|asker, _| registered.contains(asker));
+    }
+
     /// What `host` said of its revision.
     pub fn heard_revision(&self, host: HostKey) -> Option<HeardRevision> {
         self.lock().freshness.heard_revision(host)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The binary is a thin layer over this library: every subcommand builds a configuration struct
 //! and hands it to a module below.
 
+pub mod bench;
 pub mod claims;
 pub mod clock;
 pub mod configuration;
--- a/src/membership/freshness.rs
+++ b/src/membership/freshness.rs
@@ -56,7 +56,7 @@
 }
 
 /// A host that counts in the majority.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Voter {
     /// Host.
     pub host: HostKey,
--- a/src/membership/registry.rs
+++ b/src/membership/registry.rs
@@ -4,7 +4,7 @@
 //! has been applied by more than half of the counted hosts and the rest has stopped acting on
 //! earlier registries. So the majorities of any two registries that hosts act on share a host.
 
-use super::freshness::Voter;
+use super::{freshness::Voter, tree};
 use crate::{
     id::{HostKey, Revision},
     state::{Change, HostEntry, HostState, State},
@@ -85,6 +85,8 @@
 pub struct Silence {
     /// Time since it was last heard; none if it never was.
     pub silent_ms: Option<u64>,
+    /// True if it should be heard here: it asks this host, or this host asks it.
+    pub expected: bool,
     /// Time since its present entry is known here.
     pub known_ms: u64,
 }
@@ -106,13 +108,15 @@
     silence: impl Fn(HostKey, &HostEntry) -> Silence,
 ) -> Option<Change> {
     let majority = majority_heard(state, own, &silence);
+    let hosts: Vec<HostKey> = state.registered_hosts().map(|(key, _)| key).collect();
     for (host, entry) in state.registered_hosts() {
         let incarnation = entry.incarnation;
         let is_own = Some(host) == own;
         let silence = silence(host, entry);
         let heard_within = |span_ms| silence.silent_ms.is_some_and(|ms| ms <= span_ms);
         let heard = is_own || heard_within(PROMOTION_SILENCE_MS);
-        if entry.state == HostState::Joining && heard {
+        let wanted = entry.state == HostState::Joining && tree::is_witness(&hosts, host);
+        if wanted && heard {
             return Some(Change::HostPromoted { host, incarnation });
         }
         let leaving = entry.state == HostState::Leaving || is_replaced(state, entry);
@@ -122,8 +126,9 @@
             limits.removal_ms
         };
         let silent_ms = silence.silent_ms.unwrap_or(silence.known_ms);
-        // Without a majority the removal would never be settled.
-        if !is_own && silent_ms > limit_ms && majority {
+        // Without a majority the removal of a counted host would never be settled.
+        let allowed = majority || !entry.counted();
+        if !is_own && silence.expected && silent_ms > limit_ms && allowed {
             return Some(Change::HostRemoved { host, incarnation });
         }
     }
--- a/src/membership/tree.rs
+++ b/src/membership/tree.rs
@@ -12,6 +12,11 @@
 /// Parents of one host.
 const PARENTS: usize = 2;
 
+/// True if `own` is one of the hosts that ask each other and count in the majority.
+pub fn is_witness(hosts: &[HostKey], own: HostKey) -> bool {
+    hosts.iter().take(WITNESSES).any(|host| *host == own)
+}
+
 /// The hosts that `own` asks; `hosts` are the registered ones in key order.
 pub fn asked(hosts: &[HostKey], own: HostKey) -> Vec<HostKey> {
     let Some(position) = hosts.iter().position(|host| *host == own) else {
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -20,6 +20,10 @@
 pub enum Datagram {
     /// Question.
     Ping {
+        /// Host that asks.
+        host: HostKey,
+        /// Its process.
+        incarnation: Incarnation,
         /// Time of the sender, returned unread.
         asked_ms: u64,
         /// Revision that the sender has applied.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -157,7 +157,7 @@
             lease_ttl_ms: 1_200,
             margin_ms: 100,
             renew_every_ms: 300,
-            heartbeat_ms: 100,
+            heartbeat_ms: 150,
             suspect_ms: 350,
             leader_lease_ms: 1_000,
             host_removal_ms: 20_000,
--- a/src/state/entry.rs
+++ b/src/state/entry.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostState {
-    /// Registered, not yet counted in the majority.
+    /// Registered, not counted in the majority: it is not one of the first hosts, or not yet.
     Joining,
     /// Registered and counted.
     Live,
