--- /dev/null
+++ b/tests/command_line.rs
@@ -0,0 +1,180 @@
+//! The command line with good and bad input.
+
+mod common;
+
+use std::{fs, path::PathBuf};
+
+use ashroad::operator::message::{SubmitBody, WithdrawBody};
+use common::{Cluster, PLAIN, run};
+
+const FAULTY: Option<i32> = Some(3);
+
+fn directory(name: &str) -> PathBuf {
+    let directory = std::env::temp_dir().join(format!("ashroad-{name}-{}", std::process::id()));
+    fs::create_dir_all(&directory).expect("directory");
+    directory
+}
+
+struct Case {
+    name: &'static str,
+    content: Vec<u8>,
+    said: &'static str,
+}
+
+const SERVICE: &str = "services:\n  - { name: s, targets: targets, key: { path: 0 }, \
+                       server_slots: 4, server_connections: 9";
+
+fn template(parameters: &str, rest: &str) -> Vec<u8> {
+    format!("template: t\nparameters: [{parameters}]\n{SERVICE}{rest} }}\n").into_bytes()
+}
+
+const TARGETS: &str = "{ name: targets, type: targets, max: 9 }";
+
+#[test]
+fn bad_files_are_refused_with_their_name_and_what_was_expected() {
+    let cases = [
+        Case {
+            name: "empty",
+            content: Vec::new(),
+            said: "empty",
+        },
+        Case {
+            name: "not-text",
+            content: b"template: t\nservices: \xff\n".to_vec(),
+            said: "not UTF-8",
+        },
+        Case {
+            name: "huge",
+            content: vec![b'#'; 100 * 1024 * 1024],
+            said: "at most 1048576",
+        },
+        Case {
+            name: "unknown-field",
+            content: template(TARGETS, ", colour: red"),
+            said: "colour",
+        },
+        Case {
+            name: "wrong-unit",
+            content: template(TARGETS, ", deadline_ms: 2s"),
+            said: "deadline_ms",
+        },
+        Case {
+            name: "self-reference",
+            content: template(
+                "{ name: targets, type: targets, max: 9 }, \
+                 { name: a, type: integer, max: 9 }",
+                ", queue_requests: '${targets}'",
+            ),
+            said: "of type integer",
+        },
+        Case {
+            name: "no-slots",
+            content: template(TARGETS, ", slots: 0"),
+            said: "1 to 1000000",
+        },
+        Case {
+            name: "not-yaml",
+            content: b"template: t\nservices: [\n".to_vec(),
+            said: "line",
+        },
+        Case {
+            name: "leases",
+            content: b"name: h\navailability_zone: z\n\
+                       callers: { listen: 127.0.0.1:1 }\noperators: { listen: 127.0.0.1:2 }\n\
+                       peers: { listen: 127.0.0.1:3, ca_file: a, certificate_file: b, \
+                       private_key_file: c }\nplatform: { address: 127.0.0.1:4 }\n\
+                       ownership: { lease_ttl_ms: 9000 }\n"
+                .to_vec(),
+            said: "at most 2600",
+        },
+    ];
+    let directory = directory("bad-input");
+    for case in cases {
+        let path = directory.join(format!("{}.yaml", case.name));
+        fs::write(&path, case.content).expect("file");
+        let path = path.display().to_string();
+        let output = run(&["check", &path]);
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert_eq!(output.status.code(), FAULTY, "{}: {text}", case.name);
+        assert!(text.contains(&path), "{}: {text}", case.name);
+        assert!(text.contains(case.said), "{}: {text}", case.name);
+    }
+    let _ = fs::remove_dir_all(directory);
+}
+
+#[test]
+fn the_examples_are_sound() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/examples");
+    let file = |name: &str| format!("{examples}/{name}");
+    let output = run(&[
+        "check",
+        &file("mittelland/template.yaml"),
+        &file("mittelland/workspace.yaml"),
+        &file("mittelland/host.yaml"),
+        &file("etna/template.yaml"),
+        &file("etna/workspace.yaml"),
+    ]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+}
+
+#[tokio::test]
+async fn a_change_is_made_once_and_only_on_the_expected_revision() {
+    let cluster = Cluster::start(1, 1, PLAIN);
+    cluster.declare("").await;
+    let client = cluster.operator(0);
+    let body = |operation_id: &str, expect_revision: Option<u64>| SubmitBody {
+        document: cluster.workspace(&[0]),
+        operation_id: Some(operation_id.to_owned()),
+        expect_revision,
+        actor: None,
+        dry_run: false,
+    };
+    let kind = ashroad::operator::client::Kind::Workspace;
+    let first = client
+        .submit(kind, &body("a", None))
+        .await
+        .expect("accepted");
+    let again = client
+        .submit(kind, &body("a", None))
+        .await
+        .expect("accepted");
+    assert_eq!(first.revision, again.revision);
+    let raced = client.submit(kind, &body("b", Some(1))).await;
+    let message = raced.expect_err("refused").to_string();
+    assert!(
+        message.contains("409") && message.contains("workspace: w"),
+        "{message}"
+    );
+    let current = Some(first.revision);
+    let next = client
+        .submit(kind, &body("c", current))
+        .await
+        .expect("accepted");
+    assert!(next.revision > first.revision);
+    let withdraw = WithdrawBody {
+        name: "t".to_owned(),
+        operation_id: None,
+        expect_revision: None,
+        actor: None,
+    };
+    let kind = ashroad::operator::client::Kind::Template;
+    let in_use = client.withdraw(kind, &withdraw).await;
+    let message = in_use.expect_err("refused").to_string();
+    assert!(message.contains("still used by workspace w"), "{message}");
+}
+
+#[tokio::test]
+async fn changes_need_the_token() {
+    let cluster = Cluster::start(1, 1, PLAIN);
+    let api = cluster.hosts[0].operators.to_string();
+    let path = cluster.directory.join("t.yaml");
+    fs::write(&path, template(TARGETS, "")).expect("file");
+    let path = path.display().to_string();
+    let refused = run(&["template", "submit", "--api", &api, &path]);
+    assert_eq!(refused.status.code(), FAULTY);
+    let said = String::from_utf8_lossy(&refused.stderr).into_owned();
+    assert!(said.contains("token"), "{said}");
+    let status = run(&["--json", "status", "--api", &api]);
+    assert!(status.status.success());
+}
