--- a/src/host/duties.rs
+++ b/src/host/duties.rs
@@ -64,8 +64,8 @@
             since_ms: clock::now_ms() - since_age_ms.unwrap_or_default(),
             settled: state.registry.is_settled(),
         };
-        let ownership = &self.settings.ownership;
-        let at_ms = lapsed_at_ms(holders, &reports, ownership.lapse_ms(), ownership.margin_ms);
+        let lapse_ms = self.settings.ownership.lapse_ms();
+        let at_ms = lapsed_at_ms(holders, &reports, lapse_ms);
         let now_ms = clock::now_ms();
         let Some(at_ms) = at_ms else {
             time::sleep(Duration::from_millis(HORIZON_PAUSE_MS)).await;
--- a/src/host/peers.rs
+++ b/src/host/peers.rs
@@ -144,7 +144,8 @@
         let applied_age_ms = self.view.applied_age_ms(lost);
         let contact = contacts.get(server.0 as usize);
         let now_ms = clock::now_ms();
-        let remaining = contact.map(|contact| contact.remaining_ms(lease_epoch, now_ms));
+        let margin_ms = self.settings.ownership.margin_ms;
+        let remaining = contact.map(|c| c.remaining_ms(lease_epoch, now_ms, margin_ms));
         PeerReply::Horizon {
             applied_age_ms,
             remaining_ms: remaining.unwrap_or_default(),
--- a/src/ownership/lapse.rs
+++ b/src/ownership/lapse.rs
@@ -19,7 +19,7 @@
     pub incarnation: Incarnation,
     /// No later than this had the host applied the loss.
     pub applied_ms: u64,
-    /// After this none of its renewals holds.
+    /// After this none of its renewals holds, clock drift allowed for.
     pub horizon_ms: u64,
 }
 
@@ -43,12 +43,7 @@
 /// A host may act on the last registry or, until that is settled, on the one before it. So before
 /// then a majority of each is needed, and no majority counts from before its registry was the only
 /// one of its predecessors to act on.
-pub fn lapsed_at_ms(
-    holders: Holders<'_>,
-    reports: &[HorizonReport],
-    lapse_ms: u64,
-    margin_ms: u64,
-) -> Option<u64> {
+pub fn lapsed_at_ms(holders: Holders<'_>, reports: &[HorizonReport], lapse_ms: u64) -> Option<u64> {
     let majority = majority_ms(holders.voters, reports);
     let previous = match holders.previous {
         [] => Some(0),
@@ -56,11 +51,11 @@
     };
     let joint = majority.zip(previous).map(|(one, other)| one.max(other));
     let joint = joint.map(|at_ms| at_ms.max(holders.since_ms) + lapse_ms);
-    let by_all = all_reported(holders, reports, margin_ms);
+    let by_all = all_reported(holders, reports);
     [joint, by_all].into_iter().flatten().min()
 }
 
-fn all_reported(holders: Holders<'_>, reports: &[HorizonReport], margin_ms: u64) -> Option<u64> {
+fn all_reported(holders: Holders<'_>, reports: &[HorizonReport]) -> Option<u64> {
     if !holders.settled {
         return None;
     }
@@ -69,7 +64,7 @@
         let report = reports.iter().find(|report| says(report, voter))?;
         latest_ms = latest_ms.max(report.horizon_ms);
     }
-    Some(latest_ms + margin_ms)
+    Some(latest_ms)
 }
 
 /// When more than half of `voters` had applied the loss.
--- a/src/ownership/renewal.rs
+++ b/src/ownership/renewal.rs
@@ -112,11 +112,12 @@
         now_ms >= self.answered_ms + suspect_ms
     }
 
-    /// Time for which renewals sent in this membership period may still hold.
-    pub fn remaining_ms(&self, lease_epoch: LeaseEpoch, now_ms: u64) -> u64 {
+    /// Time for which renewals sent in this membership period may still hold, with `margin_ms` for
+    /// the drift between the clocks.
+    pub fn remaining_ms(&self, lease_epoch: LeaseEpoch, now_ms: u64, margin_ms: u64) -> u64 {
         if self.lease_epoch != lease_epoch {
             return 0;
         }
-        self.horizon_ms.saturating_sub(now_ms)
+        (self.horizon_ms + margin_ms).saturating_sub(now_ms)
     }
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -102,6 +102,7 @@
         );
     }
     let unavailable = killed.elapsed();
+    println!("unavailable_ms {}", unavailable.as_millis());
     assert!(unavailable < Duration::from_secs(3), "{unavailable:?}");
     load.end().await;
     assert_single_owners(&cluster, &[1, 2]).await;
@@ -135,6 +136,7 @@
         );
     }
     let unavailable = killed.elapsed();
+    println!("unavailable_ms {}", unavailable.as_millis());
     assert!(unavailable < Duration::from_secs(3), "{unavailable:?}");
 }
 
