One place for trial changes and header texts; bad idempotency keys refused

Change: State::apply_trial, transport::header_text, Cluster::owned_by; such a key is refused as not run. Before: the new test failed (the request ran); after: it passes.

--- a/src/bench/planner.rs
+++ b/src/bench/planner.rs
@@ -8,9 +8,9 @@
 use super::process;
 use crate::{
     configuration::template::Weights,
-    id::{Incarnation, OperationId, ServerKey, ServiceKey, Slot},
+    id::{Incarnation, ServerKey, ServiceKey, Slot},
     ownership::planner::{PlannerInput, PlannerServer, PlannerSlot, plan},
-    state::{Change, LogEntry, MoveDone, Snapshot, State},
+    state::{Change, MoveDone, Snapshot, State},
 };
 
 /// Sizes that are measured: slots and servers.
@@ -176,14 +176,7 @@
 }
 
 fn apply(state: &mut State, change: Change) {
-    let entry = LogEntry {
-        revision: state.revision.next(),
-        operation_id: OperationId::random(),
-        actor: String::new(),
-        at_unix_ms: 0,
-        change,
-    };
-    if let Err(error) = state.apply(&entry) {
+    if let Err(error) = state.apply_trial(change) {
         log::error!("the measured state is not as meant: {error}");
     }
 }
--- a/src/host/commit.rs
+++ b/src/host/commit.rs
@@ -164,13 +164,6 @@
             found: state.configuration,
         });
     }
-    let entry = LogEntry {
-        revision: state.revision.next(),
-        operation_id: request.operation_id.clone(),
-        actor: request.actor.clone(),
-        at_unix_ms: 0,
-        change: request.change.clone(),
-    };
-    let applied = state.clone().apply(&entry);
+    let applied = state.clone().apply_trial(request.change.clone());
     applied.map_err(|source| CommitError::Refused { source })
 }
--- a/src/load/caller.rs
+++ b/src/load/caller.rs
@@ -16,6 +16,7 @@
     clock,
     ownership::message::{DEADLINE_HEADER, IDEMPOTENCY_HEADER, OUTCOME_HEADER},
     standin::backend::Answer,
+    transport::header_text,
 };
 
 /// Time beyond the deadline after which the caller gives up.
@@ -100,8 +101,7 @@
 }
 
 fn judge(status: StatusCode, headers: &HeaderMap, body: &[u8], path: &str) -> Ending {
-    let outcome = headers.get(OUTCOME_HEADER);
-    match outcome.and_then(|value| value.to_str().ok()) {
+    match header_text(headers, OUTCOME_HEADER) {
         Some("not-run") => return Ending::NotRun,
         Some(_) => return Ending::Unknown,
         None => {}
--- a/src/operator/api.rs
+++ b/src/operator/api.rs
@@ -389,13 +389,7 @@
 
 fn tried(before: &State, change: &Change) -> state::Result<super::message::Effect> {
     let mut after = before.clone();
-    after.apply(&LogEntry {
-        revision: before.revision.next(),
-        operation_id: OperationId::random(),
-        actor: String::new(),
-        at_unix_ms: 0,
-        change: change.clone(),
-    })?;
+    after.apply_trial(change.clone())?;
     Ok(dry_run::effect(before, &after))
 }
 
--- a/src/routing/outcome.rs
+++ b/src/routing/outcome.rs
@@ -30,6 +30,8 @@
     NoSuchService,
     /// The request has no key where the service expects it.
     NoKey,
+    /// The idempotency key is empty or not text.
+    BadIdempotencyKey,
     /// The body is longer than allowed.
     BodyTooLarge,
     /// The caller broke the body off.
@@ -66,7 +68,7 @@
     fn status(self) -> StatusCode {
         match self {
             Self::NoSuchService => StatusCode::NOT_FOUND,
-            Self::NoKey | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::NoKey | Self::BadIdempotencyKey | Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::InProgress => StatusCode::CONFLICT,
--- a/src/routing/router.rs
+++ b/src/routing/router.rs
@@ -145,10 +145,12 @@
     let routed = Routed { body, ..routed };
     routed.traffic.count(routed.slot);
     routed.traffic.retries.request();
-    let idempotency_key = routed.headers.get(IDEMPOTENCY_HEADER);
-    match idempotency_key.and_then(|value| value.to_str().ok()) {
+    if !routed.headers.contains_key(IDEMPOTENCY_HEADER) {
+        return run(host, &routed).await;
+    }
+    match transport::header_text(&routed.headers, IDEMPOTENCY_HEADER) {
+        None | Some("") => Err(Failure::not_run(Reason::BadIdempotencyKey)),
         Some(key) => run_once(host, &routed, key).await,
-        None => run(host, &routed).await,
     }
 }
 
@@ -166,7 +168,7 @@
     let headers = request.headers();
     let key = key::key(&spec.key, caller_path.rest, headers);
     let key = key.ok_or(Failure::not_run(Reason::NoKey))?;
-    let asked_ms = headers.get(DEADLINE_HEADER).and_then(number);
+    let asked_ms = transport::header_number(headers, DEADLINE_HEADER);
     let deadline_ms = asked_ms.unwrap_or(spec.deadline_ms).min(DEADLINE_MS_MAX);
     let path_and_query = request.uri().path_and_query();
     let idempotent_key = headers.contains_key(IDEMPOTENCY_HEADER);
@@ -187,10 +189,6 @@
     })
 }
 
-fn number(value: &HeaderValue) -> Option<u64> {
-    value.to_str().ok()?.parse().ok()
-}
-
 async fn read_body(request: Request<Incoming>, body_bytes: usize) -> Result<Bytes, Failure> {
     let body = Limited::new(request.into_body(), body_bytes)
         .collect()
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -10,7 +10,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper_util::{
@@ -26,7 +26,7 @@
 use crate::{
     clock,
     ownership::message::{OUTCOME_HEADER, REASON_HEADER},
-    transport::AnswerBody,
+    transport::{AnswerBody, header_text},
 };
 
 const CONNECT_TIMEOUT_MS: u64 = 500;
@@ -116,21 +116,17 @@
 
 fn classify(answer: Response<Incoming>, permit: Permit) -> Attempt {
     let headers = answer.headers();
-    if header(headers, OUTCOME_HEADER) != Some("not-run") {
+    if header_text(headers, OUTCOME_HEADER) != Some("not-run") {
         let held = |body| Held { body, permit }.boxed();
         return Attempt::Answered(answer.map(held));
     }
-    match header(headers, REASON_HEADER) {
+    match header_text(headers, REASON_HEADER) {
         Some("stale-epoch" | "stale-incarnation" | "draining") => Attempt::Stale,
         Some("deadline") => Attempt::NotRun(Reason::Deadline),
         _ => Attempt::NotRun(Reason::Shed),
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
 /// An answer's body together with the permit that it occupies.
 struct Held {
     body: Incoming,
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -33,7 +33,7 @@
         LeaseAnswer, LeaseRequest, OUTCOME_HEADER, REASON_HEADER, REQUEST_HEADER, REVOKE_PATH,
         RevokeAnswer, RevokeRequest, SERVICE_HEADER, SLOT_HEADER,
     },
-    transport::{self, AnswerBody, ListenerLimits},
+    transport::{self, AnswerBody, ListenerLimits, header_number, header_text},
 };
 
 /// Path that sets faults (POST).
@@ -166,14 +166,6 @@
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok()
-}
-
-fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
-    header(headers, name)?.parse().ok()
-}
-
 fn not_run(status: StatusCode, reason: &'static str) -> Response<AnswerBody> {
     let mut answer = transport::whole(status, "text/plain", Bytes::from_static(reason.as_bytes()));
     let headers = answer.headers_mut();
@@ -351,10 +343,10 @@
             Ok(occupied) => occupied,
             Err(reason) => return not_run(StatusCode::SERVICE_UNAVAILABLE, reason),
         };
-        let id = header(&headers, REQUEST_HEADER)
+        let id = header_text(&headers, REQUEST_HEADER)
             .unwrap_or_default()
             .to_owned();
-        let run = header(&headers, IDEMPOTENCY_HEADER)
+        let run = header_text(&headers, IDEMPOTENCY_HEADER)
             .unwrap_or(&id)
             .to_owned();
         // A request that came straight from a caller may have no name.
@@ -380,15 +372,15 @@
 
     /// Checks the order and counts the request as in flight in one step.
     fn admit(&self, headers: &HeaderMap) -> Result<Option<InFlight>, &'static str> {
-        let Some(service) = header(headers, SERVICE_HEADER) else {
+        let Some(service) = header_text(headers, SERVICE_HEADER) else {
             return Ok(None);
         };
-        let Some(slot) = number(headers, SLOT_HEADER) else {
+        let Some(slot) = header_number(headers, SLOT_HEADER) else {
             return Ok(None);
         };
         let slot = Slot(slot as u32);
-        let epoch = Epoch(number(headers, EPOCH_HEADER).unwrap_or_default());
-        let incarnation = number(headers, INCARNATION_HEADER).map(Incarnation);
+        let epoch = Epoch(header_number(headers, EPOCH_HEADER).unwrap_or_default());
+        let incarnation = header_number(headers, INCARNATION_HEADER).map(Incarnation);
         let mut inner = self.lock();
         if self.config.checks_orders {
             if incarnation != Some(self.incarnation) {
@@ -415,7 +407,7 @@
             inner.waiting += 1;
             Waiting(self.clone())
         };
-        let deadline_ms = number(headers, DEADLINE_HEADER).unwrap_or(60_000);
+        let deadline_ms = header_number(headers, DEADLINE_HEADER).unwrap_or(60_000);
         let permit = self.permits.clone().acquire_owned();
         let permit = time::timeout(Duration::from_millis(deadline_ms), permit).await;
         drop(waiting);
--- a/src/state/apply.rs
+++ b/src/state/apply.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     configuration::{self, ServiceSpec, Template, Workspace, expand, workspace::Target},
-    id::{Epoch, HostKey, Incarnation, LeaseEpoch, ServerKey, ServiceKey, Slot},
+    id::{Epoch, HostKey, Incarnation, LeaseEpoch, OperationId, ServerKey, ServiceKey, Slot},
     membership::registry::voters,
 };
 
@@ -50,6 +50,17 @@
         Ok(())
     }
 
+    /// Applies a change as the next entry, outside of any log: to try what it would do.
+    pub fn apply_trial(&mut self, change: Change) -> Result<()> {
+        self.apply(&LogEntry {
+            revision: self.revision.next(),
+            operation_id: OperationId::random(),
+            actor: String::new(),
+            at_unix_ms: 0,
+            change,
+        })
+    }
+
     fn change(&mut self, change: &Change) -> Result<()> {
         match change {
             Change::TemplateSubmitted { document } => self.submit_template(document),
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, future::Future, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited, combinators::BoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -143,6 +143,16 @@
     let _ = time::timeout(drain, graceful.shutdown()).await;
 }
 
+/// A header's text, if it is there and is text.
+pub fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+/// A header's number.
+pub fn header_number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    header_text(headers, name)?.parse().ok()
+}
+
 /// An answer whose body is whole in memory.
 pub fn whole(status: StatusCode, content_type: &'static str, body: Bytes) -> Response<AnswerBody> {
     let mut response = Response::new(Full::new(body).map_err(|never| match never {}).boxed());
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -255,6 +255,16 @@
         .await;
     }
 
+    /// Waits until a number of servers own all slots, as some hosts see it.
+    pub async fn owned_by(&self, servers: usize, hosts: &[usize]) {
+        let what = format!("{servers} servers own all slots");
+        self.wait_for(&what, hosts, |status| {
+            let owners = status.servers.iter().filter(|server| server.slots > 0);
+            owners.count() == servers
+        })
+        .await;
+    }
+
     /// Waits until a condition holds on some hosts.
     pub async fn wait_for(&self, what: &str, hosts: &[usize], holds: impl Fn(&StatusBody) -> bool) {
         let end = Instant::now() + Duration::from_secs(20);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -199,12 +199,7 @@
             &cluster.workspace(&[0, 1]),
         )
         .await;
-    cluster
-        .wait_for("the change is carried out", &[0, 1], |status| {
-            let owned = status.servers.iter().filter(|server| server.slots > 0);
-            owned.count() == 2
-        })
-        .await;
+    cluster.owned_by(2, &[0, 1]).await;
     let after = back.elapsed();
     assert!(after < Duration::from_secs(5), "{after:?}");
     assert_single_owners(&cluster, &[0, 1, 2]).await;
@@ -243,12 +238,7 @@
             &cluster.workspace(&[0, 1]),
         )
         .await;
-    cluster
-        .wait_for("the slots have moved", &[0, 1], |status| {
-            let owned = status.servers.iter().filter(|server| server.slots > 0);
-            owned.count() == 2
-        })
-        .await;
+    cluster.owned_by(2, &[0, 1]).await;
     cluster.hosts[2].process.signal("CONT");
     let caller = Caller::default();
     for number in 0..50 {
@@ -366,12 +356,7 @@
             &cluster.workspace(&[0, 1]),
         )
         .await;
-    cluster
-        .wait_for("the slots have moved", &[0], |status| {
-            let owned = status.servers.iter().filter(|server| server.slots > 0);
-            owned.count() == 2
-        })
-        .await;
+    cluster.owned_by(2, &[0]).await;
     load.end().await;
     assert_single_owners(&cluster, &[0, 1, 2]).await;
 }
--- a/tests/once_only.rs
+++ b/tests/once_only.rs
@@ -32,6 +32,26 @@
     assert!(verdict::double_runs(&records).is_empty());
 }
 
+#[tokio::test]
+async fn an_idempotency_key_that_cannot_be_kept_is_refused() {
+    let cluster = Cluster::start(1, 1, PLAIN);
+    cluster.declare(RULE).await;
+    let caller = Caller::default();
+    for key in ["", "Pe\u{f1}a"] {
+        let answer = caller
+            .post(cluster.hosts[0].callers, "/w/s/parcel-7", key)
+            .await;
+        let answer = answer.expect("an answer");
+        assert_eq!(
+            answer.reason.as_deref(),
+            Some("bad-idempotency-key"),
+            "{key:?}"
+        );
+        assert_eq!(answer.outcome.as_deref(), Some("not-run"));
+    }
+    assert!(cluster.record(0).await.runs.is_empty());
+}
+
 #[tokio::test]
 async fn a_duplicate_of_a_running_request_does_not_run() {
     let cluster = Cluster::start(1, 2, &["--work-ms", "400"]);
--- a/tests/ownership_rules.rs
+++ b/tests/ownership_rules.rs
@@ -1,7 +1,7 @@
 //! Rules of ownership, each with the case that taught it.
 
 use ashroad::{
-    id::{Epoch, HostKey, Incarnation, LeaseEpoch, OperationId, Revision, Slot},
+    id::{Epoch, HostKey, Incarnation, LeaseEpoch, Revision, Slot},
     membership::{
         freshness::{Freshness, PeerAnswer, Voter},
         registry::{RegistryWatch, voters},
@@ -12,7 +12,7 @@
         renewal::Contact,
     },
     standin::grants::{Grants, Reading},
-    state::{Change, LogEntry, State},
+    state::{Change, State},
 };
 
 const LAPSE_MS: u64 = 2_000;
@@ -132,14 +132,7 @@
 }
 
 fn apply(state: &mut State, change: Change) {
-    let entry = LogEntry {
-        revision: state.revision.next(),
-        operation_id: OperationId::random(),
-        actor: String::new(),
-        at_unix_ms: 0,
-        change,
-    };
-    state.apply(&entry).expect("the change fits");
+    state.apply_trial(change).expect("the change fits");
 }
 
 fn register(state: &mut State, number: u32, port: u16) {
