--- a/src/host/controller.rs
+++ b/src/host/controller.rs
@@ -9,7 +9,7 @@
 use crate::{
     claims::Sweep,
     clock,
-    id::{Revision, ServerKey},
+    id::{Revision, ServerKey, ServiceKey},
     membership::registry::RegistryWatch,
     ownership::{moves::MoveGroup, planner::PlannedMove},
 };
@@ -56,7 +56,7 @@
 /// A plan for one service.
 #[derive(Debug)]
 pub(super) struct ServicePlan {
-    pub(super) service: crate::id::ServiceKey,
+    pub(super) service: ServiceKey,
     pub(super) moves: Vec<PlannedMove>,
 }
 
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -8,6 +8,7 @@
 mod leader;
 mod moves;
 mod peers;
+mod planning;
 mod renew;
 mod run;
 mod sync;
--- a/src/host/moves.rs
+++ b/src/host/moves.rs
@@ -1,4 +1,4 @@
-//! Begins planned moves and carries them to their end. Every step is read from the state and can
+//! Carries moves to their end. Every step is read from the state and can
 //! be repeated, so any leader can finish what another began.
 
 use std::{sync::Arc, time::Duration};
@@ -9,34 +9,22 @@
 use super::{
     Host,
     commit::CommitError,
-    controller::{Controller, Done, ServicePlan},
+    controller::{Controller, Done},
 };
 use crate::{
-    clock,
-    id::{ServerKey, Slot},
+    id::ServerKey,
     ownership::{
         message::{
             LEASE_PATH, LeaseAnswer, LeaseRequest, REVOKE_PATH, RevokeAnswer, RevokeRequest,
             SlotGrant,
         },
         moves::{MoveGroup, is_live, next_grants, ready_groups},
-        planner::{PlannedMove, PlannerInput, PlannerServer, PlannerSlot, plan},
     },
-    state::{Change, MoveDone, ServerEntry, ServerState, ServiceEntry, SlotMove, State},
+    state::{Change, MoveDone, ServerEntry, State},
     transport::{CallError, JsonClient},
 };
 
-/// Slots of one service that move for balance at a time.
-const BALANCE_IN_FLIGHT_MAX: usize = 8;
-/// Slots in one change, which keeps a row of the log small.
-const SLOTS_PER_CHANGE: usize = 2_000;
 const RETRY_MS: u64 = 50;
-const READ_LOADS_MS: u64 = 2_000;
-const LOADS_TIMEOUT_MS: u64 = 500;
-/// Weight of the latest reading in the smoothed load.
-const LOAD_SMOOTHING: f64 = 0.2;
-/// Requests in one reading below which loads are too thin to balance on.
-const LOAD_REQUESTS_MIN: f64 = 200.0;
 
 /// Why a move did not come to its end yet.
 #[derive(Debug, Snafu)]
@@ -150,128 +138,4 @@
         }
         Ok(())
     }
-
-    /// Plans each service and records the moves.
-    pub(super) async fn begin_moves(self: &Arc<Self>, controller: &mut Controller) {
-        let state = self.view.state();
-        let basis = (state.revision, controller.loads_ms);
-        if controller.planned == Some(basis) {
-            return;
-        }
-        controller.planned = Some(basis);
-        for planned in plans(&state, controller) {
-            let moves: Vec<SlotMove> = planned
-                .moves
-                .iter()
-                .map(|planned_move| {
-                    let slot = Slot(planned_move.slot);
-                    SlotMove {
-                        slot,
-                        to: ServerKey(planned_move.to),
-                        epoch: state.next_epoch(planned.service, slot),
-                    }
-                })
-                .collect();
-            for chunk in moves.chunks(SLOTS_PER_CHANGE) {
-                let change = Change::MovesBegun {
-                    service: planned.service,
-                    moves: chunk.to_vec(),
-                };
-                if let Err(error) = self.commit_own(change).await {
-                    log::debug!("moves were not begun: {error}");
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Reads every host's loads and smooths them.
-    pub(super) async fn read_loads(self: &Arc<Self>, controller: &mut Controller) {
-        let now_ms = clock::now_ms();
-        if now_ms < controller.loads_ms + READ_LOADS_MS {
-            return;
-        }
-        controller.loads_ms = now_ms;
-        let mut calls = tokio::task::JoinSet::new();
-        for (_, _, address) in self.other_hosts() {
-            let peers = self.peers.clone();
-            let request = crate::peer::message::PeerRequest::Loads;
-            calls.spawn(async move { peers.call(address, &request, LOADS_TIMEOUT_MS).await });
-        }
-        let mut loads = self.traffic.take();
-        while let Some(reply) = calls.join_next().await {
-            if let Ok(Ok(crate::peer::message::PeerReply::Loads { loads: more })) = reply {
-                loads.extend(more);
-            }
-        }
-        controller.smooth(&self.view.state(), &loads);
-    }
-}
-
-impl Controller {
-    fn smooth(&mut self, state: &State, loads: &[crate::peer::message::SlotLoad]) {
-        self.loads.resize(state.services.len(), Vec::new());
-        for (smoothed, service) in self.loads.iter_mut().zip(&state.services) {
-            smoothed.resize(service.slots.len(), 0.0);
-            for load in smoothed.iter_mut() {
-                *load *= 1.0 - LOAD_SMOOTHING;
-            }
-        }
-        for load in loads {
-            let smoothed = self.loads.get_mut(load.service.0 as usize);
-            let smoothed = smoothed.and_then(|s| s.get_mut(load.slot.0 as usize));
-            if let Some(smoothed) = smoothed {
-                *smoothed += LOAD_SMOOTHING * f64::from(load.requests);
-            }
-        }
-    }
-}
-
-fn plans(state: &State, controller: &Controller) -> Vec<ServicePlan> {
-    let mut plans = Vec::new();
-    for (service, entry) in state.active_services() {
-        let loads = controller.loads.get(service.0 as usize);
-        let moves = plan_service(state, entry, loads.map(Vec::as_slice));
-        if !moves.is_empty() {
-            plans.push(ServicePlan { service, moves });
-        }
-    }
-    plans
-}
-
-fn plan_service(state: &State, service: &ServiceEntry, loads: Option<&[f64]>) -> Vec<PlannedMove> {
-    let capacity = service.spec.server_slots as f64;
-    let servers: Vec<PlannerServer> = state
-        .server_entries()
-        .map(|(key, entry)| PlannerServer {
-            capacity,
-            eligible: entry.state == ServerState::Live
-                && !entry.draining
-                && service.targets.contains(&key),
-        })
-        .collect();
-    let total: f64 = loads.map(|loads| loads.iter().sum()).unwrap_or_default();
-    let thin = total < LOAD_REQUESTS_MIN;
-    let slots: Vec<PlannerSlot> = service
-        .slots
-        .iter()
-        .enumerate()
-        .map(|(index, slot)| PlannerSlot {
-            owner: slot.next.or(slot.owner).map(|server| server.0),
-            load: match loads {
-                Some(loads) if !thin => loads.get(index).copied().unwrap_or_default(),
-                _ => 0.0,
-            },
-            moving: slot.next.is_some(),
-        })
-        .collect();
-    let in_flight = slots.iter().filter(|slot| slot.moving).count();
-    let input = PlannerInput {
-        servers: &servers,
-        slots: &slots,
-        weights: service.spec.weights,
-        balance_moves: BALANCE_IN_FLIGHT_MAX.saturating_sub(in_flight),
-    };
-    // A slot whose owner is lost is planned at once: its move waits for the lapse anyway.
-    plan(input)
 }
