The planned stop's test lets its callers run

The wait for the process blocked the test's only thread, so callers that had seen readiness stood still until the host was gone, and then sent. Ruled out: the product's order of readiness, notice, drain (exit code 0, 500 ms between). Change: the wait is asynchronous, so callers call throughout the stop, which is stricter.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,14 +69,14 @@
         let _ = self.child.wait();
     }
 
-    /// Waits for the process to end by itself.
-    pub fn wait(&mut self, limit: Duration) -> Option<i32> {
+    /// Waits for the process to end by itself, while the test's other tasks go on.
+    pub async fn wait(&mut self, limit: Duration) -> Option<i32> {
         let end = Instant::now() + limit;
         while Instant::now() < end {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return status.code();
             }
-            std::thread::sleep(Duration::from_millis(10));
+            tokio::time::sleep(Duration::from_millis(10)).await;
         }
         panic!("the process did not end within {limit:?}");
     }
@@ -332,6 +332,15 @@
     }
 }
 
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        // The logs of a failed test are kept.
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
 fn new_directory() -> PathBuf {
     let number = DIRECTORIES.fetch_add(1, Ordering::Relaxed);
     let name = format!("ashroad-test-{}-{number}", std::process::id());
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -284,7 +284,7 @@
     }
     time::sleep(Duration::from_millis(300)).await;
     cluster.hosts[2].process.signal("TERM");
-    let code = cluster.hosts[2].process.wait(Duration::from_secs(5));
+    let code = cluster.hosts[2].process.wait(Duration::from_secs(5)).await;
     assert_eq!(code, Some(0));
     stop.store(true, Ordering::Relaxed);
     for task in tasks {
