--- a/src/bin/ashroad/app.rs
+++ b/src/bin/ashroad/app.rs
@@ -256,6 +256,9 @@
         /// Time that a request runs.
         #[arg(long, default_value_t = 0)]
         work_ms: u64,
+        /// Time after the start in which requests take 20 ms longer.
+        #[arg(long, default_value_t = 0)]
+        cold_ms: u64,
         /// Take orders from anyone, however old.
         #[arg(long)]
         no_checks: bool,
--- a/src/bin/ashroad/standin.rs
+++ b/src/bin/ashroad/standin.rs
@@ -36,6 +36,7 @@
             slots,
             queue,
             work_ms,
+            cold_ms,
             no_checks,
         } => {
             let config = backend::Config {
@@ -43,6 +44,7 @@
                 slots,
                 queue,
                 work_ms,
+                cold_ms,
                 checks_orders: !no_checks,
             };
             backend::start(config).await
--- a/src/demo/system.rs
+++ b/src/demo/system.rs
@@ -108,6 +108,7 @@
                 slots: if index < SERVERS / 2 { 4 } else { 6 },
                 queue: 64,
                 work_ms: 1,
+                cold_ms: 0,
                 checks_orders: true,
             };
             servers.push(backend::start(config).await.context(StandinSnafu)?);
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -40,12 +40,15 @@
 pub const FAULTS_PATH: &str = "/_server/faults";
 /// Path of the record of ownership and runs (GET).
 pub const RECORD_PATH: &str = "/_server/record";
+/// Path of the load endpoint (GET).
+pub const LOAD_PATH: &str = "/_server/load";
 /// Path of the health endpoint (GET).
 pub const HEALTH_PATH: &str = "/_server/health";
 
 const BODY_BYTES_MAX: usize = 64 * 1024 * 1024;
 const DRAIN_POLL_MS: u64 = 1;
 const CUT_PAUSE_MS: u64 = 30;
+const COLD_EXTRA_MS: u64 = 20;
 
 /// Shape of one stand-in.
 #[derive(Clone, Debug)]
@@ -58,6 +61,8 @@
     pub queue: usize,
     /// Time that a request occupies its slot.
     pub work_ms: u64,
+    /// Time after the start in which requests take longer.
+    pub cold_ms: u64,
     /// False for a server that takes orders from anyone, however old.
     pub checks_orders: bool,
 }
@@ -72,12 +77,23 @@
     pub draining: bool,
     /// The health endpoint says the opposite of the truth.
     pub health_lies: bool,
+    /// Time by which the load endpoint lags.
+    pub load_lag_ms: u64,
     /// Extra time for each request.
     pub extra_ms: u64,
     /// Answers are cut off in the middle of the body.
     pub cut_answers: bool,
 }
 
+/// Answer of the load endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadAnswer {
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that wait for a slot.
+    pub waiting: usize,
+}
+
 /// Number of runs of one request.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RunCount {
@@ -122,12 +138,15 @@
     running_max: usize,
     waiting: usize,
     faults: Faults,
+    /// What the load endpoint last said, and when.
+    said_load: (u64, LoadAnswer),
 }
 
 #[derive(Clone, Debug)]
 struct Backend {
     config: Arc<Config>,
     incarnation: Incarnation,
+    started_ms: u64,
     inner: Arc<Mutex<Inner>>,
     permits: Arc<Semaphore>,
 }
@@ -141,6 +160,7 @@
         permits: Arc::new(Semaphore::new(config.slots)),
         config: Arc::new(config),
         incarnation: Incarnation::random(),
+        started_ms: clock::now_ms(),
         inner: Arc::default(),
     };
     let limits = ListenerLimits {
@@ -232,6 +252,7 @@
             LEASE_PATH => self.lease(request).await,
             REVOKE_PATH => self.revoke(request).await,
             HEALTH_PATH => self.health(),
+            LOAD_PATH => self.load(),
             _ => self.run(request).await,
         }
     }
@@ -271,6 +292,25 @@
         transport::whole(status, "text/plain", Bytes::new())
     }
 
+    fn load(&self) -> Response<AnswerBody> {
+        let now_ms = clock::now_ms();
+        let mut inner = self.lock();
+        if now_ms >= inner.said_load.0 + inner.faults.load_lag_ms {
+            let load = LoadAnswer {
+                running: inner.running,
+                waiting: inner.waiting,
+            };
+            inner.said_load = (now_ms, load);
+        }
+        transport::json(StatusCode::OK, &inner.said_load.1)
+    }
+
+    /// Extra time of a request while the server is cold.
+    fn cold_extra_ms(&self) -> u64 {
+        let cold = clock::now_ms() < self.started_ms + self.config.cold_ms;
+        if cold { COLD_EXTRA_MS } else { 0 }
+    }
+
     async fn lease(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let order: LeaseRequest = match transport::read_json(request, BODY_BYTES_MAX).await {
             Ok(order) => order,
@@ -353,7 +393,7 @@
         if !run.is_empty() {
             *self.lock().runs.entry(run).or_default() += 1;
         }
-        let extra_ms = self.lock().faults.extra_ms;
+        let extra_ms = self.lock().faults.extra_ms + self.cold_extra_ms();
         time::sleep(Duration::from_millis(self.config.work_ms + extra_ms)).await;
         self.thaw().await;
         drop(occupied);
--- /dev/null
+++ b/tests/standins.rs
@@ -0,0 +1,67 @@
+//! The faults of the backend server's stand-in.
+
+use std::{
+    net::Ipv4Addr,
+    time::{Duration, Instant},
+};
+
+use ashroad::{
+    standin::{
+        Running,
+        backend::{self, Answer, Config, Faults, LoadAnswer},
+    },
+    transport::JsonClient,
+};
+use tokio::time;
+
+async fn start(cold_ms: u64, work_ms: u64) -> Running {
+    let config = Config {
+        listen: (Ipv4Addr::LOCALHOST, 0).into(),
+        slots: 1,
+        queue: 4,
+        work_ms,
+        cold_ms,
+        checks_orders: true,
+    };
+    backend::start(config).await.expect("the stand-in starts")
+}
+
+#[tokio::test]
+async fn a_cold_server_takes_longer() {
+    let server = start(60_000, 0).await;
+    let asked = Instant::now();
+    let answer: Answer = JsonClient::new(2_000)
+        .get(server.address, "/w/s/key")
+        .await
+        .expect("an answer");
+    assert_eq!(answer.path, "/w/s/key");
+    assert!(asked.elapsed() >= Duration::from_millis(20));
+    server.stop().await;
+}
+
+#[tokio::test]
+async fn the_load_endpoint_lags_as_told() {
+    let server = start(0, 300).await;
+    let client = JsonClient::new(2_000);
+    let load = || client.get::<LoadAnswer>(server.address, backend::LOAD_PATH);
+    let lag = Faults {
+        load_lag_ms: 60_000,
+        ..Faults::default()
+    };
+    let _: Faults = client
+        .post(server.address, backend::FAULTS_PATH, &lag)
+        .await
+        .expect("faults are set");
+    assert_eq!(load().await.expect("an answer"), LoadAnswer::default());
+    let (address, caller) = (server.address, client.clone());
+    let busy = tokio::spawn(async move { caller.get::<Answer>(address, "/w/s/key").await });
+    time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(load().await.expect("an answer").running, 0, "it lags");
+    let _: Faults = client
+        .post(server.address, backend::FAULTS_PATH, &Faults::default())
+        .await
+        .expect("faults are set");
+    assert_eq!(load().await.expect("an answer").running, 1);
+    busy.await.expect("the task ends").expect("an answer");
+    server.stop().await;
+}
