--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -2,6 +2,7 @@
 //! small, keep everything in memory and take faults on command.
 
 pub mod backend;
+mod backend_message;
 pub mod grants;
 pub mod platform;
 pub mod verdict;
