--- a/src/bin/ashroad/app.rs
+++ b/src/bin/ashroad/app.rs
@@ -26,6 +26,8 @@
 pub enum Command {
     /// Run an entry host.
     Serve(ServeArgs),
+    /// Run an entry host on the users' platform.
+    Entry(ServeArgs),
     /// Check settings, templates and workspaces; print every problem.
     Check(CheckArgs),
     /// Submit, withdraw and show templates.
--- a/src/bin/ashroad/error.rs
+++ b/src/bin/ashroad/error.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, process::ExitCode};
 
-use ashroad::{configuration, host, peer, settings, transport::CallError};
+use ashroad::{configuration, entry, host, peer, settings, transport::CallError};
 use http::StatusCode;
 use snafu::Snafu;
 
@@ -63,6 +63,12 @@
         /// Cause.
         source: peer::Error,
     },
+    /// The entry host cannot run.
+    #[snafu(display("{source}"))]
+    Entry {
+        /// Cause.
+        source: entry::Error,
+    },
     /// The host cannot start.
     #[snafu(display("{source}"))]
     Host {
--- a/src/bin/ashroad/main.rs
+++ b/src/bin/ashroad/main.rs
@@ -5,6 +5,7 @@
 mod check;
 mod declaration;
 mod demo;
+mod entry;
 mod error;
 mod keys;
 mod load;
@@ -43,6 +44,7 @@
             Ok(())
         }
         Command::Serve(args) => block_on(serve::run(args)),
+        Command::Entry(args) => entry::run(&args),
         Command::Standin(args) => block_on(standin::run(args)),
         Command::Template(args) => block_on(declaration::run_template(args, json)),
         Command::Workspace(args) => block_on(declaration::run_workspace(args, json)),
--- a/src/claims/batch.rs
+++ b/src/claims/batch.rs
@@ -21,11 +21,11 @@
 };
 use crate::{
     clock,
-    platform::{
+    routing::outcome::Reason,
+    store::{
         Platform,
         message::{Condition, Expect, Transacted, Transaction, Write},
     },
-    routing::outcome::Reason,
 };
 
 /// Most claims in one transaction.
--- a/src/claims/mod.rs
+++ b/src/claims/mod.rs
@@ -19,7 +19,7 @@
     batch::Operation,
     row::{ClaimRow, ClaimState, claim_key},
 };
-use crate::{clock, id::OperationId, platform::Platform, routing::outcome::Reason};
+use crate::{clock, id::OperationId, routing::outcome::Reason, store::Platform};
 
 /// Longest answer that is kept for duplicates.
 pub const KEPT_BODY_BYTES: usize = 64 * 1024;
--- a/src/claims/sweep.rs
+++ b/src/claims/sweep.rs
@@ -3,7 +3,7 @@
 use super::row::{CLAIM_PREFIX, ClaimRow};
 use crate::{
     clock,
-    platform::{
+    store::{
         self, Platform,
         message::{Condition, Expect, Row, Transaction, Write},
     },
@@ -21,11 +21,7 @@
 impl Sweep {
     /// Looks at the next page and removes what is older than `retention_ms`; returns the number of
     /// rows removed.
-    pub async fn step(
-        &mut self,
-        platform: &Platform,
-        retention_ms: u64,
-    ) -> platform::Result<usize> {
+    pub async fn step(&mut self, platform: &Platform, retention_ms: u64) -> store::Result<usize> {
         let rows = platform.range(CLAIM_PREFIX, &self.after, PAGE_ROWS).await?;
         let Some(last) = rows.last() else {
             self.after.clear();
--- /dev/null
+++ b/src/entry/choice.rs
@@ -0,0 +1,104 @@
+//! Choice of a backend server for a request without a key, and admission for all requests.
+
+use std::sync::Arc;
+
+use super::server::Server;
+
+/// Run time that is assumed of a server while nothing is known of it or its like.
+const RUN_DEFAULT_MS: f64 = 60.0;
+/// Cost of another availability zone, as a share of the run time: bytes between zones are priced.
+const ZONE_COST: f64 = 0.15;
+/// A cold server is about half as fast.
+const COLD_FACTOR: f64 = 2.0;
+/// Cost of a server whose attempts all fail, in run times.
+const FAILURE_COST: f64 = 8.0;
+/// Requests at a server, as a multiple of its slots, above which it gets no more. Servers queue
+/// about four times their slots and reset or shed beyond.
+const LOAD_MAX_FACTOR: u32 = 4;
+/// Candidates that are looked at when a service has many servers.
+const CANDIDATES_MAX: usize = 12;
+/// Random part of a cost, so that hosts with the same view do not all choose the same server.
+const JITTER: f64 = 0.1;
+
+/// Why a request is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No server of the service may get work.
+    NoServer,
+    /// All servers have as much as they can do in time.
+    Overloaded,
+}
+
+/// Expected time until a server has answered a further request.
+pub fn expected_ms(server: &Server, run_ms: f64) -> f64 {
+    let run_ms = match server.run_ms() {
+        known if known > 0.0 => known,
+        _ => run_ms,
+    };
+    let run_ms = if server.cold() {
+        run_ms * COLD_FACTOR
+    } else {
+        run_ms
+    };
+    let ahead = f64::from(server.load() + 1);
+    let slots = f64::from(server.entry.slots);
+    let waiting = (ahead - slots).max(0.0) / slots;
+    run_ms * (1.0 + waiting)
+}
+
+/// True if a server has room for a request that must be answered within `left_ms`.
+pub fn has_room(server: &Server, run_ms: f64, left_ms: u64) -> bool {
+    let load_max = server.entry.slots * LOAD_MAX_FACTOR;
+    server.load() < load_max && expected_ms(server, run_ms) < left_ms as f64
+}
+
+/// Average run time of a service's servers.
+pub fn typical_run_ms(servers: &[Arc<Server>]) -> f64 {
+    let known: Vec<f64> = servers
+        .iter()
+        .map(|server| server.run_ms())
+        .filter(|run_ms| *run_ms > 0.0)
+        .collect();
+    if known.is_empty() {
+        return RUN_DEFAULT_MS;
+    }
+    known.iter().sum::<f64>() / known.len() as f64
+}
+
+/// The server that is expected to answer first, with room for the request.
+pub fn pick(
+    servers: &[Arc<Server>],
+    availability_zone: &str,
+    tried: &[Arc<str>],
+    left_ms: u64,
+) -> Result<Arc<Server>, Refusal> {
+    let typical_ms = typical_run_ms(servers);
+    let mut best: Option<(&Arc<Server>, f64)> = None;
+    let mut any = false;
+    let offset = rand::random_range(0..servers.len().max(1));
+    let candidates = servers.iter().cycle().skip(offset).take(servers.len());
+    let usable = candidates.filter(|server| !server.leaving() && !tried.contains(&server.entry.id));
+    for server in usable.take(CANDIDATES_MAX) {
+        any = true;
+        if server.paused() || !has_room(server, typical_ms, left_ms) {
+            continue;
+        }
+        let cost = cost(server, availability_zone, typical_ms);
+        if best.is_none_or(|(_, least)| cost < least) {
+            best = Some((server, cost));
+        }
+    }
+    match best {
+        Some((server, _)) => Ok(server.clone()),
+        None if any => Err(Refusal::Overloaded),
+        None => Err(Refusal::NoServer),
+    }
+}
+
+fn cost(server: &Server, availability_zone: &str, typical_ms: f64) -> f64 {
+    let distant = *server.entry.availability_zone != *availability_zone;
+    let zone = if distant { ZONE_COST } else { 0.0 };
+    let jitter = JITTER * rand::random::<f64>();
+    let base = expected_ms(server, typical_ms);
+    base * (1.0 + zone + jitter + FAILURE_COST * server.failures())
+}
--- /dev/null
+++ b/src/entry/duty.rs
@@ -0,0 +1,419 @@
+//! The duty of giving leases: one host at a time has it, by a row of the store that it confirms
+//! under a condition. Another host takes it over when the row stands still while the store
+//! answers. All writes of holdings depend on the row, so a holder that was replaced cannot record
+//! anything any more.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::{sync::Mutex, time};
+
+use super::{
+    Entry,
+    events::Event,
+    keys::Assignment,
+    watch::{HOLDINGS_PREFIX, TABLE, pause},
+};
+use crate::{
+    clock,
+    platform::store::{Expect, Put, Row, Transacted, Transaction},
+};
+
+/// Table of the duty's row. It is apart from the other rows, because it changes often and nobody
+/// follows it by a feed.
+const DUTY_TABLE: &str = "ashroad_duty";
+const DUTY_KEY: &str = "leases";
+/// Interval at which a host without the duty looks whether it must act.
+const LOOK_EVERY_MS: u64 = 100;
+/// Interval at which the row is read while its holder is silent.
+const READ_EVERY_MS: u64 = 300;
+/// Longest random delay before the duty is taken, so that not all hosts try at once.
+const TAKE_SPREAD_MS: u64 = 120;
+
+/// The duty's row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct DutyRow {
+    /// Process that has the duty; 0 if nobody has.
+    holder: u64,
+    /// Number of the term; each taking adds one.
+    term: u64,
+    /// Number of the confirmation, so that each write changes the row.
+    confirmation: u64,
+}
+
+/// This host's part in the duty.
+#[derive(Debug, Default)]
+pub struct Duty {
+    /// Number of this host's term while it has the duty, else 0.
+    term: AtomicU64,
+    /// Time before which the last confirmation was sent.
+    confirmed_ms: AtomicU64,
+    /// Up to this time an earlier holder may have given leases.
+    predecessors_until_ms: AtomicU64,
+    giving_up: AtomicBool,
+    writer: Mutex<Writer>,
+}
+
+/// Versions of the rows that the holder writes. Held while a write is under way.
+#[derive(Debug, Default)]
+struct Writer {
+    row_version: u64,
+    confirmation: u64,
+}
+
+/// Why a write of the holder failed for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteFailure {
+    /// Another host has the duty.
+    DutyLost,
+    /// The service's holdings are not what the holder thinks.
+    HoldingsChanged,
+}
+
+/// Outcome of a transaction whose effect is known.
+enum Settled {
+    Done(u64),
+    Conflict(Vec<Row>),
+    DutyLost,
+}
+
+impl Duty {
+    /// Number of this host's term while it has the duty, else 0.
+    pub fn term(&self) -> u64 {
+        self.term.load(Ordering::Relaxed)
+    }
+
+    /// True if leases may be given: this host has the duty, and its last confirmation is not older
+    /// than `outage_ms`.
+    pub fn may_lease(&self, outage_ms: u64) -> bool {
+        let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
+        self.term() > 0 && clock::now_ms() < confirmed_ms + outage_ms
+    }
+
+    /// Time up to which earlier holders may have given leases.
+    pub fn predecessors_until_ms(&self) -> u64 {
+        self.predecessors_until_ms.load(Ordering::Relaxed)
+    }
+
+    fn lose(&self, reason: &'static str) {
+        let term = self.term.swap(0, Ordering::Relaxed);
+        if term > 0 {
+            Event::DutyLost { term, reason }.log();
+        }
+    }
+}
+
+impl Entry {
+    /// Takes the duty when nobody has it, and confirms it while this host has it.
+    pub(super) async fn keep_duty(self: Arc<Self>) {
+        let leases = self.settings.leases;
+        loop {
+            if self.duty.term() > 0 {
+                time::sleep(Duration::from_millis(leases.confirm_every_ms)).await;
+                if self.duty.term() > 0 {
+                    self.confirm_duty().await;
+                }
+                continue;
+            }
+            time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
+            let heard_ms = self.peers.holder_heard_ms();
+            let silent = clock::now_ms() > heard_ms + leases.takeover_ms / 2;
+            if silent && !self.stopping() && self.view.servers_known() {
+                self.await_takeover().await;
+            }
+        }
+    }
+
+    /// Reads the row until it changes or has stood still for long enough to be taken.
+    async fn await_takeover(&self) {
+        let takeover_ms = self.settings.leases.takeover_ms;
+        let mut seen: Option<(u64, u64)> = None;
+        let started_ms = clock::now_ms();
+        loop {
+            let Some((row, version)) = self.read_duty().await else {
+                // Nothing is known about time in which the store did not answer.
+                seen = None;
+                pause().await;
+                if clock::now_ms() > started_ms + 10 * takeover_ms {
+                    return;
+                }
+                continue;
+            };
+            let now_ms = clock::now_ms();
+            let free = row.as_ref().is_none_or(|row| row.holder == 0);
+            let since_ms = match seen {
+                Some((seen_version, since_ms)) if seen_version == version => since_ms,
+                Some(_) => return,
+                None => now_ms,
+            };
+            seen = Some((version, since_ms));
+            if free || now_ms >= since_ms + takeover_ms {
+                let spread_ms = rand::random_range(0..TAKE_SPREAD_MS);
+                time::sleep(Duration::from_millis(spread_ms)).await;
+                self.take_duty(row, version, free).await;
+                return;
+            }
+            time::sleep(Duration::from_millis(READ_EVERY_MS)).await;
+        }
+    }
+
+    async fn read_duty(&self) -> Option<(Option<DutyRow>, u64)> {
+        let rows = match self.store.table(DUTY_TABLE).await {
+            Ok(rows) => rows.rows,
+            Err(error) => {
+                log::debug!("the duty's row cannot be read: {error}");
+                return None;
+            }
+        };
+        let Some(row) = rows.into_iter().find(|row| row.key == DUTY_KEY) else {
+            return Some((None, 0));
+        };
+        match serde_json::from_slice(&row.value) {
+            Ok(duty) => Some((Some(duty), row.version)),
+            Err(error) => {
+                log::warn!("the duty's row cannot be decoded: {error}");
+                None
+            }
+        }
+    }
+
+    async fn take_duty(&self, row: Option<DutyRow>, version: u64, handed_over: bool) {
+        let sent_ms = clock::now_ms();
+        let term = row.map_or(0, |row| row.term) + 1;
+        let mut writer = self.duty.writer.lock().await;
+        *writer = Writer {
+            row_version: version,
+            confirmation: 0,
+        };
+        let next = DutyRow {
+            holder: self.incarnation,
+            term,
+            confirmation: 1,
+        };
+        let Some(version) = self.write_duty(&next, version).await else {
+            return;
+        };
+        writer.row_version = version;
+        writer.confirmation = 1;
+        drop(writer);
+        // Holdings are read after the duty is taken: nobody else can change them any more.
+        if !self.read_holdings().await {
+            return;
+        }
+        let now_ms = clock::now_ms();
+        let until_ms = if handed_over {
+            now_ms
+        } else {
+            now_ms + self.settings.leases.outage_ms
+        };
+        self.duty
+            .predecessors_until_ms
+            .store(until_ms, Ordering::Relaxed);
+        self.duty.confirmed_ms.store(sent_ms, Ordering::Relaxed);
+        self.duty.term.store(term, Ordering::Relaxed);
+        Event::DutyTaken { term, handed_over }.log();
+    }
+
+    async fn read_holdings(&self) -> bool {
+        let rows = match self.store.table(TABLE).await {
+            Ok(rows) => rows.rows,
+            Err(error) => {
+                log::warn!("holdings cannot be read: {error}");
+                return false;
+            }
+        };
+        for row in rows {
+            let Some(service) = row.key.strip_prefix(HOLDINGS_PREFIX) else {
+                continue;
+            };
+            match serde_json::from_slice::<Assignment>(&row.value) {
+                Ok(assignment) => {
+                    let service = service.into();
+                    self.view.hold(&service, Arc::new(assignment), row.version);
+                }
+                Err(error) => {
+                    log::error!("holdings of {service} cannot be decoded: {error}");
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    /// Writes the duty's row; the new version if that took effect.
+    async fn write_duty(&self, row: &DutyRow, version: u64) -> Option<u64> {
+        let value = serde_json::to_vec(row).ok()?;
+        let transaction = Transaction {
+            expect: vec![Expect {
+                table: DUTY_TABLE,
+                key: DUTY_KEY,
+                version,
+            }],
+            puts: vec![Put {
+                table: DUTY_TABLE,
+                key: DUTY_KEY,
+                value: &value,
+            }],
+            ..Transaction::default()
+        };
+        match self.store.transact(&transaction).await {
+            Ok(Transacted::Done { version }) => Some(version),
+            Ok(Transacted::Conflict { rows }) => {
+                // An earlier try whose answer was lost may have taken effect.
+                let found = rows.into_iter().find(|r| r.key == DUTY_KEY)?;
+                (found.value == value).then_some(found.version)
+            }
+            Err(error) => {
+                log::debug!("the duty's row cannot be written: {error}");
+                None
+            }
+        }
+    }
+
+    async fn confirm_duty(&self) {
+        let sent_ms = clock::now_ms();
+        let mut writer = self.duty.writer.lock().await;
+        let term = self.duty.term();
+        if term == 0 {
+            return;
+        }
+        let releasing = self.duty.giving_up.load(Ordering::Relaxed);
+        let next = DutyRow {
+            holder: if releasing { 0 } else { self.incarnation },
+            term,
+            confirmation: writer.confirmation + 1,
+        };
+        if let Some(version) = self.write_duty(&next, writer.row_version).await {
+            writer.row_version = version;
+            writer.confirmation += 1;
+            self.duty.confirmed_ms.store(sent_ms, Ordering::Relaxed);
+            return;
+        }
+        // The write may have failed, taken effect without an answer, or met another holder's.
+        let Some((Some(row), version)) = self.read_duty().await else {
+            return;
+        };
+        if row.holder != next.holder || row.term != term {
+            self.duty.lose("another host has taken it");
+            return;
+        }
+        writer.row_version = version;
+        writer.confirmation = writer.confirmation.max(row.confirmation);
+    }
+
+    /// Gives the duty up in a planned stop, so that another host takes it at once.
+    pub(super) async fn give_up_duty(&self) {
+        if self.duty.term() == 0 {
+            return;
+        }
+        self.duty.giving_up.store(true, Ordering::Relaxed);
+        self.confirm_duty().await;
+        self.duty.lose("planned stop");
+    }
+
+    /// Records holdings of a service. `change` gets a copy of the holdings; the record depends on
+    /// the duty's row and on the holdings being what they were. Returns the change's result once
+    /// the record is certain, however long that takes while this host may have the duty.
+    pub(super) async fn record<T>(
+        &self,
+        service: &Arc<str>,
+        change: impl FnOnce(&mut Assignment) -> T,
+    ) -> Result<T, WriteFailure> {
+        let mut writer = self.duty.writer.lock().await;
+        if self.duty.term() == 0 {
+            return Err(WriteFailure::DutyLost);
+        }
+        let held = self.view.held(service);
+        let held_version = held.as_ref().map_or(0, |held| held.version);
+        let mut assignment = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
+        let result = change(&mut assignment);
+        let Ok(value) = serde_json::to_vec(&assignment) else {
+            return Err(WriteFailure::HoldingsChanged);
+        };
+        let key = format!("{HOLDINGS_PREFIX}{service}");
+        loop {
+            let settled = self
+                .write_holdings(&key, &value, writer.row_version, held_version)
+                .await;
+            let version = match settled {
+                Settled::Done(version) => version,
+                Settled::DutyLost => return Err(WriteFailure::DutyLost),
+                Settled::Conflict(rows) => {
+                    let found = |key: &str| rows.iter().find(|row| row.key == key);
+                    let holdings = found(&key);
+                    // Our own write took effect and its answer was lost.
+                    if let Some(row) = holdings.filter(|row| row.value == value) {
+                        row.version
+                    } else if holdings.map_or(0, |row| row.version) != held_version {
+                        return Err(WriteFailure::HoldingsChanged);
+                    } else {
+                        let row = found(DUTY_KEY);
+                        let decoded =
+                            row.and_then(|r| serde_json::from_slice::<DutyRow>(&r.value).ok());
+                        match (row, decoded) {
+                            // A confirmation whose answer was lost.
+                            (Some(row), Some(duty))
+                                if duty.holder == self.incarnation
+                                    && duty.term == self.duty.term()
+                                    && row.version != writer.row_version =>
+                            {
+                                writer.row_version = row.version;
+                                continue;
+                            }
+                            _ => {
+                                self.duty.lose("another host has taken it");
+                                return Err(WriteFailure::DutyLost);
+                            }
+                        }
+                    }
+                }
+            };
+            self.view.hold(service, Arc::new(assignment), version);
+            return Ok(result);
+        }
+    }
+
+    async fn write_holdings(
+        &self,
+        key: &str,
+        value: &[u8],
+        duty_version: u64,
+        held_version: u64,
+    ) -> Settled {
+        let expect = |table, key, version| Expect {
+            table,
+            key,
+            version,
+        };
+        let transaction = Transaction {
+            expect: vec![
+                expect(DUTY_TABLE, DUTY_KEY, duty_version),
+                expect(TABLE, key, held_version),
+            ],
+            puts: vec![Put {
+                table: TABLE,
+                key,
+                value,
+            }],
+            ..Transaction::default()
+        };
+        loop {
+            match self.store.transact(&transaction).await {
+                Ok(Transacted::Done { version }) => return Settled::Done(version),
+                Ok(Transacted::Conflict { rows }) => return Settled::Conflict(rows),
+                Err(error) => log::debug!("holdings cannot be recorded: {error}"),
+            }
+            if !self.duty.may_lease(self.settings.leases.outage_ms) {
+                self.duty.lose("the store did not answer");
+                return Settled::DutyLost;
+            }
+            pause().await;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/events.rs
@@ -0,0 +1,177 @@
+//! Typed events, written as JSON lines.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use super::{keys::KeyRange, log_writer, model::ServerEntry};
+
+/// Something worth a line: a decision that touches a request, or a change of what the host
+/// believes.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The process has started.
+    Started {
+        /// Name of the host.
+        host: String,
+        /// Availability zone.
+        availability_zone: String,
+        /// This process.
+        incarnation: u64,
+    },
+    /// A planned stop has begun.
+    Stopping {
+        /// Requests in flight.
+        in_flight: u64,
+    },
+    /// The process ends.
+    Stopped {
+        /// Requests that were still in flight.
+        in_flight: u64,
+    },
+    /// Settings were read again.
+    Reloaded {
+        /// What was wrong with them, if anything; the old ones stay in force then.
+        problem: Option<String>,
+    },
+    /// A configuration is in force.
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+    },
+    /// A row could not be read and is passed over.
+    BadRow {
+        /// Table and key.
+        row: String,
+        /// Cause.
+        problem: String,
+    },
+    /// The store stopped answering.
+    StoreLost {
+        /// Table whose feed failed.
+        table: &'static str,
+        /// Cause.
+        problem: String,
+    },
+    /// The store answers again.
+    StoreBack {
+        /// Time without an answer.
+        away_ms: u64,
+    },
+    /// A server's entry was seen.
+    Server {
+        /// Server.
+        server: Arc<str>,
+        /// Service.
+        service: Arc<str>,
+        /// Address.
+        address: String,
+        /// True if it gets no new work.
+        leaving: bool,
+    },
+    /// A server's entry is gone.
+    ServerGone {
+        /// Server.
+        server: Arc<str>,
+        /// Service.
+        service: Arc<str>,
+    },
+    /// This host took the duty of giving leases.
+    DutyTaken {
+        /// Number of the term.
+        term: u64,
+        /// True if the holder before had given it up.
+        handed_over: bool,
+    },
+    /// This host no longer has the duty.
+    DutyLost {
+        /// Number of the term.
+        term: u64,
+        /// Cause.
+        reason: &'static str,
+    },
+    /// Keys get another server.
+    Moved {
+        /// Service.
+        service: Arc<str>,
+        /// Keys.
+        range: KeyRange,
+        /// Server that held them.
+        from: Option<Arc<str>>,
+        /// Server that holds them now.
+        to: Arc<str>,
+        /// Fence of the new holding.
+        fence: u64,
+        /// Why.
+        cause: &'static str,
+        /// True if the new server starts warm.
+        handover: bool,
+        /// Time from the decision to the grant.
+        took_ms: u64,
+    },
+    /// A server did not take or give back keys.
+    OrderFailed {
+        /// Server.
+        server: Arc<str>,
+        /// Order.
+        order: &'static str,
+        /// Cause.
+        problem: String,
+    },
+    /// A request was not answered by a server, or was repeated.
+    Request {
+        /// Identifier that the caller gave.
+        request_id: String,
+        /// Route.
+        route: Arc<str>,
+        /// What was decided.
+        decision: &'static str,
+        /// Why.
+        reason: String,
+        /// Server of the last attempt.
+        server: Option<Arc<str>>,
+        /// Load of that server as this host knew it.
+        load: u32,
+        /// Attempts so far.
+        attempts: u32,
+        /// Time since the request's arrival.
+        after_ms: u64,
+        /// Time left until its deadline.
+        left_ms: u64,
+        /// Version of the configuration.
+        configuration: u64,
+    },
+    /// Lines were dropped because too many came or the reader did not keep up.
+    Dropped {
+        /// Their number.
+        lines: u64,
+    },
+}
+
+impl Event {
+    /// A server's entry as it was seen.
+    pub fn server(entry: &ServerEntry, leaving: bool) -> Self {
+        Self::Server {
+            server: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address.to_string(),
+            leaving,
+        }
+    }
+
+    /// A server's entry that is gone.
+    pub fn server_gone(entry: &ServerEntry) -> Self {
+        Self::ServerGone {
+            server: entry.id.clone(),
+            service: entry.service.clone(),
+        }
+    }
+
+    /// Writes the event.
+    pub fn log(&self) {
+        log_writer::write(self);
+    }
+}
--- /dev/null
+++ b/src/entry/keys.rs
@@ -0,0 +1,138 @@
+//! Which server holds which keys of one service: the record that hosts share through the store.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// Keys from `first` to `last`, both included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct KeyRange {
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+}
+
+impl KeyRange {
+    /// All keys.
+    pub const ALL: Self = Self {
+        first: 0,
+        last: u16::MAX,
+    };
+
+    /// Number of keys.
+    pub fn len(&self) -> u32 {
+        u32::from(self.last) - u32::from(self.first) + 1
+    }
+
+    /// Never true: a range has at least one key.
+    pub fn is_empty(&self) -> bool {
+        false
+    }
+
+    /// True if the key is in the range.
+    pub fn contains(&self, key: u16) -> bool {
+        (self.first..=self.last).contains(&key)
+    }
+
+    /// True if the ranges share a key.
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self.first <= other.last && other.first <= self.last
+    }
+
+    /// True if all keys of `other` are in this range.
+    pub fn covers(&self, other: &Self) -> bool {
+        self.first <= other.first && other.last <= self.last
+    }
+}
+
+/// Keys that one server holds under one fence.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Keys.
+    pub range: KeyRange,
+    /// Incarnation of the server.
+    pub server: Arc<str>,
+    /// Fence of the grant.
+    pub fence: u64,
+}
+
+/// All holdings of one service. Ranges do not overlap and are in ascending order; keys that no
+/// range covers have no server.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Assignment {
+    /// Highest fence that was ever used for the service.
+    pub fence: u64,
+    /// Holdings.
+    pub holdings: Vec<Holding>,
+}
+
+impl Assignment {
+    /// The holding that covers a key.
+    pub fn holding(&self, key: u16) -> Option<&Holding> {
+        let position = self.holdings.partition_point(|h| h.range.last < key);
+        let holding = self.holdings.get(position)?;
+        holding.range.contains(key).then_some(holding)
+    }
+
+    /// Removes a range from whatever holdings it overlaps; what remains of them keeps its fence.
+    pub fn clear(&mut self, range: KeyRange) {
+        let mut kept = Vec::with_capacity(self.holdings.len() + 1);
+        for holding in self.holdings.drain(..) {
+            if !holding.range.overlaps(&range) {
+                kept.push(holding);
+                continue;
+            }
+            if holding.range.first < range.first {
+                let mut left = holding.clone();
+                left.range.last = range.first - 1;
+                kept.push(left);
+            }
+            if holding.range.last > range.last {
+                let mut right = holding;
+                right.range.first = range.last + 1;
+                kept.push(right);
+            }
+        }
+        self.holdings = kept;
+    }
+
+    /// Gives a range to a server under a new fence, which is returned.
+    pub fn assign(&mut self, range: KeyRange, server: &Arc<str>, least_fence: u64) -> u64 {
+        self.fence = (self.fence + 1).max(least_fence);
+        self.clear(range);
+        let position = self
+            .holdings
+            .partition_point(|h| h.range.last < range.first);
+        let holding = Holding {
+            range,
+            server: server.clone(),
+            fence: self.fence,
+        };
+        self.holdings.insert(position, holding);
+        self.fence
+    }
+
+    /// Ranges that no server holds.
+    pub fn gaps(&self) -> Vec<KeyRange> {
+        let mut gaps = Vec::new();
+        let mut next = 0u32;
+        for holding in &self.holdings {
+            let first = u32::from(holding.range.first);
+            if first > next {
+                gaps.push(KeyRange {
+                    first: next as u16,
+                    last: (first - 1) as u16,
+                });
+            }
+            next = u32::from(holding.range.last) + 1;
+        }
+        if next <= u32::from(u16::MAX) {
+            gaps.push(KeyRange {
+                first: next as u16,
+                last: u16::MAX,
+            });
+        }
+        gaps
+    }
+}
--- /dev/null
+++ b/src/entry/leases.rs
@@ -0,0 +1,561 @@
+//! What the duty's holder does: gives and renews leases, moves keys by plan, and frees the keys of
+//! servers that leave or fall silent.
+//!
+//! A server that holds keys and is to lose them is asked to release them under a higher fence. If
+//! it does not answer, its keys go to another server only when the last lease that anyone may have
+//! given it has run out.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tokio::{task::JoinSet, time};
+
+use super::{
+    Entry,
+    duty::WriteFailure,
+    events::Event,
+    keys::{Assignment, Holding, KeyRange},
+    plan::{self, KeyLoads, Move, PlanServer, Question},
+    server::{Server, tag_of},
+    watch::store_age_ms,
+};
+use crate::{
+    clock,
+    platform::{
+        Link,
+        orders::{self, Grant, Granted, Released},
+    },
+};
+
+/// Interval of the holder's rounds.
+const ROUND_MS: u64 = 100;
+/// Rounds between plans for balance: the counts need some time to tell anything.
+const BALANCE_EVERY_ROUNDS: u64 = 4;
+/// Time for a server to answer a grant; it answers within a few ms as a rule.
+const GRANT_TIMEOUT_MS: u64 = 700;
+/// Time for a server to end its work on released keys.
+const RELEASE_TIMEOUT_MS: u64 = 2_500;
+/// Failed orders in a row after which a server counts as silent.
+const FAILURES_SILENT: u32 = 2;
+/// Moves under way at a time.
+const MOVES_MAX: usize = 8;
+/// A server's clock may run slow by this share, and grants take a moment to arrive.
+const LEASE_CLOCK_FACTOR: f64 = 1.03;
+const LEASE_MARGIN_MS: u64 = 250;
+/// Share of the loads that is kept from one round to the next: half is forgotten in 1.4 s.
+const LOAD_KEPT: f32 = 0.95;
+/// Run time that is assumed of a server while nothing is known.
+const RUN_DEFAULT_MS: f64 = 80.0;
+/// Store silence above which no planned move begins, since it could not be recorded.
+const STORE_AGE_MAX_MS: u64 = 3_600;
+/// Time for which the first list of servers must stand before keys are distributed.
+const FIRST_WAIT_MS: u64 = 300;
+
+/// What the holder knows of the leases of one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct LeaseRecord {
+    /// When the last grant was sent.
+    granted_ms: u64,
+    /// When renewals were last begun.
+    renewed_ms: u64,
+    /// Failed orders in a row.
+    failures: u32,
+}
+
+/// State of the holder's work; void when the term ends.
+#[derive(Debug, Default)]
+struct Work {
+    servers: HashMap<Arc<str>, LeaseRecord>,
+    moving: Vec<(Arc<str>, KeyRange)>,
+    loads: HashMap<Arc<str>, KeyLoads>,
+    first_seen_ms: HashMap<Arc<str>, u64>,
+}
+
+/// A term of this host as the duty's holder.
+#[derive(Debug)]
+struct Term {
+    entry: Arc<Entry>,
+    number: u64,
+    work: Mutex<Work>,
+}
+
+impl Entry {
+    /// Does the holder's work while this host has the duty.
+    pub(super) async fn keep_leasing(self: Arc<Self>) {
+        loop {
+            time::sleep(Duration::from_millis(ROUND_MS)).await;
+            let number = self.duty.term();
+            if number == 0 {
+                continue;
+            }
+            let term = Arc::new(Term {
+                entry: self.clone(),
+                number,
+                work: Mutex::default(),
+            });
+            term.run().await;
+        }
+    }
+}
+
+impl Term {
+    async fn run(self: Arc<Self>) {
+        let mut tasks = JoinSet::new();
+        let mut ticks = time::interval(Duration::from_millis(ROUND_MS));
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        for round in 0u64.. {
+            ticks.tick().await;
+            if !self.lasts() {
+                return;
+            }
+            self.count_loads();
+            for service in self.divided_services() {
+                self.renew(&service, &mut tasks);
+                self.plan(&service, round, &mut tasks);
+            }
+            while tasks.try_join_next().is_some() {}
+        }
+    }
+
+    /// True while orders may be given in this term.
+    fn lasts(&self) -> bool {
+        let duty = &self.entry.duty;
+        duty.term() == self.number && duty.may_lease(self.entry.settings.leases.outage_ms)
+    }
+
+    fn work(&self) -> MutexGuard<'_, Work> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn divided_services(&self) -> Vec<Arc<str>> {
+        let Some(configuration) = self.entry.view.configuration() else {
+            return Vec::new();
+        };
+        let services = configuration.services().filter(|s| s.divided_by_key);
+        services.map(|service| service.name.clone()).collect()
+    }
+
+    fn count_loads(&self) {
+        let reported = self.entry.peers.take_reported();
+        let names: HashMap<u32, Arc<str>> = self
+            .divided_services()
+            .into_iter()
+            .map(|name| (tag_of(&name), name))
+            .collect();
+        let mut work = self.work();
+        for loads in work.loads.values_mut() {
+            loads.decay(LOAD_KEPT);
+        }
+        // A request counted once stands for this rate, by the sum of the decaying series.
+        let per_request = (1.0 - LOAD_KEPT) * 1000.0 / ROUND_MS as f32;
+        for count in reported {
+            let Some(name) = names.get(&count.service_tag) else {
+                continue;
+            };
+            let loads = work.loads.entry(name.clone()).or_default();
+            loads.add(count.key, f32::from(count.requests) * per_request);
+        }
+    }
+
+    /// Starts the renewals that are due.
+    fn renew(self: &Arc<Self>, service: &Arc<str>, tasks: &mut JoinSet<()>) {
+        let Some(held) = self.entry.view.held(service) else {
+            return;
+        };
+        let now_ms = clock::now_ms();
+        let registry = self.entry.view.registry();
+        let mut due: HashMap<Arc<str>, Vec<Holding>> = HashMap::new();
+        {
+            let mut work = self.work();
+            let mut resting: Assignment = (*held.assignment).clone();
+            for (moving_service, range) in &work.moving {
+                if moving_service == service {
+                    resting.clear(*range);
+                }
+            }
+            for holding in resting.holdings {
+                let record = work.servers.entry(holding.server.clone()).or_default();
+                let due_ms = record.renewed_ms + self.entry.settings.leases.renew_every_ms;
+                if record.failures < FAILURES_SILENT && now_ms >= due_ms {
+                    due.entry(holding.server.clone()).or_default().push(holding);
+                }
+            }
+            for id in due.keys() {
+                if let Some(record) = work.servers.get_mut(id) {
+                    record.renewed_ms = now_ms;
+                }
+            }
+        }
+        for (id, holdings) in due {
+            // A server without an entry gets nothing more; its lease runs out.
+            let Some(server) = registry.server(&id).cloned() else {
+                continue;
+            };
+            let term = self.clone();
+            let service = service.clone();
+            tasks.spawn(async move { term.renew_server(&service, &server, holdings).await });
+        }
+    }
+
+    async fn renew_server(&self, service: &Arc<str>, server: &Arc<Server>, holdings: Vec<Holding>) {
+        for holding in holdings {
+            match self.grant(server, holding.range, holding.fence, None).await {
+                Some(Granted::Held) => {}
+                Some(Granted::Superseded) => self.raise_fence(service, server, &holding).await,
+                Some(Granted::OtherServer) => return,
+                None => {
+                    // Tried again in the next round rather than after a whole interval.
+                    if let Some(record) = self.work().servers.get_mut(&server.entry.id) {
+                        record.renewed_ms = 0;
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Gives one lease. `None` if the server gave no answer.
+    async fn grant(
+        &self,
+        server: &Arc<Server>,
+        range: KeyRange,
+        fence: u64,
+        handover: Option<&str>,
+    ) -> Option<Granted> {
+        if !self.lasts() {
+            return None;
+        }
+        let id = &server.entry.id;
+        {
+            let mut work = self.work();
+            let record = work.servers.entry(id.clone()).or_default();
+            if record.failures >= FAILURES_SILENT {
+                return None;
+            }
+            record.granted_ms = clock::now_ms();
+        }
+        let order = Grant {
+            server: id,
+            range,
+            fence,
+            lease_ms: self.entry.settings.leases.lease_ms,
+            handover,
+        };
+        let answer = orders::grant(&server.orders, order, GRANT_TIMEOUT_MS).await;
+        let mut work = self.work();
+        let record = work.servers.entry(id.clone()).or_default();
+        match answer {
+            Ok(granted) => {
+                record.failures = 0;
+                Some(granted)
+            }
+            Err(error) => {
+                record.failures += 1;
+                drop(work);
+                self.order_failed(server, "grant", error.to_string());
+                None
+            }
+        }
+    }
+
+    fn order_failed(&self, server: &Server, order: &'static str, problem: String) {
+        Event::OrderFailed {
+            server: server.entry.id.clone(),
+            order,
+            problem,
+        }
+        .log();
+    }
+
+    /// The server has seen a higher fence than the record's: an earlier holder released the keys
+    /// and did not come to record more. Gives them to the same server again.
+    async fn raise_fence(&self, service: &Arc<str>, server: &Arc<Server>, holding: &Holding) {
+        let still_held = || {
+            let held = self.entry.view.held(service)?;
+            held.assignment
+                .holdings
+                .iter()
+                .any(|h| h == holding)
+                .then_some(())
+        };
+        let moves = self.is_moving(service, holding.range);
+        if moves || still_held().is_none() {
+            return;
+        }
+        let step = self
+            .entry
+            .view
+            .held(service)
+            .map_or(0, |h| h.assignment.fence)
+            + 16;
+        let id = server.entry.id.clone();
+        let range = holding.range;
+        let recorded = self
+            .entry
+            .record(service, |a| a.assign(range, &id, step))
+            .await;
+        if let Ok(fence) = recorded {
+            self.grant(server, range, fence, None).await;
+        }
+    }
+
+    fn is_moving(&self, service: &str, range: KeyRange) -> bool {
+        let work = self.work();
+        let mut moving = work.moving.iter();
+        moving.any(|(name, other)| **name == *service && other.overlaps(&range))
+    }
+
+    /// Servers that may hold keys of a service.
+    fn usable(&self, service: &str) -> Vec<PlanServer> {
+        let registry = self.entry.view.registry();
+        let work = self.work();
+        let servers = registry.of_service(service).iter();
+        let usable = servers.filter(|server| {
+            let record = work.servers.get(&server.entry.id);
+            let silent = record.is_some_and(|r| r.failures >= FAILURES_SILENT);
+            !server.leaving() && !silent
+        });
+        let mut servers: Vec<PlanServer> = usable
+            .map(|server| PlanServer {
+                id: server.entry.id.clone(),
+                capacity_per_s: capacity_per_s(server),
+            })
+            .collect();
+        servers.sort_by(|a, b| a.id.cmp(&b.id));
+        servers
+    }
+
+    fn plan(self: &Arc<Self>, service: &Arc<str>, round: u64, tasks: &mut JoinSet<()>) {
+        self.revive_silent(service);
+        let servers = self.usable(service);
+        if servers.is_empty() {
+            return;
+        }
+        let Some(held) = self.entry.view.held(service) else {
+            self.distribute_first(service, servers, tasks);
+            return;
+        };
+        if store_age_ms(&self.entry) > STORE_AGE_MAX_MS {
+            return;
+        }
+        let moves = {
+            let mut work = self.work();
+            let moving: Vec<KeyRange> = work
+                .moving
+                .iter()
+                .filter(|(name, _)| name == service)
+                .map(|(_, range)| *range)
+                .collect();
+            let room = MOVES_MAX.saturating_sub(moving.len());
+            let balance = round % BALANCE_EVERY_ROUNDS == 0;
+            let loads = work.loads.entry(service.clone()).or_default();
+            plan::plan(Question {
+                assignment: &held.assignment,
+                servers: &servers,
+                loads,
+                moving: &moving,
+                balance_moves_max: if balance { room } else { 0 },
+            })
+        };
+        for planned in moves {
+            self.begin_move(service, planned, &held.assignment, tasks);
+        }
+    }
+
+    /// Lets silent servers hold keys again once their entries are fresh and they answer requests.
+    fn revive_silent(&self, service: &str) {
+        let registry = self.entry.view.registry();
+        let now_ms = clock::now_ms();
+        let lease_ms = self.entry.settings.leases.lease_ms;
+        let mut work = self.work();
+        for server in registry.of_service(service) {
+            let Some(record) = work.servers.get_mut(&server.entry.id) else {
+                continue;
+            };
+            // After its lease has run out and its keys have gone, it may try anew.
+            if record.failures >= FAILURES_SILENT && now_ms > record.granted_ms + 2 * lease_ms {
+                record.failures = 0;
+            }
+        }
+    }
+
+    fn distribute_first(
+        self: &Arc<Self>,
+        service: &Arc<str>,
+        servers: Vec<PlanServer>,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let now_ms = clock::now_ms();
+        let first_ms = *self
+            .work()
+            .first_seen_ms
+            .entry(service.clone())
+            .or_insert(now_ms);
+        if now_ms < first_ms + FIRST_WAIT_MS || self.is_moving(service, KeyRange::ALL) {
+            return;
+        }
+        self.work().moving.push((service.clone(), KeyRange::ALL));
+        let term = self.clone();
+        let service = service.clone();
+        tasks.spawn(async move {
+            let ranges = plan::first_assignment(&servers);
+            let recorded = term.entry.record(&service, |assignment| {
+                for (range, server) in &ranges {
+                    assignment.assign(*range, server, 1);
+                }
+            });
+            if let Err(failure) = recorded.await {
+                log::warn!("the first holdings of {service} are not recorded: {failure:?}");
+            }
+            term.end_move(&service, KeyRange::ALL);
+        });
+    }
+
+    fn begin_move(
+        self: &Arc<Self>,
+        service: &Arc<str>,
+        planned: Move,
+        assignment: &Assignment,
+        tasks: &mut JoinSet<()>,
+    ) {
+        if self.is_moving(service, planned.range) {
+            return;
+        }
+        self.work().moving.push((service.clone(), planned.range));
+        let owner = assignment.holding(planned.range.first).cloned();
+        let fence = assignment.fence;
+        let term = self.clone();
+        let service = service.clone();
+        tasks.spawn(async move {
+            term.carry_out(&service, &planned, owner, fence).await;
+            term.end_move(&service, planned.range);
+        });
+    }
+
+    fn end_move(&self, service: &Arc<str>, range: KeyRange) {
+        let mut work = self.work();
+        work.moving
+            .retain(|(name, other)| name != service || *other != range);
+    }
+
+    async fn carry_out(
+        &self,
+        service: &Arc<str>,
+        planned: &Move,
+        owner: Option<Holding>,
+        highest_fence: u64,
+    ) {
+        let began_ms = clock::now_ms();
+        let range = planned.range;
+        let mut handover = None;
+        let mut least_fence = 0;
+        if let Some(holding) = &owner {
+            let release_fence = highest_fence + 1;
+            least_fence = release_fence + 1;
+            self.entry.view.announce_move(service, range, holding.fence);
+            self.entry
+                .peers
+                .announce_move(service, range, holding.fence);
+            let Some(token) = self.free(holding, range, release_fence).await else {
+                return;
+            };
+            handover = token;
+        }
+        let to = planned.to.clone();
+        let recorded = self
+            .entry
+            .record(service, |assignment| {
+                assignment.assign(range, &to, least_fence)
+            })
+            .await;
+        let fence = match recorded {
+            Ok(fence) => fence,
+            Err(WriteFailure::DutyLost) => return,
+            Err(failure) => {
+                log::warn!("a move of {service} is not recorded: {failure:?}");
+                return;
+            }
+        };
+        let server = self.entry.view.registry().server(&to).cloned();
+        if let Some(server) = server {
+            self.grant(&server, range, fence, handover.as_deref()).await;
+        }
+        Event::Moved {
+            service: service.clone(),
+            range,
+            from: owner.map(|holding| holding.server),
+            to,
+            fence,
+            cause: planned.cause,
+            handover: handover.is_some(),
+            took_ms: clock::now_ms() - began_ms,
+        }
+        .log();
+    }
+
+    /// Makes sure that a server no longer holds a range: by its own word, or by waiting until its
+    /// last lease has run out. The result is the token for the next owner; `None` if the term has
+    /// ended meanwhile.
+    async fn free(&self, holding: &Holding, range: KeyRange, fence: u64) -> Option<Option<String>> {
+        let server = self.entry.view.registry().server(&holding.server).cloned();
+        // A server whose entry is gone may still serve: it is asked by a connection of its own.
+        let known = self.known_address(&holding.server);
+        let link = server
+            .as_ref()
+            .map(|server| &server.orders)
+            .or(known.as_ref());
+        loop {
+            if !self.lasts() {
+                return None;
+            }
+            let free_ms = self.lease_end_ms(&holding.server);
+            let now_ms = clock::now_ms();
+            if now_ms >= free_ms {
+                return Some(None);
+            }
+            let Some(link) = link else {
+                time::sleep(Duration::from_millis(free_ms - now_ms)).await;
+                continue;
+            };
+            let id = &holding.server;
+            match orders::release(link, id, range, fence, RELEASE_TIMEOUT_MS).await {
+                Ok(Released::Ended { handover }) => return Some(handover),
+                Ok(Released::OtherServer) => return Some(None),
+                Err(error) => {
+                    log::debug!("{} did not release keys: {error}", holding.server);
+                    let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
+                    time::sleep(Duration::from_millis(pause_ms)).await;
+                }
+            }
+        }
+    }
+
+    fn known_address(&self, id: &Arc<str>) -> Option<Link> {
+        let address = self.entry.view.registry().former_address(id)?;
+        Some(Link::new(address))
+    }
+
+    /// Time at which the last lease that any holder may have given a server has run out.
+    fn lease_end_ms(&self, id: &Arc<str>) -> u64 {
+        let own_ms = self
+            .work()
+            .servers
+            .get(id)
+            .map_or(0, |record| record.granted_ms);
+        let others_ms = self.entry.duty.predecessors_until_ms();
+        let lease_ms = self.entry.settings.leases.lease_ms as f64 * LEASE_CLOCK_FACTOR;
+        own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
+    }
+}
+
+fn capacity_per_s(server: &Server) -> f64 {
+    let run_ms = match server.run_ms() {
+        run_ms if run_ms > 0.0 => run_ms,
+        _ => RUN_DEFAULT_MS,
+    };
+    let warm = f64::from(server.entry.slots) * 1000.0 / run_ms;
+    if server.cold() { warm / 2.0 } else { warm }
+}
--- /dev/null
+++ b/src/entry/log_writer.rs
@@ -0,0 +1,115 @@
+//! Writes events as JSON lines to standard output. Never blocks: lines go through a bounded queue
+//! to a thread of their own, and what does not fit is counted and dropped.
+
+use std::{
+    io::{Write, stdout},
+    sync::{
+        LazyLock, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+    },
+    thread,
+};
+
+use serde::Serialize;
+
+use super::events::Event;
+use crate::clock;
+
+/// Chunks that wait for the reader. One is written every [`FLUSH_MS`].
+const QUEUE_CHUNKS: usize = 16;
+/// Size of a chunk above which further lines are dropped; 640 KB a second at most.
+const CHUNK_BYTES_MAX: usize = 128 * 1024;
+/// Interval of writes: one system call for all lines of that time.
+pub const FLUSH_MS: u64 = 200;
+
+static WRITER: LazyLock<LogWriter> = LazyLock::new(LogWriter::start);
+
+struct LogWriter {
+    pending: Mutex<Vec<u8>>,
+    dropped: AtomicU64,
+    chunks: SyncSender<Vec<u8>>,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    at_unix_ms: u64,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+/// Queues one line.
+pub fn write(event: &Event) {
+    WRITER.write(event);
+}
+
+/// Hands the queued lines to the writing thread.
+pub fn flush() {
+    WRITER.flush();
+}
+
+/// Lines dropped since the last call that told of it.
+pub fn dropped() -> u64 {
+    WRITER.dropped.load(Ordering::Relaxed)
+}
+
+impl LogWriter {
+    fn start() -> Self {
+        let (chunks, queue) = sync_channel(QUEUE_CHUNKS);
+        thread::spawn(move || write_chunks(&queue));
+        Self {
+            pending: Mutex::default(),
+            dropped: AtomicU64::new(0),
+            chunks,
+        }
+    }
+
+    fn write(&self, event: &Event) {
+        let line = Line {
+            at_unix_ms: clock::unix_ms(),
+            event,
+        };
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        let length = pending.len();
+        let full = length > CHUNK_BYTES_MAX;
+        if full || serde_json::to_writer(&mut *pending, &line).is_err() {
+            pending.truncate(length);
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        pending.push(b'\n');
+    }
+
+    fn flush(&self) {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            self.write(&Event::Dropped { lines: dropped });
+        }
+        let mut pending = self.pending.lock().unwrap_or_else(PoisonError::into_inner);
+        if pending.is_empty() {
+            return;
+        }
+        let chunk = std::mem::take(&mut *pending);
+        drop(pending);
+        let lines = chunk.iter().filter(|byte| **byte == b'\n').count() as u64;
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+            self.chunks.try_send(chunk)
+        {
+            self.dropped.fetch_add(lines, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write_chunks(queue: &Receiver<Vec<u8>>) {
+    while let Ok(chunk) = queue.recv() {
+        let mut output = stdout().lock();
+        // Nowhere is left to tell of a failed write to the log itself.
+        if output
+            .write_all(&chunk)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/mod.rs
@@ -0,0 +1,100 @@
+//! An entry host on the users' platform: it passes requests on to backend servers, and one host
+//! at a time has the duty of saying which server holds which keys.
+
+pub mod choice;
+mod duty;
+mod events;
+mod forward;
+pub mod keys;
+mod leases;
+pub mod log_writer;
+pub mod model;
+mod peers;
+pub mod plan;
+mod pool;
+mod registry;
+pub mod retries;
+mod run;
+pub mod server;
+pub mod settings;
+mod view;
+mod watch;
+
+pub use self::{
+    run::{Error, run},
+    settings::Settings,
+};
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use rand::Rng;
+
+use self::{duty::Duty, peers::Peers, retries::RetryBudget, view::View};
+use crate::platform::store::Store;
+
+/// Everything that the tasks of one host share.
+#[derive(Debug)]
+pub struct Entry {
+    /// Settings.
+    pub settings: Settings,
+    /// This process.
+    pub incarnation: u64,
+    /// Client of the store.
+    pub store: Store,
+    /// Configuration, servers and keys.
+    pub view: View,
+    /// Other hosts.
+    pub peers: Peers,
+    /// Duty of giving leases.
+    pub duty: Duty,
+    /// Budget of repeated requests.
+    pub retries: RetryBudget,
+    stopping: AtomicBool,
+    in_flight: AtomicU64,
+}
+
+impl Entry {
+    /// A host that does nothing yet.
+    pub fn new(settings: Settings) -> Self {
+        // JSON readers may hold numbers as doubles, so only 53 bits are used.
+        let incarnation = (rand::rng().random::<u64>() >> 11).max(1);
+        Self {
+            incarnation,
+            store: Store::new(settings.store.address),
+            view: View::default(),
+            peers: Peers::default(),
+            duty: Duty::default(),
+            retries: RetryBudget::new(&settings.bounds),
+            stopping: AtomicBool::new(false),
+            in_flight: AtomicU64::new(0),
+            settings,
+        }
+    }
+
+    /// True if the balancer should send callers here.
+    pub fn ready(&self) -> bool {
+        !self.stopping() && self.view.configuration().is_some() && self.view.servers_known()
+    }
+
+    /// True once a planned stop has begun.
+    pub fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    fn enter(self: &Arc<Self>) -> Present {
+        self.in_flight.fetch_add(1, Ordering::Relaxed);
+        Present(self.clone())
+    }
+}
+
+/// A request in this host; counted until dropped.
+struct Present(Arc<Entry>);
+
+impl Drop for Present {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/src/entry/model.rs
@@ -0,0 +1,133 @@
+//! What an entry host knows of services, routes and servers, whatever source it came from.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
+
+/// Limits that operators set for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Size of a request's head.
+    pub head_bytes: u64,
+    /// Size of a request's body.
+    pub body_bytes: u64,
+    /// Time for a caller to send a head.
+    pub head_timeout_ms: u64,
+    /// Time that a caller's connection may be idle.
+    pub idle_timeout_ms: u64,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: Arc<str>,
+    /// Path of the servers' health endpoint.
+    pub health_path: String,
+    /// Connections that one server accepts from all hosts together.
+    pub connections_max: u32,
+    /// True if each key is served only by the server that holds it.
+    pub divided_by_key: bool,
+}
+
+/// One of the services that a route's requests go to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Service.
+    pub service: Arc<str>,
+    /// Share of the requests, relative to the other parts.
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Name, stable over configurations.
+    pub name: Arc<str>,
+    /// Beginning of the paths that it serves.
+    pub path_prefix: String,
+    /// True if a request may run more than once.
+    pub repeatable: bool,
+    /// Longest time that a request is held.
+    pub timeout_ms: u64,
+    /// Latency objective.
+    pub aim_ms: u64,
+    /// Rank; 0 is the most urgent.
+    pub urgency: u32,
+    /// Services.
+    pub parts: Vec<Part>,
+    /// Most servers that one request may be sent to.
+    pub attempts_max: u32,
+}
+
+/// A configuration in force.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// Version; it only grows.
+    pub version: u64,
+    /// Limits of callers.
+    pub limits: CallerLimits,
+    services: HashMap<Arc<str>, Service>,
+    routes: HashMap<String, Vec<Arc<Route>>>,
+}
+
+impl Configuration {
+    /// A configuration without routes.
+    pub fn new(version: u64, limits: CallerLimits, services: Vec<Service>) -> Self {
+        let services = services.into_iter().map(|s| (s.name.clone(), s)).collect();
+        Self {
+            version,
+            limits,
+            services,
+            routes: HashMap::new(),
+        }
+    }
+
+    /// Adds a route for requests that name `host`.
+    pub fn add_route(&mut self, host: &str, route: Route) {
+        let routes = self.routes.entry(host.to_ascii_lowercase()).or_default();
+        // Longest prefix first, so that the first match is the right one.
+        let longer = |other: &Arc<Route>| other.path_prefix.len() >= route.path_prefix.len();
+        let position = routes.partition_point(longer);
+        routes.insert(position, Arc::new(route));
+    }
+
+    /// The route of a request by the value of its `Host` header and its path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.routes.get(name) {
+            Some(routes) => routes,
+            None => self.routes.get(&name.to_ascii_lowercase())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.values()
+    }
+}
+
+/// What a backend server says of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServerEntry {
+    /// Incarnation: each start has another one.
+    pub id: Arc<str>,
+    /// Service.
+    pub service: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub availability_zone: Arc<str>,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// True if it is about to end and must get no new work.
+    pub leaving: bool,
+    /// Time that it remains slow after its start.
+    pub cold_ms: u64,
+}
--- /dev/null
+++ b/src/entry/peers.rs
@@ -0,0 +1,349 @@
+//! What hosts tell each other, by datagrams: their requests at each server, requests by key for
+//! the planner, and moves that are about to happen. All of it is best effort: it only improves
+//! decisions.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time};
+
+use super::{Entry, keys::KeyRange, server::tag_of};
+use crate::clock;
+
+/// Interval of reports.
+const REPORT_EVERY_MS: u64 = 100;
+/// A report without news is sent every so many intervals, to show that the host lives.
+const IDLE_REPORT_EVERY: u64 = 5;
+/// Age after which a report no longer counts.
+const REPORT_AGE_MAX_MS: u64 = 1_200;
+/// Most servers and keys in one datagram; it stays under the usual packet size.
+const ENTRIES_MAX: usize = 120;
+/// Largest datagram.
+const DATAGRAM_BYTES_MAX: usize = 2_048;
+/// Version of the messages.
+const VERSION: u8 = 1;
+
+/// One host's requests at one server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct ServerLoad {
+    server_tag: u32,
+    in_flight: u16,
+    /// Average run time, 0 if unknown.
+    run_ms: u16,
+}
+
+/// Requests for one key since the last report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeyCount {
+    /// Service.
+    pub service_tag: u32,
+    /// Key.
+    pub key: u16,
+    /// Requests.
+    pub requests: u16,
+}
+
+/// Messages between hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum Message {
+    Report {
+        /// Number of the sender's term if it has the duty, or 0.
+        term: u64,
+        servers: Vec<ServerLoad>,
+        keys: Vec<KeyCount>,
+    },
+    Moving {
+        service_tag: u32,
+        range: KeyRange,
+        above_fence: u64,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    incarnation: u64,
+    heard_ms: u64,
+    loads: Vec<ServerLoad>,
+}
+
+/// The other hosts.
+#[derive(Debug, Default)]
+pub struct Peers {
+    peers: Mutex<HashMap<SocketAddr, Peer>>,
+    socket: std::sync::OnceLock<Arc<UdpSocket>>,
+    /// Requests by service tag and key since the last report.
+    counted: Mutex<HashMap<(u32, u16), u16>>,
+    /// Requests that other hosts reported to this one, while it has the duty.
+    reported: Mutex<Vec<KeyCount>>,
+    holder: Mutex<Option<SocketAddr>>,
+    holder_term: AtomicU64,
+    holder_heard_ms: AtomicU64,
+}
+
+impl Peers {
+    /// Notes a host.
+    pub fn add(&self, address: SocketAddr, incarnation: u64) {
+        let mut peers = self.peers();
+        peers.entry(address).or_default().incarnation = incarnation;
+    }
+
+    /// Forgets a host.
+    pub fn remove(&self, address: SocketAddr) {
+        self.peers().remove(&address);
+    }
+
+    /// Number of hosts, this one included.
+    pub fn hosts(&self) -> usize {
+        self.peers().len() + 1
+    }
+
+    /// When the duty's holder was last heard.
+    pub fn holder_heard_ms(&self) -> u64 {
+        self.holder_heard_ms.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request for a key.
+    pub fn count(&self, service_tag: u32, key: u16) {
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        *counted.entry((service_tag, key)).or_default() += 1;
+    }
+
+    /// Requests by key that all hosts reported since the last call.
+    pub fn take_reported(&self) -> Vec<KeyCount> {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *reported)
+    }
+
+    fn take_counted(&self) -> Vec<KeyCount> {
+        let mut counted = self.counted.lock().unwrap_or_else(PoisonError::into_inner);
+        let counts = counted
+            .drain()
+            .map(|((service_tag, key), requests)| KeyCount {
+                service_tag,
+                key,
+                requests,
+            });
+        counts.collect()
+    }
+
+    fn add_reported(&self, keys: &[KeyCount]) {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        reported.extend_from_slice(keys);
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.peers().keys().copied().collect()
+    }
+
+    fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn holder(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.holder.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn send(&self, message: &Message, to: &[SocketAddr]) {
+        let Some(socket) = self.socket.get() else {
+            return;
+        };
+        let mut bytes = vec![VERSION];
+        match postcard::to_stdvec(message) {
+            Ok(encoded) => bytes.extend(encoded),
+            Err(error) => {
+                log::warn!("a message to hosts cannot be encoded: {error}");
+                return;
+            }
+        }
+        for address in to {
+            // Best effort: the next report makes up for a lost one.
+            if let Err(error) = socket.try_send_to(&bytes, *address) {
+                log::debug!("no datagram to {address}: {error}");
+            }
+        }
+    }
+
+    /// Tells all hosts that keys are about to move.
+    pub fn announce_move(&self, service: &str, range: KeyRange, above_fence: u64) {
+        let message = Message::Moving {
+            service_tag: tag_of(service),
+            range,
+            above_fence,
+        };
+        self.send(&message, &self.addresses());
+    }
+
+    fn note_report(&self, from: SocketAddr, term: u64, servers: Vec<ServerLoad>) {
+        let now_ms = clock::now_ms();
+        if let Some(peer) = self.peers().get_mut(&from) {
+            peer.heard_ms = now_ms;
+            peer.loads = servers;
+        }
+        if term > 0 && term >= self.holder_term.load(Ordering::Relaxed) {
+            self.holder_term.store(term, Ordering::Relaxed);
+            self.holder_heard_ms.store(now_ms, Ordering::Relaxed);
+            *self.holder() = Some(from);
+        }
+    }
+
+    /// Load and average run time by server tag, as the other hosts reported them.
+    fn loads(&self) -> HashMap<u32, (u32, f64)> {
+        let now_ms = clock::now_ms();
+        let mut sums: HashMap<u32, (u32, f64, u32)> = HashMap::new();
+        for peer in self.peers().values() {
+            if now_ms > peer.heard_ms + REPORT_AGE_MAX_MS {
+                continue;
+            }
+            for load in &peer.loads {
+                let sum = sums.entry(load.server_tag).or_default();
+                sum.0 += u32::from(load.in_flight);
+                if load.run_ms > 0 {
+                    sum.1 += f64::from(load.run_ms);
+                    sum.2 += 1;
+                }
+            }
+        }
+        let averages = sums.into_iter().map(|(tag, (load, run_ms, known))| {
+            let average = if known > 0 {
+                run_ms / f64::from(known)
+            } else {
+                0.0
+            };
+            (tag, (load, average))
+        });
+        averages.collect()
+    }
+}
+
+impl Entry {
+    /// Reports to the other hosts.
+    pub(super) async fn keep_reporting(self: Arc<Self>) {
+        let mut ticks = time::interval(Duration::from_millis(REPORT_EVERY_MS));
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut last: Vec<ServerLoad> = Vec::new();
+        for round in 0u64.. {
+            ticks.tick().await;
+            self.take_in_reports();
+            let servers = self.own_loads();
+            let keys = self.peers.take_counted();
+            let term = self.duty.term();
+            if term > 0 {
+                self.peers.add_reported(&keys);
+            } else if !keys.is_empty() {
+                self.report_keys(&keys);
+            }
+            let news = servers != last || term > 0;
+            if !news && round % IDLE_REPORT_EVERY != 0 {
+                continue;
+            }
+            let report = Message::Report {
+                term,
+                servers: servers.clone(),
+                keys: Vec::new(),
+            };
+            self.peers.send(&report, &self.peers.addresses());
+            last = servers;
+        }
+    }
+
+    fn own_loads(&self) -> Vec<ServerLoad> {
+        let registry = self.view.registry();
+        let mut loads: Vec<ServerLoad> = registry
+            .servers()
+            .map(|server| ServerLoad {
+                server_tag: server.tag,
+                in_flight: server.own_load() as u16,
+                run_ms: server.own_run_ms() as u16,
+            })
+            .filter(|load| load.in_flight > 0 || load.run_ms > 0)
+            .collect();
+        loads.sort_unstable_by_key(|load| (u16::MAX - load.in_flight, load.server_tag));
+        loads.truncate(ENTRIES_MAX);
+        loads
+    }
+
+    fn report_keys(&self, keys: &[KeyCount]) {
+        let Some(holder) = *self.peers.holder() else {
+            return;
+        };
+        for keys in keys.chunks(ENTRIES_MAX) {
+            let report = Message::Report {
+                term: 0,
+                servers: Vec::new(),
+                keys: keys.to_vec(),
+            };
+            self.peers.send(&report, &[holder]);
+        }
+    }
+
+    fn take_in_reports(&self) {
+        let loads = self.peers.loads();
+        for server in self.view.registry().servers() {
+            let (load, run_ms) = loads.get(&server.tag).copied().unwrap_or((0, 0.0));
+            server.set_others(load, run_ms);
+        }
+    }
+
+    /// Takes in what the other hosts send.
+    pub(super) async fn keep_listening(self: Arc<Self>, socket: UdpSocket) {
+        let socket = Arc::new(socket);
+        if self.peers.socket.set(socket.clone()).is_err() {
+            log::warn!("the socket for hosts is set already");
+        }
+        let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+        loop {
+            let (length, from) = match socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    log::debug!("no datagram: {error}");
+                    time::sleep(Duration::from_millis(REPORT_EVERY_MS)).await;
+                    continue;
+                }
+            };
+            self.take_in(&buffer[..length], from);
+        }
+    }
+
+    fn take_in(&self, datagram: &[u8], from: SocketAddr) {
+        let Some((&VERSION, body)) = datagram.split_first() else {
+            return;
+        };
+        match postcard::from_bytes(body) {
+            Ok(Message::Report {
+                term,
+                servers,
+                keys,
+            }) => {
+                if keys.is_empty() {
+                    self.peers.note_report(from, term, servers);
+                } else if self.duty.term() > 0 {
+                    self.peers.add_reported(&keys);
+                }
+            }
+            Ok(Message::Moving {
+                service_tag,
+                range,
+                above_fence,
+            }) => self.note_move(service_tag, range, above_fence),
+            Err(error) => log::debug!("datagram of {from} cannot be read: {error}"),
+        }
+    }
+
+    fn note_move(&self, service_tag: u32, range: KeyRange, above_fence: u64) {
+        let Some(configuration) = self.view.configuration() else {
+            return;
+        };
+        let mut services = configuration.services();
+        if let Some(service) = services.find(|s| tag_of(&s.name) == service_tag) {
+            self.view.announce_move(&service.name, range, above_fence);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/plan.rs
@@ -0,0 +1,327 @@
+//! Decides which keys should move where. A pure function of holdings, servers and loads.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::keys::{Assignment, Holding, KeyRange};
+
+/// Load of a server over the mean above which keys are moved away from it.
+const EXCESS: f64 = 1.2;
+/// Least load, in requests being served at a time, for which a move is worth its cost.
+const LOAD_MOVED_MIN: f64 = 0.3;
+/// Number of keys by service.
+const KEYS: usize = 1 << 16;
+
+/// A server as the planner sees it.
+#[derive(Clone, Debug)]
+pub struct PlanServer {
+    /// Incarnation.
+    pub id: Arc<str>,
+    /// Requests a second that it can serve.
+    pub capacity_per_s: f64,
+}
+
+/// Smoothed requests a second by key.
+#[derive(Clone, Debug)]
+pub struct KeyLoads {
+    per_s: Vec<f32>,
+}
+
+impl Default for KeyLoads {
+    fn default() -> Self {
+        Self {
+            per_s: vec![0.0; KEYS],
+        }
+    }
+}
+
+impl KeyLoads {
+    /// Lets the past count less: `kept` is the share that remains.
+    pub fn decay(&mut self, kept: f32) {
+        for load in &mut self.per_s {
+            *load = if *load < 0.001 { 0.0 } else { *load * kept };
+        }
+    }
+
+    /// Adds load of a key.
+    pub fn add(&mut self, key: u16, per_s: f32) {
+        self.per_s[usize::from(key)] += per_s;
+    }
+
+    /// Load of a range.
+    pub fn of(&self, range: KeyRange) -> f64 {
+        let keys = &self.per_s[usize::from(range.first)..=usize::from(range.last)];
+        keys.iter().map(|load| f64::from(*load)).sum()
+    }
+
+    fn key(&self, key: u16) -> f64 {
+        f64::from(self.per_s[usize::from(key)])
+    }
+}
+
+/// A move that should be made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// Keys.
+    pub range: KeyRange,
+    /// Server that gets them.
+    pub to: Arc<str>,
+    /// Why.
+    pub cause: &'static str,
+}
+
+/// Question to the planner.
+#[derive(Clone, Copy, Debug)]
+pub struct Question<'a> {
+    /// Who holds what.
+    pub assignment: &'a Assignment,
+    /// Servers that may hold keys.
+    pub servers: &'a [PlanServer],
+    /// Loads.
+    pub loads: &'a KeyLoads,
+    /// Ranges that are on their way already; they are left alone.
+    pub moving: &'a [KeyRange],
+    /// Most moves for balance.
+    pub balance_moves_max: usize,
+}
+
+struct Plan<'a> {
+    question: Question<'a>,
+    /// Load by server, over its capacity.
+    used: HashMap<Arc<str>, f64>,
+    holdings: Vec<Holding>,
+    moves: Vec<Move>,
+}
+
+/// First distribution of all keys over the servers, in proportion to their capacity.
+pub fn first_assignment(servers: &[PlanServer]) -> Vec<(KeyRange, Arc<str>)> {
+    let total: f64 = servers.iter().map(|server| server.capacity_per_s).sum();
+    let mut ranges = Vec::with_capacity(servers.len());
+    let mut next = 0usize;
+    let mut share = 0.0;
+    for server in servers {
+        share += server.capacity_per_s / total;
+        let end = ((share * KEYS as f64).round() as usize).min(KEYS);
+        if end > next {
+            let range = KeyRange {
+                first: next as u16,
+                last: (end - 1) as u16,
+            };
+            ranges.push((range, server.id.clone()));
+            next = end;
+        }
+    }
+    ranges
+}
+
+/// Plans moves: keys without a usable server first, then moves that even out the load.
+pub fn plan(question: Question<'_>) -> Vec<Move> {
+    if question.servers.is_empty() {
+        return Vec::new();
+    }
+    let mut plan = Plan::new(question);
+    plan.place_gaps();
+    plan.balance();
+    plan.moves
+}
+
+impl<'a> Plan<'a> {
+    fn new(question: Question<'a>) -> Self {
+        let mut used: HashMap<Arc<str>, f64> = question
+            .servers
+            .iter()
+            .map(|s| (s.id.clone(), 0.0))
+            .collect();
+        let holdings = question.assignment.holdings.clone();
+        for holding in &holdings {
+            let load = question.loads.of(holding.range);
+            if let Some(used) = used.get_mut(&holding.server) {
+                *used += load;
+            }
+        }
+        Self {
+            question,
+            used,
+            holdings,
+            moves: Vec::new(),
+        }
+    }
+
+    fn capacity(&self, id: &str) -> f64 {
+        let servers = self.question.servers.iter();
+        let found = servers.into_iter().find(|server| *server.id == *id);
+        found.map_or(1.0, |server| server.capacity_per_s.max(0.1))
+    }
+
+    fn used_share(&self, server: &PlanServer) -> f64 {
+        self.used[&server.id] / server.capacity_per_s.max(0.1)
+    }
+
+    fn mean_share(&self) -> f64 {
+        let capacity: f64 = self.question.servers.iter().map(|s| s.capacity_per_s).sum();
+        let load = self.question.loads.of(KeyRange::ALL);
+        load / capacity.max(0.1)
+    }
+
+    fn least_used(&self) -> Arc<str> {
+        let servers = self.question.servers.iter();
+        let least = servers.min_by(|a, b| self.used_share(a).total_cmp(&self.used_share(b)));
+        least.map_or_else(|| "".into(), |server| server.id.clone())
+    }
+
+    fn is_moving(&self, range: KeyRange) -> bool {
+        self.question.moving.iter().any(|m| m.overlaps(&range))
+    }
+
+    fn push(&mut self, range: KeyRange, to: Arc<str>, cause: &'static str) {
+        let load = self.question.loads.of(range);
+        if let Some(used) = self.used.get_mut(&to) {
+            // A range without load counts a little, so that idle ranges are spread too.
+            *used += load + 0.01 * f64::from(range.len()) / KEYS as f64;
+        }
+        self.moves.push(Move { range, to, cause });
+    }
+
+    /// Gives every range whose server is unusable to others, in pieces of bearable load.
+    fn place_gaps(&mut self) {
+        let mut homeless: Vec<KeyRange> = self.question.assignment.gaps();
+        for holding in &self.holdings {
+            if !self.used.contains_key(&holding.server) {
+                homeless.push(holding.range);
+            }
+        }
+        let servers = self.question.servers.len() as f64;
+        let piece_load = self.question.loads.of(KeyRange::ALL) / servers / 2.0;
+        for range in homeless {
+            if self.is_moving(range) {
+                continue;
+            }
+            for piece in self.pieces(range, piece_load) {
+                let to = self.least_used();
+                self.push(piece, to, "no server");
+            }
+        }
+    }
+
+    /// Cuts a range into pieces whose load is at most `load_max`, as far as single keys allow.
+    fn pieces(&self, range: KeyRange, load_max: f64) -> Vec<KeyRange> {
+        let mut pieces = Vec::new();
+        let mut first = range.first;
+        let mut sum = 0.0;
+        for key in range.first..=range.last {
+            let load = self.question.loads.key(key);
+            if sum > 0.0 && sum + load > load_max && key > first {
+                pieces.push(KeyRange {
+                    first,
+                    last: key - 1,
+                });
+                first = key;
+                sum = 0.0;
+            }
+            sum += load;
+        }
+        pieces.push(KeyRange {
+            first,
+            last: range.last,
+        });
+        pieces
+    }
+
+    fn balance(&mut self) {
+        let mean = self.mean_share();
+        for _ in 0..self.question.balance_moves_max {
+            let servers = self.question.servers.iter();
+            let most = servers.max_by(|a, b| self.used_share(a).total_cmp(&self.used_share(b)));
+            let Some(most) = most else { return };
+            let share = self.used_share(most);
+            if share < mean * EXCESS {
+                return;
+            }
+            let from = most.id.clone();
+            let to = self.least_used();
+            if from == to {
+                return;
+            }
+            let over = self.used[&from] - mean * self.capacity(&from);
+            let room = mean * self.capacity(&to) - self.used[&to];
+            let wanted = over.min(room.max(over / 2.0));
+            if wanted < LOAD_MOVED_MIN {
+                return;
+            }
+            let Some(range) = self.carve(&from, wanted) else {
+                return;
+            };
+            let load = self.question.loads.of(range);
+            // A move that only swaps the roles of the two servers gains nothing.
+            let after = (self.used[&to] + load) / self.capacity(&to);
+            if after >= share {
+                return;
+            }
+            if let Some(used) = self.used.get_mut(&from) {
+                *used -= load;
+            }
+            self.clear(range);
+            self.push(range, to, "balance");
+        }
+    }
+
+    fn clear(&mut self, range: KeyRange) {
+        let mut rest = Assignment {
+            fence: 0,
+            holdings: std::mem::take(&mut self.holdings),
+        };
+        rest.clear(range);
+        self.holdings = rest.holdings;
+    }
+
+    /// A range at the end of one of the server's holdings whose load is closest to `wanted`
+    /// without being more than half above it.
+    fn carve(&self, from: &str, wanted: f64) -> Option<KeyRange> {
+        let mut best: Option<(KeyRange, f64)> = None;
+        for holding in &self.holdings {
+            if *holding.server != *from || self.is_moving(holding.range) {
+                continue;
+            }
+            for candidate in self.ends(holding.range, wanted) {
+                let load = self.question.loads.of(candidate);
+                if load <= 0.0 || load > wanted * 1.5 {
+                    continue;
+                }
+                let error = (load - wanted).abs();
+                if best.is_none_or(|(_, least)| error < least) {
+                    best = Some((candidate, error));
+                }
+            }
+        }
+        best.map(|(range, _)| range)
+    }
+
+    /// Ranges from either end inwards that reach the wanted load, and the whole.
+    fn ends(&self, range: KeyRange, wanted: f64) -> Vec<KeyRange> {
+        let mut found = vec![range];
+        let mut sum = 0.0;
+        for last in range.first..=range.last {
+            let load = self.question.loads.key(last);
+            if sum + load > wanted && last > range.first {
+                found.push(KeyRange {
+                    first: range.first,
+                    last: last - 1,
+                });
+                break;
+            }
+            sum += load;
+        }
+        sum = 0.0;
+        for first in (range.first..=range.last).rev() {
+            let load = self.question.loads.key(first);
+            if sum + load > wanted && first < range.last {
+                found.push(KeyRange {
+                    first: first + 1,
+                    last: range.last,
+                });
+                break;
+            }
+            sum += load;
+        }
+        found
+    }
+}
--- /dev/null
+++ b/src/entry/retries.rs
@@ -0,0 +1,81 @@
+//! Budget of repeated requests by service. All hosts share one allowance without talking about
+//! it: each takes a fixed part, with room for an uneven balancer.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use super::settings::Bounds;
+use crate::clock;
+
+/// Part of the allowed share of repeats that is used, to keep clear of the bound.
+const RATIO_USED: f64 = 0.7;
+/// Part of the fixed allowance that all hosts together use.
+const ALLOWANCE_USED: f64 = 0.6;
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    tokens: f64,
+    at_ms: u64,
+}
+
+/// Budgets of all services.
+#[derive(Debug)]
+pub struct RetryBudget {
+    window_ms: f64,
+    per_request: f64,
+    allowance: f64,
+    buckets: Mutex<HashMap<Arc<str>, Bucket>>,
+}
+
+impl RetryBudget {
+    /// Full budgets.
+    pub fn new(bounds: &Bounds) -> Self {
+        Self {
+            window_ms: bounds.retry_window_ms as f64,
+            per_request: bounds.retry_ratio * RATIO_USED,
+            allowance: bounds.retry_allowance * ALLOWANCE_USED,
+            buckets: Mutex::default(),
+        }
+    }
+
+    /// Pays in for a first attempt.
+    pub fn request(&self, service: &Arc<str>, hosts: usize) {
+        let most = self.burst(hosts);
+        let mut buckets = self.buckets();
+        let bucket = buckets.entry(service.clone()).or_insert_with(|| Bucket {
+            tokens: most / 2.0,
+            at_ms: clock::now_ms(),
+        });
+        bucket.tokens = (bucket.tokens + self.per_request).min(most);
+    }
+
+    /// Takes out a repeat; false if the budget is spent.
+    pub fn repeat(&self, service: &Arc<str>, hosts: usize) -> bool {
+        let most = self.burst(hosts);
+        let now_ms = clock::now_ms();
+        let mut buckets = self.buckets();
+        let Some(bucket) = buckets.get_mut(service) else {
+            return false;
+        };
+        // Half of a host's part of the allowance may be used at once, the other half comes back
+        // over the window.
+        let elapsed = now_ms.saturating_sub(bucket.at_ms) as f64;
+        bucket.tokens = (bucket.tokens + most * elapsed / self.window_ms).min(most);
+        bucket.at_ms = now_ms;
+        if bucket.tokens < 1.0 {
+            return false;
+        }
+        bucket.tokens -= 1.0;
+        true
+    }
+
+    fn burst(&self, hosts: usize) -> f64 {
+        (self.allowance / 2.0 / hosts.max(1) as f64).max(1.0)
+    }
+
+    fn buckets(&self) -> MutexGuard<'_, HashMap<Arc<str>, Bucket>> {
+        self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/entry/run.rs
@@ -0,0 +1,203 @@
+//! Starts an entry host and stops it.
+
+use std::{net::SocketAddr, path::Path, sync::Arc, sync::atomic::Ordering, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::{TcpListener, TcpSocket, UdpSocket},
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    time,
+};
+
+use super::{Entry, Settings, events::Event, forward, log_writer, settings};
+use crate::transport::{self, AnswerBody, ListenerLimits};
+
+/// Connections that wait to be accepted. A full queue costs a caller seconds.
+const BACKLOG: u32 = 4_096;
+/// Time after SIGTERM in which new connections are still accepted: the balancer asks every
+/// second and takes a host out after two misses.
+const NOTICE_MS: u64 = 2_300;
+/// Time kept free before the end of the grace.
+const GRACE_MARGIN_MS: u64 = 250;
+/// Time for a caller to send a head, which also bounds a connection's idle time; above the
+/// callers' own bound, so that they close first.
+const HEAD_TIMEOUT_MS: u64 = 16_000;
+/// Interval at which idle connections to servers are checked.
+const SWEEP_EVERY_MS: u64 = 1_000;
+
+/// Why a host cannot run.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The settings are wrong.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// Cause.
+        source: settings::Error,
+    },
+    /// A listener cannot be opened.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// Signals cannot be received.
+    #[snafu(display("signals cannot be received: {source}"))]
+    Signal {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Runs an entry host until SIGTERM or SIGINT.
+pub async fn run(path: &Path) -> Result<(), Error> {
+    let settings = Settings::read(path).context(SettingsSnafu)?;
+    log::set_max_level(settings.log_level);
+    let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
+    let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
+    let listen = settings.listen;
+    let callers = listener(listen.callers)?;
+    let readiness = listener(listen.readiness)?;
+    let address = listen.peers;
+    let peers = UdpSocket::bind(address)
+        .await
+        .context(ListenSnafu { address })?;
+    let entry = Arc::new(Entry::new(settings));
+    Event::Started {
+        host: entry.settings.name.clone(),
+        availability_zone: entry.settings.availability_zone.clone(),
+        incarnation: entry.incarnation,
+    }
+    .log();
+    spawn_tasks(&entry, peers);
+    let (stop_readiness, readiness_stopped) = watch::channel(false);
+    tokio::spawn(serve_readiness(entry.clone(), readiness, readiness_stopped));
+    let (stop_callers, stopped) = watch::channel(false);
+    let callers_done = tokio::spawn(serve_callers(entry.clone(), callers, stopped));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(path),
+        }
+    }
+    stop(&entry, &stop_callers, callers_done).await;
+    if stop_readiness.send(true).is_err() {
+        log::debug!("the readiness listener has ended");
+    }
+    log_writer::flush();
+    // The writing thread gets a moment; nothing waits for it otherwise.
+    time::sleep(Duration::from_millis(20)).await;
+    Ok(())
+}
+
+fn spawn_tasks(entry: &Arc<Entry>, peers: UdpSocket) {
+    tokio::spawn(entry.clone().watch_configuration());
+    tokio::spawn(entry.clone().watch_servers());
+    tokio::spawn(entry.clone().watch_own());
+    tokio::spawn(entry.clone().register());
+    tokio::spawn(entry.clone().drop_overdue_servers());
+    tokio::spawn(entry.clone().keep_listening(peers));
+    tokio::spawn(entry.clone().keep_reporting());
+    tokio::spawn(entry.clone().keep_duty());
+    tokio::spawn(entry.clone().keep_leasing());
+    tokio::spawn(sweep_connections(entry.clone()));
+    tokio::spawn(async {
+        loop {
+            time::sleep(Duration::from_millis(log_writer::FLUSH_MS)).await;
+            log_writer::flush();
+        }
+    });
+}
+
+fn listener(address: SocketAddr) -> Result<TcpListener, Error> {
+    let open = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().context(ListenSnafu { address })
+}
+
+async fn serve_callers(entry: Arc<Entry>, listener: TcpListener, stopped: watch::Receiver<bool>) {
+    let limits = ListenerLimits {
+        head_timeout_ms: HEAD_TIMEOUT_MS,
+        head_bytes: 64 * 1024,
+        drain_ms: entry.settings.bounds.stop_grace_ms,
+        ..ListenerLimits::default()
+    };
+    let handler = move |request| forward::answer(entry.clone(), request);
+    transport::serve(listener, limits, stopped, handler).await;
+}
+
+async fn serve_readiness(entry: Arc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
+    let handler = move |_: Request<Incoming>| {
+        let ready = entry.ready();
+        async move { readiness(ready) }
+    };
+    transport::serve(listener, ListenerLimits::default(), stop, handler).await;
+}
+
+fn readiness(ready: bool) -> Response<AnswerBody> {
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    transport::whole(status, "text/plain", Bytes::new())
+}
+
+async fn sweep_connections(entry: Arc<Entry>) {
+    loop {
+        time::sleep(Duration::from_millis(SWEEP_EVERY_MS)).await;
+        for server in entry.view.registry().servers() {
+            server.pool.sweep();
+        }
+    }
+}
+
+/// Reads the settings again; only what the log says changes while the process runs.
+fn reload(path: &Path) {
+    let problem = match Settings::read(path) {
+        Ok(settings) => {
+            log::set_max_level(settings.log_level);
+            None
+        }
+        Err(error) => Some(error.to_string()),
+    };
+    Event::Reloaded { problem }.log();
+}
+
+/// Planned stop: readiness goes first, then the duty; the listener follows when the balancer has
+/// noticed, and the process ends when no request is left.
+async fn stop(
+    entry: &Arc<Entry>,
+    stop_callers: &watch::Sender<bool>,
+    callers_done: tokio::task::JoinHandle<()>,
+) {
+    entry.stopping.store(true, Ordering::Relaxed);
+    let in_flight = entry.in_flight.load(Ordering::Relaxed);
+    Event::Stopping { in_flight }.log();
+    let grace_ms = entry.settings.bounds.stop_grace_ms;
+    let notice_ms = NOTICE_MS.min(grace_ms / 2);
+    let giving_up = entry.give_up_duty();
+    let notice = time::sleep(Duration::from_millis(notice_ms));
+    tokio::join!(giving_up, notice);
+    if stop_callers.send(true).is_err() {
+        log::debug!("the callers' listener has ended");
+    }
+    let left_ms = grace_ms.saturating_sub(notice_ms + GRACE_MARGIN_MS);
+    let drained = time::timeout(Duration::from_millis(left_ms), callers_done).await;
+    let in_flight = entry.in_flight.load(Ordering::Relaxed);
+    if drained.is_err() {
+        log::warn!("{in_flight} requests were cut off at the end of the grace");
+    }
+    Event::Stopped { in_flight }.log();
+}
--- /dev/null
+++ b/src/entry/settings.rs
@@ -0,0 +1,193 @@
+//! Settings of an entry host on the platform, read from YAML and checked as a whole.
+
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+
+use log::LevelFilter;
+use serde::{Deserialize, Deserializer, de::Error as _};
+use snafu::{ResultExt, Snafu, ensure};
+
+use crate::{
+    configuration::{self, template::read_document},
+    platform::parse_ms,
+};
+
+/// What is wrong with a settings file.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The file cannot be read.
+    #[snafu(display("{}: cannot be read", path.display()))]
+    Read {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The file is not a settings file.
+    #[snafu(display("{}: {source}", path.display()))]
+    Document {
+        /// File.
+        path: PathBuf,
+        /// Cause.
+        source: configuration::Error,
+    },
+    /// Values cannot work together.
+    #[snafu(display("{}: {}", path.display(), problems.join("; ")))]
+    Values {
+        /// File.
+        path: PathBuf,
+        /// All problems.
+        problems: Vec<String>,
+    },
+}
+
+/// Settings of one entry host.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name, for logs.
+    pub name: String,
+    /// Availability zone.
+    pub availability_zone: String,
+    /// Listeners.
+    pub listen: Listen,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Bounds that the users set.
+    pub bounds: Bounds,
+    /// Leases and the duty of giving them.
+    #[serde(default)]
+    pub leases: Leases,
+    /// Logs.
+    #[serde(default = "default_level")]
+    pub log_level: LevelFilter,
+}
+
+/// Listeners.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// Callers, by TCP.
+    pub callers: SocketAddr,
+    /// The balancer's readiness checks, by TCP.
+    pub readiness: SocketAddr,
+    /// Other hosts, by UDP.
+    pub peers: SocketAddr,
+    /// Metrics, by TCP.
+    pub metrics: SocketAddr,
+}
+
+/// The platform's store.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StoreSettings {
+    /// Address.
+    pub address: SocketAddr,
+    /// Interval at which servers refresh their entries; three missed ones remove an entry.
+    #[serde(rename = "server_heartbeat", deserialize_with = "duration")]
+    pub server_heartbeat_ms: u64,
+}
+
+/// Bounds that the users set.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time from SIGTERM to SIGKILL.
+    #[serde(rename = "stop_grace", deserialize_with = "duration")]
+    pub stop_grace_ms: u64,
+    /// Longest lease that a server takes.
+    #[serde(rename = "lease_max", deserialize_with = "duration")]
+    pub lease_max_ms: u64,
+    /// Window over which repeated requests are counted.
+    #[serde(rename = "retry_window", deserialize_with = "duration")]
+    pub retry_window_ms: u64,
+    /// Repeated requests of a window, as a share of its requests.
+    pub retry_ratio: f64,
+    /// Repeated requests of a window on top of the share, all hosts together.
+    pub retry_allowance: f64,
+}
+
+/// Leases and the duty of giving them.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Leases {
+    /// Length of a server's lease. Long enough to outlast a change of the duty's holder, short
+    /// enough that a silent server's keys are soon free.
+    pub lease_ms: u64,
+    /// Interval of renewals; two may be lost before a lease ends.
+    pub renew_every_ms: u64,
+    /// Interval at which the duty's holder confirms its row.
+    pub confirm_every_ms: u64,
+    /// Time without change of the row after which another host takes the duty.
+    pub takeover_ms: u64,
+    /// Time after its last confirmation up to which a holder renews leases. Longer than the
+    /// store's usual outages of about 9 s.
+    pub outage_ms: u64,
+}
+
+impl Default for Leases {
+    fn default() -> Self {
+        Self {
+            lease_ms: 4_000,
+            renew_every_ms: 1_200,
+            confirm_every_ms: 600,
+            takeover_ms: 1_600,
+            outage_ms: 13_000,
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks a file.
+    pub fn read(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).context(ReadSnafu { path })?;
+        let settings: Self = read_document(text.as_bytes()).context(DocumentSnafu { path })?;
+        let problems = settings.problems();
+        ensure!(problems.is_empty(), ValuesSnafu { path, problems });
+        Ok(settings)
+    }
+
+    /// Everything that cannot work.
+    pub fn problems(&self) -> Vec<String> {
+        let leases = &self.leases;
+        let checks = [
+            (
+                leases.lease_ms <= self.bounds.lease_max_ms,
+                "leases.lease_ms must be at most bounds.lease_max",
+            ),
+            (
+                leases.renew_every_ms * 3 <= leases.lease_ms,
+                "leases.renew_every_ms must be at most a third of lease_ms",
+            ),
+            (
+                leases.confirm_every_ms * 2 <= leases.takeover_ms,
+                "leases.confirm_every_ms must be at most half of takeover_ms",
+            ),
+            (
+                leases.takeover_ms < leases.lease_ms,
+                "leases.takeover_ms must be less than lease_ms",
+            ),
+            (
+                (0.0..=1.0).contains(&self.bounds.retry_ratio),
+                "bounds.retry_ratio must be between 0 and 1",
+            ),
+            (
+                self.bounds.stop_grace_ms >= 1_000,
+                "bounds.stop_grace must be at least 1s",
+            ),
+        ];
+        let failed = checks.iter().filter(|(good, _)| !good);
+        failed.map(|(_, message)| (*message).to_owned()).collect()
+    }
+}
+
+fn default_level() -> LevelFilter {
+    LevelFilter::Info
+}
+
+fn duration<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_ms(&text).ok_or_else(|| D::Error::custom(format!("'{text}' is not a duration like 2s")))
+}
--- /dev/null
+++ b/src/entry/view.rs
@@ -0,0 +1,225 @@
+//! What a host believes: the configuration in force, the servers, and who holds which keys.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use tokio::sync::watch;
+
+use super::{
+    events::Event,
+    keys::{Assignment, KeyRange},
+    model::Configuration,
+    registry::Registry,
+};
+use crate::clock;
+
+/// Time after which a move that was announced and not recorded no longer holds requests back.
+const MOVE_HOLD_MS: u64 = 400;
+/// Time from a holding's record to its grant, as a rule.
+const GRANT_DELAY_MS: u64 = 6;
+
+/// Holdings of one service at one version of their row.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Holdings.
+    pub assignment: Arc<Assignment>,
+    /// Version of the row.
+    pub version: u64,
+}
+
+/// Keys that are on their way to another server.
+#[derive(Clone, Debug)]
+struct Moving {
+    service: Arc<str>,
+    range: KeyRange,
+    /// Requests wait for the record of a holding with a higher fence.
+    above_fence: u64,
+    until_ms: u64,
+}
+
+/// Where a keyed request should go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Owner {
+    /// To this server, under this fence.
+    Server(Arc<str>, u64),
+    /// The keys are on their way: ask again when the view changes or a moment has passed.
+    Moving,
+    /// No server holds the key.
+    Nobody,
+}
+
+/// What a host believes.
+#[derive(Debug)]
+pub struct View {
+    configuration: ArcSwapOption<Configuration>,
+    registry: ArcSwap<Registry>,
+    servers_known: AtomicBool,
+    held: Mutex<HashMap<Arc<str>, Held>>,
+    moving: Mutex<Vec<Moving>>,
+    changed: watch::Sender<u64>,
+    store_heard_ms: AtomicU64,
+    store_returned_ms: AtomicU64,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            configuration: ArcSwapOption::empty(),
+            registry: ArcSwap::default(),
+            servers_known: AtomicBool::new(false),
+            held: Mutex::default(),
+            moving: Mutex::default(),
+            changed: watch::channel(0).0,
+            store_heard_ms: AtomicU64::new(clock::now_ms()),
+            store_returned_ms: AtomicU64::new(0),
+        }
+    }
+}
+
+impl View {
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.load_full()
+    }
+
+    /// Puts a configuration in force, unless it is not newer than the one that is.
+    pub fn configure(&self, configuration: Configuration) {
+        let before = self.configuration.load().as_ref().map_or(0, |c| c.version);
+        if configuration.version <= before && self.configuration.load().is_some() {
+            return;
+        }
+        let version = configuration.version;
+        self.configuration.store(Some(Arc::new(configuration)));
+        Event::Configuration { version, before }.log();
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// The servers.
+    pub fn registry(&self) -> Arc<Registry> {
+        self.registry.load_full()
+    }
+
+    /// True once the servers' entries were read.
+    pub fn servers_known(&self) -> bool {
+        self.servers_known.load(Ordering::Relaxed)
+    }
+
+    /// Changes the registry. Only the task that watches the servers calls this.
+    pub fn update_registry(&self, change: impl FnOnce(&mut Registry)) {
+        let mut registry = Registry::clone(&self.registry.load());
+        change(&mut registry);
+        self.registry.store(Arc::new(registry));
+        self.servers_known.store(true, Ordering::Relaxed);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Holdings of a service.
+    pub fn held(&self, service: &str) -> Option<Held> {
+        self.held_map().get(service).cloned()
+    }
+
+    /// Notes the holdings of a service, unless a newer version is known.
+    pub fn hold(&self, service: &Arc<str>, assignment: Arc<Assignment>, version: u64) {
+        let mut held = self.held_map();
+        if held
+            .get(service)
+            .is_some_and(|held| held.version >= version)
+        {
+            return;
+        }
+        held.insert(
+            service.clone(),
+            Held {
+                assignment,
+                version,
+            },
+        );
+        drop(held);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Notes that keys are on their way to another server.
+    pub fn announce_move(&self, service: &Arc<str>, range: KeyRange, above_fence: u64) {
+        let now_ms = clock::now_ms();
+        let mut moving = self.moving();
+        moving.retain(|m| m.until_ms > now_ms);
+        moving.push(Moving {
+            service: service.clone(),
+            range,
+            above_fence,
+            until_ms: now_ms + MOVE_HOLD_MS,
+        });
+    }
+
+    /// Where a request for `key` should go.
+    pub fn owner(&self, service: &Arc<str>, key: u16) -> Owner {
+        let held = self.held_map();
+        let holding = held
+            .get(service)
+            .and_then(|held| held.assignment.holding(key));
+        let Some(holding) = holding else {
+            return Owner::Nobody;
+        };
+        let owner = Owner::Server(holding.server.clone(), holding.fence);
+        let fence = holding.fence;
+        drop(held);
+        let mut moving = self.moving();
+        if moving.is_empty() {
+            return owner;
+        }
+        let now_ms = clock::now_ms();
+        for entry in moving.iter_mut() {
+            let concerns = entry.service == *service && entry.range.contains(key);
+            if concerns && fence > entry.above_fence && entry.until_ms > now_ms + GRANT_DELAY_MS {
+                // Recorded; the grant follows.
+                entry.until_ms = now_ms + GRANT_DELAY_MS;
+            }
+        }
+        let waits = moving
+            .iter()
+            .any(|m| m.until_ms > now_ms && m.service == *service && m.range.contains(key));
+        if waits { Owner::Moving } else { owner }
+    }
+
+    /// Tells of changes of any of this.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+
+    /// Notes an answer of the store. Returns the time without one if that was long enough for
+    /// entries to lapse.
+    pub fn heard_store(&self, lapse_ms: u64) -> Option<u64> {
+        let now_ms = clock::now_ms();
+        let before_ms = self.store_heard_ms.swap(now_ms, Ordering::Relaxed);
+        let away_ms = now_ms.saturating_sub(before_ms);
+        if away_ms < lapse_ms {
+            return None;
+        }
+        self.store_returned_ms.store(now_ms, Ordering::Relaxed);
+        Some(away_ms)
+    }
+
+    /// When the store last answered.
+    pub fn store_heard_ms(&self) -> u64 {
+        self.store_heard_ms.load(Ordering::Relaxed)
+    }
+
+    /// When the store came back after it was away; 0 if it never was.
+    pub fn store_returned_ms(&self) -> u64 {
+        self.store_returned_ms.load(Ordering::Relaxed)
+    }
+
+    fn held_map(&self) -> MutexGuard<'_, HashMap<Arc<str>, Held>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn moving(&self) -> MutexGuard<'_, Vec<Moving>> {
+        self.moving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/src/entry/watch.rs
@@ -0,0 +1,276 @@
+//! Keeps the view up to date by the store's change feeds.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time;
+
+use super::{Entry, events::Event, keys::Assignment};
+use crate::{
+    clock,
+    platform::{
+        Error, Result, config, servers,
+        store::{Feed, Put, Row, Rows, Transaction},
+    },
+};
+
+/// Table of the product's own rows: holdings by service, and hosts.
+pub const TABLE: &str = "ashroad";
+/// Beginning of the keys of holdings; the service's name follows.
+pub const HOLDINGS_PREFIX: &str = "keys/";
+const HOST_PREFIX: &str = "host/";
+/// Longest wait of a feed at the store. A silent feed is noticed a second after that, early
+/// enough to know the configuration within the bounds once a cut has healed.
+const FEED_WAIT_MS: u64 = 3_000;
+/// Pause after a failed call, with half of it at random on top.
+const RETRY_PAUSE_MS: u64 = 150;
+/// Missed heartbeats after which the platform removes a server's entry.
+const MISSED_HEARTBEATS: u64 = 3;
+
+/// Row by which hosts find each other.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct HostRow {
+    incarnation: u64,
+}
+
+/// A table that the host follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Followed {
+    Configuration,
+    Servers,
+    Own,
+}
+
+impl Followed {
+    fn table(self) -> &'static str {
+        match self {
+            Self::Configuration => config::TABLE,
+            Self::Servers => servers::TABLE,
+            Self::Own => TABLE,
+        }
+    }
+}
+
+impl Entry {
+    /// Follows the configuration.
+    pub(super) async fn watch_configuration(self: Arc<Self>) {
+        self.follow(Followed::Configuration).await;
+    }
+
+    /// Follows the servers' entries.
+    pub(super) async fn watch_servers(self: Arc<Self>) {
+        self.follow(Followed::Servers).await;
+    }
+
+    /// Follows holdings and hosts.
+    pub(super) async fn watch_own(self: Arc<Self>) {
+        self.follow(Followed::Own).await;
+    }
+
+    /// Writes this host's row, until that has succeeded.
+    pub(super) async fn register(self: Arc<Self>) {
+        let key = format!("{HOST_PREFIX}{}", self.settings.listen.peers);
+        let row = HostRow {
+            incarnation: self.incarnation,
+        };
+        let Ok(value) = serde_json::to_vec(&row) else {
+            return;
+        };
+        let transaction = Transaction {
+            puts: vec![Put {
+                table: TABLE,
+                key: &key,
+                value: &value,
+            }],
+            ..Transaction::default()
+        };
+        while let Err(error) = self.store.transact(&transaction).await {
+            log::debug!("this host is not registered yet: {error}");
+            pause().await;
+        }
+    }
+
+    async fn follow(&self, followed: Followed) {
+        loop {
+            let Some(mut after) = self.read_whole(followed).await else {
+                pause().await;
+                continue;
+            };
+            let mut lost = false;
+            loop {
+                let feed = self.store.feed(followed.table(), after, FEED_WAIT_MS).await;
+                match feed {
+                    Ok(Feed::Changes(changes)) => {
+                        self.heard_store();
+                        lost = false;
+                        after = after.max(changes.version);
+                        self.apply(followed, changes.rows);
+                    }
+                    Ok(Feed::HistoryGone) => {
+                        self.heard_store();
+                        break;
+                    }
+                    Err(error) => {
+                        self.store_failed(followed, &error, &mut lost);
+                        pause().await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn store_failed(&self, followed: Followed, error: &Error, lost: &mut bool) {
+        if !std::mem::replace(lost, true) {
+            Event::StoreLost {
+                table: followed.table(),
+                problem: error.to_string(),
+            }
+            .log();
+        }
+    }
+
+    fn heard_store(&self) {
+        let lapse_ms = MISSED_HEARTBEATS * self.settings.store.server_heartbeat_ms;
+        if let Some(away_ms) = self.view.heard_store(lapse_ms.max(FEED_WAIT_MS + 500)) {
+            Event::StoreBack { away_ms }.log();
+        }
+    }
+
+    async fn read_whole(&self, followed: Followed) -> Option<u64> {
+        let read: Result<Rows> = self.store.table(followed.table()).await;
+        match read {
+            Ok(rows) => {
+                self.heard_store();
+                let version = rows.version;
+                self.apply_whole(followed, rows.rows);
+                Some(version)
+            }
+            Err(error) => {
+                log::debug!("{} cannot be read: {error}", followed.table());
+                None
+            }
+        }
+    }
+
+    /// Applies a whole table: what is not in it is gone.
+    fn apply_whole(&self, followed: Followed, rows: Vec<Row>) {
+        if followed == Followed::Servers {
+            let present: HashSet<Arc<str>> =
+                rows.iter().map(|row| row.key.as_str().into()).collect();
+            let returned_ms = self.view.store_returned_ms();
+            self.view
+                .update_registry(|registry| registry.retain(&present, returned_ms));
+        }
+        self.apply(followed, rows);
+    }
+
+    fn apply(&self, followed: Followed, rows: Vec<Row>) {
+        match followed {
+            Followed::Configuration => self.apply_configuration(&rows),
+            Followed::Servers => self.apply_servers(&rows),
+            Followed::Own => self.apply_own(&rows),
+        }
+    }
+
+    fn apply_configuration(&self, rows: &[Row]) {
+        let current = |row: &&Row| row.key == config::KEY && !row.removed;
+        let Some(row) = rows.iter().rfind(current) else {
+            return;
+        };
+        match config::decode(&row.value) {
+            Ok(configuration) => self.view.configure(configuration),
+            Err(error) => bad_row(config::TABLE, &row.key, &error),
+        }
+    }
+
+    fn apply_servers(&self, rows: &[Row]) {
+        if rows.is_empty() && !self.view.registry().has_overdue() {
+            return;
+        }
+        let returned_ms = self.view.store_returned_ms();
+        self.view.update_registry(|registry| {
+            for row in rows {
+                if row.removed {
+                    registry.remove(&row.key, returned_ms);
+                    continue;
+                }
+                match servers::decode(&row.key, &row.value) {
+                    Ok(entry) => registry.put(entry),
+                    Err(error) => bad_row(servers::TABLE, &row.key, &error),
+                }
+            }
+            registry.drop_overdue();
+        });
+    }
+
+    /// Removes servers whose entries have not come back in time.
+    pub(super) async fn drop_overdue_servers(self: Arc<Self>) {
+        loop {
+            time::sleep(Duration::from_millis(100)).await;
+            if self.view.registry().has_overdue() {
+                self.view
+                    .update_registry(|registry| registry.drop_overdue());
+            }
+        }
+    }
+
+    fn apply_own(&self, rows: &[Row]) {
+        for row in rows {
+            if let Some(address) = row.key.strip_prefix(HOST_PREFIX) {
+                self.apply_host(address, row);
+            } else if let Some(service) = row.key.strip_prefix(HOLDINGS_PREFIX) {
+                self.apply_holdings(service, row);
+            }
+        }
+    }
+
+    fn apply_host(&self, address: &str, row: &Row) {
+        let Ok(address) = address.parse() else {
+            log::warn!("host row {address} has no address");
+            return;
+        };
+        if address == self.settings.listen.peers {
+            return;
+        }
+        if row.removed {
+            self.peers.remove(address);
+            return;
+        }
+        match serde_json::from_slice::<HostRow>(&row.value) {
+            Ok(host) => self.peers.add(address, host.incarnation),
+            Err(error) => log::warn!("host row {address} cannot be read: {error}"),
+        }
+    }
+
+    fn apply_holdings(&self, service: &str, row: &Row) {
+        if row.removed {
+            return;
+        }
+        match serde_json::from_slice::<Assignment>(&row.value) {
+            Ok(assignment) => {
+                self.view
+                    .hold(&service.into(), Arc::new(assignment), row.version);
+            }
+            Err(error) => log::warn!("holdings of {service} cannot be read: {error}"),
+        }
+    }
+}
+
+fn bad_row(table: &str, key: &str, error: &Error) {
+    Event::BadRow {
+        row: format!("{table}/{key}"),
+        problem: error.to_string(),
+    }
+    .log();
+}
+
+/// Waits a moment after a failure, not in step with the other hosts.
+pub(super) async fn pause() {
+    let pause_ms = RETRY_PAUSE_MS + rand::random_range(0..RETRY_PAUSE_MS / 2);
+    time::sleep(Duration::from_millis(pause_ms)).await;
+}
+
+/// Time of the last answer of the store, as an age.
+pub(super) fn store_age_ms(entry: &Entry) -> u64 {
+    clock::now_ms().saturating_sub(entry.view.store_heard_ms())
+}
--- a/src/host/leader.rs
+++ b/src/host/leader.rs
@@ -11,7 +11,7 @@
     clock,
     id::{HostKey, Incarnation},
     membership::{ring::Ring, tree},
-    platform::message::{Condition, Expect, Row, Transacted, Transaction, Write},
+    store::message::{Condition, Expect, Row, Transacted, Transaction, Write},
 };
 
 const LEADER_ROW: &str = "leader";
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -34,10 +34,10 @@
     metrics::Metrics,
     ownership::renewal::Contact,
     peer::PeerEndpoint,
-    platform::Platform,
     routing::{Traffic, target::Targets},
     settings::Settings,
     state::ChangeLog,
+    store::Platform,
     transport::JsonClient,
 };
 
--- a/src/host/run.rs
+++ b/src/host/run.rs
@@ -31,10 +31,10 @@
     metrics::Metrics,
     operator::{self, api::OperatorServer},
     peer::{PeerEndpoint, keys},
-    platform::Platform,
     routing::{self, Traffic, target::Targets},
     settings::Settings,
     state::{Change, ChangeLog},
+    store::Platform,
     transport::{self, ListenerLimits},
 };
 
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,75 @@
+//! Decodes the operators' configuration document.
+
+use super::{
+    error::{Error, Result},
+    wire::{WireConfig, WireRoute},
+};
+use crate::entry::model::{CallerLimits, Configuration, Part, Route, Service};
+
+/// Table that holds what operators write.
+pub const TABLE: &str = "op";
+/// Key of the configuration document.
+pub const KEY: &str = "config";
+
+/// Decodes the document.
+pub fn decode(value: &[u8]) -> Result<Configuration> {
+    let bad = |message: String| Error::Document {
+        what: "configuration".to_owned(),
+        message,
+    };
+    let wire: WireConfig = serde_json::from_slice(value).map_err(|error| bad(error.to_string()))?;
+    let version = u64::from_str_radix(&wire.version, 16)
+        .map_err(|_| bad(format!("version '{}' is not hexadecimal", wire.version)))?;
+    let limits = CallerLimits {
+        head_bytes: wire.limits.max_header_bytes,
+        body_bytes: wire.limits.max_body_bytes,
+        head_timeout_ms: wire.limits.header_timeout,
+        idle_timeout_ms: wire.limits.idle_timeout,
+    };
+    let services = wire.services.into_iter().map(|service| Service {
+        name: service.name.into(),
+        health_path: service.health_path,
+        connections_max: service.max_conns,
+        divided_by_key: service.sharded,
+    });
+    let mut configuration = Configuration::new(version, limits, services.collect());
+    for host in wire.hosts {
+        for route in host.paths {
+            let route = decode_route(route).map_err(bad)?;
+            configuration.add_route(&host.host, route);
+        }
+    }
+    Ok(configuration)
+}
+
+fn decode_route(wire: WireRoute) -> std::result::Result<Route, String> {
+    let repeatable = match wire.kind.as_str() {
+        "safe" => true,
+        "unsafe" => false,
+        other => return Err(format!("route {}: kind '{other}' is unknown", wire.name)),
+    };
+    let mut parts: Vec<Part> = wire
+        .split
+        .into_iter()
+        .map(|share| Part {
+            service: share.service.into(),
+            weight: share.weight,
+        })
+        .collect();
+    if let Some(service) = wire.service {
+        parts = vec![Part {
+            service: service.into(),
+            weight: 1.0,
+        }];
+    }
+    Ok(Route {
+        name: wire.name.into(),
+        path_prefix: wire.path_prefix,
+        repeatable,
+        timeout_ms: wire.timeout,
+        aim_ms: wire.aim.unwrap_or(wire.timeout),
+        urgency: wire.priority,
+        parts,
+        attempts_max: wire.max_attempts.unwrap_or(1).max(1),
+    })
+}
--- /dev/null
+++ b/src/platform/duration.rs
@@ -0,0 +1,32 @@
+//! Durations as the platform writes them: a number followed by `ms` or `s`.
+
+use serde::{Deserialize, Deserializer, de::Error};
+
+/// Milliseconds in a text such as `1500ms` or `2.5s`.
+pub fn parse_ms(text: &str) -> Option<u64> {
+    let (number, factor) = match text.strip_suffix("ms") {
+        Some(number) => (number, 1.0),
+        None => (text.strip_suffix('s')?, 1000.0),
+    };
+    let value: f64 = number.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then_some((value * factor).round() as u64)
+}
+
+/// Reads a duration in milliseconds.
+pub fn deserialize_ms<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_ms(&text).ok_or_else(|| D::Error::custom(format!("'{text}' is no duration")))
+}
+
+/// Reads a duration in milliseconds that may be missing.
+pub fn deserialize_optional_ms<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<u64>, D::Error> {
+    let Some(text) = Option::<String>::deserialize(deserializer)? else {
+        return Ok(None);
+    };
+    let value = parse_ms(&text);
+    value
+        .map(Some)
+        .ok_or_else(|| D::Error::custom(format!("'{text}' is no duration")))
+}
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -1,20 +1,62 @@
-//! Errors of the platform's client.
+//! Errors of calls to the platform's store and to backend servers.
 
-use snafu::Snafu;
+use std::net::SocketAddr;
 
-use crate::transport::CallError;
+use http::StatusCode;
+use snafu::Snafu;
 
-/// Failure of a call to the platform.
+/// Failure of one call.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum Error {
-    /// The call failed; a write may have taken effect all the same.
-    #[snafu(display("the platform cannot be reached: {source}"))]
-    Call {
+    /// No connection could be made, so nothing was sent.
+    #[snafu(display("no connection to {address}: {message}"))]
+    Connect {
+        /// Peer that was called.
+        address: SocketAddr,
+        /// Cause.
+        message: String,
+    },
+    /// The call was sent and got no usable answer; it may have taken effect, or may still do so.
+    #[snafu(display("{address} gave no answer: {message}"))]
+    Unanswered {
+        /// Peer that was called.
+        address: SocketAddr,
         /// Cause.
-        source: CallError,
+        message: String,
+    },
+    /// The peer answered with a status that the caller does not expect.
+    #[snafu(display("{address} answered {status}"))]
+    Status {
+        /// Peer that was called.
+        address: SocketAddr,
+        /// Status of the answer.
+        status: StatusCode,
     },
+    /// The answer could not be decoded.
+    #[snafu(display("{address} sent an answer that cannot be read: {message}"))]
+    Decode {
+        /// Peer that was called.
+        address: SocketAddr,
+        /// Cause.
+        message: String,
+    },
+    /// A document in the store could not be decoded.
+    #[snafu(display("{what} cannot be read: {message}"))]
+    Document {
+        /// Which document.
+        what: String,
+        /// Cause.
+        message: String,
+    },
+}
+
+impl Error {
+    /// True if the call may have taken effect although it failed.
+    pub fn may_have_run(&self) -> bool {
+        matches!(self, Self::Unanswered { .. } | Self::Decode { .. })
+    }
 }
 
-/// Result of a call to the platform.
+/// Result of a call.
 pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,23 @@
+//! Header names of the platform's protocol.
+
+use http::{HeaderMap, HeaderName, StatusCode};
+
+/// Identifier of one attempt of a caller; returned in the answer.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+/// Milliseconds that the caller still waits.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
+/// Incarnation of the only server that may run the request.
+pub const EXPECTED_SERVER: HeaderName = HeaderName::from_static("expect-instance");
+/// Present if the server did not run the request.
+const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
+/// Key of a request to a service divided by key: a number from 0 to 65535.
+pub const KEY: HeaderName = HeaderName::from_static("shard-key");
+/// Signature of the server over its answer.
+pub const SIGNATURE: HeaderName = HeaderName::from_static("server-signature");
+/// Token by which a server's next owner of keys starts warm.
+pub const HANDOVER: HeaderName = HeaderName::from_static("handover");
+
+/// True if an answer says that its server did not run the request.
+pub fn says_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
+    headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST
+}
--- /dev/null
+++ b/src/platform/link.rs
@@ -0,0 +1,130 @@
+//! A kept connection for small calls to one peer.
+
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time};
+
+use super::error::{ConnectSnafu, Error, Result, UnansweredSnafu};
+
+/// Time for a connection to come up. A lost opening packet is sent again after a second, so a
+/// longer wait gains nothing.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// An answer that is whole in memory.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A connection to one peer: opened when first needed, reused after a whole answer, reset after
+/// any failure so that bytes held up on the way are not delivered later.
+#[derive(Debug)]
+pub struct Link {
+    address: SocketAddr,
+    idle: Mutex<Option<SendRequest<Full<Bytes>>>>,
+}
+
+impl Link {
+    /// A link that is not connected yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            idle: Mutex::new(None),
+        }
+    }
+
+    /// Peer of this link.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a request and reads the whole answer within `timeout_ms`. Calls that overlap use
+    /// connections of their own.
+    pub async fn call(&self, request: Request<Full<Bytes>>, timeout_ms: u64) -> Result<Answer> {
+        let mut sender = self.connection(timeout_ms).await?;
+        let exchange = exchange(&mut sender, request);
+        let answer = time::timeout(Duration::from_millis(timeout_ms), exchange).await;
+        let address = self.address;
+        let answer = match answer {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                let message = error.to_string();
+                return UnansweredSnafu { address, message }.fail();
+            }
+            Err(_) => {
+                let message = format!("timeout after {timeout_ms} ms");
+                return UnansweredSnafu { address, message }.fail();
+            }
+        };
+        *self.idle.lock().unwrap_or_else(PoisonError::into_inner) = Some(sender);
+        Ok(answer)
+    }
+
+    async fn connection(&self, timeout_ms: u64) -> Result<SendRequest<Full<Bytes>>> {
+        let idle = self
+            .idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(mut sender) = idle
+            && sender.ready().await.is_ok()
+        {
+            return Ok(sender);
+        }
+        let limit = Duration::from_millis(timeout_ms.min(CONNECT_TIMEOUT_MS));
+        let address = self.address;
+        match time::timeout(limit, connect(address)).await {
+            Ok(connected) => connected,
+            Err(_) => {
+                let message = "timeout".to_owned();
+                ConnectSnafu { address, message }.fail()
+            }
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+    let failed = |message: String| Error::Connect { address, message };
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    let options = stream.set_nodelay(true).and(stream.set_zero_linger());
+    options.map_err(|error| failed(error.to_string()))?;
+    let (sender, connection) = handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("connection to {address} ended: {error}");
+        }
+    });
+    Ok(sender)
+}
+
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: Request<Full<Bytes>>,
+) -> hyper::Result<Answer> {
+    let response = sender.send_request(request).await?;
+    let (head, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    })
+}
--- /dev/null
+++ b/src/platform/orders.rs
@@ -0,0 +1,129 @@
+//! Orders to backend servers: grants of keys and releases.
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use serde::Serialize;
+
+use super::{
+    error::{DecodeSnafu, Result, StatusSnafu},
+    headers::{EXPECTED_SERVER, HANDOVER},
+    link::{Answer, Link},
+    wire::{WireGrant, WireRelease},
+};
+use crate::entry::keys::KeyRange;
+
+const GRANT_PATH: &str = "/grant";
+const RELEASE_PATH: &str = "/release";
+
+/// What a server said to a grant.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Granted {
+    /// It holds the keys for the time asked for, counted from the order's arrival.
+    Held,
+    /// It has seen a higher fence on one of the keys.
+    Superseded,
+    /// Another incarnation has the address: the one that was meant has ended.
+    OtherServer,
+}
+
+/// Keys to be held by one server.
+#[derive(Clone, Copy, Debug)]
+pub struct Grant<'a> {
+    /// Incarnation of the server that is meant.
+    pub server: &'a str,
+    /// Keys.
+    pub range: KeyRange,
+    /// Fence.
+    pub fence: u64,
+    /// Length of the lease.
+    pub lease_ms: u64,
+    /// Token of the last owner.
+    pub handover: Option<&'a str>,
+}
+
+/// What a server said to a release.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Released {
+    /// All work on the keys has ended; the token warms the next owner.
+    Ended {
+        /// Token for the next owner.
+        handover: Option<String>,
+    },
+    /// Another incarnation has the address: the one that was meant has ended.
+    OtherServer,
+}
+
+/// Grants or renews keys.
+pub async fn grant(link: &Link, grant: Grant<'_>, timeout_ms: u64) -> Result<Granted> {
+    let body = WireGrant {
+        from: grant.range.first,
+        to: grant.range.last,
+        fence: grant.fence,
+        hold_time: format!("{}ms", grant.lease_ms),
+        handover: grant.handover,
+    };
+    let answer = order(link, GRANT_PATH, grant.server, &body, timeout_ms).await?;
+    match answer.status {
+        StatusCode::OK => Ok(Granted::Held),
+        StatusCode::CONFLICT => Ok(Granted::Superseded),
+        StatusCode::MISDIRECTED_REQUEST => Ok(Granted::OtherServer),
+        status => StatusSnafu {
+            address: link.address(),
+            status,
+        }
+        .fail(),
+    }
+}
+
+/// Takes keys back; the answer comes when work on them has ended.
+pub async fn release(
+    link: &Link,
+    server: &str,
+    range: KeyRange,
+    fence: u64,
+    timeout_ms: u64,
+) -> Result<Released> {
+    let body = WireRelease {
+        from: range.first,
+        to: range.last,
+        fence,
+    };
+    let answer = order(link, RELEASE_PATH, server, &body, timeout_ms).await?;
+    match answer.status {
+        StatusCode::OK => {
+            let token = answer.headers.get(HANDOVER);
+            let handover = token.and_then(|token| token.to_str().ok());
+            Ok(Released::Ended {
+                handover: handover.map(str::to_owned),
+            })
+        }
+        StatusCode::MISDIRECTED_REQUEST => Ok(Released::OtherServer),
+        status => StatusSnafu {
+            address: link.address(),
+            status,
+        }
+        .fail(),
+    }
+}
+
+async fn order<B: Serialize>(
+    link: &Link,
+    path: &str,
+    server: &str,
+    body: &B,
+    timeout_ms: u64,
+) -> Result<Answer> {
+    let address = link.address();
+    let unsent = |message: String| DecodeSnafu { address, message }.build();
+    let body = serde_json::to_vec(body).map_err(|error| unsent(error.to_string()))?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .header(EXPECTED_SERVER, server)
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|error| unsent(error.to_string()))?;
+    link.call(request, timeout_ms).await
+}
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,279 @@
+//! Client of the platform's store: reads, conditional transactions and change feeds.
+
+use std::net::SocketAddr;
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+
+use super::{
+    error::{DecodeSnafu, Error, Result, StatusSnafu},
+    link::{Answer, Link},
+    wire::{WireExpect, WirePut, WireRemove, WireRow, WireRows, WireTransaction},
+};
+
+/// Time for a read or a transaction. The store takes 4 ms as a rule and 60 times as long on its
+/// slow days; a page of 500 rows takes longer.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+/// Allowance on top of the time that a feed waits at the store.
+const FEED_SLACK_MS: u64 = 1_000;
+/// Rows of one page.
+const PAGE_ROWS: usize = 500;
+/// All rows of the product lie in one part, so that one transaction can cover them.
+const PART: &str = "";
+
+/// A row.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Row {
+    /// Key.
+    pub key: String,
+    /// Content; empty if the row was removed.
+    pub value: Vec<u8>,
+    /// Version of the row's last change.
+    pub version: u64,
+    /// True if the row was removed.
+    pub removed: bool,
+}
+
+/// Row that a transaction depends on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expect<'a> {
+    /// Table.
+    pub table: &'a str,
+    /// Key.
+    pub key: &'a str,
+    /// Version that the row must have; 0 if it must not exist.
+    pub version: u64,
+}
+
+/// Row that a transaction writes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Put<'a> {
+    /// Table.
+    pub table: &'a str,
+    /// Key.
+    pub key: &'a str,
+    /// Content.
+    pub value: &'a [u8],
+}
+
+/// Row that a transaction removes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Remove<'a> {
+    /// Table.
+    pub table: &'a str,
+    /// Key.
+    pub key: &'a str,
+}
+
+/// Transaction: all of it takes effect or nothing.
+#[derive(Clone, Debug, Default)]
+pub struct Transaction<'a> {
+    /// Conditions.
+    pub expect: Vec<Expect<'a>>,
+    /// Writes.
+    pub puts: Vec<Put<'a>>,
+    /// Removals.
+    pub removals: Vec<Remove<'a>>,
+}
+
+/// Outcome of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Transacted {
+    /// It took effect; its rows have this version now.
+    Done {
+        /// Version of the transaction.
+        version: u64,
+    },
+    /// A condition does not hold.
+    Conflict {
+        /// Rows of the conditions as they are; absent rows are missing.
+        rows: Vec<Row>,
+    },
+}
+
+/// All rows of a table, or what changed in it.
+#[derive(Clone, Debug)]
+pub struct Rows {
+    /// Rows.
+    pub rows: Vec<Row>,
+    /// Version of the store at which they stood so.
+    pub version: u64,
+}
+
+/// Answer of a change feed.
+#[derive(Clone, Debug)]
+pub enum Feed {
+    /// Changes in order, possibly none.
+    Changes(Rows),
+    /// The store has forgotten what changed since the version asked for.
+    HistoryGone,
+}
+
+/// Client of the store. Calls that overlap use connections of their own.
+#[derive(Debug)]
+pub struct Store {
+    link: Link,
+}
+
+impl Store {
+    /// A client that is not connected yet.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            link: Link::new(address),
+        }
+    }
+
+    /// Reads all rows of a table at one version.
+    pub async fn table(&self, table: &str) -> Result<Rows> {
+        let mut all = Rows {
+            rows: Vec::new(),
+            version: 0,
+        };
+        let mut from = String::new();
+        loop {
+            let path = format!("/rows-get?table={table}&part={PART}&from={from}&limit={PAGE_ROWS}");
+            let page: WireRows = self.get(&path, CALL_TIMEOUT_MS).await?;
+            // Changes after the first page's version come again by the feed.
+            if all.rows.is_empty() {
+                all.version = page.ver;
+            }
+            let Some(last) = page.rows.last() else {
+                return Ok(all);
+            };
+            // The least key that is greater than the last one.
+            from = format!("{}%00", last.key_file);
+            all.rows.extend(decode_rows(page.rows)?);
+            if !page.has_more {
+                return Ok(all);
+            }
+        }
+    }
+
+    /// Waits up to `wait_ms` for changes of a table after a version.
+    pub async fn feed(&self, table: &str, after: u64, wait_ms: u64) -> Result<Feed> {
+        let path = format!("/rows-feed?table={table}&after={after}&waitMs={wait_ms}");
+        let answer = self.send(Method::GET, &path, Bytes::new(), wait_ms + FEED_SLACK_MS);
+        let answer = answer.await?;
+        if answer.status == StatusCode::GONE {
+            return Ok(Feed::HistoryGone);
+        }
+        let changes: WireRows = self.decode(answer)?;
+        Ok(Feed::Changes(Rows {
+            rows: decode_rows(changes.rows)?,
+            version: changes.ver,
+        }))
+    }
+
+    /// Runs a transaction. After an error for which [`Error::may_have_run`] holds it may have
+    /// taken effect, or may do so seconds later if its conditions still hold then.
+    pub async fn transact(&self, transaction: &Transaction<'_>) -> Result<Transacted> {
+        let body = serde_json::to_vec(&encode(transaction)).map_err(|error| Error::Document {
+            what: "transaction".to_owned(),
+            message: error.to_string(),
+        })?;
+        let answer = self.send(Method::POST, "/rows-tx", body.into(), CALL_TIMEOUT_MS);
+        let answer = answer.await?;
+        if answer.status == StatusCode::PRECONDITION_FAILED {
+            let found: WireRows = self.parse(&answer.body)?;
+            let rows = decode_rows(found.rows)?;
+            return Ok(Transacted::Conflict { rows });
+        }
+        let done: WireRows = self.decode(answer)?;
+        Ok(Transacted::Done { version: done.ver })
+    }
+
+    async fn get<T: DeserializeOwned>(&self, path: &str, timeout_ms: u64) -> Result<T> {
+        let answer = self
+            .send(Method::GET, path, Bytes::new(), timeout_ms)
+            .await?;
+        self.decode(answer)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout_ms: u64,
+    ) -> Result<Answer> {
+        let address = self.link.address();
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, address.to_string())
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|error| Error::Document {
+                what: "call".to_owned(),
+                message: error.to_string(),
+            })?;
+        self.link.call(request, timeout_ms).await
+    }
+
+    fn decode<T: DeserializeOwned>(&self, answer: Answer) -> Result<T> {
+        if answer.status != StatusCode::OK {
+            return StatusSnafu {
+                address: self.link.address(),
+                status: answer.status,
+            }
+            .fail();
+        }
+        self.parse(&answer.body)
+    }
+
+    fn parse<T: DeserializeOwned>(&self, body: &[u8]) -> Result<T> {
+        serde_json::from_slice(body).map_err(|error| {
+            DecodeSnafu {
+                address: self.link.address(),
+                message: error.to_string(),
+            }
+            .build()
+        })
+    }
+}
+
+fn decode_rows(rows: Vec<WireRow>) -> Result<Vec<Row>> {
+    rows.into_iter().map(decode_row).collect()
+}
+
+fn decode_row(row: WireRow) -> Result<Row> {
+    let value = BASE64_STANDARD.decode(&row.value);
+    let value = value.map_err(|error| Error::Document {
+        what: format!("row {}", row.key_file),
+        message: error.to_string(),
+    })?;
+    Ok(Row {
+        key: row.key_file,
+        value,
+        version: row.ver,
+        removed: row.deleted,
+    })
+}
+
+fn encode<'a>(transaction: &Transaction<'a>) -> WireTransaction<'a> {
+    let expect = transaction.expect.iter().map(|expect| WireExpect {
+        table: expect.table,
+        part: PART,
+        key_file: expect.key,
+        ver: expect.version,
+    });
+    let puts = transaction.puts.iter().map(|put| WirePut {
+        table: put.table,
+        part: PART,
+        key_file: put.key,
+        value: BASE64_STANDARD.encode(put.value),
+    });
+    let removals = transaction.removals.iter().map(|removal| WireRemove {
+        table: removal.table,
+        part: PART,
+        key_file: removal.key,
+    });
+    WireTransaction {
+        expect_rev: expect.collect(),
+        puts: puts.collect(),
+        remove: removals.collect(),
+    }
+}
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -18,7 +18,7 @@
 use super::Running;
 use crate::{
     clock,
-    platform::message::{
+    store::message::{
         Expect, HOSTS_PATH, HostList, OBJECT_PATH, RANGE_PATH, RangeRead, Row, Rows, TRANSACT_PATH,
         Transacted, Transaction,
     },
--- a/src/state/log.rs
+++ b/src/state/log.rs
@@ -19,7 +19,7 @@
 use crate::{
     clock,
     id::{OperationId, Revision},
-    platform::{
+    store::{
         self, Platform,
         message::{Condition, Expect, Row, Transacted, Transaction, Write},
     },
@@ -38,13 +38,13 @@
     #[snafu(display("{source}"))]
     Platform {
         /// Cause.
-        source: platform::Error,
+        source: store::Error,
     },
     /// It could not be found out whether the change took effect.
     #[snafu(display("it is unknown whether the change took effect: {source}"))]
     Unsettled {
         /// Last failure.
-        source: platform::Error,
+        source: store::Error,
     },
     /// A row cannot be read.
     #[snafu(display("the row {key} cannot be read"))]
