Planned stops refuse what outlasts the process; a raised fence excludes moves

Change 1: a stopping host refuses at once what it could not finish before its end.

Change 2: raising a fence marks the keys as moving, as a move does.

--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -331,8 +331,12 @@
         }
         let held = self.view.held(service);
         let held_version = held.as_ref().map_or(0, |held| held.version);
-        let mut assignment = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
+        let before = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
+        let mut assignment = before.clone();
         let result = change(&mut assignment);
+        if assignment == before {
+            return Ok(result);
+        }
         let Ok(value) = serde_json::to_vec(&assignment) else {
             return Err(WriteFailure::HoldingsChanged);
         };
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -44,6 +44,8 @@
 const CONNECTS_MAX: u32 = 3;
 /// Pause before a keyed request is sent again to a server that did not hold the key yet.
 const HOLD_PAUSE_MS: u64 = 25;
+/// Time between a request's deadline and the end of the process that must remain.
+const STOP_MARGIN_MS: u64 = 100;
 /// Time after which a refused caller should come back.
 const RETRY_AFTER: &str = "0.1";
 
@@ -122,6 +124,9 @@
         .unwrap_or(DEADLINE_DEFAULT_MS)
         .min(route.timeout_ms);
     let deadline_ms = arrived_ms + left_ms;
+    if deadline_ms + STOP_MARGIN_MS > entry.ends_ms() {
+        return refusal("this host is about to stop");
+    }
     let body_max = configuration.limits.body_bytes;
     if header_number(&head.headers, "content-length").is_some_and(|length| length > body_max) {
         return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -40,6 +40,9 @@
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
 /// Failed orders in a row after which a server counts as silent.
 const FAILURES_SILENT: u32 = 2;
+/// Distance of a raised fence from the last one, above what an earlier holder may have used
+/// without recording it.
+const FENCE_STEP: u64 = 16;
 /// Moves under way at a time.
 const MOVES_MAX: usize = 8;
 /// A server's clock may run slow by this share, and grants take a moment to arrive.
@@ -74,6 +77,13 @@
     first_seen_ms: HashMap<Arc<str>, u64>,
 }
 
+impl Work {
+    fn is_moving(&self, service: &str, range: KeyRange) -> bool {
+        let mut moving = self.moving.iter();
+        moving.any(|(name, other)| **name == *service && other.overlaps(&range))
+    }
+}
+
 /// A term of this host as the duty's holder.
 #[derive(Debug)]
 struct Term {
@@ -271,41 +281,35 @@
     }
 
     /// The server has seen a higher fence than the record's: an earlier holder released the keys
-    /// and did not come to record more. Gives them to the same server again.
+    /// and did not come to record more. Gives them to the same server again. Counts as a move, so
+    /// that no other move of these keys begins before the new lease is certain.
     async fn raise_fence(&self, service: &Arc<str>, server: &Arc<Server>, holding: &Holding) {
-        let still_held = || {
-            let held = self.entry.view.held(service)?;
-            held.assignment
-                .holdings
-                .iter()
-                .any(|h| h == holding)
-                .then_some(())
-        };
-        let moves = self.is_moving(service, holding.range);
-        if moves || still_held().is_none() {
+        if !self.mark_moving(service, holding.range) {
             return;
         }
-        let step = self
-            .entry
-            .view
-            .held(service)
-            .map_or(0, |h| h.assignment.fence)
-            + 16;
-        let id = server.entry.id.clone();
+        let id = &server.entry.id;
         let range = holding.range;
-        let recorded = self
-            .entry
-            .record(service, |a| a.assign(range, &id, step))
-            .await;
-        if let Ok(fence) = recorded {
+        let recorded = self.entry.record(service, |assignment| {
+            if !assignment.holdings.contains(holding) {
+                return None;
+            }
+            let step = assignment.fence + FENCE_STEP;
+            Some(assignment.assign(range, id, step))
+        });
+        if let Ok(Some(fence)) = recorded.await {
             self.grant(server, range, fence, None).await;
         }
+        self.end_move(service, range);
     }
 
-    fn is_moving(&self, service: &str, range: KeyRange) -> bool {
-        let work = self.work();
-        let mut moving = work.moving.iter();
-        moving.any(|(name, other)| **name == *service && other.overlaps(&range))
+    /// Marks keys as moving; false if some of them are on their way already.
+    fn mark_moving(&self, service: &Arc<str>, range: KeyRange) -> bool {
+        let mut work = self.work();
+        if work.is_moving(service, range) {
+            return false;
+        }
+        work.moving.push((service.clone(), range));
+        true
     }
 
     /// Servers that may hold keys of a service.
@@ -394,10 +398,9 @@
             .first_seen_ms
             .entry(service.clone())
             .or_insert(now_ms);
-        if now_ms < first_ms + FIRST_WAIT_MS || self.is_moving(service, KeyRange::ALL) {
+        if now_ms < first_ms + FIRST_WAIT_MS || !self.mark_moving(service, KeyRange::ALL) {
             return;
         }
-        self.work().moving.push((service.clone(), KeyRange::ALL));
         let term = self.clone();
         let service = service.clone();
         tasks.spawn(async move {
@@ -421,10 +424,9 @@
         assignment: &Assignment,
         tasks: &mut JoinSet<()>,
     ) {
-        if self.is_moving(service, planned.range) {
+        if !self.mark_moving(service, planned.range) {
             return;
         }
-        self.work().moving.push((service.clone(), planned.range));
         let owner = assignment.holding(planned.range.first).cloned();
         let fence = assignment.fence;
         let term = self.clone();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -53,6 +53,8 @@
     /// Budget of repeated requests.
     pub retries: RetryBudget,
     stopping: AtomicBool,
+    /// When the process ends in a planned stop; `u64::MAX` before that.
+    ends_ms: AtomicU64,
     in_flight: AtomicU64,
 }
 
@@ -69,6 +71,7 @@
             duty: Duty::default(),
             retries: RetryBudget::new(&settings.bounds),
             stopping: AtomicBool::new(false),
+            ends_ms: AtomicU64::new(u64::MAX),
             in_flight: AtomicU64::new(0),
             settings,
         }
@@ -84,6 +87,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// When the process ends in a planned stop; `u64::MAX` before that.
+    pub fn ends_ms(&self) -> u64 {
+        self.ends_ms.load(Ordering::Relaxed)
+    }
+
     fn enter(self: &Arc<Self>) -> Present {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         Present(self.clone())
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -14,7 +14,10 @@
 };
 
 use super::{Entry, Settings, events::Event, forward, log_writer, settings};
-use crate::transport::{self, AnswerBody, ListenerLimits};
+use crate::{
+    clock,
+    transport::{self, AnswerBody, ListenerLimits},
+};
 
 /// Connections that wait to be accepted. A full queue costs a caller seconds.
 const BACKLOG: u32 = 4_096;
@@ -182,10 +185,12 @@
     stop_callers: &watch::Sender<bool>,
     callers_done: tokio::task::JoinHandle<()>,
 ) {
+    let grace_ms = entry.settings.bounds.stop_grace_ms;
+    let ends_ms = clock::now_ms() + grace_ms - GRACE_MARGIN_MS;
+    entry.ends_ms.store(ends_ms, Ordering::Relaxed);
     entry.stopping.store(true, Ordering::Relaxed);
     let in_flight = entry.in_flight.load(Ordering::Relaxed);
     Event::Stopping { in_flight }.log();
-    let grace_ms = entry.settings.bounds.stop_grace_ms;
     let notice_ms = NOTICE_MS.min(grace_ms / 2);
     let giving_up = entry.give_up_duty();
     let notice = time::sleep(Duration::from_millis(notice_ms));
