Fewer store calls and smaller moves

Change: feeds rest between answers, only the servers' feed is renewed every 3 s and the others follow its failure, holdings also go out by datagram, reports carry run times every 0.8 s, the planner counts the keys of a move.

--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -17,7 +17,7 @@
 use super::{
     Entry,
     events::Event,
-    keys::Assignment,
+    keys::{Assignment, Holding, KeyRange},
     watch::{HOLDINGS_PREFIX, TABLE, pause},
 };
 use crate::{
@@ -76,6 +76,60 @@
     HoldingsChanged,
 }
 
+/// A change of holdings.
+#[derive(Clone, Debug)]
+pub enum Change {
+    /// All keys are distributed for the first time.
+    Distribute(Vec<(KeyRange, Arc<str>)>),
+    /// Keys go to a server, under a fence that is at least this high.
+    Assign {
+        /// Keys.
+        range: KeyRange,
+        /// Server.
+        server: Arc<str>,
+        /// Least fence.
+        least_fence: u64,
+    },
+    /// A server keeps its keys under a fence that is higher by this.
+    Raise {
+        /// What it holds now.
+        holding: Holding,
+        /// Distance.
+        step: u64,
+    },
+}
+
+impl Change {
+    /// Makes the change; the holding that came of it, if it was a single one.
+    fn apply(&self, assignment: &mut Assignment) -> Option<Holding> {
+        let (range, server, least_fence) = match self {
+            Self::Distribute(ranges) => {
+                for (range, server) in ranges {
+                    assignment.assign(*range, server, 1);
+                }
+                return None;
+            }
+            Self::Assign {
+                range,
+                server,
+                least_fence,
+            } => (*range, server, *least_fence),
+            Self::Raise { holding, step } => {
+                if !assignment.holdings.contains(holding) {
+                    return None;
+                }
+                (holding.range, &holding.server, assignment.fence + step)
+            }
+        };
+        let fence = assignment.assign(range, server, least_fence);
+        Some(Holding {
+            range,
+            server: server.clone(),
+            fence,
+        })
+    }
+}
+
 /// Outcome of a transaction whose effect is known.
 enum Settled {
     Done(u64),
@@ -317,14 +371,14 @@
         self.duty.lose("planned stop");
     }
 
-    /// Records holdings of a service. `change` gets a copy of the holdings; the record depends on
-    /// the duty's row and on the holdings being what they were. Returns the change's result once
-    /// the record is certain, however long that takes while this host may have the duty.
-    pub(super) async fn record<T>(
+    /// Records a change of a service's holdings. The record depends on the duty's row and on the
+    /// holdings being what they were. Returns the new holding, if there is a single one, once the
+    /// record is certain, however long that takes while this host may have the duty.
+    pub(super) async fn record(
         &self,
         service: &Arc<str>,
-        change: impl FnOnce(&mut Assignment) -> T,
-    ) -> Result<T, WriteFailure> {
+        change: &Change,
+    ) -> Result<Option<Holding>, WriteFailure> {
         let mut writer = self.duty.writer.lock().await;
         if self.duty.term() == 0 {
             return Err(WriteFailure::DutyLost);
@@ -333,9 +387,9 @@
         let held_version = held.as_ref().map_or(0, |held| held.version);
         let before = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
         let mut assignment = before.clone();
-        let result = change(&mut assignment);
+        let holding = change.apply(&mut assignment);
         if assignment == before {
-            return Ok(result);
+            return Ok(None);
         }
         let Ok(value) = serde_json::to_vec(&assignment) else {
             return Err(WriteFailure::HoldingsChanged);
@@ -379,7 +433,11 @@
                 }
             };
             self.view.hold(service, Arc::new(assignment), version);
-            return Ok(result);
+            if let Some(holding) = &holding {
+                self.peers
+                    .announce_holding(service, held_version, version, holding);
+            }
+            return Ok(holding);
         }
     }
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -351,6 +351,7 @@
     /// After a server said that it does not hold the key: waits for a change, but not for long.
     async fn await_move(&self, entry: &Entry) {
         let mut changes = entry.view.changes();
+        entry.view.want_holdings();
         let wait = Duration::from_millis(HOLD_PAUSE_MS.min(self.left_ms()));
         if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
             log::debug!("the view has ended: {closed}");
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -99,18 +99,22 @@
 
     /// Gives a range to a server under a new fence, which is returned.
     pub fn assign(&mut self, range: KeyRange, server: &Arc<str>, least_fence: u64) -> u64 {
-        self.fence = (self.fence + 1).max(least_fence);
-        self.clear(range);
-        let position = self
-            .holdings
-            .partition_point(|h| h.range.last < range.first);
-        let holding = Holding {
+        let fence = (self.fence + 1).max(least_fence);
+        self.put(Holding {
             range,
             server: server.clone(),
-            fence: self.fence,
-        };
+            fence,
+        });
+        fence
+    }
+
+    /// Puts a holding in the place of whatever it overlaps.
+    pub fn put(&mut self, holding: Holding) {
+        self.fence = self.fence.max(holding.fence);
+        self.clear(holding.range);
+        let first = holding.range.first;
+        let position = self.holdings.partition_point(|h| h.range.last < first);
         self.holdings.insert(position, holding);
-        self.fence
     }
 
     /// Ranges that no server holds.
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -15,7 +15,7 @@
 
 use super::{
     Entry,
-    duty::WriteFailure,
+    duty::{Change, WriteFailure},
     events::Event,
     keys::{Assignment, Holding, KeyRange},
     plan::{self, KeyLoads, Move, PlanServer, Question},
@@ -287,19 +287,14 @@
         if !self.mark_moving(service, holding.range) {
             return;
         }
-        let id = &server.entry.id;
-        let range = holding.range;
-        let recorded = self.entry.record(service, |assignment| {
-            if !assignment.holdings.contains(holding) {
-                return None;
-            }
-            let step = assignment.fence + FENCE_STEP;
-            Some(assignment.assign(range, id, step))
-        });
-        if let Ok(Some(fence)) = recorded.await {
-            self.grant(server, range, fence, None).await;
+        let change = Change::Raise {
+            holding: holding.clone(),
+            step: FENCE_STEP,
+        };
+        if let Ok(Some(raised)) = self.entry.record(service, &change).await {
+            self.grant(server, raised.range, raised.fence, None).await;
         }
-        self.end_move(service, range);
+        self.end_move(service, holding.range);
     }
 
     /// Marks keys as moving; false if some of them are on their way already.
@@ -405,12 +400,8 @@
         let service = service.clone();
         tasks.spawn(async move {
             let ranges = plan::first_assignment(&servers);
-            let recorded = term.entry.record(&service, |assignment| {
-                for (range, server) in &ranges {
-                    assignment.assign(*range, server, 1);
-                }
-            });
-            if let Err(failure) = recorded.await {
+            let change = Change::Distribute(ranges);
+            if let Err(failure) = term.entry.record(&service, &change).await {
                 log::warn!("the first holdings of {service} are not recorded: {failure:?}");
             }
             term.end_move(&service, KeyRange::ALL);
@@ -467,15 +458,14 @@
             handover = token;
         }
         let to = planned.to.clone();
-        let recorded = self
-            .entry
-            .record(service, |assignment| {
-                assignment.assign(range, &to, least_fence)
-            })
-            .await;
-        let fence = match recorded {
-            Ok(fence) => fence,
-            Err(WriteFailure::DutyLost) => return,
+        let change = Change::Assign {
+            range,
+            server: to.clone(),
+            least_fence,
+        };
+        let fence = match self.entry.record(service, &change).await {
+            Ok(Some(holding)) => holding.fence,
+            Ok(None) | Err(WriteFailure::DutyLost) => return,
             Err(failure) => {
                 log::warn!("a move of {service} is not recorded: {failure:?}");
                 return;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -15,13 +15,18 @@
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
 
-use super::{Entry, keys::KeyRange, server::tag_of};
+use super::{
+    Entry,
+    keys::{Holding, KeyRange},
+    server::tag_of,
+};
 use crate::clock;
 
 /// Interval of reports.
 const REPORT_EVERY_MS: u64 = 100;
-/// A report without news is sent every so many intervals, to show that the host lives.
-const IDLE_REPORT_EVERY: u64 = 5;
+/// Every so many intervals a report has the run times too and is sent even without news, to show
+/// that the host lives.
+const FULL_REPORT_EVERY: u64 = 8;
 /// Age after which a report no longer counts.
 const REPORT_AGE_MAX_MS: u64 = 1_200;
 /// Most servers and keys in one datagram; it stays under the usual packet size.
@@ -34,9 +39,14 @@
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct ServerLoad {
-    server_tag: u32,
-    in_flight: u16,
-    /// Average run time, 0 if unknown.
+    server_tag: u16,
+    in_flight: u8,
+}
+
+/// Average run time of one server by one host's evidence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct RunTime {
+    server_tag: u16,
     run_ms: u16,
 }
 
@@ -58,13 +68,22 @@
         /// Number of the sender's term if it has the duty, or 0.
         term: u64,
         servers: Vec<ServerLoad>,
-        keys: Vec<KeyCount>,
+        /// Empty if they have not changed much since the last report that had them.
+        run_times: Vec<RunTime>,
     },
+    Keys(Vec<KeyCount>),
     Moving {
         service_tag: u32,
         range: KeyRange,
         above_fence: u64,
     },
+    Held {
+        service_tag: u32,
+        /// Version of the holdings before and after the change.
+        before: u64,
+        version: u64,
+        holding: Holding,
+    },
 }
 
 #[derive(Debug, Default)]
@@ -72,6 +91,7 @@
     incarnation: u64,
     heard_ms: u64,
     loads: Vec<ServerLoad>,
+    run_times: Vec<RunTime>,
 }
 
 /// The other hosts.
@@ -181,11 +201,31 @@
         self.send(&message, &self.addresses());
     }
 
-    fn note_report(&self, from: SocketAddr, term: u64, servers: Vec<ServerLoad>) {
+    /// Tells all hosts of a change of holdings.
+    pub fn announce_holding(&self, service: &str, before: u64, version: u64, holding: &Holding) {
+        let message = Message::Held {
+            service_tag: tag_of(service),
+            before,
+            version,
+            holding: holding.clone(),
+        };
+        self.send(&message, &self.addresses());
+    }
+
+    fn note_report(
+        &self,
+        from: SocketAddr,
+        term: u64,
+        servers: Vec<ServerLoad>,
+        run_times: Vec<RunTime>,
+    ) {
         let now_ms = clock::now_ms();
         if let Some(peer) = self.peers().get_mut(&from) {
             peer.heard_ms = now_ms;
             peer.loads = servers;
+            if !run_times.is_empty() {
+                peer.run_times = run_times;
+            }
         }
         if term > 0 && term >= self.holder_term.load(Ordering::Relaxed) {
             self.holder_term.store(term, Ordering::Relaxed);
@@ -195,34 +235,34 @@
     }
 
     /// Load and average run time by server tag, as the other hosts reported them.
-    fn loads(&self) -> HashMap<u32, (u32, f64)> {
+    fn loads(&self) -> HashMap<u16, ReportedLoad> {
         let now_ms = clock::now_ms();
-        let mut sums: HashMap<u32, (u32, f64, u32)> = HashMap::new();
+        let mut sums: HashMap<u16, ReportedLoad> = HashMap::new();
         for peer in self.peers().values() {
             if now_ms > peer.heard_ms + REPORT_AGE_MAX_MS {
                 continue;
             }
             for load in &peer.loads {
-                let sum = sums.entry(load.server_tag).or_default();
-                sum.0 += u32::from(load.in_flight);
-                if load.run_ms > 0 {
-                    sum.1 += f64::from(load.run_ms);
-                    sum.2 += 1;
-                }
+                sums.entry(load.server_tag).or_default().in_flight += u32::from(load.in_flight);
+            }
+            for run_time in &peer.run_times {
+                let sum = sums.entry(run_time.server_tag).or_default();
+                sum.run_ms_sum += f64::from(run_time.run_ms);
+                sum.reporters += 1.0;
             }
         }
-        let averages = sums.into_iter().map(|(tag, (load, run_ms, known))| {
-            let average = if known > 0 {
-                run_ms / f64::from(known)
-            } else {
-                0.0
-            };
-            (tag, (load, average))
-        });
-        averages.collect()
+        sums
     }
 }
 
+/// What the other hosts reported of a server.
+#[derive(Clone, Copy, Debug, Default)]
+struct ReportedLoad {
+    in_flight: u32,
+    run_ms_sum: f64,
+    reporters: f64,
+}
+
 impl Entry {
     /// Reports to the other hosts.
     pub(super) async fn keep_reporting(self: Arc<Self>) {
@@ -240,14 +280,18 @@
             } else if !keys.is_empty() {
                 self.report_keys(&keys);
             }
-            let news = servers != last || term > 0;
-            if !news && round % IDLE_REPORT_EVERY != 0 {
+            let full = round % FULL_REPORT_EVERY == 0;
+            if servers == last && term == 0 && !full {
                 continue;
             }
             let report = Message::Report {
                 term,
                 servers: servers.clone(),
-                keys: Vec::new(),
+                run_times: if full {
+                    self.own_run_times()
+                } else {
+                    Vec::new()
+                },
             };
             self.peers.send(&report, &self.peers.addresses());
             last = servers;
@@ -259,36 +303,43 @@
         let mut loads: Vec<ServerLoad> = registry
             .servers()
             .map(|server| ServerLoad {
-                server_tag: server.tag,
-                in_flight: server.own_load() as u16,
-                run_ms: server.own_run_ms() as u16,
+                server_tag: server.tag as u16,
+                in_flight: server.own_load().min(255) as u8,
             })
-            .filter(|load| load.in_flight > 0 || load.run_ms > 0)
+            .filter(|load| load.in_flight > 0)
             .collect();
-        loads.sort_unstable_by_key(|load| (u16::MAX - load.in_flight, load.server_tag));
+        loads.sort_unstable_by_key(|load| (255 - load.in_flight, load.server_tag));
         loads.truncate(ENTRIES_MAX);
         loads
     }
 
+    fn own_run_times(&self) -> Vec<RunTime> {
+        let registry = self.view.registry();
+        let known = registry.servers().filter_map(|server| {
+            let run_ms = server.own_run_ms() as u16;
+            (run_ms > 0).then_some(RunTime {
+                server_tag: server.tag as u16,
+                run_ms,
+            })
+        });
+        known.take(ENTRIES_MAX).collect()
+    }
+
     fn report_keys(&self, keys: &[KeyCount]) {
         let Some(holder) = *self.peers.holder() else {
             return;
         };
         for keys in keys.chunks(ENTRIES_MAX) {
-            let report = Message::Report {
-                term: 0,
-                servers: Vec::new(),
-                keys: keys.to_vec(),
-            };
-            self.peers.send(&report, &[holder]);
+            self.peers.send(&Message::Keys(keys.to_vec()), &[holder]);
         }
     }
 
     fn take_in_reports(&self) {
         let loads = self.peers.loads();
         for server in self.view.registry().servers() {
-            let (load, run_ms) = loads.get(&server.tag).copied().unwrap_or((0, 0.0));
-            server.set_others(load, run_ms);
+            let reported = loads.get(&(server.tag as u16)).copied().unwrap_or_default();
+            let run_ms = reported.run_ms_sum / reported.reporters.max(1.0);
+            server.set_others(reported.in_flight, run_ms);
         }
     }
 
@@ -320,14 +371,23 @@
             Ok(Message::Report {
                 term,
                 servers,
-                keys,
-            }) => {
-                if keys.is_empty() {
-                    self.peers.note_report(from, term, servers);
-                } else if self.duty.term() > 0 {
+                run_times,
+            }) => self.peers.note_report(from, term, servers, run_times),
+            Ok(Message::Keys(keys)) => {
+                if self.duty.term() > 0 {
                     self.peers.add_reported(&keys);
                 }
             }
+            Ok(Message::Held {
+                service_tag,
+                before,
+                version,
+                holding,
+            }) => {
+                if let Some(service) = self.service_of(service_tag) {
+                    self.view.hold_next(&service, before, version, holding);
+                }
+            }
             Ok(Message::Moving {
                 service_tag,
                 range,
@@ -338,12 +398,15 @@
     }
 
     fn note_move(&self, service_tag: u32, range: KeyRange, above_fence: u64) {
-        let Some(configuration) = self.view.configuration() else {
-            return;
-        };
-        let mut services = configuration.services();
-        if let Some(service) = services.find(|s| tag_of(&s.name) == service_tag) {
-            self.view.announce_move(&service.name, range, above_fence);
+        if let Some(service) = self.service_of(service_tag) {
+            self.view.announce_move(&service, range, above_fence);
         }
     }
+
+    fn service_of(&self, tag: u32) -> Option<Arc<str>> {
+        let configuration = self.view.configuration()?;
+        let mut services = configuration.services();
+        let service = services.find(|service| tag_of(&service.name) == tag)?;
+        Some(service.name.clone())
+    }
 }
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -8,6 +8,9 @@
 const EXCESS: f64 = 1.2;
 /// Least load, in requests being served at a time, for which a move is worth its cost.
 const LOAD_MOVED_MIN: f64 = 0.3;
+/// Cost of moving all keys, in shares of the wanted load that a move may miss: moved keys are
+/// priced by their number.
+const KEY_SHARE_COST: f64 = 4.0;
 /// Number of keys by service.
 const KEYS: usize = 1 << 16;
 
@@ -286,7 +289,8 @@
                 if load <= 0.0 || load > wanted * 1.5 {
                     continue;
                 }
-                let error = (load - wanted).abs();
+                let share = f64::from(candidate.len()) / KEYS as f64;
+                let error = (load - wanted).abs() / wanted + KEY_SHARE_COST * share;
                 if best.is_none_or(|(_, least)| error < least) {
                     best = Some((candidate, error));
                 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -9,11 +9,11 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use super::{
     events::Event,
-    keys::{Assignment, KeyRange},
+    keys::{Assignment, Holding, KeyRange},
     model::Configuration,
     registry::Registry,
 };
@@ -63,6 +63,8 @@
     held: Mutex<HashMap<Arc<str>, Held>>,
     moving: Mutex<Vec<Moving>>,
     changed: watch::Sender<u64>,
+    doubts: watch::Sender<u64>,
+    holdings_wanted: Notify,
     store_heard_ms: AtomicU64,
     store_returned_ms: AtomicU64,
 }
@@ -76,6 +78,8 @@
             held: Mutex::default(),
             moving: Mutex::default(),
             changed: watch::channel(0).0,
+            doubts: watch::channel(0).0,
+            holdings_wanted: Notify::new(),
             store_heard_ms: AtomicU64::new(clock::now_ms()),
             store_returned_ms: AtomicU64::new(0),
         }
@@ -144,6 +148,36 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Notes one change of a service's holdings, if it is the next one after what is known.
+    pub fn hold_next(&self, service: &Arc<str>, before: u64, version: u64, holding: Holding) {
+        let Some(held) = self.held(service).filter(|held| held.version == before) else {
+            return;
+        };
+        let mut assignment = (*held.assignment).clone();
+        assignment.put(holding);
+        self.hold(service, Arc::new(assignment), version);
+    }
+
+    /// Asks for the holdings to be read soon: a server did not hold what was thought.
+    pub fn want_holdings(&self) {
+        self.holdings_wanted.notify_one();
+    }
+
+    /// Returns when the holdings should be read soon.
+    pub async fn holdings_wanted(&self) {
+        self.holdings_wanted.notified().await;
+    }
+
+    /// Notes that the store has stopped answering.
+    pub fn doubt(&self) {
+        self.doubts.send_modify(|count| *count += 1);
+    }
+
+    /// Tells when the store has stopped answering.
+    pub fn doubts(&self) -> watch::Receiver<u64> {
+        self.doubts.subscribe()
+    }
+
     /// Notes that keys are on their way to another server.
     pub fn announce_move(&self, service: &Arc<str>, range: KeyRange, above_fence: u64) {
         let now_ms = clock::now_ms();
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -19,9 +19,12 @@
 /// Beginning of the keys of holdings; the service's name follows.
 pub const HOLDINGS_PREFIX: &str = "keys/";
 const HOST_PREFIX: &str = "host/";
-/// Longest wait of a feed at the store. A silent feed is noticed a second after that, early
-/// enough to know the configuration within the bounds once a cut has healed.
-const FEED_WAIT_MS: u64 = 3_000;
+/// Longest wait of the servers' feed at the store. A silent store is noticed a second after that,
+/// early enough to know the configuration within the bounds once a cut has healed.
+const CANARY_WAIT_MS: u64 = 3_000;
+/// Longest wait of the other feeds, which are called anew whenever the servers' feed fails. Calls
+/// are priced, so they wait for long; the store allows 30 s.
+const FEED_WAIT_MS: u64 = 20_000;
 /// Pause after a failed call, with half of it at random on top.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Missed heartbeats after which the platform removes a server's entry.
@@ -42,6 +45,24 @@
 }
 
 impl Followed {
+    fn wait_ms(self) -> u64 {
+        match self {
+            Self::Servers => CANARY_WAIT_MS,
+            Self::Configuration | Self::Own => FEED_WAIT_MS,
+        }
+    }
+
+    /// Least time between two answers of a feed, so that changes that come together cost one call.
+    /// Changes of the configuration and of servers have two seconds to take effect; holdings also
+    /// come by datagram.
+    fn least_interval_ms(self) -> u64 {
+        match self {
+            Self::Configuration => 150,
+            Self::Servers => 250,
+            Self::Own => 1_000,
+        }
+    }
+
     fn table(self) -> &'static str {
         match self {
             Self::Configuration => config::TABLE,
@@ -98,13 +119,17 @@
             };
             let mut lost = false;
             loop {
-                let feed = self.store.feed(followed.table(), after, FEED_WAIT_MS).await;
+                let began_ms = clock::now_ms();
+                let Some(feed) = self.next_changes(followed, after).await else {
+                    continue;
+                };
                 match feed {
                     Ok(Feed::Changes(changes)) => {
                         self.heard_store();
                         lost = false;
                         after = after.max(changes.version);
                         self.apply(followed, changes.rows);
+                        self.rest(followed, began_ms).await;
                     }
                     Ok(Feed::HistoryGone) => {
                         self.heard_store();
@@ -119,6 +144,35 @@
         }
     }
 
+    /// Waits for changes. `None` if the servers' feed failed meanwhile, so that this one cannot be
+    /// trusted to speak up either.
+    async fn next_changes(&self, followed: Followed, after: u64) -> Option<Result<Feed>> {
+        let feed = self.store.feed(followed.table(), after, followed.wait_ms());
+        if followed == Followed::Servers {
+            return Some(feed.await);
+        }
+        let mut doubts = self.view.doubts();
+        tokio::select! {
+            feed = feed => Some(feed),
+            _ = doubts.changed() => None,
+        }
+    }
+
+    /// Keeps the least interval between two calls of a feed.
+    async fn rest(&self, followed: Followed, began_ms: u64) {
+        let until_ms = began_ms + followed.least_interval_ms();
+        let left_ms = until_ms.saturating_sub(clock::now_ms());
+        let sleep = time::sleep(Duration::from_millis(left_ms));
+        if followed == Followed::Own {
+            tokio::select! {
+                () = sleep => {}
+                () = self.view.holdings_wanted() => {}
+            }
+            return;
+        }
+        sleep.await;
+    }
+
     fn store_failed(&self, followed: Followed, error: &Error, lost: &mut bool) {
         if !std::mem::replace(lost, true) {
             Event::StoreLost {
@@ -127,11 +181,14 @@
             }
             .log();
         }
+        if followed == Followed::Servers {
+            self.view.doubt();
+        }
     }
 
     fn heard_store(&self) {
         let lapse_ms = MISSED_HEARTBEATS * self.settings.store.server_heartbeat_ms;
-        if let Some(away_ms) = self.view.heard_store(lapse_ms.max(FEED_WAIT_MS + 500)) {
+        if let Some(away_ms) = self.view.heard_store(lapse_ms.max(CANARY_WAIT_MS + 500)) {
             Event::StoreBack { away_ms }.log();
         }
     }
