--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -81,14 +81,14 @@
 pub enum Change {
     /// All keys are distributed for the first time.
     Distribute(Vec<(KeyRange, Arc<str>)>),
-    /// Keys go to a server, under a fence that is at least this high.
+    /// Keys go to a server, as soon as `from` holds them no more.
     Assign {
         /// Keys.
         range: KeyRange,
         /// Server.
         server: Arc<str>,
-        /// Least fence.
-        least_fence: u64,
+        /// Server that holds them now.
+        from: Option<Arc<str>>,
     },
     /// A server keeps its keys under a fence that is higher by this.
     Raise {
@@ -97,36 +97,52 @@
         /// Distance.
         step: u64,
     },
+    /// The former servers of holdings, named by their fences, hold nothing any more.
+    Settle(Vec<u64>),
 }
 
 impl Change {
     /// Makes the change; the holding that came of it, if it was a single one.
     fn apply(&self, assignment: &mut Assignment) -> Option<Holding> {
-        let (range, server, least_fence) = match self {
+        let holding = match self {
             Self::Distribute(ranges) => {
                 for (range, server) in ranges {
-                    assignment.assign(*range, server, 1);
+                    let fence = assignment.next_fence(1);
+                    assignment.put(Holding {
+                        range: *range,
+                        server: server.clone(),
+                        fence,
+                        from: None,
+                    });
                 }
                 return None;
             }
+            Self::Settle(fences) => {
+                assignment.settle(fences);
+                return None;
+            }
             Self::Assign {
                 range,
                 server,
-                least_fence,
-            } => (*range, server, *least_fence),
+                from,
+            } => Holding {
+                range: *range,
+                server: server.clone(),
+                fence: assignment.next_fence(1),
+                from: from.clone(),
+            },
             Self::Raise { holding, step } => {
                 if !assignment.holdings.contains(holding) {
                     return None;
                 }
-                (holding.range, &holding.server, assignment.fence + step)
+                Holding {
+                    fence: assignment.next_fence(assignment.fence + step),
+                    ..holding.clone()
+                }
             }
         };
-        let fence = assignment.assign(range, server, least_fence);
-        Some(Holding {
-            range,
-            server: server.clone(),
-            fence,
-        })
+        assignment.put(holding.clone());
+        Some(holding)
     }
 }
 
@@ -433,10 +449,6 @@
                 }
             };
             self.view.hold(service, Arc::new(assignment), version);
-            if let Some(holding) = &holding {
-                self.peers
-                    .announce_holding(service, held_version, version, holding);
-            }
             return Ok(holding);
         }
     }
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -55,6 +55,10 @@
     pub server: Arc<str>,
     /// Fence of the grant.
     pub fence: u64,
+    /// Server that may still hold the keys: the grant must wait until it has released them or
+    /// its lease has run out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub from: Option<Arc<str>>,
 }
 
 /// All holdings of one service. Ranges do not overlap and are in ascending order; keys that no
@@ -97,15 +101,9 @@
         self.holdings = kept;
     }
 
-    /// Gives a range to a server under a new fence, which is returned.
-    pub fn assign(&mut self, range: KeyRange, server: &Arc<str>, least_fence: u64) -> u64 {
-        let fence = (self.fence + 1).max(least_fence);
-        self.put(Holding {
-            range,
-            server: server.clone(),
-            fence,
-        });
-        fence
+    /// The next fence, which is at least `least`.
+    pub fn next_fence(&self, least: u64) -> u64 {
+        (self.fence + 1).max(least)
     }
 
     /// Puts a holding in the place of whatever it overlaps.
@@ -117,6 +115,15 @@
         self.holdings.insert(position, holding);
     }
 
+    /// Notes that the former servers of these holdings hold nothing any more.
+    pub fn settle(&mut self, fences: &[u64]) {
+        for holding in &mut self.holdings {
+            if fences.contains(&holding.fence) {
+                holding.from = None;
+            }
+        }
+    }
+
     /// Ranges that no server holds.
     pub fn gaps(&self) -> Vec<KeyRange> {
         let mut gaps = Vec::new();
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -1,9 +1,10 @@
 //! What the duty's holder does: gives and renews leases, moves keys by plan, and frees the keys of
 //! servers that leave or fall silent.
 //!
-//! A server that holds keys and is to lose them is asked to release them under a higher fence. If
-//! it does not answer, its keys go to another server only when the last lease that anyone may have
-//! given it has run out.
+//! A move is recorded first, with the server that may still hold the keys. That server is then
+//! asked to release them under the new fence. If it does not answer, the keys are granted to the
+//! new server only when the last lease that anyone may have given the old one has run out. A later
+//! holder of the duty finds the move in the record and finishes it in the same way.
 
 use std::{
     collections::HashMap,
@@ -14,7 +15,7 @@
 use tokio::{task::JoinSet, time};
 
 use super::{
-    Entry,
+    Entry, choice,
     duty::{Change, WriteFailure},
     events::Event,
     keys::{Assignment, Holding, KeyRange},
@@ -40,6 +41,8 @@
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
 /// Failed orders in a row after which a server counts as silent.
 const FAILURES_SILENT: u32 = 2;
+/// Interval at which finished moves are recorded.
+const SETTLE_EVERY_MS: u64 = 1_000;
 /// Distance of a raised fence from the last one, above what an earlier holder may have used
 /// without recording it.
 const FENCE_STEP: u64 = 16;
@@ -50,8 +53,6 @@
 const LEASE_MARGIN_MS: u64 = 250;
 /// Share of the loads that is kept from one round to the next: half is forgotten in 1.4 s.
 const LOAD_KEPT: f32 = 0.95;
-/// Run time that is assumed of a server while nothing is known.
-const RUN_DEFAULT_MS: f64 = 80.0;
 /// Store silence above which no planned move begins, since it could not be recorded.
 const STORE_AGE_MAX_MS: u64 = 3_600;
 /// Time for which the first list of servers must stand before keys are distributed.
@@ -75,6 +76,10 @@
     moving: Vec<(Arc<str>, KeyRange)>,
     loads: HashMap<Arc<str>, KeyLoads>,
     first_seen_ms: HashMap<Arc<str>, u64>,
+    /// Fences of finished moves whose record still names the former server, by service.
+    finished: HashMap<Arc<str>, Vec<u64>>,
+    /// When finished moves were last recorded.
+    settled_ms: u64,
 }
 
 impl Work {
@@ -82,6 +87,13 @@
         let mut moving = self.moving.iter();
         moving.any(|(name, other)| **name == *service && other.overlaps(&range))
     }
+
+    /// True if the former server of a holding may still hold its keys.
+    fn is_unfinished(&self, service: &str, holding: &Holding) -> bool {
+        let finished = self.finished.get(service);
+        let done = finished.is_some_and(|fences| fences.contains(&holding.fence));
+        holding.from.is_some() && !done
+    }
 }
 
 /// A term of this host as the duty's holder.
@@ -181,11 +193,7 @@
         {
             let mut work = self.work();
             let mut resting: Assignment = (*held.assignment).clone();
-            for (moving_service, range) in &work.moving {
-                if moving_service == service {
-                    resting.clear(*range);
-                }
-            }
+            resting.holdings.retain(|h| !work.is_unfinished(service, h));
             for holding in resting.holdings {
                 let record = work.servers.entry(holding.server.clone()).or_default();
                 let due_ms = record.renewed_ms + self.entry.settings.leases.renew_every_ms;
@@ -317,10 +325,11 @@
             let silent = record.is_some_and(|r| r.failures >= FAILURES_SILENT);
             !server.leaving() && !silent
         });
+        let typical_ms = choice::typical_run_ms(registry.of_service(service));
         let mut servers: Vec<PlanServer> = usable
             .map(|server| PlanServer {
                 id: server.entry.id.clone(),
-                capacity_per_s: capacity_per_s(server),
+                capacity_per_s: capacity_per_s(server, typical_ms),
             })
             .collect();
         servers.sort_by(|a, b| a.id.cmp(&b.id));
@@ -362,6 +371,61 @@
         for planned in moves {
             self.begin_move(service, planned, &held.assignment, tasks);
         }
+        self.finish_found(service, &held.assignment, tasks);
+        self.settle(service, tasks);
+    }
+
+    /// Finishes moves that an earlier holder of the duty recorded.
+    fn finish_found(
+        self: &Arc<Self>,
+        service: &Arc<str>,
+        assignment: &Assignment,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let unfinished: Vec<Holding> = {
+            let work = self.work();
+            let holdings = assignment.holdings.iter();
+            let found = holdings.filter(|h| work.is_unfinished(service, h));
+            found.cloned().collect()
+        };
+        for holding in unfinished {
+            if !self.mark_moving(service, holding.range) {
+                continue;
+            }
+            let term = self.clone();
+            let service = service.clone();
+            tasks.spawn(async move {
+                term.finish(&service, &holding, "found unfinished", clock::now_ms())
+                    .await;
+                term.end_move(&service, holding.range);
+            });
+        }
+    }
+
+    /// Records from time to time which moves are finished.
+    fn settle(self: &Arc<Self>, service: &Arc<str>, tasks: &mut JoinSet<()>) {
+        let now_ms = clock::now_ms();
+        let fences = {
+            let mut work = self.work();
+            let due = now_ms >= work.settled_ms + SETTLE_EVERY_MS;
+            let finished = work.finished.get(service).cloned().unwrap_or_default();
+            if !due || finished.is_empty() {
+                return;
+            }
+            work.settled_ms = now_ms;
+            finished
+        };
+        let term = self.clone();
+        let service = service.clone();
+        tasks.spawn(async move {
+            let change = Change::Settle(fences.clone());
+            if term.entry.record(&service, &change).await.is_err() {
+                return;
+            }
+            if let Some(finished) = term.work().finished.get_mut(&service) {
+                finished.retain(|fence| !fences.contains(fence));
+            }
+        });
     }
 
     /// Lets silent servers hold keys again once their entries are fresh and they answer requests.
@@ -419,11 +483,10 @@
             return;
         }
         let owner = assignment.holding(planned.range.first).cloned();
-        let fence = assignment.fence;
         let term = self.clone();
         let service = service.clone();
         tasks.spawn(async move {
-            term.carry_out(&service, &planned, owner, fence).await;
+            term.carry_out(&service, &planned, owner).await;
             term.end_move(&service, planned.range);
         });
     }
@@ -434,54 +497,68 @@
             .retain(|(name, other)| name != service || *other != range);
     }
 
-    async fn carry_out(
-        &self,
-        service: &Arc<str>,
-        planned: &Move,
-        owner: Option<Holding>,
-        highest_fence: u64,
-    ) {
+    async fn carry_out(&self, service: &Arc<str>, planned: &Move, owner: Option<Holding>) {
         let began_ms = clock::now_ms();
         let range = planned.range;
-        let mut handover = None;
-        let mut least_fence = 0;
-        if let Some(holding) = &owner {
-            let release_fence = highest_fence + 1;
-            least_fence = release_fence + 1;
-            self.entry.view.announce_move(service, range, holding.fence);
-            self.entry
-                .peers
-                .announce_move(service, range, holding.fence);
-            let Some(token) = self.free(holding, range, release_fence).await else {
-                return;
-            };
-            handover = token;
-        }
-        let to = planned.to.clone();
+        let fence_before = owner.as_ref().map(|holding| holding.fence);
         let change = Change::Assign {
             range,
-            server: to.clone(),
-            least_fence,
+            server: planned.to.clone(),
+            from: owner.map(|holding| holding.server),
         };
-        let fence = match self.entry.record(service, &change).await {
-            Ok(Some(holding)) => holding.fence,
+        let holding = match self.entry.record(service, &change).await {
+            Ok(Some(holding)) => holding,
             Ok(None) | Err(WriteFailure::DutyLost) => return,
             Err(failure) => {
                 log::warn!("a move of {service} is not recorded: {failure:?}");
                 return;
             }
         };
-        let server = self.entry.view.registry().server(&to).cloned();
+        if let Some(fence) = fence_before {
+            self.entry.view.announce_move(service, range, fence);
+            self.entry.peers.announce_move(service, range, fence);
+        }
+        self.finish(service, &holding, planned.cause, began_ms)
+            .await;
+    }
+
+    /// Carries out a recorded move: frees the keys, then grants them. Whatever fails here, the
+    /// renewals of the new server make up for it or the planner finds another.
+    async fn finish(
+        &self,
+        service: &Arc<str>,
+        holding: &Holding,
+        cause: &'static str,
+        began_ms: u64,
+    ) {
+        let range = holding.range;
+        let mut handover = None;
+        if let Some(from) = &holding.from {
+            let Some(token) = self.free(from, range, holding.fence).await else {
+                return;
+            };
+            handover = token;
+        }
+        let server = self.entry.view.registry().server(&holding.server).cloned();
         if let Some(server) = server {
-            self.grant(&server, range, fence, handover.as_deref()).await;
+            self.grant(&server, range, holding.fence, handover.as_deref())
+                .await;
+            self.entry.view.note_granted(service, holding.clone());
+            self.entry.peers.announce_holding(service, holding);
+        }
+        if holding.from.is_some() {
+            // Only now, so that no renewal comes before the grant that has the token.
+            let mut work = self.work();
+            let finished = work.finished.entry(service.clone()).or_default();
+            finished.push(holding.fence);
         }
         Event::Moved {
             service: service.clone(),
             range,
-            from: owner.map(|holding| holding.server),
-            to,
-            fence,
-            cause: planned.cause,
+            from: holding.from.clone(),
+            to: holding.server.clone(),
+            fence: holding.fence,
+            cause,
             handover: handover.is_some(),
             took_ms: clock::now_ms() - began_ms,
         }
@@ -491,10 +568,10 @@
     /// Makes sure that a server no longer holds a range: by its own word, or by waiting until its
     /// last lease has run out. The result is the token for the next owner; `None` if the term has
     /// ended meanwhile.
-    async fn free(&self, holding: &Holding, range: KeyRange, fence: u64) -> Option<Option<String>> {
-        let server = self.entry.view.registry().server(&holding.server).cloned();
+    async fn free(&self, id: &Arc<str>, range: KeyRange, fence: u64) -> Option<Option<String>> {
+        let server = self.entry.view.registry().server(id).cloned();
         // A server whose entry is gone may still serve: it is asked by a connection of its own.
-        let known = self.known_address(&holding.server);
+        let known = self.known_address(id);
         let link = server
             .as_ref()
             .map(|server| &server.orders)
@@ -503,7 +580,7 @@
             if !self.lasts() {
                 return None;
             }
-            let free_ms = self.lease_end_ms(&holding.server);
+            let free_ms = self.lease_end_ms(id);
             let now_ms = clock::now_ms();
             if now_ms >= free_ms {
                 return Some(None);
@@ -512,12 +589,11 @@
                 time::sleep(Duration::from_millis(free_ms - now_ms)).await;
                 continue;
             };
-            let id = &holding.server;
             match orders::release(link, id, range, fence, RELEASE_TIMEOUT_MS).await {
                 Ok(Released::Ended { handover }) => return Some(handover),
                 Ok(Released::OtherServer) => return Some(None),
                 Err(error) => {
-                    log::debug!("{} did not release keys: {error}", holding.server);
+                    log::debug!("{id} did not release keys: {error}");
                     let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
                     time::sleep(Duration::from_millis(pause_ms)).await;
                 }
@@ -543,10 +619,11 @@
     }
 }
 
-fn capacity_per_s(server: &Server) -> f64 {
+/// Requests a second that a server can serve; one of which nothing is known counts as typical.
+fn capacity_per_s(server: &Server, typical_ms: f64) -> f64 {
     let run_ms = match server.run_ms() {
         run_ms if run_ms > 0.0 => run_ms,
-        _ => RUN_DEFAULT_MS,
+        _ => typical_ms,
     };
     let warm = f64::from(server.entry.slots) * 1000.0 / run_ms;
     if server.cold() { warm / 2.0 } else { warm }
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -79,9 +79,6 @@
     },
     Held {
         service_tag: u32,
-        /// Version of the holdings before and after the change.
-        before: u64,
-        version: u64,
         holding: Holding,
     },
 }
@@ -201,12 +198,10 @@
         self.send(&message, &self.addresses());
     }
 
-    /// Tells all hosts of a change of holdings.
-    pub fn announce_holding(&self, service: &str, before: u64, version: u64, holding: &Holding) {
+    /// Tells all hosts that a server has got keys.
+    pub fn announce_holding(&self, service: &str, holding: &Holding) {
         let message = Message::Held {
             service_tag: tag_of(service),
-            before,
-            version,
             holding: holding.clone(),
         };
         self.send(&message, &self.addresses());
@@ -380,12 +375,10 @@
             }
             Ok(Message::Held {
                 service_tag,
-                before,
-                version,
                 holding,
             }) => {
                 if let Some(service) = self.service_of(service_tag) {
-                    self.view.hold_next(&service, before, version, holding);
+                    self.view.note_granted(&service, holding);
                 }
             }
             Ok(Message::Moving {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -21,8 +21,8 @@
 
 /// Time after which a move that was announced and not recorded no longer holds requests back.
 const MOVE_HOLD_MS: u64 = 400;
-/// Time from a holding's record to its grant, as a rule.
-const GRANT_DELAY_MS: u64 = 6;
+/// Time for which an announced grant counts; the record has been read by then.
+const GRANTED_KEPT_MS: u64 = 3_000;
 
 /// Holdings of one service at one version of their row.
 #[derive(Clone, Debug)]
@@ -43,6 +43,14 @@
     until_ms: u64,
 }
 
+/// A grant that was announced.
+#[derive(Clone, Debug)]
+struct Granted {
+    service: Arc<str>,
+    holding: Holding,
+    until_ms: u64,
+}
+
 /// Where a keyed request should go.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Owner {
@@ -54,6 +62,18 @@
     Nobody,
 }
 
+type Fenced = Option<(Arc<str>, u64)>;
+
+/// The one of two servers that has the higher fence.
+fn higher_fence(one: Fenced, other: Fenced) -> Fenced {
+    let fence = |fenced: &Fenced| fenced.as_ref().map_or(0, |(_, fence)| *fence);
+    if fence(&one) >= fence(&other) {
+        one
+    } else {
+        other
+    }
+}
+
 /// What a host believes.
 #[derive(Debug)]
 pub struct View {
@@ -62,6 +82,7 @@
     servers_known: AtomicBool,
     held: Mutex<HashMap<Arc<str>, Held>>,
     moving: Mutex<Vec<Moving>>,
+    granted: Mutex<Vec<Granted>>,
     changed: watch::Sender<u64>,
     doubts: watch::Sender<u64>,
     holdings_wanted: Notify,
@@ -77,6 +98,7 @@
             servers_known: AtomicBool::new(false),
             held: Mutex::default(),
             moving: Mutex::default(),
+            granted: Mutex::default(),
             changed: watch::channel(0).0,
             doubts: watch::channel(0).0,
             holdings_wanted: Notify::new(),
@@ -148,14 +170,18 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Notes one change of a service's holdings, if it is the next one after what is known.
-    pub fn hold_next(&self, service: &Arc<str>, before: u64, version: u64, holding: Holding) {
-        let Some(held) = self.held(service).filter(|held| held.version == before) else {
-            return;
-        };
-        let mut assignment = (*held.assignment).clone();
-        assignment.put(holding);
-        self.hold(service, Arc::new(assignment), version);
+    /// Notes that a server was granted keys, before the record of it is read.
+    pub fn note_granted(&self, service: &Arc<str>, holding: Holding) {
+        let now_ms = clock::now_ms();
+        let mut granted = self.granted();
+        granted.retain(|g| now_ms < g.until_ms);
+        granted.push(Granted {
+            service: service.clone(),
+            holding,
+            until_ms: now_ms + GRANTED_KEPT_MS,
+        });
+        drop(granted);
+        self.changed.send_modify(|count| *count += 1);
     }
 
     /// Asks for the holdings to be read soon: a server did not hold what was thought.
@@ -194,31 +220,35 @@
     /// Where a request for `key` should go.
     pub fn owner(&self, service: &Arc<str>, key: u16) -> Owner {
         let held = self.held_map();
-        let holding = held
+        let recorded = held
             .get(service)
-            .and_then(|held| held.assignment.holding(key));
-        let Some(holding) = holding else {
-            return Owner::Nobody;
-        };
-        let owner = Owner::Server(holding.server.clone(), holding.fence);
-        let fence = holding.fence;
+            .and_then(|held| held.assignment.holding(key))
+            .map(|holding| (holding.server.clone(), holding.fence));
         drop(held);
-        let mut moving = self.moving();
-        if moving.is_empty() {
-            return owner;
-        }
         let now_ms = clock::now_ms();
-        for entry in moving.iter_mut() {
-            let concerns = entry.service == *service && entry.range.contains(key);
-            if concerns && fence > entry.above_fence && entry.until_ms > now_ms + GRANT_DELAY_MS {
-                // Recorded; the grant follows.
-                entry.until_ms = now_ms + GRANT_DELAY_MS;
-            }
-        }
-        let waits = moving
+        let granted = self.granted();
+        let concerns = |g: &&Granted| {
+            now_ms < g.until_ms && g.service == *service && g.holding.range.contains(key)
+        };
+        let granted = granted
             .iter()
-            .any(|m| m.until_ms > now_ms && m.service == *service && m.range.contains(key));
-        if waits { Owner::Moving } else { owner }
+            .filter(concerns)
+            .max_by_key(|g| g.holding.fence)
+            .map(|g| (g.holding.server.clone(), g.holding.fence));
+        let latest = higher_fence(granted.clone(), recorded);
+        let Some((server, fence)) = latest else {
+            return Owner::Nobody;
+        };
+        // The record comes before the grant, so only an announced grant ends the wait.
+        let granted_fence = granted.map_or(0, |(_, fence)| fence);
+        let waits = self.moving().iter().any(|m| {
+            let concerns = m.service == *service && m.range.contains(key);
+            concerns && now_ms < m.until_ms && granted_fence <= m.above_fence
+        });
+        if waits {
+            return Owner::Moving;
+        }
+        Owner::Server(server, fence)
     }
 
     /// Tells of changes of any of this.
@@ -253,6 +283,10 @@
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn granted(&self) -> MutexGuard<'_, Vec<Granted>> {
+        self.granted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn moving(&self) -> MutexGuard<'_, Vec<Moving>> {
         self.moving.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/tests/entry_host.rs
@@ -0,0 +1,373 @@
+//! Entry hosts as real processes against stand-ins of the platform's store and of backend servers.
+
+mod platform_standin;
+
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use tokio::time;
+
+use self::platform_standin::{
+    caller::{Ask, Caller, ask_once},
+    hosts::Host,
+    server::Server,
+    site::{KEYED, ORDERS, Site, configuration, eventually, get},
+    store::Faults,
+};
+
+/// A keyed read with a fresh id.
+fn read<'a>(id: &'a str, path: &'a str) -> Ask<'a> {
+    Ask {
+        method: "GET",
+        path,
+        id,
+        key: Some(7),
+        deadline_ms: 800,
+    }
+}
+
+fn order<'a>(id: &'a str) -> Ask<'a> {
+    Ask {
+        method: "POST",
+        path: "/orders/new?count=2",
+        id,
+        key: None,
+        deadline_ms: 800,
+    }
+}
+
+#[tokio::test]
+async fn requests_are_routed_and_answers_are_exact() {
+    struct Case {
+        ask: Ask<'static>,
+        status: StatusCode,
+        body: &'static str,
+        signed: bool,
+    }
+    let cases = [
+        Case {
+            ask: read("id-1", "/keyed/level"),
+            status: StatusCode::OK,
+            body: "id-1 /keyed/level 0",
+            signed: true,
+        },
+        Case {
+            ask: order("id-2"),
+            status: StatusCode::OK,
+            body: "id-2 /orders/new 6",
+            signed: true,
+        },
+        Case {
+            ask: read("id-3", "/keyed"),
+            status: StatusCode::NOT_FOUND,
+            body: "no route",
+            signed: false,
+        },
+        Case {
+            ask: read("id-4", "/elsewhere/"),
+            status: StatusCode::NOT_FOUND,
+            body: "no route",
+            signed: false,
+        },
+    ];
+    let site = Site::start(2, 2).await;
+    for host in &site.hosts {
+        for case in &cases {
+            let answer = ask_once(host.callers, case.ask).await.expect("an answer");
+            assert_eq!(answer.status, case.status, "{case:?}", case = case.ask);
+            assert_eq!(answer.body, case.body);
+            assert_eq!(answer.headers.contains_key("server-signature"), case.signed);
+            if case.signed {
+                assert_eq!(answer.headers["request-id"], case.ask.id);
+            }
+        }
+    }
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn a_host_without_configuration_refuses() {
+    let store = platform_standin::store::Store::start().await;
+    let host = Host::start(&store);
+    eventually("the host listens", 5_000, async || {
+        Caller::connect(host.callers).await.is_some()
+    })
+    .await;
+    let answer = ask_once(host.callers, read("id", "/keyed/")).await;
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    let ready = ask_once(host.readiness, read("id", "/readyz")).await;
+    assert_eq!(
+        ready.expect("an answer").status,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+}
+
+#[tokio::test]
+async fn configurations_take_effect_and_never_revert() {
+    let site = Site::start(2, 1).await;
+    let added = |id| read(id, "/added/x");
+    site.store
+        .put("op", "config", &configuration(0x10, &["/added/"]));
+    for host in &site.hosts {
+        eventually("the new route is served", 2_000, async || {
+            let answer = ask_once(host.callers, added("id")).await;
+            answer.is_some_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+    // An older version, as a stale read would show it, and a forgotten history.
+    site.store.put("op", "config", &configuration(0x0f, &[]));
+    site.store.forget_history();
+    time::sleep(Duration::from_millis(600)).await;
+    for host in &site.hosts {
+        let answer = ask_once(host.callers, added("id"))
+            .await
+            .expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+#[tokio::test]
+async fn a_stopping_host_cuts_nothing_off_and_refuses_what_it_cannot_finish() {
+    let mut site = Site::start(2, 1).await;
+    let mut unused = Caller::connect(site.hosts[0].callers)
+        .await
+        .expect("connection");
+    let mut kept = Caller::connect(site.hosts[0].callers)
+        .await
+        .expect("connection");
+    assert!(kept.ask(order("before")).await.is_some());
+    site.hosts[0].signal("TERM");
+    let began = Instant::now();
+    time::sleep(Duration::from_millis(100)).await;
+    let ready = ask_once(site.hosts[0].readiness, read("id", "/readyz")).await;
+    assert_eq!(
+        ready.expect("an answer").status,
+        StatusCode::SERVICE_UNAVAILABLE
+    );
+    let answer = kept.ask(order("during")).await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.headers["connection"], "close");
+    // A connection that was opened early and never used outlives the listener.
+    time::sleep(Duration::from_millis(5_150).saturating_sub(began.elapsed())).await;
+    if let Some(answer) = unused.ask(order("late")).await {
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"));
+    }
+    assert_eq!(site.record.runs("late"), 0);
+    let host = &mut site.hosts[0];
+    eventually("the process ends within the grace", 6_000, async || {
+        host.ended()
+    })
+    .await;
+    assert!(began.elapsed() < Duration::from_millis(6_000));
+}
+
+#[tokio::test]
+async fn the_duty_survives_its_holder() {
+    let mut site = Site::start(3, 3).await;
+    let holder = site
+        .hosts
+        .iter()
+        .position(|host| !host.events("duty_taken").is_empty())
+        .expect("a holder");
+    site.hosts[holder].kill();
+    let others: Vec<&Host> = (0..3)
+        .filter(|i| *i != holder)
+        .map(|i| &site.hosts[i])
+        .collect();
+    // Leases last longer than the change of holder, so no key is ever out of service.
+    let until = Instant::now() + Duration::from_millis(7_000);
+    while Instant::now() < until {
+        for key in [3, 30_000, 60_000] {
+            assert_eq!(get(others[0], key).await, Some(StatusCode::OK));
+        }
+        time::sleep(Duration::from_millis(40)).await;
+    }
+    assert!(
+        others
+            .iter()
+            .any(|host| !host.events("duty_taken").is_empty())
+    );
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn a_planned_stop_of_the_holder_hands_the_duty_over() {
+    let site = Site::start(2, 2).await;
+    let is_holder = |host: &&Host| !host.events("duty_taken").is_empty();
+    let holder = site.hosts.iter().find(is_holder).expect("a holder");
+    let other = site
+        .hosts
+        .iter()
+        .find(|host| !is_holder(host))
+        .expect("another");
+    holder.signal("TERM");
+    eventually("the other host takes the duty", 2_500, async || {
+        let taken = other.events("duty_taken");
+        taken
+            .iter()
+            .any(|line| line.contains("\"handed_over\":true"))
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn keys_of_servers_that_leave_crash_or_fall_silent_are_served_again() {
+    struct Case {
+        name: &'static str,
+        /// Longest time until all keys are served again.
+        limit_ms: u64,
+        leave: fn(&Site, &Server),
+    }
+    let cases = [
+        Case {
+            name: "drains",
+            limit_ms: 1_500,
+            leave: |site, server| server.declare(&site.store, "draining"),
+        },
+        Case {
+            name: "its entry is removed and it serves on",
+            limit_ms: 1_500,
+            leave: |site, server| site.store.remove("servers", &server.id),
+        },
+        Case {
+            name: "crashes",
+            limit_ms: 7_000,
+            leave: |site, server| server.crash(&site.store),
+        },
+        Case {
+            name: "falls silent",
+            limit_ms: 9_000,
+            leave: |_, server| server.set_silent(true),
+        },
+    ];
+    for case in cases {
+        let site = Site::start(2, 3).await;
+        let leaving = &site.keyed[0];
+        assert!(leaving.keys_held() > 0, "{}", case.name);
+        (case.leave)(&site, leaving);
+        let others = &site.keyed[1..];
+        eventually(case.name, case.limit_ms, async || {
+            let held: usize = others.iter().map(Server::keys_held).sum();
+            held == 1 << 16
+        })
+        .await;
+        assert_eq!(leaving.keys_held(), 0, "{}", case.name);
+        for key in (0..=u16::MAX).step_by(4_001) {
+            assert_eq!(
+                get(&site.hosts[1], key).await,
+                Some(StatusCode::OK),
+                "{}",
+                case.name
+            );
+        }
+        assert_eq!(
+            site.record.violations(),
+            Vec::<String>::new(),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[tokio::test]
+async fn leases_outlast_an_outage_of_the_store() {
+    let faults = [
+        Faults {
+            silent: true,
+            ..Faults::default()
+        },
+        Faults {
+            refusing: true,
+            ..Faults::default()
+        },
+    ];
+    for faults in faults {
+        let site = Site::start(2, 2).await;
+        site.store.set_faults(faults);
+        let until = Instant::now() + Duration::from_millis(9_000);
+        while Instant::now() < until {
+            for key in [5, 50_000] {
+                assert_eq!(
+                    get(&site.hosts[0], key).await,
+                    Some(StatusCode::OK),
+                    "{faults:?}"
+                );
+            }
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        site.store.set_faults(Faults::default());
+        // Changes are possible again soon after the store's return.
+        let joined = Server::start(&site.store, &site.record, ORDERS).await;
+        eventually("a server that joined is used", 6_000, async || {
+            for _ in 0..8 {
+                let id = format!("{:016x}", rand::random::<u64>());
+                ask_once(site.hosts[0].callers, order(&id)).await;
+            }
+            joined.served() > 0
+        })
+        .await;
+        assert_eq!(site.record.violations(), Vec::<String>::new());
+    }
+}
+
+#[tokio::test]
+async fn lost_answers_of_the_store_do_no_harm() {
+    let site = Site::start_servers(3).await;
+    site.store.set_faults(Faults {
+        lose_answer_every: 3,
+        ..Faults::default()
+    });
+    let hosts = [Host::start(&site.store), Host::start(&site.store)];
+    eventually("all keys are held", 10_000, async || {
+        site.keyed.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+    })
+    .await;
+    site.keyed[0].declare(&site.store, "draining");
+    eventually("the keys have moved", 10_000, async || {
+        site.keyed[0].keys_held() == 0
+            && site.keyed[1..].iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+    })
+    .await;
+    assert_eq!(get(&hosts[0], 9).await, Some(StatusCode::OK));
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn unrepeatable_requests_run_at_most_once_when_answers_are_lost() {
+    let site = Site::start(2, 2).await;
+    for server in &site.orders {
+        server.lose_answers(4);
+    }
+    let mut statuses = Vec::new();
+    for number in 0..40 {
+        let id = format!("order-{number}");
+        let answer = ask_once(site.hosts[number % 2].callers, order(&id)).await;
+        let status = answer.expect("an answer").status;
+        assert!(site.record.runs(&id) <= 1, "{id} ran twice");
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            assert_eq!(site.record.runs(&id), 0, "{id} ran after a refusal");
+        }
+        statuses.push(status);
+    }
+    assert!(statuses.contains(&StatusCode::GATEWAY_TIMEOUT));
+}
+
+#[tokio::test]
+async fn servers_that_join_get_keys_by_load() {
+    let site = Site::start(2, 2).await;
+    let joined = Server::start(&site.store, &site.record, KEYED).await;
+    let until = Instant::now() + Duration::from_millis(8_000);
+    let mut key = 0u16;
+    while joined.keys_held() == 0 {
+        assert!(Instant::now() < until, "the new server got no keys");
+        for host in &site.hosts {
+            key = key.wrapping_add(977);
+            get(host, key).await;
+        }
+    }
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
--- /dev/null
+++ b/tests/platform_standin/caller.rs
@@ -0,0 +1,86 @@
+//! Callers of entry hosts.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time};
+
+/// An answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A kept connection to one host.
+#[derive(Debug)]
+pub struct Caller {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+/// A request.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Path.
+    pub path: &'a str,
+    /// Identifier.
+    pub id: &'a str,
+    /// Key, if the service is divided by key.
+    pub key: Option<u16>,
+    /// Deadline.
+    pub deadline_ms: u64,
+}
+
+impl Caller {
+    /// Connects; `None` if nobody listens.
+    pub async fn connect(address: SocketAddr) -> Option<Self> {
+        let stream = time::timeout(Duration::from_secs(1), TcpStream::connect(address)).await;
+        let stream = stream.ok()?.ok()?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        Some(Self { sender })
+    }
+
+    /// Sends a request; `None` if the connection ended without an answer or nothing came.
+    pub async fn ask(&mut self, ask: Ask<'_>) -> Option<Answer> {
+        let mut request = Request::builder()
+            .method(ask.method)
+            .uri(ask.path)
+            .header("host", "site.example")
+            .header("request-id", ask.id)
+            .header("deadline-ms", ask.deadline_ms);
+        if let Some(key) = ask.key {
+            request = request.header("shard-key", key);
+        }
+        let body = if ask.method == "GET" { "" } else { "a body" };
+        let request = request.body(Full::new(Bytes::from_static(body.as_bytes())));
+        let exchange = async {
+            self.sender.ready().await.ok()?;
+            let response = self.sender.send_request(request.expect("request")).await;
+            let (head, body) = response.ok()?.into_parts();
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(Answer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
+        };
+        let limit = Duration::from_millis(ask.deadline_ms + 1_000);
+        time::timeout(limit, exchange).await.ok()?
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn ask_once(address: SocketAddr, ask: Ask<'_>) -> Option<Answer> {
+    Caller::connect(address).await?.ask(ask).await
+}
--- /dev/null
+++ b/tests/platform_standin/hosts.rs
@@ -0,0 +1,125 @@
+//! Entry hosts as real processes.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use super::{fresh_ip, store::Store};
+
+const CALLERS_PORT: u16 = 8641;
+const READINESS_PORT: u16 = 8640;
+const PEERS_PORT: u16 = 7620;
+const METRICS_PORT: u16 = 7621;
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// An entry host; killed when dropped.
+#[derive(Debug)]
+pub struct Host {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address of the readiness check.
+    pub readiness: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+    /// File with the host's log.
+    pub log: PathBuf,
+    settings: PathBuf,
+    child: Child,
+}
+
+impl Host {
+    /// Starts a host that reaches the store at `store_address`.
+    pub fn start_at(store_address: SocketAddr) -> Self {
+        let ip = fresh_ip();
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let directory = std::env::temp_dir().join(format!("ashroad-{}", std::process::id()));
+        fs::create_dir_all(&directory).expect("directory");
+        let settings = directory.join(format!("host-{number}.yaml"));
+        let log = directory.join(format!("host-{number}.log"));
+        let text = format!(
+            "name: host-{number}\navailability_zone: a\n\
+             listen:\n  callers: {ip}:{CALLERS_PORT}\n  readiness: {ip}:{READINESS_PORT}\n  \
+             peers: {ip}:{PEERS_PORT}\n  metrics: {ip}:{METRICS_PORT}\n\
+             store:\n  address: {store_address}\n  server_heartbeat: 800ms\n\
+             bounds:\n  stop_grace: 6s\n  lease_max: 10s\n  retry_window: 10s\n  \
+             retry_ratio: 0.2\n  retry_allowance: 60\n"
+        );
+        fs::write(&settings, text).expect("settings");
+        let mut host = Self {
+            callers: SocketAddr::new(ip, CALLERS_PORT),
+            readiness: SocketAddr::new(ip, READINESS_PORT),
+            metrics: SocketAddr::new(ip, METRICS_PORT),
+            child: spawn(&settings, &log),
+            log,
+            settings,
+        };
+        host.settings = host.settings.clone();
+        host
+    }
+
+    /// Starts a host.
+    pub fn start(store: &Store) -> Self {
+        Self::start_at(store.address)
+    }
+
+    /// Sends a signal by its name, such as `TERM`, `STOP`, `CONT` or `KILL`.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill")
+            .args([format!("-{name}"), pid])
+            .status();
+        assert!(sent.expect("kill").success(), "signal {name}");
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        // A process that has ended already cannot be killed, which is as good.
+        self.child.kill().ok();
+        self.child.wait().expect("the process ends");
+    }
+
+    /// Starts the process again after its end, at the same addresses.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.settings, &self.log);
+    }
+
+    /// True once the process has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().expect("status").is_some()
+    }
+
+    /// Lines of the log that name an event.
+    pub fn events(&self, name: &str) -> Vec<String> {
+        let text = fs::read_to_string(&self.log).unwrap_or_default();
+        let wanted = format!("\"event\":\"{name}\"");
+        let lines = text.lines().filter(|line| line.contains(&wanted));
+        lines.map(str::to_owned).collect()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+    let log = fs::File::options()
+        .create(true)
+        .append(true)
+        .open(log)
+        .expect("log");
+    Command::new(env!("CARGO_BIN_EXE_ashroad"))
+        .args(["entry", "--settings"])
+        .arg(settings)
+        .stdout(log)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("the binary runs")
+}
--- /dev/null
+++ b/tests/platform_standin/mod.rs
@@ -0,0 +1,34 @@
+//! Stand-ins of the users' platform for tests: its store, its backend servers, and entry hosts as
+//! real processes. All listen on loopback addresses that are derived from the test's process id, so
+//! that tests that run at the same time do not meet.
+
+#![allow(dead_code, reason = "each test binary uses a part of this")]
+
+pub mod caller;
+pub mod hosts;
+pub mod server;
+pub mod site;
+pub mod store;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::atomic::{AtomicU16, Ordering},
+};
+
+static NEXT: AtomicU16 = AtomicU16::new(1);
+
+/// A loopback address that no other test uses.
+pub fn fresh_ip() -> IpAddr {
+    let pid = std::process::id();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    // 127.1.0.0 to 127.255.255.255 by process and counter.
+    let second = 1 + (pid % 250) as u8;
+    let third = (pid / 250 % 64) as u8 * 4 + (number / 250) as u8;
+    let fourth = 1 + (number % 250) as u8;
+    IpAddr::V4(Ipv4Addr::new(127, second, third, fourth))
+}
+
+/// A fresh address with a port of one's choice.
+pub fn fresh_address(port: u16) -> SocketAddr {
+    SocketAddr::new(fresh_ip(), port)
+}
--- /dev/null
+++ b/tests/platform_standin/server.rs
@@ -0,0 +1,380 @@
+//! Stand-in of a backend server that holds keys under fences and leases, and a record of what ran
+//! where that all servers of a test share.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use ashroad::{
+    platform::parse_ms,
+    transport::{self, AnswerBody, ListenerLimits, header_text},
+};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time,
+};
+
+use super::{fresh_address, store::Store};
+
+const KEYS: usize = 1 << 16;
+
+/// What ran where, over all servers of a test.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// Runs by request id.
+    runs: Mutex<HashMap<String, u32>>,
+    /// Servers that hold keys, for the check of single ownership.
+    holders: Mutex<Vec<Arc<Holdings>>>,
+    /// What broke a promise.
+    violations: Mutex<Vec<String>>,
+}
+
+impl Record {
+    /// What broke a promise.
+    pub fn violations(&self) -> Vec<String> {
+        lock(&self.violations).clone()
+    }
+
+    /// Notes a broken promise.
+    pub fn violate(&self, text: String) {
+        lock(&self.violations).push(text);
+    }
+
+    /// How often a request ran.
+    pub fn runs(&self, id: &str) -> u32 {
+        lock(&self.runs).get(id).copied().unwrap_or(0)
+    }
+
+    fn begin(&self, id: &str, key: Option<u16>, server: &Holdings) {
+        *lock(&self.runs).entry(id.to_owned()).or_default() += 1;
+        let Some(key) = key else { return };
+        let others = lock(&self.holders).clone();
+        for other in others {
+            let same_service = other.service == server.service;
+            if same_service && other.id != server.id && other.holds(key) {
+                let text = format!("key {key} is held by {} and {}", server.id, other.id);
+                self.violate(text);
+            }
+        }
+    }
+
+    /// A key is taken: its fence must be above every other server's.
+    fn take(&self, key: u16, fence: u64, server: &Holdings) {
+        let others = lock(&self.holders).clone();
+        for other in others {
+            if other.service != server.service || other.id == server.id {
+                continue;
+            }
+            let held = lock(&other.keys)[usize::from(key)].granted_fence;
+            if held >= fence {
+                let text = format!(
+                    "{} takes key {key} at fence {fence} under {held}",
+                    server.id
+                );
+                self.violate(text);
+                return;
+            }
+        }
+    }
+}
+
+/// One key at one server.
+#[derive(Clone, Copy, Debug, Default)]
+struct KeyState {
+    /// Highest fence seen, by grants and releases.
+    fence: u64,
+    /// Highest fence of a grant that was taken.
+    granted_fence: u64,
+    until: Option<Instant>,
+}
+
+/// Keys that one server holds.
+#[derive(Debug)]
+pub struct Holdings {
+    id: String,
+    service: String,
+    up: AtomicBool,
+    keys: Mutex<Vec<KeyState>>,
+}
+
+impl Holdings {
+    fn holds(&self, key: u16) -> bool {
+        let until = lock(&self.keys)[usize::from(key)].until;
+        self.up.load(Ordering::Relaxed) && until.is_some_and(|until| Instant::now() < until)
+    }
+}
+
+/// A backend server.
+#[derive(Debug)]
+pub struct Server {
+    /// Incarnation.
+    pub id: String,
+    /// Address it listens on.
+    pub address: SocketAddr,
+    state: Arc<State>,
+    stop: watch::Sender<bool>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+#[derive(Debug)]
+struct State {
+    holdings: Arc<Holdings>,
+    record: Arc<Record>,
+    divided: bool,
+    slots: Semaphore,
+    work_ms: AtomicU64,
+    running: AtomicU64,
+    /// Nothing is answered.
+    silent: AtomicBool,
+    /// Each n-th answer of a run is lost; 0 for none.
+    lose_answer_every: AtomicU64,
+    served: AtomicU64,
+}
+
+/// What a server is like.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// True if it runs only requests for keys that it holds.
+    pub divided: bool,
+    /// Time that a request runs.
+    pub work_ms: u64,
+}
+
+impl Server {
+    /// Starts a server and writes its entry.
+    pub async fn start(store: &Store, record: &Arc<Record>, kind: Kind<'_>) -> Self {
+        let listener = TcpListener::bind(fresh_address(0)).await.expect("listener");
+        let address = listener.local_addr().expect("address");
+        let id = format!("i-{:010x}", rand::random::<u32>());
+        let holdings = Arc::new(Holdings {
+            id: id.clone(),
+            service: kind.service.to_owned(),
+            up: AtomicBool::new(true),
+            keys: Mutex::new(vec![KeyState::default(); KEYS]),
+        });
+        lock(&record.holders).push(holdings.clone());
+        let state = Arc::new(State {
+            holdings,
+            record: record.clone(),
+            divided: kind.divided,
+            slots: Semaphore::new(4),
+            work_ms: AtomicU64::new(kind.work_ms),
+            running: AtomicU64::new(0),
+            silent: AtomicBool::new(false),
+            lose_answer_every: AtomicU64::new(0),
+            served: AtomicU64::new(0),
+        });
+        let (stop, stopped) = watch::channel(false);
+        let handled = state.clone();
+        let handler = move |request| handled.clone().handle(request);
+        let task = tokio::spawn(transport::serve(
+            listener,
+            ListenerLimits::default(),
+            stopped,
+            handler,
+        ));
+        let server = Self {
+            id,
+            address,
+            state,
+            stop,
+            task,
+        };
+        server.declare(store, "ready");
+        server
+    }
+
+    /// Writes the server's entry.
+    pub fn declare(&self, store: &Store, state: &str) {
+        let entry = json!({
+            "addr": self.address.to_string(),
+            "info": {"service": self.state.holdings.service, "version": "v1", "zone": "a", "slots": 4},
+            "status": {"state": state, "seq": 1, "warmupLeft": "0ms"},
+        });
+        store.put("servers", &self.id, &entry);
+    }
+
+    /// Ends the server as a crash would, and removes its entry.
+    pub fn crash(&self, store: &Store) {
+        self.state.holdings.up.store(false, Ordering::Relaxed);
+        self.state.silent.store(true, Ordering::Relaxed);
+        self.task.abort();
+        if self.stop.send(true).is_err() {
+            // The listener has ended with its task.
+        }
+        store.remove("servers", &self.id);
+    }
+
+    /// Lets the server answer nothing, or answer again. What it holds stays held.
+    pub fn set_silent(&self, silent: bool) {
+        self.state.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Loses each n-th answer.
+    pub fn lose_answers(&self, every: u64) {
+        self.state.lose_answer_every.store(every, Ordering::Relaxed);
+    }
+
+    /// Requests served.
+    pub fn served(&self) -> u64 {
+        self.state.served.load(Ordering::Relaxed)
+    }
+
+    /// Number of keys that it holds now.
+    pub fn keys_held(&self) -> usize {
+        (0..=u16::MAX)
+            .filter(|key| self.state.holdings.holds(*key))
+            .count()
+    }
+}
+
+impl State {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        if self.silent.load(Ordering::Relaxed) {
+            return std::future::pending().await;
+        }
+        let expected = header_text(request.headers(), "expect-instance");
+        if expected.is_some_and(|id| id != self.holdings.id) {
+            return self.not_run(StatusCode::MISDIRECTED_REQUEST, "");
+        }
+        match request.uri().path() {
+            "/grant" => self.grant(request).await,
+            "/release" => self.release(request).await,
+            _ => self.run(request).await,
+        }
+    }
+
+    async fn grant(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = Instant::now();
+        let order = read(request).await;
+        let (first, last, fence) = range_of(&order);
+        let hold = parse_ms(order["hold_time"].as_str().unwrap_or_default()).expect("hold time");
+        let until = arrived + Duration::from_millis(hold);
+        let mut taken = Vec::new();
+        {
+            let mut keys = lock(&self.holdings.keys);
+            let seen = keys[first..=last].iter().map(|key| key.fence).max();
+            if seen > Some(fence) {
+                return transport::json(StatusCode::CONFLICT, &json!({}));
+            }
+            for (key, state) in (first..=last).zip(&mut keys[first..=last]) {
+                let held = state.until.is_some_and(|until| arrived < until);
+                if !held || state.granted_fence != fence {
+                    taken.push(key as u16);
+                }
+                state.fence = fence;
+                state.granted_fence = fence;
+                state.until = Some(until);
+            }
+        }
+        // Ends of the range stand for all of it; a check of each key would take too long.
+        if let (Some(first), Some(last)) = (taken.first(), taken.last()) {
+            self.record.take(*first, fence, &self.holdings);
+            self.record.take(*last, fence, &self.holdings);
+        }
+        transport::json(StatusCode::OK, &json!({}))
+    }
+
+    async fn release(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let order = read(request).await;
+        let (first, last, fence) = range_of(&order);
+        {
+            let mut keys = lock(&self.holdings.keys);
+            for state in &mut keys[first..=last] {
+                state.fence = state.fence.max(fence);
+                state.until = None;
+            }
+        }
+        // All running work counts, which is more than the released keys' work.
+        while self.running.load(Ordering::Relaxed) > 0 {
+            time::sleep(Duration::from_millis(2)).await;
+        }
+        let mut response = transport::json(StatusCode::OK, &json!({}));
+        let token = HeaderValue::from_static("5c0e7a21d94b36f8");
+        response.headers_mut().insert("handover", token);
+        response
+    }
+
+    async fn run(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let id = header_text(request.headers(), "request-id").unwrap_or_default();
+        let id = id.to_owned();
+        let key = header_text(request.headers(), "shard-key").and_then(|key| key.parse().ok());
+        let Ok(permit) = self.slots.acquire().await else {
+            return std::future::pending().await;
+        };
+        if self.divided && !key.is_some_and(|key| self.holdings.holds(key)) {
+            return self.not_run(StatusCode::MISDIRECTED_REQUEST, &id);
+        }
+        self.running.fetch_add(1, Ordering::Relaxed);
+        let running = Running(&self.running);
+        let checked = if self.divided { key } else { None };
+        self.record.begin(&id, checked, &self.holdings);
+        let path = request.uri().path().to_owned();
+        let body = request.into_body().collect().await;
+        let length = body.map(|body| body.to_bytes().len()).unwrap_or(0);
+        let work_ms = self.work_ms.load(Ordering::Relaxed);
+        time::sleep(Duration::from_millis(work_ms)).await;
+        drop(running);
+        drop(permit);
+        let served = self.served.fetch_add(1, Ordering::Relaxed) + 1;
+        let every = self.lose_answer_every.load(Ordering::Relaxed);
+        if every > 0 && served.is_multiple_of(every) {
+            return std::future::pending().await;
+        }
+        let text = format!("{id} {path} {length}");
+        let mut response = transport::whole(StatusCode::OK, "text/plain", Bytes::from(text));
+        let headers = response.headers_mut();
+        headers.insert("server-signature", HeaderValue::from_static("signed"));
+        headers.insert("request-id", HeaderValue::from_str(&id).expect("id"));
+        response
+    }
+
+    fn not_run(&self, status: StatusCode, id: &str) -> Response<AnswerBody> {
+        let mut response = transport::json(status, &json!({}));
+        let headers = response.headers_mut();
+        headers.insert("not-run", HeaderValue::from_static("1"));
+        headers.insert("request-id", HeaderValue::from_str(id).expect("id"));
+        response
+    }
+}
+
+/// Counts a run until dropped.
+struct Running<'a>(&'a AtomicU64);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn read(request: Request<Incoming>) -> Value {
+    let body = request.into_body().collect().await.expect("body");
+    serde_json::from_slice(&body.to_bytes()).expect("order")
+}
+
+fn range_of(order: &Value) -> (usize, usize, u64) {
+    let number = |name: &str| order[name].as_u64().expect("number");
+    (
+        number("from") as usize,
+        number("toVersion") as usize,
+        number("fence"),
+    )
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/tests/platform_standin/site.rs
@@ -0,0 +1,143 @@
+//! A small deployment: a store, servers of two services, entry hosts, and a configuration.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use serde_json::{Value, json};
+use tokio::time;
+
+use super::{
+    caller::{Ask, ask_once},
+    hosts::Host,
+    server::{Kind, Record, Server},
+    store::Store,
+};
+
+/// Service that is divided by key; its route is `/keyed/`, of repeatable requests.
+pub const KEYED: Kind<'static> = Kind {
+    service: "keyed",
+    divided: true,
+    work_ms: 5,
+};
+/// Service without keys; its route is `/orders/`, of unrepeatable requests.
+pub const ORDERS: Kind<'static> = Kind {
+    service: "orders",
+    divided: false,
+    work_ms: 5,
+};
+
+/// A deployment.
+#[derive(Debug)]
+pub struct Site {
+    /// Store.
+    pub store: Store,
+    /// What ran where.
+    pub record: Arc<Record>,
+    /// Servers with keys.
+    pub keyed: Vec<Server>,
+    /// Servers without keys.
+    pub orders: Vec<Server>,
+    /// Entry hosts.
+    pub hosts: Vec<Host>,
+}
+
+impl Site {
+    /// Starts everything and waits until all hosts are ready and all keys are served.
+    pub async fn start(hosts: usize, servers: usize) -> Self {
+        let mut site = Self::start_servers(servers).await;
+        for _ in 0..hosts {
+            site.hosts.push(Host::start(&site.store));
+        }
+        site.await_ready().await;
+        site
+    }
+
+    /// Starts everything but hosts.
+    pub async fn start_servers(servers: usize) -> Self {
+        let store = Store::start().await;
+        let record = Arc::new(Record::default());
+        let mut keyed = Vec::new();
+        let mut orders = Vec::new();
+        for _ in 0..servers {
+            keyed.push(Server::start(&store, &record, KEYED).await);
+            orders.push(Server::start(&store, &record, ORDERS).await);
+        }
+        store.put("op", "config", &configuration(1, &[]));
+        Self {
+            store,
+            record,
+            keyed,
+            orders,
+            hosts: Vec::new(),
+        }
+    }
+
+    /// Waits until every host answers for keys and orders.
+    pub async fn await_ready(&self) {
+        for host in &self.hosts {
+            eventually("a host serves all keys", 8_000, async || {
+                for key in [0, 20_000, 40_000, 65_535] {
+                    if get(host, key).await != Some(StatusCode::OK) {
+                        return false;
+                    }
+                }
+                true
+            })
+            .await;
+        }
+    }
+}
+
+/// A configuration with the two routes, and more of them.
+pub fn configuration(version: u32, more_prefixes: &[&str]) -> Value {
+    let mut paths = vec![
+        json!({"name": "r-keyed", "pathPrefix": "/keyed/", "kind": "safe", "timeout": "800ms",
+            "aim": "200ms", "priority": 2, "service": "keyed", "maxAttempts": 2}),
+        json!({"name": "r-orders", "pathPrefix": "/orders/", "kind": "unsafe", "timeout": "800ms",
+            "aim": "200ms", "priority": 1, "service": "orders", "maxAttempts": 2}),
+    ];
+    for prefix in more_prefixes {
+        paths.push(json!({"name": prefix, "pathPrefix": prefix, "kind": "safe",
+            "timeout": "800ms", "priority": 2, "maxAttempts": 2,
+            "split": [{"service": "orders", "weight": 100}]}));
+    }
+    json!({
+        "version": format!("{version:08x}"),
+        "services": [
+            {"name": "keyed", "healthPath": "/healthz", "maxConns": 130, "protocol": "h1",
+             "tls": false, "sharded": true, "warm": "3s", "grants": "call"},
+            {"name": "orders", "healthPath": "/healthz", "maxConns": 130, "protocol": "h1",
+             "tls": false},
+        ],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576, "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms"},
+        "hosts": [{"host": "site.example", "paths": paths}],
+    })
+}
+
+/// Asks for a key; the status of the answer.
+pub async fn get(host: &Host, key: u16) -> Option<StatusCode> {
+    let id = format!("{:016x}", rand::random::<u64>());
+    let ask = Ask {
+        method: "GET",
+        path: "/keyed/level",
+        id: &id,
+        key: Some(key),
+        deadline_ms: 800,
+    };
+    ask_once(host.callers, ask)
+        .await
+        .map(|answer| answer.status)
+}
+
+/// Waits until a condition holds; fails the test if it does not within the time.
+pub async fn eventually(what: &str, limit_ms: u64, mut condition: impl AsyncFnMut() -> bool) {
+    let until = Instant::now() + Duration::from_millis(limit_ms);
+    while !condition().await {
+        assert!(Instant::now() < until, "not within {limit_ms} ms: {what}");
+        time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/tests/platform_standin/store.rs
@@ -0,0 +1,314 @@
+//! Stand-in of the platform's store: rows, conditional transactions and feeds, with faults.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use ashroad::transport::{self, AnswerBody, ListenerLimits};
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::{Value, json};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, watch},
+    time,
+};
+
+use super::fresh_address;
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Faults {
+    /// Calls are never answered and have no effect.
+    pub silent: bool,
+    /// Calls are answered with 503 and have no effect.
+    pub refusing: bool,
+    /// Of so many transactions one takes effect and is never answered; 0 for none.
+    pub lose_answer_every: u64,
+    /// Time before each call takes effect.
+    pub slow_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Rows {
+    version: u64,
+    /// Value and version by table and key.
+    rows: BTreeMap<(String, String), (String, u64)>,
+    /// Changes in order: version, table, key.
+    changes: Vec<(u64, String, String)>,
+    /// Changes up to this version are forgotten.
+    forgotten: u64,
+    faults: Faults,
+    transactions: u64,
+    calls: u64,
+}
+
+/// The store.
+#[derive(Debug)]
+pub struct Store {
+    /// Address it listens on.
+    pub address: SocketAddr,
+    state: Arc<State>,
+    _stop: watch::Sender<bool>,
+}
+
+#[derive(Debug)]
+struct State {
+    rows: Mutex<Rows>,
+    changed: Notify,
+    began: Instant,
+}
+
+impl Store {
+    /// Starts a store.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind(fresh_address(0)).await.expect("listener");
+        let address = listener.local_addr().expect("address");
+        let state = Arc::new(State {
+            rows: Mutex::default(),
+            changed: Notify::new(),
+            began: Instant::now(),
+        });
+        let (stop, stopped) = watch::channel(false);
+        let handled = state.clone();
+        let handler = move |request| handled.clone().handle(request);
+        tokio::spawn(transport::serve(
+            listener,
+            ListenerLimits::default(),
+            stopped,
+            handler,
+        ));
+        Self {
+            address,
+            state,
+            _stop: stop,
+        }
+    }
+
+    /// Writes a row as an operator or a server would.
+    pub fn put(&self, table: &str, key: &str, value: &Value) {
+        let text = BASE64_STANDARD.encode(value.to_string());
+        let mut rows = self.state.rows();
+        rows.version += 1;
+        rows.write(table, key, Some(text));
+        drop(rows);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut rows = self.state.rows();
+        rows.version += 1;
+        rows.write(table, key, None);
+        drop(rows);
+        self.state.changed.notify_waiters();
+    }
+
+    /// Sets what the store does wrong.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state.rows().faults = faults;
+    }
+
+    /// Forgets all history, as after a compaction.
+    pub fn forget_history(&self) {
+        let mut rows = self.state.rows();
+        rows.forgotten = rows.version;
+        rows.changes.clear();
+        drop(rows);
+        self.state.changed.notify_waiters();
+    }
+
+    /// A row's content.
+    pub fn row(&self, table: &str, key: &str) -> Option<Value> {
+        let rows = self.state.rows();
+        let (value, _) = rows.rows.get(&(table.to_owned(), key.to_owned()))?;
+        let bytes = BASE64_STANDARD.decode(value).ok()?;
+        serde_json::from_slice(&bytes).ok()
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.state.rows().calls
+    }
+}
+
+impl Rows {
+    fn write(&mut self, table: &str, key: &str, value: Option<String>) {
+        let version = self.version;
+        let place = (table.to_owned(), key.to_owned());
+        match value {
+            Some(value) => {
+                self.rows.insert(place, (value, version));
+            }
+            None => {
+                self.rows.remove(&place);
+            }
+        }
+        self.changes
+            .push((version, table.to_owned(), key.to_owned()));
+    }
+
+    fn json_row(&self, table: &str, key: &str) -> Option<Value> {
+        let (value, version) = self.rows.get(&(table.to_owned(), key.to_owned()))?;
+        Some(json!({"table": table, "part": "", "keyFile": key, "value": value, "ver": version}))
+    }
+
+    fn transact(&mut self, body: &Value) -> (StatusCode, Value) {
+        let none = Vec::new();
+        let list = |name: &str| body[name].as_array().unwrap_or(&none).clone();
+        let text = |value: &Value, name: &str| value[name].as_str().unwrap_or_default().to_owned();
+        let expects = list("expectRev");
+        let holds = expects.iter().all(|expect| {
+            let place = (text(expect, "table"), text(expect, "keyFile"));
+            let version = self.rows.get(&place).map_or(0, |(_, version)| *version);
+            Some(version) == expect["ver"].as_u64()
+        });
+        if !holds {
+            let rows: Vec<Value> = expects
+                .iter()
+                .filter_map(|e| self.json_row(&text(e, "table"), &text(e, "keyFile")))
+                .collect();
+            return (
+                StatusCode::PRECONDITION_FAILED,
+                json!({"rows": rows, "ver": self.version}),
+            );
+        }
+        self.version += 1;
+        for put in list("puts") {
+            let value = text(&put, "value");
+            self.write(&text(&put, "table"), &text(&put, "keyFile"), Some(value));
+        }
+        for removal in list("remove") {
+            self.write(&text(&removal, "table"), &text(&removal, "keyFile"), None);
+        }
+        (StatusCode::OK, json!({"ver": self.version}))
+    }
+
+    fn get(&self, query: &HashMap<String, String>) -> Value {
+        let table = &query["table"];
+        let from = query.get("from").cloned().unwrap_or_default();
+        let limit: usize = query
+            .get("limit")
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(500);
+        let start = (table.clone(), from);
+        let mut found = self
+            .rows
+            .range(start..)
+            .take_while(|((t, _), _)| t == table);
+        let rows: Vec<Value> = found
+            .by_ref()
+            .take(limit)
+            .filter_map(|((table, key), _)| self.json_row(table, key))
+            .collect();
+        json!({"rows": rows, "hasMore": found.next().is_some(), "ver": self.version})
+    }
+
+    fn feed(&self, table: &str, after: u64) -> Vec<Value> {
+        let changes = self
+            .changes
+            .iter()
+            .filter(|(v, t, _)| *v > after && t == table);
+        let rows = changes.map(|(version, table, key)| {
+            self.json_row(table, key).unwrap_or_else(
+                || json!({"table": table, "part": "", "keyFile": key, "ver": version, "deleted": true}),
+            )
+        });
+        rows.collect()
+    }
+}
+
+impl State {
+    fn rows(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let faults = {
+            let mut rows = self.rows();
+            rows.calls += 1;
+            rows.faults
+        };
+        time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        if faults.silent {
+            return std::future::pending().await;
+        }
+        if faults.refusing {
+            return transport::json(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+        }
+        let path = request.uri().path().to_owned();
+        let query = parse_query(request.uri().query().unwrap_or_default());
+        let body = request.into_body().collect().await;
+        let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+        match path.as_str() {
+            "/rows-tx" => self.transact(&body, faults).await,
+            "/rows-get" => self.answer(StatusCode::OK, self.rows().get(&query)),
+            "/rows-feed" => self.feed(&query).await,
+            _ => transport::json(StatusCode::NOT_FOUND, &json!({})),
+        }
+    }
+
+    async fn transact(&self, body: &Bytes, faults: Faults) -> Response<AnswerBody> {
+        let Ok(body) = serde_json::from_slice(body) else {
+            return transport::json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let (status, answer, lost) = {
+            let mut rows = self.rows();
+            rows.transactions += 1;
+            let every = faults.lose_answer_every;
+            let lost = every > 0 && rows.transactions.is_multiple_of(every);
+            let (status, answer) = rows.transact(&body);
+            (status, answer, lost)
+        };
+        self.changed.notify_waiters();
+        if lost {
+            return std::future::pending().await;
+        }
+        self.answer(status, answer)
+    }
+
+    async fn feed(&self, query: &HashMap<String, String>) -> Response<AnswerBody> {
+        let after: u64 = query.get("after").and_then(|a| a.parse().ok()).unwrap_or(0);
+        let wait_ms: u64 = query
+            .get("waitMs")
+            .and_then(|w| w.parse().ok())
+            .unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            {
+                let rows = self.rows();
+                if after < rows.forgotten {
+                    return self.answer(StatusCode::GONE, json!({}));
+                }
+                let found = rows.feed(&query["table"], after);
+                if !found.is_empty() || Instant::now() >= until {
+                    let answer = json!({"rows": found, "ver": rows.version});
+                    return self.answer(StatusCode::OK, answer);
+                }
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if time::timeout(left, changed).await.is_err() {
+                continue;
+            }
+        }
+    }
+
+    fn answer(&self, status: StatusCode, mut answer: Value) -> Response<AnswerBody> {
+        answer["now"] = json!(format!("{}ms", self.began.elapsed().as_millis()));
+        transport::json(status, &answer)
+    }
+}
+
+fn parse_query(query: &str) -> HashMap<String, String> {
+    let fields = query.split('&').filter_map(|field| field.split_once('='));
+    fields
+        .map(|(name, value)| (name.to_owned(), value.replace("%00", "\0")))
+        .collect()
+}
