--- a/src/bin/ashroad/app.rs
+++ b/src/bin/ashroad/app.rs
@@ -28,6 +28,8 @@
     Serve(ServeArgs),
     /// Run an entry host on the users' platform.
     Entry(ServeArgs),
+    /// Tell what happened to a request, from the logs of entry hosts.
+    Explain(ExplainArgs),
     /// Check settings, templates and workspaces; print every problem.
     Check(CheckArgs),
     /// Submit, withdraw and show templates.
@@ -64,6 +66,16 @@
     pub settings: PathBuf,
 }
 
+/// Flags of `explain`.
+#[derive(Debug, Args)]
+pub struct ExplainArgs {
+    /// Identifier of the request, as its caller gave it.
+    pub request_id: String,
+    /// Logs of the hosts.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Flags of `check`.
 #[derive(Debug, Args)]
 pub struct CheckArgs {
--- /dev/null
+++ b/src/bin/ashroad/explain.rs
@@ -0,0 +1,50 @@
+//! `ashroad explain`
+
+use std::fs;
+
+use ashroad::entry::explain::{self, Source, StoryLine};
+use snafu::ResultExt;
+
+use crate::{
+    app::ExplainArgs,
+    error::{ReadSnafu, Result},
+    output,
+};
+
+/// Prints the story of one request. An unknown request has an empty story, which is no failure:
+/// requests that were served without event are only sampled.
+pub fn run(args: &ExplainArgs, json: bool) -> Result<()> {
+    let mut logs = Vec::new();
+    for path in &args.logs {
+        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+        logs.push((path.display().to_string(), text));
+    }
+    let sources: Vec<Source<'_>> = logs
+        .iter()
+        .map(|(name, text)| Source { name, text })
+        .collect();
+    let story = explain::explain(&args.request_id, &sources);
+    if json {
+        output::json(&story);
+        return Ok(());
+    }
+    if story.is_empty() {
+        output::line("no log has an event of this request; it was served, or its log is missing");
+    }
+    for line in &story {
+        print_line(line);
+    }
+    Ok(())
+}
+
+fn print_line(line: &StoryLine) {
+    let mark = if line.about_request { "*" } else { " " };
+    let mut event = line.event.clone();
+    if let Some(fields) = event.as_object_mut() {
+        fields.remove("at_unix_ms");
+    }
+    output::line(&format!(
+        "{mark} {} {} {event}",
+        line.at_unix_ms, line.source
+    ));
+}
--- a/src/bin/ashroad/main.rs
+++ b/src/bin/ashroad/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod entry;
 mod error;
+mod explain;
 mod keys;
 mod load;
 mod output;
@@ -45,6 +46,7 @@
         }
         Command::Serve(args) => block_on(serve::run(args)),
         Command::Entry(args) => entry::run(&args),
+        Command::Explain(args) => explain::run(&args, json),
         Command::Standin(args) => block_on(standin::run(args)),
         Command::Template(args) => block_on(declaration::run_template(args, json)),
         Command::Workspace(args) => block_on(declaration::run_workspace(args, json)),
--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -7,7 +7,9 @@
 /// Run time that is assumed of a server while nothing is known of it or its like.
 const RUN_DEFAULT_MS: f64 = 60.0;
 /// Cost of another availability zone, as a share of the run time: bytes between zones are priced.
-const ZONE_COST: f64 = 0.15;
+const ZONE_COST: f64 = 0.4;
+/// Cost of opening a connection, as a share of the run time: new connections are priced.
+const CONNECT_COST: f64 = 0.1;
 /// A cold server is about half as fast.
 const COLD_FACTOR: f64 = 2.0;
 /// Cost of a server whose attempts all fail, in run times.
@@ -15,8 +17,11 @@
 /// Requests at a server, as a multiple of its slots, above which it gets no more. Servers queue
 /// about four times their slots and reset or shed beyond.
 const LOAD_MAX_FACTOR: u32 = 4;
+/// Advantage of a server of which nothing is known lately, so that servers that join, and those
+/// that were avoided, are tried.
+const UNKNOWN_BONUS: f64 = 0.8;
 /// Candidates that are looked at when a service has many servers.
-const CANDIDATES_MAX: usize = 12;
+const CANDIDATES_MAX: usize = 24;
 /// Random part of a cost, so that hosts with the same view do not all choose the same server.
 const JITTER: f64 = 0.1;
 
@@ -77,12 +82,11 @@
     let mut any = false;
     let offset = rand::random_range(0..servers.len().max(1));
     let candidates = servers.iter().cycle().skip(offset).take(servers.len());
-    let usable = candidates.filter(|server| !server.leaving() && !tried.contains(&server.entry.id));
+    let usable = candidates
+        .filter(|server| !server.leaving() && !tried.contains(&server.entry.id))
+        .inspect(|_| any = true)
+        .filter(|server| !server.paused() && has_room(server, typical_ms, left_ms));
     for server in usable.take(CANDIDATES_MAX) {
-        any = true;
-        if server.paused() || !has_room(server, typical_ms, left_ms) {
-            continue;
-        }
         let cost = cost(server, availability_zone, typical_ms);
         if best.is_none_or(|(_, least)| cost < least) {
             best = Some((server, cost));
@@ -98,7 +102,17 @@
 fn cost(server: &Server, availability_zone: &str, typical_ms: f64) -> f64 {
     let distant = *server.entry.availability_zone != *availability_zone;
     let zone = if distant { ZONE_COST } else { 0.0 };
+    let connect = if server.pool.has_idle() {
+        0.0
+    } else {
+        CONNECT_COST
+    };
+    let unknown = if server.run_ms() == 0.0 {
+        UNKNOWN_BONUS
+    } else {
+        0.0
+    };
     let jitter = JITTER * rand::random::<f64>();
     let base = expected_ms(server, typical_ms);
-    base * (1.0 + zone + jitter + FAILURE_COST * server.failures())
+    base * (1.0 + zone + connect + jitter - unknown + FAILURE_COST * server.failures())
 }
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -230,6 +230,7 @@
                 Ok(server) => server,
                 Err(reason) => {
                     self.log("refused", reason.to_owned());
+                    self.end(entry, "refused");
                     return refusal(reason);
                 }
             };
@@ -237,6 +238,10 @@
             let attempt = self.attempt(&server, payload).await;
             match attempt {
                 Attempt::Answered(response) => {
+                    if entry.samples_answer() {
+                        self.log("answered", format!("status {}", response.status()));
+                    }
+                    self.end(entry, "answered");
                     return response;
                 }
                 Attempt::NotSent(reason) => {
@@ -247,6 +252,7 @@
                     }
                     if self.connects >= CONNECTS_MAX || !payload.can_repeat() {
                         self.log("refused", format!("no connection: {reason}"));
+                        self.end(entry, "refused");
                         return refusal("no connection to the server");
                     }
                     if self.key.is_some() {
@@ -260,6 +266,7 @@
                     }
                     if !self.may_repeat(entry, payload) {
                         self.log("refused", format!("the server answered {status}, not run"));
+                        self.end(entry, "refused");
                         return refusal("the server did not run the request");
                     }
                     self.log("repeated", format!("the server answered {status}, not run"));
@@ -274,6 +281,7 @@
                     server.failed();
                     if !self.route.repeatable || !self.may_repeat(entry, payload) {
                         self.log("failed", reason);
+                        self.end(entry, "failed");
                         return plain(StatusCode::BAD_GATEWAY, "no whole answer of the server");
                     }
                     self.log("repeated", reason);
@@ -284,6 +292,7 @@
                 Attempt::TimedOut => {
                     server.failed();
                     self.log("failed", "no answer by the deadline".to_owned());
+                    self.end(entry, "timeout");
                     return plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
                 }
             }
@@ -291,10 +300,20 @@
     }
 
     fn may_repeat(&self, entry: &Entry, payload: &Payload) -> bool {
-        self.attempts < self.route.attempts_max
+        let may = self.attempts < self.route.attempts_max
             && payload.can_repeat()
             && self.left_ms() > ATTEMPT_MS_MIN
-            && entry.retries.repeat(&self.service, entry.peers.hosts())
+            && entry.retries.repeat(&self.service, entry.peers.hosts());
+        if may {
+            entry.metrics.repeat();
+        }
+        may
+    }
+
+    /// Counts the request when its answer is known.
+    fn end(&self, entry: &Entry, outcome: &'static str) {
+        let after_ms = clock::now_ms() - self.arrived_ms;
+        entry.metrics.request(&self.service, outcome, after_ms);
     }
 
     async fn choose(&self, entry: &Entry) -> Result<Arc<Server>, &'static str> {
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -39,6 +39,8 @@
 const GRANT_TIMEOUT_MS: u64 = 700;
 /// Time for a server to end its work on released keys.
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
+/// Least time for a release, when the server's lease is about to run out or has.
+const RELEASE_TIMEOUT_MIN_MS: u64 = 300;
 /// Failed orders in a row after which a server counts as silent.
 const FAILURES_SILENT: u32 = 2;
 /// Interval at which finished moves are recorded.
@@ -272,6 +274,10 @@
         match answer {
             Ok(granted) => {
                 record.failures = 0;
+                drop(work);
+                let held = granted == Granted::Held;
+                let outcome = if held { "held" } else { "refused" };
+                self.entry.metrics.order("grant", outcome);
                 Some(granted)
             }
             Err(error) => {
@@ -284,6 +290,7 @@
     }
 
     fn order_failed(&self, server: &Server, order: &'static str, problem: String) {
+        self.entry.metrics.order(order, "failed");
         Event::OrderFailed {
             server: server.entry.id.clone(),
             order,
@@ -556,6 +563,7 @@
             let finished = work.finished.entry(service.clone()).or_default();
             finished.push(holding.fence);
         }
+        self.entry.metrics.moved();
         Event::Moved {
             service: service.clone(),
             range,
@@ -595,10 +603,16 @@
                 time::sleep(Duration::from_millis(free_ms.saturating_sub(now_ms))).await;
                 continue;
             };
-            match orders::release(link, id, range, fence, RELEASE_TIMEOUT_MS).await {
-                Ok(Released::Ended { handover }) => return Some(handover),
+            let left_ms = free_ms.saturating_sub(now_ms);
+            let timeout_ms = left_ms.clamp(RELEASE_TIMEOUT_MIN_MS, RELEASE_TIMEOUT_MS);
+            match orders::release(link, id, range, fence, timeout_ms).await {
+                Ok(Released::Ended { handover }) => {
+                    self.entry.metrics.order("release", "ended");
+                    return Some(handover);
+                }
                 Ok(Released::OtherServer) => return Some(None),
                 Err(error) => {
+                    self.entry.metrics.order("release", "failed");
                     log::debug!("{id} did not release keys: {error}");
                     let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
                     time::sleep(Duration::from_millis(pause_ms)).await;
--- a/src/entry/log_writer.rs
+++ b/src/entry/log_writer.rs
@@ -11,6 +11,7 @@
     thread,
 };
 
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde::Serialize;
 
 use super::events::Event;
@@ -25,9 +26,42 @@
 
 static WRITER: LazyLock<LogWriter> = LazyLock::new(LogWriter::start);
 
+/// Turns what libraries and the rest of the program log into events.
+struct Bridge;
+
+impl Log for Bridge {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        let own = metadata.target().starts_with("ashroad");
+        own || metadata.level() <= Level::Warn
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        write(&Event::Message {
+            level: record.level().as_str(),
+            target: record.target().to_owned(),
+            text: record.args().to_string(),
+        });
+    }
+
+    fn flush(&self) {}
+}
+
+/// Sets the process's logger; a second call has no effect.
+pub fn start(level: LevelFilter) {
+    log::set_max_level(level);
+    if log::set_logger(&Bridge).is_err() {
+        log::debug!("a logger is set already");
+    }
+}
+
 struct LogWriter {
     pending: Mutex<Vec<u8>>,
+    /// Lines dropped since a line last told of it.
     dropped: AtomicU64,
+    dropped_in_total: AtomicU64,
     chunks: SyncSender<Vec<u8>>,
 }
 
@@ -48,9 +82,9 @@
     WRITER.flush();
 }
 
-/// Lines dropped since the last call that told of it.
-pub fn dropped() -> u64 {
-    WRITER.dropped.load(Ordering::Relaxed)
+/// Lines dropped since the start.
+pub fn dropped_in_total() -> u64 {
+    WRITER.dropped_in_total.load(Ordering::Relaxed)
 }
 
 impl LogWriter {
@@ -60,6 +94,7 @@
         Self {
             pending: Mutex::default(),
             dropped: AtomicU64::new(0),
+            dropped_in_total: AtomicU64::new(0),
             chunks,
         }
     }
@@ -74,12 +109,17 @@
         let full = length > CHUNK_BYTES_MAX;
         if full || serde_json::to_writer(&mut *pending, &line).is_err() {
             pending.truncate(length);
-            self.dropped.fetch_add(1, Ordering::Relaxed);
+            self.count_dropped(1);
             return;
         }
         pending.push(b'\n');
     }
 
+    fn count_dropped(&self, lines: u64) {
+        self.dropped.fetch_add(lines, Ordering::Relaxed);
+        self.dropped_in_total.fetch_add(lines, Ordering::Relaxed);
+    }
+
     fn flush(&self) {
         let dropped = self.dropped.swap(0, Ordering::Relaxed);
         if dropped > 0 {
@@ -95,7 +135,7 @@
         if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
             self.chunks.try_send(chunk)
         {
-            self.dropped.fetch_add(lines, Ordering::Relaxed);
+            self.count_dropped(lines);
         }
     }
 }
--- /dev/null
+++ b/src/entry/metrics.rs
@@ -0,0 +1,149 @@
+//! Counters and latency histograms, served as text to whoever asks. `cadence`, which the rest of
+//! the product uses, can only push.
+
+use std::sync::{Arc, atomic::AtomicU64};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// First bound of the latency histograms, in seconds, and the number of bounds, each twice the one
+/// before: 2 ms to 16 s.
+const LATENCY_FIRST_S: f64 = 0.002;
+const LATENCY_BOUNDS: u16 = 14;
+
+/// Labels of requests. Both sets are small: services come from the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Service that the request went to, or an empty text.
+    pub service: String,
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
+/// Labels of orders to servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabels {
+    /// Order.
+    pub order: &'static str,
+    /// What became of it.
+    pub outcome: &'static str,
+}
+
+/// All metrics of one host.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<RequestLabels, Histogram>,
+    repeats: Counter,
+    orders: Family<OrderLabels, Counter>,
+    moves: Counter,
+    /// Requests in this host.
+    pub in_flight: Gauge,
+    /// Age of the store's last answer.
+    pub store_age_s: Gauge<f64, AtomicU64>,
+    /// Number of this host's term while it has the duty of giving leases, else 0.
+    pub duty_term: Gauge,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+    /// Log lines that were dropped.
+    pub log_lines_dropped: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("ashroad"),
+            requests: Family::default(),
+            latency,
+            repeats: Counter::default(),
+            orders: Family::default(),
+            moves: Counter::default(),
+            in_flight: Gauge::default(),
+            store_age_s: Gauge::default(),
+            duty_term: Gauge::default(),
+            configuration_version: Gauge::default(),
+            log_lines_dropped: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(LATENCY_FIRST_S, 2.0, LATENCY_BOUNDS))
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by outcome", self.requests.clone());
+        let help = "Time from a request's arrival to the head of its answer";
+        registry.register("request_duration_seconds", help, self.latency.clone());
+        let help = "Attempts beyond the first";
+        registry.register("request_repeats", help, self.repeats.clone());
+        let help = "Grants and releases by outcome";
+        registry.register("server_orders", help, self.orders.clone());
+        registry.register("key_moves", "Moves of keys", self.moves.clone());
+        let help = "Requests in this host";
+        registry.register("requests_in_flight", help, self.in_flight.clone());
+        let help = "Age of the store's last answer";
+        registry.register("store_age_seconds", help, self.store_age_s.clone());
+        let help = "Term of this host as holder of the duty of giving leases, or 0";
+        registry.register("duty_term", help, self.duty_term.clone());
+        let help = "Version of the configuration in force";
+        registry.register(
+            "configuration_version",
+            help,
+            self.configuration_version.clone(),
+        );
+        let help = "Log lines that were dropped";
+        registry.register("log_lines_dropped", help, self.log_lines_dropped.clone());
+    }
+
+    /// Counts a request that has its answer.
+    pub fn request(&self, service: &Arc<str>, outcome: &'static str, after_ms: u64) {
+        let labels = RequestLabels {
+            service: service.to_string(),
+            outcome,
+        };
+        self.requests.get_or_create(&labels).inc();
+        let seconds = after_ms as f64 / 1000.0;
+        self.latency.get_or_create(&labels).observe(seconds);
+    }
+
+    /// Counts an attempt beyond the first.
+    pub fn repeat(&self) {
+        self.repeats.inc();
+    }
+
+    /// Counts an order to a server.
+    pub fn order(&self, order: &'static str, outcome: &'static str) {
+        self.orders
+            .get_or_create(&OrderLabels { order, outcome })
+            .inc();
+    }
+
+    /// Counts a move of keys.
+    pub fn moved(&self) {
+        self.moves.inc();
+    }
+
+    /// All metrics in the text exposition.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::warn!("metrics cannot be encoded: {error}");
+        }
+        text
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,10 +4,12 @@
 pub mod choice;
 mod duty;
 mod events;
+pub mod explain;
 mod forward;
 pub mod keys;
 mod leases;
 pub mod log_writer;
+pub mod metrics;
 pub mod model;
 mod peers;
 pub mod plan;
@@ -32,7 +34,7 @@
 
 use rand::Rng;
 
-use self::{duty::Duty, peers::Peers, retries::RetryBudget, view::View};
+use self::{duty::Duty, metrics::Metrics, peers::Peers, retries::RetryBudget, view::View};
 use crate::platform::store::Store;
 
 /// Everything that the tasks of one host share.
@@ -52,12 +54,18 @@
     pub duty: Duty,
     /// Budget of repeated requests.
     pub retries: RetryBudget,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     stopping: AtomicBool,
     /// When the process ends in a planned stop; `u64::MAX` before that.
     ends_ms: AtomicU64,
     in_flight: AtomicU64,
+    answered: AtomicU64,
 }
 
+/// Of so many answered requests one is logged; the others are only counted.
+const ANSWER_SAMPLE: u64 = 100;
+
 impl Entry {
     /// A host that does nothing yet.
     pub fn new(settings: Settings) -> Self {
@@ -70,9 +78,11 @@
             peers: Peers::default(),
             duty: Duty::default(),
             retries: RetryBudget::new(&settings.bounds),
+            metrics: Metrics::default(),
             stopping: AtomicBool::new(false),
             ends_ms: AtomicU64::new(u64::MAX),
             in_flight: AtomicU64::new(0),
+            answered: AtomicU64::new(0),
             settings,
         }
     }
@@ -92,6 +102,12 @@
         self.ends_ms.load(Ordering::Relaxed)
     }
 
+    /// True for each of the answered requests that is logged.
+    fn samples_answer(&self) -> bool {
+        let number = self.answered.fetch_add(1, Ordering::Relaxed);
+        number.is_multiple_of(ANSWER_SAMPLE)
+    }
+
     fn enter(self: &Arc<Self>) -> Present {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         Present(self.clone())
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -22,13 +22,19 @@
 };
 use crate::clock;
 
-/// Interval of reports.
+/// Interval of reports among up to [`REPORT_HOSTS`] hosts; it grows in proportion to their number,
+/// so that a host's datagrams do not.
 const REPORT_EVERY_MS: u64 = 100;
+const REPORT_HOSTS: u64 = 11;
+/// Longest interval of reports.
+const REPORT_EVERY_MAX_MS: u64 = 1_000;
+/// Longest interval of the reports of the duty's holder, by which the others know that it lives.
+const HOLDER_REPORT_MS: u64 = 300;
 /// Every so many intervals a report has the run times too and is sent even without news, to show
 /// that the host lives.
 const FULL_REPORT_EVERY: u64 = 8;
-/// Age after which a report no longer counts.
-const REPORT_AGE_MAX_MS: u64 = 1_200;
+/// Age after which a report no longer counts, beyond the longest time between two of them.
+const REPORT_AGE_SLACK_MS: u64 = 400;
 /// Most servers and keys in one datagram; it stays under the usual packet size.
 const ENTRIES_MAX: usize = 120;
 /// Largest datagram.
@@ -122,6 +128,12 @@
         self.peers().len() + 1
     }
 
+    /// Interval of reports at the present number of hosts.
+    fn report_every_ms(&self) -> u64 {
+        let every_ms = REPORT_EVERY_MS * self.hosts() as u64 / REPORT_HOSTS;
+        every_ms.clamp(REPORT_EVERY_MS, REPORT_EVERY_MAX_MS)
+    }
+
     /// When the duty's holder was last heard.
     pub fn holder_heard_ms(&self) -> u64 {
         self.holder_heard_ms.load(Ordering::Relaxed)
@@ -232,9 +244,10 @@
     /// Load and average run time by server tag, as the other hosts reported them.
     fn loads(&self) -> HashMap<u16, ReportedLoad> {
         let now_ms = clock::now_ms();
+        let age_max_ms = self.report_every_ms() * FULL_REPORT_EVERY + REPORT_AGE_SLACK_MS;
         let mut sums: HashMap<u16, ReportedLoad> = HashMap::new();
         for peer in self.peers().values() {
-            if now_ms > peer.heard_ms + REPORT_AGE_MAX_MS {
+            if now_ms > peer.heard_ms + age_max_ms {
                 continue;
             }
             for load in &peer.loads {
@@ -261,11 +274,13 @@
 impl Entry {
     /// Reports to the other hosts.
     pub(super) async fn keep_reporting(self: Arc<Self>) {
-        let mut ticks = time::interval(Duration::from_millis(REPORT_EVERY_MS));
-        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         let mut last: Vec<ServerLoad> = Vec::new();
         for round in 0u64.. {
-            ticks.tick().await;
+            let every_ms = match self.duty.term() {
+                0 => self.peers.report_every_ms(),
+                _ => self.peers.report_every_ms().min(HOLDER_REPORT_MS),
+            };
+            time::sleep(Duration::from_millis(every_ms)).await;
             self.take_in_reports();
             let servers = self.own_loads();
             let keys = self.peers.take_counted();
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -70,6 +70,11 @@
         None
     }
 
+    /// True if a connection is idle; it may still turn out to be too old.
+    pub fn has_idle(&self) -> bool {
+        !self.idle().is_empty()
+    }
+
     /// Opens a connection.
     pub async fn connect(&self, left_ms: u64) -> Result<Connection, String> {
         let limit = Duration::from_millis(left_ms.min(CONNECT_TIMEOUT_MS));
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -9,11 +9,11 @@
 use tokio::{
     net::{TcpListener, TcpSocket, UdpSocket},
     signal::unix::{SignalKind, signal},
-    sync::watch,
+    sync::watch as stop,
     time,
 };
 
-use super::{Entry, Settings, events::Event, forward, log_writer, settings};
+use super::{Entry, Settings, events::Event, forward, log_writer, settings, watch};
 use crate::{
     clock,
     transport::{self, AnswerBody, ListenerLimits},
@@ -29,6 +29,8 @@
 /// Time for a caller to send a head, which also bounds a connection's idle time; above the
 /// callers' own bound, so that they close first.
 const HEAD_TIMEOUT_MS: u64 = 16_000;
+/// Type of the metrics' text exposition.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which idle connections to servers are checked.
 const SWEEP_EVERY_MS: u64 = 1_000;
 
@@ -60,13 +62,14 @@
 /// Runs an entry host until SIGTERM or SIGINT.
 pub async fn run(path: &Path) -> Result<(), Error> {
     let settings = Settings::read(path).context(SettingsSnafu)?;
-    log::set_max_level(settings.log_level);
+    log_writer::start(settings.log_level);
     let mut terminate = signal(SignalKind::terminate()).context(SignalSnafu)?;
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
     let mut hangup = signal(SignalKind::hangup()).context(SignalSnafu)?;
     let listen = settings.listen;
     let callers = listener(listen.callers)?;
     let readiness = listener(listen.readiness)?;
+    let metrics = listener(listen.metrics)?;
     let address = listen.peers;
     let peers = UdpSocket::bind(address)
         .await
@@ -79,9 +82,14 @@
     }
     .log();
     spawn_tasks(&entry, peers);
-    let (stop_readiness, readiness_stopped) = watch::channel(false);
+    let (stop_readiness, readiness_stopped) = stop::channel(false);
+    tokio::spawn(serve_metrics(
+        entry.clone(),
+        metrics,
+        readiness_stopped.clone(),
+    ));
     tokio::spawn(serve_readiness(entry.clone(), readiness, readiness_stopped));
-    let (stop_callers, stopped) = watch::channel(false);
+    let (stop_callers, stopped) = stop::channel(false);
     let callers_done = tokio::spawn(serve_callers(entry.clone(), callers, stopped));
     loop {
         tokio::select! {
@@ -129,7 +137,7 @@
     open().context(ListenSnafu { address })
 }
 
-async fn serve_callers(entry: Arc<Entry>, listener: TcpListener, stopped: watch::Receiver<bool>) {
+async fn serve_callers(entry: Arc<Entry>, listener: TcpListener, stopped: stop::Receiver<bool>) {
     let limits = ListenerLimits {
         head_timeout_ms: HEAD_TIMEOUT_MS,
         head_bytes: 64 * 1024,
@@ -140,7 +148,7 @@
     transport::serve(listener, limits, stopped, handler).await;
 }
 
-async fn serve_readiness(entry: Arc<Entry>, listener: TcpListener, stop: watch::Receiver<bool>) {
+async fn serve_readiness(entry: Arc<Entry>, listener: TcpListener, stop: stop::Receiver<bool>) {
     let handler = move |_: Request<Incoming>| {
         let ready = entry.ready();
         async move { readiness(ready) }
@@ -148,6 +156,28 @@
     transport::serve(listener, ListenerLimits::default(), stop, handler).await;
 }
 
+async fn serve_metrics(entry: Arc<Entry>, listener: TcpListener, stop: stop::Receiver<bool>) {
+    let handler = move |_: Request<Incoming>| {
+        let text = metrics_text(&entry);
+        async move { transport::whole(StatusCode::OK, METRICS_TYPE, text.into()) }
+    };
+    transport::serve(listener, ListenerLimits::default(), stop, handler).await;
+}
+
+fn metrics_text(entry: &Entry) -> String {
+    let metrics = &entry.metrics;
+    let in_flight = entry.in_flight.load(Ordering::Relaxed);
+    metrics.in_flight.set(in_flight as i64);
+    let age_s = watch::store_age_ms(entry) as f64 / 1000.0;
+    metrics.store_age_s.set(age_s);
+    metrics.duty_term.set(entry.duty.term() as i64);
+    let version = entry.view.configuration().map_or(0, |c| c.version);
+    metrics.configuration_version.set(version as i64);
+    let dropped = log_writer::dropped_in_total();
+    metrics.log_lines_dropped.set(dropped as i64);
+    metrics.text()
+}
+
 fn readiness(ready: bool) -> Response<AnswerBody> {
     let status = if ready {
         StatusCode::OK
@@ -182,7 +212,7 @@
 /// noticed, and the process ends when no request is left.
 async fn stop(
     entry: &Arc<Entry>,
-    stop_callers: &watch::Sender<bool>,
+    stop_callers: &stop::Sender<bool>,
     callers_done: tokio::task::JoinHandle<()>,
 ) {
     let grace_ms = entry.settings.bounds.stop_grace_ms;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -22,7 +22,7 @@
 /// Time after which a move that was announced and not recorded no longer holds requests back.
 const MOVE_HOLD_MS: u64 = 400;
 /// Time for which an announced grant counts; the record has been read by then.
-const GRANTED_KEPT_MS: u64 = 3_000;
+const GRANTED_KEPT_MS: u64 = 20_000;
 
 /// Holdings of one service at one version of their row.
 #[derive(Clone, Debug)]
@@ -84,7 +84,7 @@
     moving: Mutex<Vec<Moving>>,
     granted: Mutex<Vec<Granted>>,
     changed: watch::Sender<u64>,
-    doubts: watch::Sender<u64>,
+    store_lost: watch::Sender<bool>,
     holdings_wanted: Notify,
     store_heard_ms: AtomicU64,
     store_returned_ms: AtomicU64,
@@ -100,7 +100,7 @@
             moving: Mutex::default(),
             granted: Mutex::default(),
             changed: watch::channel(0).0,
-            doubts: watch::channel(0).0,
+            store_lost: watch::channel(false).0,
             holdings_wanted: Notify::new(),
             store_heard_ms: AtomicU64::new(clock::now_ms()),
             store_returned_ms: AtomicU64::new(0),
@@ -152,6 +152,7 @@
 
     /// Notes the holdings of a service, unless a newer version is known.
     pub fn hold(&self, service: &Arc<str>, assignment: Arc<Assignment>, version: u64) {
+        let highest_fence = assignment.fence;
         let mut held = self.held_map();
         if held
             .get(service)
@@ -167,6 +168,8 @@
             },
         );
         drop(held);
+        self.granted()
+            .retain(|g| g.service != *service || g.holding.fence > highest_fence);
         self.changed.send_modify(|count| *count += 1);
     }
 
@@ -194,14 +197,15 @@
         self.holdings_wanted.notified().await;
     }
 
-    /// Notes that the store has stopped answering.
-    pub fn doubt(&self) {
-        self.doubts.send_modify(|count| *count += 1);
+    /// Notes whether the store answers.
+    pub fn set_store_lost(&self, lost: bool) {
+        self.store_lost
+            .send_if_modified(|before| std::mem::replace(before, lost) != lost);
     }
 
-    /// Tells when the store has stopped answering.
-    pub fn doubts(&self) -> watch::Receiver<u64> {
-        self.doubts.subscribe()
+    /// Tells whether the store has stopped answering.
+    pub fn store_lost(&self) -> watch::Receiver<bool> {
+        self.store_lost.subscribe()
     }
 
     /// Notes that keys are on their way to another server.
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -25,6 +25,11 @@
 /// Longest wait of the other feeds, which are called anew whenever the servers' feed fails. Calls
 /// are priced, so they wait for long; the store allows 30 s.
 const FEED_WAIT_MS: u64 = 20_000;
+/// Wait of the servers' feed while the store does not answer: a silent store swallows calls, so the
+/// next one must follow soon after its return.
+const LOST_WAIT_MS: u64 = 0;
+/// Number of hosts up to which feeds rest for their shortest time.
+const FEW_HOSTS: u64 = 11;
 /// Pause after a failed call, with half of it at random on top.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Missed heartbeats after which the platform removes a server's entry.
@@ -53,14 +58,17 @@
     }
 
     /// Least time between two answers of a feed, so that changes that come together cost one call.
-    /// Changes of the configuration and of servers have two seconds to take effect; holdings also
-    /// come by datagram.
-    fn least_interval_ms(self) -> u64 {
-        match self {
-            Self::Configuration => 150,
-            Self::Servers => 250,
-            Self::Own => 1_000,
-        }
+    /// It grows with the number of hosts, since each change wakes all of them, as far as changes
+    /// still take effect in time: configuration and servers have two seconds. Holdings also come by
+    /// datagram, and are read at once when a server does not hold what was thought.
+    fn least_interval_ms(self, hosts: usize) -> u64 {
+        let (few_hosts_ms, many_hosts_ms) = match self {
+            Self::Configuration => (150, 500),
+            Self::Servers => (250, 900),
+            Self::Own => (1_000, 8_000),
+        };
+        let scaled_ms = few_hosts_ms * hosts as u64 / FEW_HOSTS;
+        scaled_ms.clamp(few_hosts_ms, many_hosts_ms)
     }
 
     fn table(self) -> &'static str {
@@ -120,19 +128,21 @@
             let mut lost = false;
             loop {
                 let began_ms = clock::now_ms();
-                let Some(feed) = self.next_changes(followed, after).await else {
+                let Some(feed) = self.next_changes(followed, after, lost).await else {
                     continue;
                 };
                 match feed {
                     Ok(Feed::Changes(changes)) => {
                         self.heard_store();
                         lost = false;
+                        self.trust(followed);
                         after = after.max(changes.version);
                         self.apply(followed, changes.rows);
                         self.rest(followed, began_ms).await;
                     }
                     Ok(Feed::HistoryGone) => {
                         self.heard_store();
+                        self.trust(followed);
                         break;
                     }
                     Err(error) => {
@@ -145,22 +155,35 @@
     }
 
     /// Waits for changes. `None` if the servers' feed failed meanwhile, so that this one cannot be
-    /// trusted to speak up either.
-    async fn next_changes(&self, followed: Followed, after: u64) -> Option<Result<Feed>> {
-        let feed = self.store.feed(followed.table(), after, followed.wait_ms());
+    /// trusted to speak up either; it then waits until the store answers again.
+    async fn next_changes(
+        &self,
+        followed: Followed,
+        after: u64,
+        lost: bool,
+    ) -> Option<Result<Feed>> {
+        let wait_ms = if lost {
+            LOST_WAIT_MS
+        } else {
+            followed.wait_ms()
+        };
+        let feed = self.store.feed(followed.table(), after, wait_ms);
         if followed == Followed::Servers {
             return Some(feed.await);
         }
-        let mut doubts = self.view.doubts();
+        let mut store_lost = self.view.store_lost();
+        if store_lost.wait_for(|lost| !lost).await.is_err() {
+            return None;
+        }
         tokio::select! {
             feed = feed => Some(feed),
-            _ = doubts.changed() => None,
+            _ = store_lost.wait_for(|lost| *lost) => None,
         }
     }
 
     /// Keeps the least interval between two calls of a feed.
     async fn rest(&self, followed: Followed, began_ms: u64) {
-        let until_ms = began_ms + followed.least_interval_ms();
+        let until_ms = began_ms + followed.least_interval_ms(self.peers.hosts());
         let left_ms = until_ms.saturating_sub(clock::now_ms());
         let sleep = time::sleep(Duration::from_millis(left_ms));
         if followed == Followed::Own {
@@ -182,7 +205,14 @@
             .log();
         }
         if followed == Followed::Servers {
-            self.view.doubt();
+            self.view.set_store_lost(true);
+        }
+    }
+
+    /// Notes an answer of the servers' feed.
+    fn trust(&self, followed: Followed) {
+        if followed == Followed::Servers {
+            self.view.set_store_lost(false);
         }
     }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,9 +14,10 @@
     wire::{WireExpect, WirePut, WireRemove, WireRow, WireRows, WireTransaction},
 };
 
-/// Time for a read or a transaction. The store takes 4 ms as a rule and 60 times as long on its
-/// slow days; a page of 500 rows takes longer.
+/// Time for a transaction. The store takes 8 ms as a rule and 60 times as long on its slow days.
 const CALL_TIMEOUT_MS: u64 = 2_000;
+/// Time for a read of a page, which takes half of that.
+const READ_TIMEOUT_MS: u64 = 1_000;
 /// Allowance on top of the time that a feed waits at the store.
 const FEED_SLACK_MS: u64 = 1_000;
 /// Rows of one page.
@@ -135,7 +136,7 @@
         let mut from = String::new();
         loop {
             let path = format!("/rows-get?table={table}&part={PART}&from={from}&limit={PAGE_ROWS}");
-            let page: WireRows = self.get(&path, CALL_TIMEOUT_MS).await?;
+            let page: WireRows = self.get(&path, READ_TIMEOUT_MS).await?;
             // Changes after the first page's version come again by the feed.
             if all.rows.is_empty() {
                 all.version = page.ver;
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -129,6 +129,28 @@
     }
 }
 
+#[tokio::test]
+async fn a_configuration_is_in_force_soon_after_a_silent_store_is_back() {
+    let site = Site::start(1, 1).await;
+    // At several moments of the feeds' own rhythm.
+    for (version, outage_ms) in [(0x10, 5_000), (0x20, 6_300), (0x30, 7_700)] {
+        site.store.set_faults(Faults {
+            silent: true,
+            ..Faults::default()
+        });
+        time::sleep(Duration::from_millis(outage_ms)).await;
+        site.store.set_faults(Faults::default());
+        let prefix = format!("/added-{version}/");
+        site.store
+            .put("op", "config", &configuration(version, &[&prefix]));
+        eventually("the new route is served", 2_000, async || {
+            let answer = ask_once(site.hosts[0].callers, read("id", &prefix)).await;
+            answer.is_some_and(|answer| answer.status == StatusCode::OK)
+        })
+        .await;
+    }
+}
+
 #[tokio::test]
 async fn a_stopping_host_cuts_nothing_off_and_refuses_what_it_cannot_finish() {
     let mut site = Site::start(2, 1).await;
--- /dev/null
+++ b/tests/entry_rules.rs
@@ -0,0 +1,454 @@
+//! Rules of entry hosts that need no processes: holdings, plans, routes, choice, retries.
+
+use std::{collections::HashMap, sync::Arc};
+
+use ashroad::entry::{
+    choice::{self, Refusal},
+    keys::{Assignment, Holding, KeyRange},
+    model::{CallerLimits, Configuration, Part, Route, ServerEntry},
+    plan::{self, KeyLoads, Move, PlanServer, Question},
+    retries::RetryBudget,
+    server::Server,
+    settings::{Bounds, Settings},
+};
+use quickcheck::quickcheck;
+
+fn range(first: u16, last: u16) -> KeyRange {
+    KeyRange { first, last }
+}
+
+fn holding(first: u16, last: u16, server: &str, fence: u64) -> Holding {
+    Holding {
+        range: range(first, last),
+        server: server.into(),
+        fence,
+        from: None,
+    }
+}
+
+fn assignment(holdings: &[Holding]) -> Assignment {
+    let mut assignment = Assignment::default();
+    for holding in holdings {
+        assignment.put(holding.clone());
+    }
+    assignment
+}
+
+#[test]
+fn a_holding_replaces_what_it_overlaps() {
+    struct Case {
+        put: Holding,
+        result: Vec<Holding>,
+        gaps: Vec<KeyRange>,
+    }
+    let cases = [
+        Case {
+            put: holding(10, 19, "b", 9),
+            result: vec![
+                holding(0, 9, "a", 1),
+                holding(10, 19, "b", 9),
+                holding(20, 99, "a", 1),
+                holding(100, 199, "c", 2),
+            ],
+            gaps: vec![range(200, 65_535)],
+        },
+        Case {
+            put: holding(50, 300, "b", 9),
+            result: vec![holding(0, 49, "a", 1), holding(50, 300, "b", 9)],
+            gaps: vec![range(301, 65_535)],
+        },
+        Case {
+            put: holding(1_000, 65_535, "b", 9),
+            result: vec![
+                holding(0, 99, "a", 1),
+                holding(100, 199, "c", 2),
+                holding(1_000, 65_535, "b", 9),
+            ],
+            gaps: vec![range(200, 999)],
+        },
+    ];
+    for case in cases {
+        let mut assignment = assignment(&[holding(0, 99, "a", 1), holding(100, 199, "c", 2)]);
+        assignment.put(case.put.clone());
+        assert_eq!(assignment.holdings, case.result, "{:?}", case.put);
+        assert_eq!(assignment.gaps(), case.gaps, "{:?}", case.put);
+        assert_eq!(assignment.fence, 9);
+        assert_eq!(assignment.next_fence(0), 10);
+    }
+}
+
+/// Holdings as a plain table of keys.
+fn by_key(assignment: &Assignment) -> Vec<Option<(Arc<str>, u64)>> {
+    let mut keys = vec![None; 1 << 16];
+    for holding in &assignment.holdings {
+        for key in holding.range.first..=holding.range.last {
+            assert!(keys[usize::from(key)].is_none(), "key {key} is held twice");
+            keys[usize::from(key)] = Some((holding.server.clone(), holding.fence));
+        }
+    }
+    keys
+}
+
+quickcheck! {
+    fn holdings_equal_a_table_of_keys(puts: Vec<(u16, u16, u8)>) -> bool {
+        let mut assignment = Assignment::default();
+        let mut expected = vec![None; 1 << 16];
+        for (one, other, server) in puts.into_iter().take(12) {
+            let (first, last) = (one.min(other), one.max(other));
+            let fence = assignment.next_fence(1);
+            let server: Arc<str> = format!("s{server}").into();
+            assignment.put(holding(first, last, &server, fence));
+            for key in first..=last {
+                expected[usize::from(key)] = Some((server.clone(), fence));
+            }
+        }
+        by_key(&assignment) == expected
+    }
+
+    fn plans_leave_no_key_without_a_usable_server(
+        ranges: Vec<(u16, u16, u8)>,
+        loads: Vec<(u16, u8)>,
+        usable: u8
+    ) -> bool {
+        let mut assignment = Assignment::default();
+        for (one, other, server) in ranges.into_iter().take(10) {
+            let fence = assignment.next_fence(1);
+            let server = format!("s{}", server % 8);
+            assignment.put(holding(one.min(other), one.max(other), &server, fence));
+        }
+        let servers = servers(&(0..8).filter(|bit| usable >> bit & 1 == 1)
+            .map(|bit| format!("s{bit}")).collect::<Vec<_>>());
+        let mut key_loads = KeyLoads::default();
+        for (key, load) in loads {
+            key_loads.add(key, f32::from(load));
+        }
+        let moves = plan::plan(Question {
+            assignment: &assignment,
+            servers: &servers,
+            loads: &key_loads,
+            moving: &[],
+            balance_moves_max: 4,
+        });
+        for (number, planned) in moves.iter().enumerate() {
+            let alone = moves[number + 1..].iter().all(|m| !m.range.overlaps(&planned.range));
+            if !alone {
+                return false;
+            }
+        }
+        apply(&mut assignment, &moves);
+        let known = |h: &Holding| servers.iter().any(|s| s.id == h.server);
+        servers.is_empty() || assignment.gaps().is_empty() && assignment.holdings.iter().all(known)
+    }
+}
+
+fn servers(ids: &[String]) -> Vec<PlanServer> {
+    let servers = ids.iter().map(|id| PlanServer {
+        id: id.as_str().into(),
+        capacity_per_s: 66.0,
+    });
+    servers.collect()
+}
+
+fn apply(assignment: &mut Assignment, moves: &[Move]) {
+    for planned in moves {
+        let fence = assignment.next_fence(1);
+        assignment.put(holding(
+            planned.range.first,
+            planned.range.last,
+            &planned.to,
+            fence,
+        ));
+    }
+}
+
+#[test]
+fn hot_neighbouring_keys_are_spread_and_balanced_load_stays() {
+    let ids: Vec<String> = (0..11).map(|n| format!("s{n:02}")).collect();
+    let servers = servers(&ids);
+    let mut assignment = Assignment::default();
+    for (range, server) in plan::first_assignment(&servers) {
+        let fence = assignment.next_fence(1);
+        assignment.put(holding(range.first, range.last, &server, fence));
+    }
+    assert!(assignment.gaps().is_empty());
+    let mut loads = KeyLoads::default();
+    for key in (0..=u16::MAX).step_by(64) {
+        loads.add(key, 0.22);
+    }
+    // 40% of all requests go to 60 keys next to each other.
+    for key in 30_000..30_060 {
+        loads.add(key, 2.5);
+    }
+    let mut rounds = 0;
+    loop {
+        let moves = plan::plan(Question {
+            assignment: &assignment,
+            servers: &servers,
+            loads: &loads,
+            moving: &[],
+            balance_moves_max: 8,
+        });
+        if moves.is_empty() {
+            break;
+        }
+        rounds += 1;
+        assert!(rounds <= 6, "the plan does not settle");
+        apply(&mut assignment, &moves);
+    }
+    let mut used: HashMap<Arc<str>, f64> = HashMap::new();
+    for holding in &assignment.holdings {
+        *used.entry(holding.server.clone()).or_default() += loads.of(holding.range);
+    }
+    let mean = loads.of(KeyRange::ALL) / servers.len() as f64;
+    let most = used.values().copied().fold(0.0, f64::max);
+    assert!(most <= mean * 1.25, "{most} over a mean of {mean}");
+}
+
+#[test]
+fn routes_are_found_by_host_and_longest_prefix() {
+    let limits = CallerLimits {
+        head_bytes: 16_384,
+        body_bytes: 1 << 20,
+        head_timeout_ms: 3_000,
+        idle_timeout_ms: 15_000,
+    };
+    let mut configuration = Configuration::new(1, limits, Vec::new());
+    for prefix in ["/a/", "/a/b/", "/", "/a/c/"] {
+        let route = Route {
+            name: prefix.into(),
+            path_prefix: prefix.to_owned(),
+            repeatable: true,
+            timeout_ms: 500,
+            aim_ms: 200,
+            urgency: 0,
+            parts: vec![Part {
+                service: "s".into(),
+                weight: 1.0,
+            }],
+            attempts_max: 2,
+        };
+        let host = if prefix == "/" {
+            "other.example"
+        } else {
+            "one.example"
+        };
+        configuration.add_route(host, route);
+    }
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        prefix: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            host: "one.example",
+            path: "/a/b/c",
+            prefix: Some("/a/b/"),
+        },
+        Case {
+            host: "one.example:80",
+            path: "/a/x",
+            prefix: Some("/a/"),
+        },
+        Case {
+            host: "ONE.example",
+            path: "/a/c/",
+            prefix: Some("/a/c/"),
+        },
+        Case {
+            host: "one.example",
+            path: "/a",
+            prefix: None,
+        },
+        Case {
+            host: "one.example",
+            path: "/b/",
+            prefix: None,
+        },
+        Case {
+            host: "other.example",
+            path: "/b/",
+            prefix: Some("/"),
+        },
+        Case {
+            host: "third.example",
+            path: "/a/",
+            prefix: None,
+        },
+    ];
+    for case in cases {
+        let found = configuration.route(case.host, case.path);
+        let prefix = found.map(|route| route.path_prefix.as_str());
+        assert_eq!(prefix, case.prefix, "{} {}", case.host, case.path);
+    }
+}
+
+fn server(id: &str, availability_zone: &str, leaving: bool) -> Arc<Server> {
+    Arc::new(Server::new(ServerEntry {
+        id: id.into(),
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        availability_zone: availability_zone.into(),
+        slots: 4,
+        leaving,
+        cold_ms: 0,
+    }))
+}
+
+#[test]
+fn the_choice_avoids_leaving_full_slow_and_failing_servers() {
+    struct Case {
+        name: &'static str,
+        spoil: fn(&Arc<Server>),
+    }
+    let cases = [
+        Case {
+            name: "leaving",
+            spoil: |server| server.set_leaving(true),
+        },
+        Case {
+            name: "full",
+            spoil: |server| server.set_others(16, 50.0),
+        },
+        Case {
+            name: "slow",
+            spoil: |server| server.set_others(0, 500.0),
+        },
+        Case {
+            name: "failing",
+            spoil: |server| (0..10).for_each(|_| server.failed()),
+        },
+        Case {
+            name: "not connected",
+            spoil: |server| server.not_connected(),
+        },
+    ];
+    for case in cases {
+        let good = server("good", "z", false);
+        good.set_others(0, 50.0);
+        let bad = server("bad", "z", false);
+        bad.set_others(0, 50.0);
+        (case.spoil)(&bad);
+        let servers = [bad, good];
+        for _ in 0..50 {
+            let picked = choice::pick(&servers, "z", &[], 1_000).expect("a server");
+            assert_eq!(&*picked.entry.id, "good", "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn the_choice_tells_overload_from_no_server() {
+    let full = server("full", "z", false);
+    full.set_others(16, 50.0);
+    let gone = server("gone", "z", true);
+    let cases = [
+        (vec![], Refusal::NoServer),
+        (vec![gone.clone()], Refusal::NoServer),
+        (vec![gone, full], Refusal::Overloaded),
+    ];
+    for (servers, refusal) in cases {
+        let picked = choice::pick(&servers, "z", &[], 1_000);
+        assert_eq!(picked.map(|s| s.entry.id.clone()), Err(refusal));
+    }
+    let near = server("near", "z", false);
+    near.set_others(0, 50.0);
+    let far = server("far", "y", false);
+    far.set_others(0, 50.0);
+    let servers = [near, far];
+    let picks = (0..100).filter(|_| {
+        let picked = choice::pick(&servers, "z", &[], 1_000).expect("a server");
+        &*picked.entry.id == "near"
+    });
+    assert_eq!(picks.count(), 100, "the near one of two equal servers");
+    let unknown = server("unknown", "y", false);
+    let servers = [servers[0].clone(), unknown];
+    let picked = choice::pick(&servers, "z", &[], 1_000).expect("a server");
+    assert_eq!(
+        &*picked.entry.id, "unknown",
+        "a server that joined is tried"
+    );
+}
+
+#[test]
+fn all_hosts_together_stay_within_the_budget_of_repeats() {
+    let bounds = Bounds {
+        stop_grace_ms: 6_000,
+        lease_max_ms: 10_000,
+        retry_window_ms: 10_000,
+        retry_ratio: 0.2,
+        retry_allowance: 62.0,
+    };
+    let service: Arc<str> = "s".into();
+    for hosts in [1usize, 4, 11, 90] {
+        for requests in [0u32, 10, 400] {
+            let mut repeats = 0;
+            for _ in 0..hosts {
+                let budget = RetryBudget::new(&bounds);
+                for _ in 0..requests {
+                    budget.request(&service, hosts);
+                    // Each request asks for more repeats than any route allows.
+                    repeats += (0..3).filter(|_| budget.repeat(&service, hosts)).count();
+                }
+            }
+            let all = f64::from(requests) * hosts as f64;
+            let allowed = bounds.retry_ratio * all + bounds.retry_allowance.max(hosts as f64);
+            assert!(
+                repeats as f64 <= allowed,
+                "{hosts} hosts, {requests}: {repeats}"
+            );
+            if requests == 400 {
+                assert!(repeats as f64 >= 0.1 * all, "{hosts} hosts: only {repeats}");
+            }
+        }
+    }
+}
+
+#[test]
+fn settings_tell_all_their_problems() {
+    let good = "name: h\navailability_zone: z\nlisten: {callers: '127.0.0.1:1', \
+        readiness: '127.0.0.1:2', peers: '127.0.0.1:3', metrics: '127.0.0.1:4'}\n\
+        store: {address: '127.0.0.1:5', server_heartbeat: 870ms}\n\
+        bounds: {stop_grace: 6s, lease_max: 10000ms, retry_window: 10s, retry_ratio: 0.2, \
+        retry_allowance: 62}\n";
+    struct Case {
+        text: String,
+        problems: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            text: good.to_owned(),
+            problems: &[],
+        },
+        Case {
+            text: good
+                .replace("10000ms", "3s")
+                .replace("ratio: 0.2", "ratio: 1.5"),
+            problems: &["leases.lease_ms", "bounds.retry_ratio"],
+        },
+        Case {
+            text: good.replace("870ms", "often"),
+            problems: &["duration"],
+        },
+        Case {
+            text: good.replace("name: h", "name: h\nsurname: x"),
+            problems: &["surname"],
+        },
+        Case {
+            text: good.replace("store:", "shop:"),
+            problems: &["shop"],
+        },
+    ];
+    let directory = std::env::temp_dir().join(format!("ashroad-rules-{}", std::process::id()));
+    std::fs::create_dir_all(&directory).expect("directory");
+    for (number, case) in cases.iter().enumerate() {
+        let path = directory.join(format!("{number}.yaml"));
+        std::fs::write(&path, &case.text).expect("file");
+        let message = Settings::read(&path).err().map(|error| error.to_string());
+        assert_eq!(message.is_none(), case.problems.is_empty(), "{message:?}");
+        for problem in case.problems {
+            let told = message.as_ref().is_some_and(|m| m.contains(problem));
+            assert!(told, "{problem} in {message:?}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/platform_messages.rs
@@ -0,0 +1,180 @@
+//! Messages of the platform are decoded into the product's types, and bad ones are refused.
+
+use ashroad::platform::{config, headers, parse_ms, servers};
+use http::{HeaderMap, HeaderValue, StatusCode};
+use quickcheck::quickcheck;
+
+const CONFIG: &str = r#"{"version":"0000001f","services":[
+    {"name":"pegel1","healthPath":"/up","maxConns":130,"protocol":"h1","tls":false,
+     "sharded":true,"warm":"3s","grants":"call"},
+    {"name":"beitrag2","healthPath":"/up","maxConns":120,"protocol":"h1","tls":false}],
+  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeout":"3000ms",
+    "idleTimeout":"15s"},
+  "hosts":[{"host":"a.example","paths":[
+    {"name":"r-1","pathPrefix":"/x/","kind":"unsafe","timeout":"600ms","aim":"250ms",
+     "priority":1,"service":"beitrag2","maxAttempts":2},
+    {"name":"r-2","pathPrefix":"/x/y/","kind":"safe","timeout":"1.5s","priority":2,
+     "split":[{"service":"pegel1","weight":90},{"service":"beitrag2","weight":10}]}]}]}"#;
+
+const SERVER: &str = r#"{"addr":"10.128.0.9:8080","info":{"service":"pegel1","version":"v1",
+    "zone":"bern-ost","slots":4},"status":{"state":"draining","seq":4,"warmupLeft":"1200ms"}}"#;
+
+#[test]
+fn configurations_are_decoded() {
+    let configuration = config::decode(CONFIG.as_bytes()).expect("a configuration");
+    assert_eq!(configuration.version, 0x1f);
+    assert_eq!(configuration.limits.idle_timeout_ms, 15_000);
+    assert!(
+        configuration
+            .service("pegel1")
+            .expect("service")
+            .divided_by_key
+    );
+    assert!(
+        !configuration
+            .service("beitrag2")
+            .expect("service")
+            .divided_by_key
+    );
+    let single = configuration.route("a.example", "/x/1").expect("route");
+    assert!(!single.repeatable);
+    assert_eq!(
+        (single.timeout_ms, single.aim_ms, single.urgency),
+        (600, 250, 1)
+    );
+    assert_eq!(single.attempts_max, 2);
+    let split = configuration.route("a.example", "/x/y/1").expect("route");
+    assert!(split.repeatable);
+    assert_eq!(
+        (split.timeout_ms, split.aim_ms, split.attempts_max),
+        (1_500, 1_500, 1)
+    );
+    let weights: Vec<f64> = split.parts.iter().map(|part| part.weight).collect();
+    assert_eq!(weights, [90.0, 10.0]);
+}
+
+#[test]
+fn bad_configurations_are_refused_with_a_reason() {
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+        reason: &'static str,
+    }
+    let cases = [
+        Case {
+            from: "0000001f",
+            to: "first",
+            reason: "version",
+        },
+        Case {
+            from: "\"unsafe\"",
+            to: "\"risky\"",
+            reason: "risky",
+        },
+        Case {
+            from: "\"600ms\"",
+            to: "\"600\"",
+            reason: "duration",
+        },
+        Case {
+            from: "\"limits\"",
+            to: "\"borders\"",
+            reason: "limits",
+        },
+        Case {
+            from: "\"hosts\"",
+            to: "\"hosts",
+            reason: "expected",
+        },
+    ];
+    for case in cases {
+        let text = CONFIG.replacen(case.from, case.to, 1);
+        let error = config::decode(text.as_bytes()).expect_err(case.to);
+        assert!(error.to_string().contains(case.reason), "{error}");
+    }
+}
+
+#[test]
+fn server_entries_are_decoded() {
+    let entry = servers::decode("i-1", SERVER.as_bytes()).expect("an entry");
+    assert_eq!(&*entry.id, "i-1");
+    assert_eq!(entry.address.to_string(), "10.128.0.9:8080");
+    assert_eq!(&*entry.availability_zone, "bern-ost");
+    assert!(entry.leaving);
+    assert_eq!((entry.slots, entry.cold_ms), (4, 1_200));
+    let error = servers::decode("i-1", b"{}").expect_err("no entry");
+    assert!(error.to_string().contains("i-1"));
+}
+
+#[test]
+fn durations_have_a_unit() {
+    struct Case {
+        text: &'static str,
+        ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            text: "1500ms",
+            ms: Some(1_500),
+        },
+        Case {
+            text: "2.5s",
+            ms: Some(2_500),
+        },
+        Case {
+            text: "0ms",
+            ms: Some(0),
+        },
+        Case {
+            text: "15",
+            ms: None,
+        },
+        Case {
+            text: "-1s",
+            ms: None,
+        },
+        Case {
+            text: "infs",
+            ms: None,
+        },
+        Case { text: "", ms: None },
+    ];
+    for case in cases {
+        assert_eq!(parse_ms(case.text), case.ms, "{}", case.text);
+    }
+}
+
+#[test]
+fn only_the_servers_word_or_421_mean_not_run() {
+    let mut marked = HeaderMap::new();
+    marked.insert("not-run", HeaderValue::from_static("1"));
+    let plain = HeaderMap::new();
+    assert!(headers::says_not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &marked
+    ));
+    assert!(headers::says_not_run(StatusCode::BAD_REQUEST, &marked));
+    assert!(headers::says_not_run(
+        StatusCode::MISDIRECTED_REQUEST,
+        &plain
+    ));
+    assert!(!headers::says_not_run(
+        StatusCode::SERVICE_UNAVAILABLE,
+        &plain
+    ));
+    assert!(!headers::says_not_run(
+        StatusCode::TOO_MANY_REQUESTS,
+        &plain
+    ));
+}
+
+quickcheck! {
+    fn any_bytes_are_decoded_or_refused(bytes: Vec<u8>, at: usize, with: u8) -> bool {
+        let mut mutated = CONFIG.as_bytes().to_vec();
+        let length = mutated.len();
+        mutated[at % length] = with;
+        // Neither may panic; whether they are accepted is the parser's business.
+        config::decode(&bytes).is_err() || config::decode(&mutated).is_ok()
+            || servers::decode("i", &bytes).is_err()
+    }
+}
