A new holder learns that the one before has ended; no request to servers that do not hold the key yet

Change: the duty's row has the holder's address and how long the holders before it may still give leases; a new process at that address, or the old holder's word, ends the wait. After two 421 under one fence its keys are refused at once for 250 ms. A grant may arrive until it is given up, so the wait for a silent server now counts the grant's time limit too (0.5 s + 0.25 s; it was 0.25 s, which was too short).

Test: keys_of_a_lost_server_do_not_wait_long_for_a_holder_that_was_restarted.

--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -4,8 +4,9 @@
 //! anything any more.
 
 use std::{
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex as StdMutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
@@ -45,6 +46,22 @@
     term: u64,
     /// Number of the confirmation, so that each write changes the row.
     confirmation: u64,
+    /// Address of the holder for other hosts.
+    #[serde(default)]
+    address: Option<SocketAddr>,
+    /// Time from this write in which holders before this one may still give leases.
+    #[serde(default)]
+    earlier_ms: u64,
+}
+
+/// The holder before this host, whose end would shorten the wait for silent servers.
+#[derive(Clone, Copy, Debug)]
+struct Predecessor {
+    incarnation: u64,
+    term: u64,
+    address: SocketAddr,
+    /// Up to this time the holders before it may have given leases.
+    earlier_until_ms: u64,
 }
 
 /// This host's part in the duty.
@@ -56,6 +73,7 @@
     confirmed_ms: AtomicU64,
     /// Up to this time an earlier holder may have given leases.
     predecessors_until_ms: AtomicU64,
+    predecessor: StdMutex<Option<Predecessor>>,
     giving_up: AtomicBool,
     writer: Mutex<Writer>,
 }
@@ -171,6 +189,53 @@
         self.predecessors_until_ms.load(Ordering::Relaxed)
     }
 
+    /// Time for which earlier holders may still give leases.
+    fn earlier_ms(&self) -> u64 {
+        self.predecessors_until_ms().saturating_sub(clock::now_ms())
+    }
+
+    fn predecessor(&self) -> MutexGuard<'_, Option<Predecessor>> {
+        self.predecessor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that the process at an address is another one than the predecessor, which has ended
+    /// therefore, or that the predecessor says that it has stopped.
+    fn predecessor_ended(&self, is_over: impl FnOnce(&Predecessor) -> bool) {
+        let mut predecessor = self.predecessor();
+        let Some(over) = predecessor.filter(|p| is_over(p)) else {
+            return;
+        };
+        *predecessor = None;
+        drop(predecessor);
+        let until_ms = over.earlier_until_ms.max(clock::now_ms());
+        self.predecessors_until_ms
+            .fetch_min(until_ms, Ordering::Relaxed);
+        Event::PredecessorEnded { term: over.term }.log();
+    }
+
+    /// Notes which process a host runs.
+    pub fn note_process(&self, address: SocketAddr, incarnation: u64) {
+        self.predecessor_ended(|p| p.address == address && p.incarnation != incarnation);
+    }
+
+    /// Notes that an earlier holder has stopped giving leases.
+    pub fn note_stopped(&self, address: SocketAddr, term: u64) {
+        self.predecessor_ended(|p| p.address == address && p.term == term);
+    }
+
+    /// Notes that another host has the duty in a term. If that is later than this host's own, this
+    /// host stops, and the result is the term that it had.
+    pub fn note_other_term(&self, term: u64) -> Option<u64> {
+        let own = self.term();
+        if own == 0 || own >= term {
+            return None;
+        }
+        self.lose("a later holder was heard");
+        Some(own)
+    }
+
     fn lose(&self, reason: &'static str) {
         let term = self.term.swap(0, Ordering::Relaxed);
         if term > 0 {
@@ -255,7 +320,13 @@
 
     async fn take_duty(&self, row: Option<DutyRow>, version: u64, handed_over: bool) {
         let sent_ms = clock::now_ms();
-        let term = row.map_or(0, |row| row.term) + 1;
+        let term = row.as_ref().map_or(0, |row| row.term) + 1;
+        let earlier_until_ms = sent_ms + row.as_ref().map_or(0, |row| row.earlier_ms);
+        let leases_until_ms = if handed_over {
+            earlier_until_ms
+        } else {
+            earlier_until_ms.max(sent_ms + self.settings.leases.outage_ms)
+        };
         let mut writer = self.duty.writer.lock().await;
         *writer = Writer {
             row_version: version,
@@ -265,6 +336,8 @@
             holder: self.incarnation,
             term,
             confirmation: 1,
+            address: Some(self.settings.listen.peers),
+            earlier_ms: leases_until_ms.saturating_sub(sent_ms),
         };
         let Some(version) = self.write_duty(&next, version).await else {
             return;
@@ -276,20 +349,33 @@
         if !self.read_holdings().await {
             return;
         }
-        let now_ms = clock::now_ms();
-        let until_ms = if handed_over {
-            now_ms
-        } else {
-            now_ms + self.settings.leases.outage_ms
-        };
         self.duty
             .predecessors_until_ms
-            .store(until_ms, Ordering::Relaxed);
+            .store(leases_until_ms, Ordering::Relaxed);
+        *self.duty.predecessor() = row.filter(|_| !handed_over).and_then(|row| {
+            Some(Predecessor {
+                incarnation: row.holder,
+                term: row.term,
+                address: row.address?,
+                earlier_until_ms,
+            })
+        });
+        self.note_known_processes();
         self.duty.confirmed_ms.store(sent_ms, Ordering::Relaxed);
         self.duty.term.store(term, Ordering::Relaxed);
         Event::DutyTaken { term, handed_over }.log();
     }
 
+    /// The predecessor's host may run another process already.
+    fn note_known_processes(&self) {
+        for (address, incarnation) in self.peers.processes() {
+            self.duty.note_process(address, incarnation);
+        }
+        // It may also have been an earlier process of this host.
+        let own = self.settings.listen.peers;
+        self.duty.note_process(own, self.incarnation);
+    }
+
     async fn read_holdings(&self) -> bool {
         let rows = match self.store.table(TABLE).await {
             Ok(rows) => rows.rows,
@@ -358,6 +444,8 @@
             holder: if releasing { 0 } else { self.incarnation },
             term,
             confirmation: writer.confirmation + 1,
+            address: Some(self.settings.listen.peers),
+            earlier_ms: self.duty.earlier_ms(),
         };
         if let Some(version) = self.write_duty(&next, writer.row_version).await {
             writer.row_version = version;
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -86,6 +86,11 @@
         /// True if the holder before had given it up.
         handed_over: bool,
     },
+    /// The holder before this host gives no more leases.
+    PredecessorEnded {
+        /// Number of its term.
+        term: u64,
+    },
     /// This host no longer has the duty.
     DutyLost {
         /// Number of the term.
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -80,6 +80,8 @@
     attempts: u32,
     connects: u32,
     tried: Vec<Arc<str>>,
+    /// Fence under which the last server was thought to hold the key, and the one before.
+    fences: (u64, u64),
     last: Option<Arc<Server>>,
 }
 
@@ -198,6 +200,7 @@
         attempts: 0,
         connects: 0,
         tried: Vec::new(),
+        fences: (0, 0),
         last: None,
     };
     passage.run(entry, &mut payload).await
@@ -263,6 +266,9 @@
                     self.attempts += 1;
                     if status != StatusCode::MISDIRECTED_REQUEST {
                         server.failed();
+                    } else if self.key.is_some() && self.fences.0 == self.fences.1 {
+                        // Twice in a row is more than a matter of milliseconds.
+                        entry.view.note_not_held(&self.service, self.fences.0);
                     }
                     if !self.may_repeat(entry, payload) {
                         self.log("refused", format!("the server answered {status}, not run"));
@@ -316,7 +322,7 @@
         entry.metrics.request(&self.service, outcome, after_ms);
     }
 
-    async fn choose(&self, entry: &Entry) -> Result<Arc<Server>, &'static str> {
+    async fn choose(&mut self, entry: &Entry) -> Result<Arc<Server>, &'static str> {
         if self.left_ms() < ATTEMPT_MS_MIN {
             return Err("the deadline is too near");
         }
@@ -334,12 +340,12 @@
     }
 
     /// The server that holds the key; waits while the key is on its way.
-    async fn owner(&self, entry: &Entry, key: u16) -> Result<Arc<Server>, &'static str> {
+    async fn owner(&mut self, entry: &Entry, key: u16) -> Result<Arc<Server>, &'static str> {
         let mut changes = entry.view.changes();
         loop {
             match entry.view.owner(&self.service, key) {
                 Owner::Nobody => return Err("no server holds the key"),
-                Owner::Server(id, _) => {
+                Owner::Server(id, fence) => {
                     let registry = entry.view.registry();
                     let Some(server) = registry.server(&id) else {
                         return Err("the key's server is gone");
@@ -351,6 +357,7 @@
                     if !choice::has_room(server, typical_ms, self.left_ms()) {
                         return Err("the key's server is overloaded");
                     }
+                    self.fences = (fence, self.fences.0);
                     return Ok(server.clone());
                 }
                 Owner::Moving => {
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -36,7 +36,7 @@
 /// Rounds between plans for balance: the counts need some time to tell anything.
 const BALANCE_EVERY_ROUNDS: u64 = 4;
 /// Time for a server to answer a grant; it answers within a few ms as a rule.
-const GRANT_TIMEOUT_MS: u64 = 700;
+const GRANT_TIMEOUT_MS: u64 = 500;
 /// Time for a server to end its work on released keys.
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
 /// Least time for a release, when the server's lease is about to run out or has.
@@ -50,9 +50,9 @@
 const FENCE_STEP: u64 = 16;
 /// Moves under way at a time.
 const MOVES_MAX: usize = 8;
-/// A server's clock may run slow by this share, and grants take a moment to arrive.
+/// A server's clock may run slow by 2%, and a grant may arrive until it is given up.
 const LEASE_CLOCK_FACTOR: f64 = 1.03;
-const LEASE_MARGIN_MS: u64 = 250;
+const LEASE_MARGIN_MS: u64 = GRANT_TIMEOUT_MS + 250;
 /// Share of the loads that is kept from one round to the next: half is forgotten in 1.4 s.
 const LOAD_KEPT: f32 = 0.95;
 /// Store silence above which no planned move begins, since it could not be recorded.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -83,6 +83,10 @@
         range: KeyRange,
         above_fence: u64,
     },
+    /// The sender had the duty in this term and gives no more leases.
+    Stopped {
+        term: u64,
+    },
     Held {
         service_tag: u32,
         holding: Holding,
@@ -118,6 +122,13 @@
         peers.entry(address).or_default().incarnation = incarnation;
     }
 
+    /// Processes of the other hosts.
+    pub fn processes(&self) -> Vec<(SocketAddr, u64)> {
+        let peers = self.peers();
+        let processes = peers.iter().map(|(address, p)| (*address, p.incarnation));
+        processes.collect()
+    }
+
     /// Forgets a host.
     pub fn remove(&self, address: SocketAddr) {
         self.peers().remove(&address);
@@ -382,7 +393,13 @@
                 term,
                 servers,
                 run_times,
-            }) => self.peers.note_report(from, term, servers, run_times),
+            }) => {
+                if let Some(term) = self.duty.note_other_term(term) {
+                    self.peers.send(&Message::Stopped { term }, &[from]);
+                }
+                self.peers.note_report(from, term, servers, run_times);
+            }
+            Ok(Message::Stopped { term }) => self.duty.note_stopped(from, term),
             Ok(Message::Keys(keys)) => {
                 if self.duty.term() > 0 {
                     self.peers.add_reported(&keys);
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -21,6 +21,8 @@
 
 /// Time after which a move that was announced and not recorded no longer holds requests back.
 const MOVE_HOLD_MS: u64 = 400;
+/// Time for which no request goes to a server that did not hold the key.
+const NOT_HELD_MS: u64 = 250;
 /// Time for which an announced grant counts; the record has been read by then.
 const GRANTED_KEPT_MS: u64 = 20_000;
 
@@ -43,6 +45,14 @@
     until_ms: u64,
 }
 
+/// Keys that their server was found not to hold.
+#[derive(Clone, Debug)]
+struct NotHeld {
+    service: Arc<str>,
+    fence: u64,
+    until_ms: u64,
+}
+
 /// A grant that was announced.
 #[derive(Clone, Debug)]
 struct Granted {
@@ -83,6 +93,7 @@
     held: Mutex<HashMap<Arc<str>, Held>>,
     moving: Mutex<Vec<Moving>>,
     granted: Mutex<Vec<Granted>>,
+    not_held: Mutex<Vec<NotHeld>>,
     changed: watch::Sender<u64>,
     store_lost: watch::Sender<bool>,
     holdings_wanted: Notify,
@@ -99,6 +110,7 @@
             held: Mutex::default(),
             moving: Mutex::default(),
             granted: Mutex::default(),
+            not_held: Mutex::default(),
             changed: watch::channel(0).0,
             store_lost: watch::channel(false).0,
             holdings_wanted: Notify::new(),
@@ -252,9 +264,28 @@
         if waits {
             return Owner::Moving;
         }
+        let refused = self.not_held().iter().any(|n| {
+            let concerns = n.service == *service && n.fence == fence;
+            concerns && now_ms < n.until_ms
+        });
+        if refused {
+            return Owner::Nobody;
+        }
         Owner::Server(server, fence)
     }
 
+    /// Notes that a server does not hold, or does not hold yet, what it has under a fence.
+    pub fn note_not_held(&self, service: &Arc<str>, fence: u64) {
+        let now_ms = clock::now_ms();
+        let mut not_held = self.not_held();
+        not_held.retain(|n| now_ms < n.until_ms);
+        not_held.push(NotHeld {
+            service: service.clone(),
+            fence,
+            until_ms: now_ms + NOT_HELD_MS,
+        });
+    }
+
     /// Tells of changes of any of this.
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
@@ -291,6 +322,10 @@
         self.granted.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn not_held(&self) -> MutexGuard<'_, Vec<NotHeld>> {
+        self.not_held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn moving(&self) -> MutexGuard<'_, Vec<Moving>> {
         self.moving.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -324,7 +324,10 @@
             return;
         }
         match serde_json::from_slice::<HostRow>(&row.value) {
-            Ok(host) => self.peers.add(address, host.incarnation),
+            Ok(host) => {
+                self.peers.add(address, host.incarnation);
+                self.duty.note_process(address, host.incarnation);
+            }
             Err(error) => log::warn!("host row {address} cannot be read: {error}"),
         }
     }
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -216,6 +216,26 @@
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
 
+#[tokio::test]
+async fn keys_of_a_lost_server_do_not_wait_long_for_a_holder_that_was_restarted() {
+    let mut site = Site::start(2, 3).await;
+    let holder = site
+        .hosts
+        .iter()
+        .position(|host| !host.events("duty_taken").is_empty())
+        .expect("a holder");
+    site.hosts[holder].kill();
+    site.keyed[0].crash(&site.store);
+    time::sleep(Duration::from_millis(1_000)).await;
+    site.hosts[holder].restart();
+    // Without word of the former holder's end this takes its 13 s and a lease.
+    eventually("all keys are held", 9_000, async || {
+        site.keyed[1..].iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+    })
+    .await;
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
 #[tokio::test]
 async fn a_planned_stop_of_the_holder_hands_the_duty_over() {
     let site = Site::start(2, 2).await;
