Moves of one plan in one record; few random candidates among many hosts

Hot keys moved 8 ranges at a time, each with a write of its own.

Change: the number of compared servers falls with the number of hosts to 3 near ones and 2 distant ones, reports go out twice as often, one record covers all moves of a plan, and their number grows with the servers. With many hosts the servers' feed rests 1.5 s (0.9 s).

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use rand::seq::SliceRandom;
+
 use super::server::Server;
 
 /// Run time that is assumed of a server while nothing is known of it or its like.
@@ -20,8 +22,12 @@
 /// Advantage of a server of which nothing is known lately, so that servers that join, and those
 /// that were avoided, are tried.
 const UNKNOWN_BONUS: f64 = 0.8;
-/// Candidates that are looked at when a service has many servers.
+/// Servers with room that are compared for one request while there are up to [`FEW_HOSTS`] hosts.
+/// With more hosts, what each knows of the others' requests is older, and all of them would choose
+/// the same few servers: so the number falls, down to a few drawn at random.
 const CANDIDATES_MAX: usize = 24;
+const CANDIDATES_MIN: usize = 3;
+const FEW_HOSTS: usize = 11;
 /// Random part of a cost, so that hosts with the same view do not all choose the same server.
 const JITTER: f64 = 0.1;
 
@@ -76,17 +82,28 @@
     availability_zone: &str,
     tried: &[Arc<str>],
     left_ms: u64,
+    hosts: usize,
 ) -> Result<Arc<Server>, Refusal> {
+    let compared =
+        (CANDIDATES_MAX * FEW_HOSTS / hosts.max(1)).clamp(CANDIDATES_MIN, CANDIDATES_MAX);
     let typical_ms = typical_run_ms(servers);
     let mut best: Option<(&Arc<Server>, f64)> = None;
     let mut any = false;
-    let offset = rand::random_range(0..servers.len().max(1));
-    let candidates = servers.iter().cycle().skip(offset).take(servers.len());
-    let usable = candidates
+    let mut order: Vec<&Arc<Server>> = servers.iter().collect();
+    order.shuffle(&mut rand::rng());
+    let usable = order
+        .into_iter()
         .filter(|server| !server.leaving() && !tried.contains(&server.entry.id))
         .inspect(|_| any = true)
         .filter(|server| !server.paused() && has_room(server, typical_ms, left_ms));
-    for server in usable.take(CANDIDATES_MAX) {
+    let (mut near, mut distant) = (compared, compared.div_ceil(2));
+    for server in usable {
+        let is_near = *server.entry.availability_zone == *availability_zone;
+        let left = if is_near { &mut near } else { &mut distant };
+        if *left == 0 {
+            continue;
+        }
+        *left -= 1;
         let cost = cost(server, availability_zone, typical_ms);
         if best.is_none_or(|(_, least)| cost < least) {
             best = Some((server, cost));
--- a/src/entry/duty.rs
+++ b/src/entry/duty.rs
@@ -99,15 +99,8 @@
 pub enum Change {
     /// All keys are distributed for the first time.
     Distribute(Vec<(KeyRange, Arc<str>)>),
-    /// Keys go to a server, as soon as `from` holds them no more.
-    Assign {
-        /// Keys.
-        range: KeyRange,
-        /// Server.
-        server: Arc<str>,
-        /// Server that holds them now.
-        from: Option<Arc<str>>,
-    },
+    /// Keys go to other servers.
+    Assign(Vec<Reassignment>),
     /// A server keeps its keys under a fence that is higher by this.
     Raise {
         /// What it holds now.
@@ -119,51 +112,66 @@
     Settle(Vec<u64>),
 }
 
+/// Keys that go to another server.
+#[derive(Clone, Debug)]
+pub struct Reassignment {
+    /// Keys.
+    pub range: KeyRange,
+    /// Server that gets them, as soon as `from` holds them no more.
+    pub server: Arc<str>,
+    /// Server that holds them now.
+    pub from: Option<Arc<str>>,
+}
+
 impl Change {
-    /// Makes the change; the holding that came of it, if it was a single one.
-    fn apply(&self, assignment: &mut Assignment) -> Option<Holding> {
-        let holding = match self {
+    /// Makes the change; the holdings that came of it, unless all keys were distributed.
+    fn apply(&self, assignment: &mut Assignment) -> Vec<Holding> {
+        match self {
             Self::Distribute(ranges) => {
                 for (range, server) in ranges {
-                    let fence = assignment.next_fence(1);
-                    assignment.put(Holding {
-                        range: *range,
-                        server: server.clone(),
-                        fence,
-                        from: None,
-                    });
+                    assign(assignment, *range, server, None);
                 }
-                return None;
+                Vec::new()
             }
             Self::Settle(fences) => {
                 assignment.settle(fences);
-                return None;
+                Vec::new()
             }
-            Self::Assign {
-                range,
-                server,
-                from,
-            } => Holding {
-                range: *range,
-                server: server.clone(),
-                fence: assignment.next_fence(1),
-                from: from.clone(),
-            },
+            Self::Assign(all) => all
+                .iter()
+                .map(|one| assign(assignment, one.range, &one.server, one.from.clone()))
+                .collect(),
             Self::Raise { holding, step } => {
                 if !assignment.holdings.contains(holding) {
-                    return None;
+                    return Vec::new();
                 }
-                Holding {
+                let raised = Holding {
                     fence: assignment.next_fence(assignment.fence + step),
                     ..holding.clone()
-                }
+                };
+                assignment.put(raised.clone());
+                vec![raised]
             }
-        };
-        assignment.put(holding.clone());
-        Some(holding)
+        }
     }
 }
 
+fn assign(
+    assignment: &mut Assignment,
+    range: KeyRange,
+    server: &Arc<str>,
+    from: Option<Arc<str>>,
+) -> Holding {
+    let holding = Holding {
+        range,
+        server: server.clone(),
+        fence: assignment.next_fence(1),
+        from,
+    };
+    assignment.put(holding.clone());
+    holding
+}
+
 /// Outcome of a transaction whose effect is known.
 enum Settled {
     Done(u64),
@@ -476,13 +484,13 @@
     }
 
     /// Records a change of a service's holdings. The record depends on the duty's row and on the
-    /// holdings being what they were. Returns the new holding, if there is a single one, once the
+    /// holdings being what they were. Returns the new holdings once the
     /// record is certain, however long that takes while this host may have the duty.
     pub(super) async fn record(
         &self,
         service: &Arc<str>,
         change: &Change,
-    ) -> Result<Option<Holding>, WriteFailure> {
+    ) -> Result<Vec<Holding>, WriteFailure> {
         let mut writer = self.duty.writer.lock().await;
         if self.duty.term() == 0 {
             return Err(WriteFailure::DutyLost);
@@ -491,9 +499,9 @@
         let held_version = held.as_ref().map_or(0, |held| held.version);
         let before = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
         let mut assignment = before.clone();
-        let holding = change.apply(&mut assignment);
+        let changed = change.apply(&mut assignment);
         if assignment == before {
-            return Ok(None);
+            return Ok(changed);
         }
         let Ok(value) = serde_json::to_vec(&assignment) else {
             return Err(WriteFailure::HoldingsChanged);
@@ -537,7 +545,7 @@
                 }
             };
             self.view.hold(service, Arc::new(assignment), version);
-            return Ok(holding);
+            return Ok(changed);
         }
     }
 
--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -330,7 +330,8 @@
             let registry = entry.view.registry();
             let servers = registry.of_service(&self.service);
             let zone = &entry.settings.availability_zone;
-            let picked = choice::pick(servers, zone, &self.tried, self.left_ms());
+            let hosts = entry.peers.hosts();
+            let picked = choice::pick(servers, zone, &self.tried, self.left_ms(), hosts);
             return picked.map_err(|refusal| match refusal {
                 Refusal::NoServer => "no server may get work",
                 Refusal::Overloaded => "all servers are overloaded",
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Entry, choice,
-    duty::{Change, WriteFailure},
+    duty::{Change, Reassignment},
     events::Event,
     keys::{Assignment, Holding, KeyRange},
     plan::{self, KeyLoads, Move, PlanServer, Question},
@@ -48,8 +48,10 @@
 /// Distance of a raised fence from the last one, above what an earlier holder may have used
 /// without recording it.
 const FENCE_STEP: u64 = 16;
-/// Moves under way at a time.
-const MOVES_MAX: usize = 8;
+/// Moves under way at a time: this many, and more with many servers.
+const MOVES_MIN: usize = 8;
+/// Servers of a service for each move under way.
+const SERVERS_PER_MOVE: usize = 4;
 /// A server's clock may run slow by 2%, and a grant may arrive until it is given up.
 const LEASE_CLOCK_FACTOR: f64 = 1.03;
 const LEASE_MARGIN_MS: u64 = GRANT_TIMEOUT_MS + 250;
@@ -310,7 +312,8 @@
             holding: holding.clone(),
             step: FENCE_STEP,
         };
-        if let Ok(Some(raised)) = self.entry.record(service, &change).await {
+        let recorded = self.entry.record(service, &change).await;
+        for raised in recorded.unwrap_or_else(|_| Vec::new()) {
             self.grant(server, raised.range, raised.fence, None).await;
         }
         self.end_move(service, holding.range);
@@ -368,7 +371,8 @@
                 .filter(|(name, _)| name == service)
                 .map(|(_, range)| *range)
                 .collect();
-            let room = MOVES_MAX.saturating_sub(moving.len());
+            let moves_max = MOVES_MIN.max(servers.len() / SERVERS_PER_MOVE);
+            let room = moves_max.saturating_sub(moving.len());
             let balance = round % BALANCE_EVERY_ROUNDS == 0;
             let loads = work.loads.entry(service.clone()).or_default();
             plan::plan(Question {
@@ -379,9 +383,7 @@
                 balance_moves_max: if balance { room } else { 0 },
             })
         };
-        for planned in moves {
-            self.begin_move(service, planned, &held.assignment, tasks);
-        }
+        self.begin_moves(service, moves, &held.assignment, tasks);
         self.finish_found(service, &held.assignment, tasks);
         self.settle(service, tasks);
     }
@@ -483,23 +485,23 @@
         });
     }
 
-    fn begin_move(
+    /// Records moves in one write, then carries out each by itself.
+    fn begin_moves(
         self: &Arc<Self>,
         service: &Arc<str>,
-        planned: Move,
+        mut moves: Vec<Move>,
         assignment: &Assignment,
         tasks: &mut JoinSet<()>,
     ) {
-        if !self.mark_moving(service, planned.range) {
+        moves.retain(|planned| self.mark_moving(service, planned.range));
+        if moves.is_empty() {
             return;
         }
-        let owner = assignment.holding(planned.range.first).cloned();
+        let owner = |planned: &Move| assignment.holding(planned.range.first).cloned();
+        let owners = moves.iter().map(owner).collect();
         let term = self.clone();
         let service = service.clone();
-        tasks.spawn(async move {
-            term.carry_out(&service, &planned, owner).await;
-            term.end_move(&service, planned.range);
-        });
+        tasks.spawn(async move { term.carry_out(&service, &moves, owners).await });
     }
 
     fn end_move(&self, service: &Arc<str>, range: KeyRange) {
@@ -508,29 +510,46 @@
             .retain(|(name, other)| name != service || *other != range);
     }
 
-    async fn carry_out(&self, service: &Arc<str>, planned: &Move, owner: Option<Holding>) {
+    async fn carry_out(
+        self: &Arc<Self>,
+        service: &Arc<str>,
+        moves: &[Move],
+        owners: Vec<Option<Holding>>,
+    ) {
         let began_ms = clock::now_ms();
-        let range = planned.range;
-        let fence_before = owner.as_ref().map(|holding| holding.fence);
-        let change = Change::Assign {
-            range,
+        let pairs = moves.iter().zip(&owners);
+        let reassignments = pairs.map(|(planned, owner)| Reassignment {
+            range: planned.range,
             server: planned.to.clone(),
-            from: owner.map(|holding| holding.server),
-        };
-        let holding = match self.entry.record(service, &change).await {
-            Ok(Some(holding)) => holding,
-            Ok(None) | Err(WriteFailure::DutyLost) => return,
+            from: owner.as_ref().map(|holding| holding.server.clone()),
+        });
+        let change = Change::Assign(reassignments.collect());
+        let holdings = match self.entry.record(service, &change).await {
+            Ok(holdings) => holdings,
             Err(failure) => {
-                log::warn!("a move of {service} is not recorded: {failure:?}");
+                log::warn!("moves of {service} are not recorded: {failure:?}");
+                for planned in moves {
+                    self.end_move(service, planned.range);
+                }
                 return;
             }
         };
-        if let Some(fence) = fence_before {
-            self.entry.view.announce_move(service, range, fence);
-            self.entry.peers.announce_move(service, range, fence);
+        let mut finishing = JoinSet::new();
+        for ((planned, owner), holding) in moves.iter().zip(owners).zip(holdings) {
+            if let Some(before) = owner {
+                let range = planned.range;
+                self.entry.view.announce_move(service, range, before.fence);
+                self.entry.peers.announce_move(service, range, before.fence);
+            }
+            let term = self.clone();
+            let service = service.clone();
+            let cause = planned.cause;
+            finishing.spawn(async move {
+                term.finish(&service, &holding, cause, began_ms).await;
+                term.end_move(&service, holding.range);
+            });
         }
-        self.finish(service, &holding, planned.cause, began_ms)
-            .await;
+        finishing.join_all().await;
     }
 
     /// Carries out a recorded move: frees the keys, then grants them. Whatever fails here, the
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -25,7 +25,7 @@
 /// Interval of reports among up to [`REPORT_HOSTS`] hosts; it grows in proportion to their number,
 /// so that a host's datagrams do not.
 const REPORT_EVERY_MS: u64 = 100;
-const REPORT_HOSTS: u64 = 11;
+const REPORT_HOSTS: u64 = 20;
 /// Longest interval of reports.
 const REPORT_EVERY_MAX_MS: u64 = 1_000;
 /// Longest interval of the reports of the duty's holder, by which the others know that it lives.
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -64,7 +64,7 @@
     fn least_interval_ms(self, hosts: usize) -> u64 {
         let (few_hosts_ms, many_hosts_ms) = match self {
             Self::Configuration => (150, 500),
-            Self::Servers => (250, 900),
+            Self::Servers => (250, 1_500),
             Self::Own => (1_000, 8_000),
         };
         let scaled_ms = few_hosts_ms * hosts as u64 / FEW_HOSTS;
