--- a/src/entry/forward.rs
+++ b/src/entry/forward.rs
@@ -352,6 +352,7 @@
                         return Err("the key's server is gone");
                     };
                     let typical_ms = choice::typical_run_ms(registry.of_service(&self.service));
+                    self.last = Some(server.clone());
                     if server.leaving() {
                         return Err("the key's server is leaving");
                     }
--- a/src/entry/leases.rs
+++ b/src/entry/leases.rs
@@ -312,9 +312,13 @@
             holding: holding.clone(),
             step: FENCE_STEP,
         };
-        let recorded = self.entry.record(service, &change).await;
-        for raised in recorded.unwrap_or_else(|_| Vec::new()) {
-            self.grant(server, raised.range, raised.fence, None).await;
+        match self.entry.record(service, &change).await {
+            Ok(raised) => {
+                for raised in raised {
+                    self.grant(server, raised.range, raised.fence, None).await;
+                }
+            }
+            Err(failure) => log::warn!("a raised fence of {service} is not recorded: {failure:?}"),
         }
         self.end_move(service, holding.range);
     }
