forward, duty and leases split by concept; one error type for settings files

Three files of 590 to 670 lines held several concepts: a request's way, bodies and heads; the duty's row, changes and their record; leases and moves. The second copy of the settings errors is gone.

--- a/src/entry/duty.rs
+++ b/src/entry/duty/mod.rs
@@ -3,6 +3,11 @@
 //! answers. All writes of holdings depend on the row, so a holder that was replaced cannot record
 //! anything any more.
 
+mod change;
+mod record;
+
+pub use self::change::{Change, Reassignment};
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -18,12 +23,12 @@
 use super::{
     Entry,
     events::Event,
-    keys::{Assignment, Holding, KeyRange},
+    keys::Assignment,
     watch::{HOLDINGS_PREFIX, TABLE, pause},
 };
 use crate::{
     clock,
-    platform::store::{Expect, Put, Row, Transacted, Transaction},
+    platform::store::{Expect, Put, Transacted, Transaction},
 };
 
 /// Table of the duty's row. It is apart from the other rows, because it changes often and nobody
@@ -85,100 +90,6 @@
     confirmation: u64,
 }
 
-/// Why a write of the holder failed for good.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WriteFailure {
-    /// Another host has the duty.
-    DutyLost,
-    /// The service's holdings are not what the holder thinks.
-    HoldingsChanged,
-}
-
-/// A change of holdings.
-#[derive(Clone, Debug)]
-pub enum Change {
-    /// All keys are distributed for the first time.
-    Distribute(Vec<(KeyRange, Arc<str>)>),
-    /// Keys go to other servers.
-    Assign(Vec<Reassignment>),
-    /// A server keeps its keys under a fence that is higher by this.
-    Raise {
-        /// What it holds now.
-        holding: Holding,
-        /// Distance.
-        step: u64,
-    },
-    /// The former servers of holdings, named by their fences, hold nothing any more.
-    Settle(Vec<u64>),
-}
-
-/// Keys that go to another server.
-#[derive(Clone, Debug)]
-pub struct Reassignment {
-    /// Keys.
-    pub range: KeyRange,
-    /// Server that gets them, as soon as `from` holds them no more.
-    pub server: Arc<str>,
-    /// Server that holds them now.
-    pub from: Option<Arc<str>>,
-}
-
-impl Change {
-    /// Makes the change; the holdings that came of it, unless all keys were distributed.
-    fn apply(&self, assignment: &mut Assignment) -> Vec<Holding> {
-        match self {
-            Self::Distribute(ranges) => {
-                for (range, server) in ranges {
-                    assign(assignment, *range, server, None);
-                }
-                Vec::new()
-            }
-            Self::Settle(fences) => {
-                assignment.settle(fences);
-                Vec::new()
-            }
-            Self::Assign(all) => all
-                .iter()
-                .map(|one| assign(assignment, one.range, &one.server, one.from.clone()))
-                .collect(),
-            Self::Raise { holding, step } => {
-                if !assignment.holdings.contains(holding) {
-                    return Vec::new();
-                }
-                let raised = Holding {
-                    fence: assignment.next_fence(assignment.fence + step),
-                    ..holding.clone()
-                };
-                assignment.put(raised.clone());
-                vec![raised]
-            }
-        }
-    }
-}
-
-fn assign(
-    assignment: &mut Assignment,
-    range: KeyRange,
-    server: &Arc<str>,
-    from: Option<Arc<str>>,
-) -> Holding {
-    let holding = Holding {
-        range,
-        server: server.clone(),
-        fence: assignment.next_fence(1),
-        from,
-    };
-    assignment.put(holding.clone());
-    holding
-}
-
-/// Outcome of a transaction whose effect is known.
-enum Settled {
-    Done(u64),
-    Conflict(Vec<Row>),
-    DutyLost,
-}
-
 impl Duty {
     /// Number of this host's term while it has the duty, else 0.
     pub fn term(&self) -> u64 {
@@ -482,113 +393,4 @@
         self.confirm_duty().await;
         self.duty.lose("planned stop");
     }
-
-    /// Records a change of a service's holdings. The record depends on the duty's row and on the
-    /// holdings being what they were. Returns the new holdings once the
-    /// record is certain, however long that takes while this host may have the duty.
-    pub(super) async fn record(
-        &self,
-        service: &Arc<str>,
-        change: &Change,
-    ) -> Result<Vec<Holding>, WriteFailure> {
-        let mut writer = self.duty.writer.lock().await;
-        if self.duty.term() == 0 {
-            return Err(WriteFailure::DutyLost);
-        }
-        let held = self.view.held(service);
-        let held_version = held.as_ref().map_or(0, |held| held.version);
-        let before = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
-        let mut assignment = before.clone();
-        let changed = change.apply(&mut assignment);
-        if assignment == before {
-            return Ok(changed);
-        }
-        let Ok(value) = serde_json::to_vec(&assignment) else {
-            return Err(WriteFailure::HoldingsChanged);
-        };
-        let key = format!("{HOLDINGS_PREFIX}{service}");
-        loop {
-            let settled = self
-                .write_holdings(&key, &value, writer.row_version, held_version)
-                .await;
-            let version = match settled {
-                Settled::Done(version) => version,
-                Settled::DutyLost => return Err(WriteFailure::DutyLost),
-                Settled::Conflict(rows) => {
-                    let found = |key: &str| rows.iter().find(|row| row.key == key);
-                    let holdings = found(&key);
-                    // Our own write took effect and its answer was lost.
-                    if let Some(row) = holdings.filter(|row| row.value == value) {
-                        row.version
-                    } else if holdings.map_or(0, |row| row.version) != held_version {
-                        return Err(WriteFailure::HoldingsChanged);
-                    } else {
-                        let row = found(DUTY_KEY);
-                        let decoded =
-                            row.and_then(|r| serde_json::from_slice::<DutyRow>(&r.value).ok());
-                        match (row, decoded) {
-                            // A confirmation whose answer was lost.
-                            (Some(row), Some(duty))
-                                if duty.holder == self.incarnation
-                                    && duty.term == self.duty.term()
-                                    && row.version != writer.row_version =>
-                            {
-                                writer.row_version = row.version;
-                                continue;
-                            }
-                            _ => {
-                                self.duty.lose("another host has taken it");
-                                return Err(WriteFailure::DutyLost);
-                            }
-                        }
-                    }
-                }
-            };
-            self.view.hold(service, Arc::new(assignment), version);
-            return Ok(changed);
-        }
-    }
-
-    async fn write_holdings(
-        &self,
-        key: &str,
-        value: &[u8],
-        duty_version: u64,
-        held_version: u64,
-    ) -> Settled {
-        let expect = |table, key, version| Expect {
-            table,
-            key,
-            version,
-        };
-        let transaction = Transaction {
-            expect: vec![
-                expect(DUTY_TABLE, DUTY_KEY, duty_version),
-                expect(TABLE, key, held_version),
-            ],
-            puts: vec![Put {
-                table: TABLE,
-                key,
-                value,
-            }],
-            ..Transaction::default()
-        };
-        loop {
-            let sent_ms = clock::now_ms();
-            match self.store.transact(&transaction).await {
-                Ok(Transacted::Done { version }) => {
-                    // The transaction depends on the duty's row, so it confirms the duty too.
-                    self.duty.confirmed_ms.store(sent_ms, Ordering::Relaxed);
-                    return Settled::Done(version);
-                }
-                Ok(Transacted::Conflict { rows }) => return Settled::Conflict(rows),
-                Err(error) => log::debug!("holdings cannot be recorded: {error}"),
-            }
-            if !self.duty.may_lease(self.settings.leases.outage_ms) {
-                self.duty.lose("the store did not answer");
-                return Settled::DutyLost;
-            }
-            pause().await;
-        }
-    }
 }
--- /dev/null
+++ b/src/entry/duty/record.rs
@@ -0,0 +1,141 @@
+//! Records changes of holdings in the store, on condition of the duty's row.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use super::{Change, DUTY_KEY, DUTY_TABLE, DutyRow};
+use crate::{
+    clock,
+    entry::{
+        Entry,
+        keys::{Assignment, Holding},
+        watch::{HOLDINGS_PREFIX, TABLE, pause},
+    },
+    platform::store::{Expect, Put, Row, Transacted, Transaction},
+};
+
+/// Why a write of the holder failed for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteFailure {
+    /// Another host has the duty.
+    DutyLost,
+    /// The service's holdings are not what the holder thinks.
+    HoldingsChanged,
+}
+
+/// Outcome of a transaction whose effect is known.
+enum Settled {
+    Done(u64),
+    Conflict(Vec<Row>),
+    DutyLost,
+}
+
+impl Entry {
+    /// Records a change of a service's holdings. The record depends on the duty's row and on the
+    /// holdings being what they were. Returns the new holdings once the
+    /// record is certain, however long that takes while this host may have the duty.
+    pub(in crate::entry) async fn record(
+        &self,
+        service: &Arc<str>,
+        change: &Change,
+    ) -> Result<Vec<Holding>, WriteFailure> {
+        let mut writer = self.duty.writer.lock().await;
+        if self.duty.term() == 0 {
+            return Err(WriteFailure::DutyLost);
+        }
+        let held = self.view.held(service);
+        let held_version = held.as_ref().map_or(0, |held| held.version);
+        let before = held.map_or_else(Assignment::default, |h| (*h.assignment).clone());
+        let mut assignment = before.clone();
+        let changed = change.apply(&mut assignment);
+        if assignment == before {
+            return Ok(changed);
+        }
+        let Ok(value) = serde_json::to_vec(&assignment) else {
+            return Err(WriteFailure::HoldingsChanged);
+        };
+        let key = format!("{HOLDINGS_PREFIX}{service}");
+        loop {
+            let settled = self
+                .write_holdings(&key, &value, writer.row_version, held_version)
+                .await;
+            let version = match settled {
+                Settled::Done(version) => version,
+                Settled::DutyLost => return Err(WriteFailure::DutyLost),
+                Settled::Conflict(rows) => {
+                    let found = |key: &str| rows.iter().find(|row| row.key == key);
+                    let holdings = found(&key);
+                    // Our own write took effect and its answer was lost.
+                    if let Some(row) = holdings.filter(|row| row.value == value) {
+                        row.version
+                    } else if holdings.map_or(0, |row| row.version) != held_version {
+                        return Err(WriteFailure::HoldingsChanged);
+                    } else {
+                        let row = found(DUTY_KEY);
+                        let decoded =
+                            row.and_then(|r| serde_json::from_slice::<DutyRow>(&r.value).ok());
+                        match (row, decoded) {
+                            // A confirmation whose answer was lost.
+                            (Some(row), Some(duty))
+                                if duty.holder == self.incarnation
+                                    && duty.term == self.duty.term()
+                                    && row.version != writer.row_version =>
+                            {
+                                writer.row_version = row.version;
+                                continue;
+                            }
+                            _ => {
+                                self.duty.lose("another host has taken it");
+                                return Err(WriteFailure::DutyLost);
+                            }
+                        }
+                    }
+                }
+            };
+            self.view.hold(service, Arc::new(assignment), version);
+            return Ok(changed);
+        }
+    }
+
+    async fn write_holdings(
+        &self,
+        key: &str,
+        value: &[u8],
+        duty_version: u64,
+        held_version: u64,
+    ) -> Settled {
+        let expect = |table, key, version| Expect {
+            table,
+            key,
+            version,
+        };
+        let transaction = Transaction {
+            expect: vec![
+                expect(DUTY_TABLE, DUTY_KEY, duty_version),
+                expect(TABLE, key, held_version),
+            ],
+            puts: vec![Put {
+                table: TABLE,
+                key,
+                value,
+            }],
+            ..Transaction::default()
+        };
+        loop {
+            let sent_ms = clock::now_ms();
+            match self.store.transact(&transaction).await {
+                Ok(Transacted::Done { version }) => {
+                    // The transaction depends on the duty's row, so it confirms the duty too.
+                    self.duty.confirmed_ms.store(sent_ms, Ordering::Relaxed);
+                    return Settled::Done(version);
+                }
+                Ok(Transacted::Conflict { rows }) => return Settled::Conflict(rows),
+                Err(error) => log::debug!("holdings cannot be recorded: {error}"),
+            }
+            if !self.duty.may_lease(self.settings.leases.outage_ms) {
+                self.duty.lose("the store did not answer");
+                return Settled::DutyLost;
+            }
+            pause().await;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/forward/head.rs
@@ -0,0 +1,71 @@
+//! Heads of requests and answers: what is passed on, and the host's own answers.
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Uri, header, response};
+
+use crate::transport::{AnswerBody, whole};
+
+/// Time after which a refused caller should come back.
+const RETRY_AFTER: &str = "0.1";
+
+const HOP_HEADERS: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// True for statuses that tell a caller that its request has not run.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+pub fn origin_form(uri: &Uri) -> Option<Uri> {
+    let path = uri.path_and_query()?.as_str();
+    path.parse().ok()
+}
+
+pub fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
+
+pub fn build_answer(mut head: response::Parts, body: AnswerBody) -> Response<AnswerBody> {
+    strip_hop_headers(&mut head.headers);
+    head.version = http::Version::HTTP_11;
+    Response::from_parts(head, body)
+}
+
+pub fn plain(status: StatusCode, message: &str) -> Response<AnswerBody> {
+    whole(
+        status,
+        "text/plain",
+        Bytes::copy_from_slice(message.as_bytes()),
+    )
+}
+
+/// Answer to a request that has not run, with the time to come back.
+pub fn refusal(reason: &str) -> Response<AnswerBody> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
+    let after = HeaderValue::from_static(RETRY_AFTER);
+    response.headers_mut().insert(header::RETRY_AFTER, after);
+    response
+}
--- /dev/null
+++ b/src/entry/forward/mod.rs
@@ -0,0 +1,156 @@
+//! Passes callers' requests on to backend servers and their answers back.
+
+mod body;
+mod head;
+mod passage;
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderValue, Request, Response, StatusCode, header, request};
+use hyper::body::Incoming;
+use tokio::time;
+
+use self::{
+    body::{Payload, read_payload},
+    head::{plain, refusal},
+    passage::Passage,
+};
+use super::{
+    Entry,
+    model::{Configuration, Part, Route},
+    server::tag_of,
+};
+use crate::{
+    clock,
+    platform::headers,
+    transport::{AnswerBody, header_number, header_text},
+};
+
+/// Deadline of requests that name none.
+const DEADLINE_DEFAULT_MS: u64 = 30_000;
+/// Time between a request's deadline and the end of the process that must remain.
+const STOP_MARGIN_MS: u64 = 100;
+
+/// Answers one request of a caller.
+pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let present = entry.enter();
+    let stopping_entry = entry.clone();
+    let mut response = route(entry, request).await;
+    if stopping_entry.stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    drop(present);
+    response
+}
+
+async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived_ms = clock::now_ms();
+    let Some(configuration) = entry.view.configuration() else {
+        return refusal("no configuration is known yet");
+    };
+    let host = header_text(request.headers(), "host").unwrap_or_default();
+    let Some(route) = configuration.route(host, request.uri().path()).cloned() else {
+        return plain(StatusCode::NOT_FOUND, "no route");
+    };
+    let (head, body) = request.into_parts();
+    let asked_ms = header_number(&head.headers, headers::DEADLINE_MS.as_str());
+    let left_ms = asked_ms
+        .unwrap_or(DEADLINE_DEFAULT_MS)
+        .min(route.timeout_ms);
+    let deadline_ms = arrived_ms + left_ms;
+    if deadline_ms + STOP_MARGIN_MS > entry.ends_ms() {
+        return refusal("this host is about to stop");
+    }
+    let body_max = configuration.limits.body_bytes;
+    if header_number(&head.headers, "content-length").is_some_and(|length| length > body_max) {
+        return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    }
+    let reading = read_payload(body);
+    let limit = Duration::from_millis(left_ms);
+    let payload = match time::timeout(limit, reading).await {
+        Ok(Ok(payload)) => payload,
+        Ok(Err(error)) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(_) => return refusal("the body did not come in time"),
+    };
+    let repeatable = route.repeatable;
+    let passing = async move {
+        let times = (arrived_ms, deadline_ms);
+        pass(&entry, &configuration, &route, &head, payload, times).await
+    };
+    if repeatable {
+        // Dropped with its connections when the caller leaves.
+        return passing.await;
+    }
+    // An unrepeatable request is not cut off at its server when the caller leaves.
+    match tokio::spawn(passing).await {
+        Ok(response) => response,
+        Err(error) => {
+            log::error!("a request ended early: {error}");
+            plain(StatusCode::BAD_GATEWAY, "the request ended early")
+        }
+    }
+}
+
+async fn pass(
+    entry: &Arc<Entry>,
+    configuration: &Configuration,
+    route: &Arc<Route>,
+    head: &request::Parts,
+    mut payload: Payload,
+    (arrived_ms, deadline_ms): (u64, u64),
+) -> Response<AnswerBody> {
+    let Some(part) = choose_part(&route.parts) else {
+        return refusal("the route has no service");
+    };
+    let service = part.service.clone();
+    let divided = configuration
+        .service(&service)
+        .is_some_and(|service| service.divided_by_key);
+    let key = if divided {
+        let key = header_number(&head.headers, headers::KEY.as_str());
+        match key.and_then(|key| u16::try_from(key).ok()) {
+            Some(key) => Some(key),
+            None => return plain(StatusCode::BAD_REQUEST, "the key is missing or no number"),
+        }
+    } else {
+        None
+    };
+    if let Some(key) = key {
+        entry.peers.count(tag_of(&service), key);
+    }
+    entry.retries.request(&service, entry.peers.hosts());
+    let request_id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
+    let mut passage = Passage {
+        configuration,
+        route,
+        service,
+        key,
+        head,
+        request_id,
+        arrived_ms,
+        deadline_ms,
+        attempts: 0,
+        connects: 0,
+        tried: Vec::new(),
+        fences: (0, 0),
+        last: None,
+    };
+    passage.run(entry, &mut payload).await
+}
+
+/// Draws one of a route's services in proportion to the weights.
+fn choose_part(parts: &[Part]) -> Option<&Part> {
+    if parts.len() == 1 {
+        return parts.first();
+    }
+    let total: f64 = parts.iter().map(|part| part.weight).sum();
+    let mut point = rand::random::<f64>() * total;
+    for part in parts {
+        if point < part.weight {
+            return Some(part);
+        }
+        point -= part.weight;
+    }
+    parts.iter().rfind(|part| part.weight > 0.0)
+}
--- a/src/entry/forward.rs
+++ b/src/entry/forward/passage.rs
@@ -1,41 +1,33 @@
-//! Passes one caller's request on to a backend server and its answer back.
+//! One request's way: choice of server, attempts, and what is told to the caller.
 
 use std::{
-    pin::Pin,
     sync::Arc,
-    task::{Context, Poll},
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
-use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
-    request, response,
-};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header, request, response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time;
 
 use super::{
-    Entry,
-    choice::{self, Refusal},
-    events::Event,
-    model::{Configuration, Part, Route},
-    pool::Connection,
-    server::{Server, tag_of},
-    view::Owner,
+    body::{Payload, Received, Streamed, receive},
+    head::{build_answer, origin_form, plain, promises_not_run, refusal, strip_hop_headers},
 };
 use crate::{
     clock,
+    entry::{
+        Entry,
+        choice::{self, Refusal},
+        events::Event,
+        model::{Configuration, Route},
+        pool::Connection,
+        server::Server,
+        view::Owner,
+    },
     platform::headers,
-    transport::{AnswerBody, header_number, header_text, whole},
+    transport::{AnswerBody, header_text},
 };
 
-/// Bodies up to this size are held in memory, so that a request can be repeated and a broken
-/// answer be noticed before any of it is passed on.
-const BUFFERED_BYTES_MAX: usize = 256 * 1024;
-/// Deadline of requests that name none.
-const DEADLINE_DEFAULT_MS: u64 = 30_000;
 /// Time after the deadline that a server's own answer about it may take.
 const DEADLINE_SLACK_MS: u64 = 40;
 /// Least time for which an attempt is worth making.
@@ -44,45 +36,23 @@
 const CONNECTS_MAX: u32 = 3;
 /// Pause before a keyed request is sent again to a server that did not hold the key yet.
 const HOLD_PAUSE_MS: u64 = 25;
-/// Time between a request's deadline and the end of the process that must remain.
-const STOP_MARGIN_MS: u64 = 100;
-/// Time after which a refused caller should come back.
-const RETRY_AFTER: &str = "0.1";
-
-const HOP_HEADERS: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-];
-
-/// A request's body as it is passed on.
-enum Payload {
-    Whole(Bytes),
-    /// Its beginning, and the rest as it comes; can be sent only once.
-    Stream(Option<(Bytes, Incoming)>),
-}
 
 /// A request on its way.
-struct Passage<'a> {
-    configuration: &'a Configuration,
-    route: &'a Arc<Route>,
-    service: Arc<str>,
-    key: Option<u16>,
-    head: &'a request::Parts,
-    request_id: &'a str,
-    arrived_ms: u64,
-    deadline_ms: u64,
-    attempts: u32,
-    connects: u32,
-    tried: Vec<Arc<str>>,
+pub struct Passage<'a> {
+    pub(super) configuration: &'a Configuration,
+    pub(super) route: &'a Arc<Route>,
+    pub(super) service: Arc<str>,
+    pub(super) key: Option<u16>,
+    pub(super) head: &'a request::Parts,
+    pub(super) request_id: &'a str,
+    pub(super) arrived_ms: u64,
+    pub(super) deadline_ms: u64,
+    pub(super) attempts: u32,
+    pub(super) connects: u32,
+    pub(super) tried: Vec<Arc<str>>,
     /// Fence under which the last server was thought to hold the key, and the one before.
-    fences: (u64, u64),
-    last: Option<Arc<Server>>,
+    pub(super) fences: (u64, u64),
+    pub(super) last: Option<Arc<Server>>,
 }
 
 /// What came of one attempt.
@@ -98,136 +68,16 @@
     TimedOut,
 }
 
-/// Answers one request of a caller.
-pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let present = entry.enter();
-    let stopping_entry = entry.clone();
-    let mut response = route(entry, request).await;
-    if stopping_entry.stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
-    drop(present);
-    response
-}
-
-async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let arrived_ms = clock::now_ms();
-    let Some(configuration) = entry.view.configuration() else {
-        return refusal("no configuration is known yet");
-    };
-    let host = header_text(request.headers(), "host").unwrap_or_default();
-    let Some(route) = configuration.route(host, request.uri().path()).cloned() else {
-        return plain(StatusCode::NOT_FOUND, "no route");
-    };
-    let (head, body) = request.into_parts();
-    let asked_ms = header_number(&head.headers, headers::DEADLINE_MS.as_str());
-    let left_ms = asked_ms
-        .unwrap_or(DEADLINE_DEFAULT_MS)
-        .min(route.timeout_ms);
-    let deadline_ms = arrived_ms + left_ms;
-    if deadline_ms + STOP_MARGIN_MS > entry.ends_ms() {
-        return refusal("this host is about to stop");
-    }
-    let body_max = configuration.limits.body_bytes;
-    if header_number(&head.headers, "content-length").is_some_and(|length| length > body_max) {
-        return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
-    }
-    let reading = read_payload(body);
-    let limit = Duration::from_millis(left_ms);
-    let payload = match time::timeout(limit, reading).await {
-        Ok(Ok(payload)) => payload,
-        Ok(Err(error)) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
-        Err(_) => return refusal("the body did not come in time"),
-    };
-    let repeatable = route.repeatable;
-    let passing = async move {
-        let times = (arrived_ms, deadline_ms);
-        pass(&entry, &configuration, &route, &head, payload, times).await
-    };
-    if repeatable {
-        // Dropped with its connections when the caller leaves.
-        return passing.await;
-    }
-    // An unrepeatable request is not cut off at its server when the caller leaves.
-    match tokio::spawn(passing).await {
-        Ok(response) => response,
-        Err(error) => {
-            log::error!("a request ended early: {error}");
-            plain(StatusCode::BAD_GATEWAY, "the request ended early")
-        }
-    }
-}
-
-async fn pass(
-    entry: &Arc<Entry>,
-    configuration: &Configuration,
-    route: &Arc<Route>,
-    head: &request::Parts,
-    mut payload: Payload,
-    (arrived_ms, deadline_ms): (u64, u64),
-) -> Response<AnswerBody> {
-    let Some(part) = choose_part(&route.parts) else {
-        return refusal("the route has no service");
-    };
-    let service = part.service.clone();
-    let divided = configuration
-        .service(&service)
-        .is_some_and(|service| service.divided_by_key);
-    let key = if divided {
-        let key = header_number(&head.headers, headers::KEY.as_str());
-        match key.and_then(|key| u16::try_from(key).ok()) {
-            Some(key) => Some(key),
-            None => return plain(StatusCode::BAD_REQUEST, "the key is missing or no number"),
-        }
-    } else {
-        None
-    };
-    if let Some(key) = key {
-        entry.peers.count(tag_of(&service), key);
-    }
-    entry.retries.request(&service, entry.peers.hosts());
-    let request_id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
-    let mut passage = Passage {
-        configuration,
-        route,
-        service,
-        key,
-        head,
-        request_id,
-        arrived_ms,
-        deadline_ms,
-        attempts: 0,
-        connects: 0,
-        tried: Vec::new(),
-        fences: (0, 0),
-        last: None,
-    };
-    passage.run(entry, &mut payload).await
-}
-
-/// Draws one of a route's services in proportion to the weights.
-fn choose_part(parts: &[Part]) -> Option<&Part> {
-    if parts.len() == 1 {
-        return parts.first();
-    }
-    let total: f64 = parts.iter().map(|part| part.weight).sum();
-    let mut point = rand::random::<f64>() * total;
-    for part in parts {
-        if point < part.weight {
-            return Some(part);
-        }
-        point -= part.weight;
-    }
-    parts.iter().rfind(|part| part.weight > 0.0)
-}
-
 impl Passage<'_> {
     fn left_ms(&self) -> u64 {
         self.deadline_ms.saturating_sub(clock::now_ms())
     }
 
-    async fn run(&mut self, entry: &Arc<Entry>, payload: &mut Payload) -> Response<AnswerBody> {
+    pub(super) async fn run(
+        &mut self,
+        entry: &Arc<Entry>,
+        payload: &mut Payload,
+    ) -> Response<AnswerBody> {
         loop {
             let server = match self.choose(entry).await {
                 Ok(server) => server,
@@ -495,147 +345,3 @@
         .log();
     }
 }
-
-/// True for statuses that tell a caller that its request has not run.
-fn promises_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
-
-fn origin_form(uri: &Uri) -> Option<Uri> {
-    let path = uri.path_and_query()?.as_str();
-    path.parse().ok()
-}
-
-fn strip_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named.iter().chain(&HOP_HEADERS) {
-        headers.remove(name);
-    }
-}
-
-fn build_answer(mut head: response::Parts, body: AnswerBody) -> Response<AnswerBody> {
-    strip_hop_headers(&mut head.headers);
-    head.version = http::Version::HTTP_11;
-    Response::from_parts(head, body)
-}
-
-fn plain(status: StatusCode, message: &str) -> Response<AnswerBody> {
-    whole(
-        status,
-        "text/plain",
-        Bytes::copy_from_slice(message.as_bytes()),
-    )
-}
-
-/// Answer to a request that has not run, with the time to come back.
-fn refusal(reason: &str) -> Response<AnswerBody> {
-    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
-    let after = HeaderValue::from_static(RETRY_AFTER);
-    response.headers_mut().insert(header::RETRY_AFTER, after);
-    response
-}
-
-/// An answer's body as far as it was read.
-enum Received {
-    Whole(Bytes),
-    Begun(Bytes, Incoming),
-}
-
-async fn receive(mut body: Incoming) -> hyper::Result<Received> {
-    let mut buffer = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        if buffer.is_empty() && body.is_end_stream() {
-            return Ok(Received::Whole(data));
-        }
-        buffer.extend_from_slice(&data);
-        if buffer.len() > BUFFERED_BYTES_MAX {
-            return Ok(Received::Begun(buffer.freeze(), body));
-        }
-    }
-    Ok(Received::Whole(buffer.freeze()))
-}
-
-async fn read_payload(body: Incoming) -> hyper::Result<Payload> {
-    if body.is_end_stream() {
-        return Ok(Payload::Whole(Bytes::new()));
-    }
-    match receive(body).await? {
-        Received::Whole(bytes) => Ok(Payload::Whole(bytes)),
-        Received::Begun(first, rest) => Ok(Payload::Stream(Some((first, rest)))),
-    }
-}
-
-impl Payload {
-    fn can_repeat(&self) -> bool {
-        !matches!(self, Self::Stream(None))
-    }
-
-    fn body(&mut self) -> Option<AnswerBody> {
-        match self {
-            Self::Whole(bytes) => {
-                let body = Full::new(bytes.clone());
-                Some(body.map_err(|never| match never {}).boxed())
-            }
-            Self::Stream(stream) => {
-                let (first, rest) = stream.take()?;
-                let streamed = Streamed {
-                    first: Some(first),
-                    rest,
-                    connection: None,
-                };
-                Some(streamed.boxed())
-            }
-        }
-    }
-}
-
-/// A body whose beginning is in memory and whose rest is passed on as it comes.
-struct Streamed {
-    first: Option<Bytes>,
-    rest: Incoming,
-    #[allow(dead_code, reason = "closed when the body is dropped")]
-    connection: Option<Connection>,
-}
-
-impl Body for Streamed {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        if let Some(first) = self.first.take() {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
-        }
-        Pin::new(&mut self.rest).poll_frame(context)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.first.is_none() && self.rest.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let first = self.first.as_ref().map_or(0, Bytes::len) as u64;
-        let rest = self.rest.size_hint();
-        match rest.exact() {
-            Some(rest) => SizeHint::with_exact(first + rest),
-            None => SizeHint::default(),
-        }
-    }
-}
--- a/src/entry/leases.rs
+++ b/src/entry/leases/mod.rs
@@ -6,6 +6,8 @@
 //! new server only when the last lease that anyone may have given the old one has run out. A later
 //! holder of the duty finds the move in the record and finishes it in the same way.
 
+mod moves;
+
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -16,19 +18,16 @@
 
 use super::{
     Entry, choice,
-    duty::{Change, Reassignment},
+    duty::Change,
     events::Event,
     keys::{Assignment, Holding, KeyRange},
-    plan::{self, KeyLoads, Move, PlanServer, Question},
+    plan::{self, KeyLoads, PlanServer, Question},
     server::{Server, tag_of},
     watch::store_age_ms,
 };
 use crate::{
     clock,
-    platform::{
-        Link,
-        orders::{self, Grant, Granted, Released},
-    },
+    platform::orders::{self, Grant, Granted},
 };
 
 /// Interval of the holder's rounds.
@@ -37,14 +36,8 @@
 const BALANCE_EVERY_ROUNDS: u64 = 4;
 /// Time for a server to answer a grant; it answers within a few ms as a rule.
 const GRANT_TIMEOUT_MS: u64 = 500;
-/// Time for a server to end its work on released keys.
-const RELEASE_TIMEOUT_MS: u64 = 2_500;
-/// Least time for a release, when the server's lease is about to run out or has.
-const RELEASE_TIMEOUT_MIN_MS: u64 = 300;
 /// Failed orders in a row after which a server counts as silent.
 const FAILURES_SILENT: u32 = 2;
-/// Interval at which finished moves are recorded.
-const SETTLE_EVERY_MS: u64 = 1_000;
 /// Distance of a raised fence from the last one, above what an earlier holder may have used
 /// without recording it.
 const FENCE_STEP: u64 = 16;
@@ -377,7 +370,7 @@
                 .collect();
             let moves_max = MOVES_MIN.max(servers.len() / SERVERS_PER_MOVE);
             let room = moves_max.saturating_sub(moving.len());
-            let balance = round % BALANCE_EVERY_ROUNDS == 0;
+            let balance = round.is_multiple_of(BALANCE_EVERY_ROUNDS);
             let loads = work.loads.entry(service.clone()).or_default();
             plan::plan(Question {
                 assignment: &held.assignment,
@@ -392,59 +385,6 @@
         self.settle(service, tasks);
     }
 
-    /// Finishes moves that an earlier holder of the duty recorded.
-    fn finish_found(
-        self: &Arc<Self>,
-        service: &Arc<str>,
-        assignment: &Assignment,
-        tasks: &mut JoinSet<()>,
-    ) {
-        let unfinished: Vec<Holding> = {
-            let work = self.work();
-            let holdings = assignment.holdings.iter();
-            let found = holdings.filter(|h| work.is_unfinished(service, h));
-            found.cloned().collect()
-        };
-        for holding in unfinished {
-            if !self.mark_moving(service, holding.range) {
-                continue;
-            }
-            let term = self.clone();
-            let service = service.clone();
-            tasks.spawn(async move {
-                term.finish(&service, &holding, "found unfinished", clock::now_ms())
-                    .await;
-                term.end_move(&service, holding.range);
-            });
-        }
-    }
-
-    /// Records from time to time which moves are finished.
-    fn settle(self: &Arc<Self>, service: &Arc<str>, tasks: &mut JoinSet<()>) {
-        let now_ms = clock::now_ms();
-        let fences = {
-            let mut work = self.work();
-            let due = now_ms >= work.settled_ms + SETTLE_EVERY_MS;
-            let finished = work.finished.get(service).cloned().unwrap_or_default();
-            if !due || finished.is_empty() {
-                return;
-            }
-            work.settled_ms = now_ms;
-            finished
-        };
-        let term = self.clone();
-        let service = service.clone();
-        tasks.spawn(async move {
-            let change = Change::Settle(fences.clone());
-            if term.entry.record(&service, &change).await.is_err() {
-                return;
-            }
-            if let Some(finished) = term.work().finished.get_mut(&service) {
-                finished.retain(|fence| !fences.contains(fence));
-            }
-        });
-    }
-
     /// Lets silent servers hold keys again once their entries are fresh and they answer requests.
     fn revive_silent(&self, service: &str) {
         let registry = self.entry.view.registry();
@@ -488,178 +428,6 @@
             term.end_move(&service, KeyRange::ALL);
         });
     }
-
-    /// Records moves in one write, then carries out each by itself.
-    fn begin_moves(
-        self: &Arc<Self>,
-        service: &Arc<str>,
-        mut moves: Vec<Move>,
-        assignment: &Assignment,
-        tasks: &mut JoinSet<()>,
-    ) {
-        moves.retain(|planned| self.mark_moving(service, planned.range));
-        if moves.is_empty() {
-            return;
-        }
-        let owner = |planned: &Move| assignment.holding(planned.range.first).cloned();
-        let owners = moves.iter().map(owner).collect();
-        let term = self.clone();
-        let service = service.clone();
-        tasks.spawn(async move { term.carry_out(&service, &moves, owners).await });
-    }
-
-    fn end_move(&self, service: &Arc<str>, range: KeyRange) {
-        let mut work = self.work();
-        work.moving
-            .retain(|(name, other)| name != service || *other != range);
-    }
-
-    async fn carry_out(
-        self: &Arc<Self>,
-        service: &Arc<str>,
-        moves: &[Move],
-        owners: Vec<Option<Holding>>,
-    ) {
-        let began_ms = clock::now_ms();
-        let pairs = moves.iter().zip(&owners);
-        let reassignments = pairs.map(|(planned, owner)| Reassignment {
-            range: planned.range,
-            server: planned.to.clone(),
-            from: owner.as_ref().map(|holding| holding.server.clone()),
-        });
-        let change = Change::Assign(reassignments.collect());
-        let holdings = match self.entry.record(service, &change).await {
-            Ok(holdings) => holdings,
-            Err(failure) => {
-                log::warn!("moves of {service} are not recorded: {failure:?}");
-                for planned in moves {
-                    self.end_move(service, planned.range);
-                }
-                return;
-            }
-        };
-        let mut finishing = JoinSet::new();
-        for ((planned, owner), holding) in moves.iter().zip(owners).zip(holdings) {
-            if let Some(before) = owner {
-                let range = planned.range;
-                self.entry.view.announce_move(service, range, before.fence);
-                self.entry.peers.announce_move(service, range, before.fence);
-            }
-            let term = self.clone();
-            let service = service.clone();
-            let cause = planned.cause;
-            finishing.spawn(async move {
-                term.finish(&service, &holding, cause, began_ms).await;
-                term.end_move(&service, holding.range);
-            });
-        }
-        finishing.join_all().await;
-    }
-
-    /// Carries out a recorded move: frees the keys, then grants them. Whatever fails here, the
-    /// renewals of the new server make up for it or the planner finds another.
-    async fn finish(
-        &self,
-        service: &Arc<str>,
-        holding: &Holding,
-        cause: &'static str,
-        began_ms: u64,
-    ) {
-        let range = holding.range;
-        let mut handover = None;
-        if let Some(from) = &holding.from {
-            let Some(token) = self.free(from, range, holding.fence).await else {
-                return;
-            };
-            handover = token;
-        }
-        let server = self.entry.view.registry().server(&holding.server).cloned();
-        if let Some(server) = server {
-            self.grant(&server, range, holding.fence, handover.as_deref())
-                .await;
-            self.entry.view.note_granted(service, holding.clone());
-            self.entry.peers.announce_holding(service, holding);
-        }
-        if holding.from.is_some() {
-            // Only now, so that no renewal comes before the grant that has the token.
-            let mut work = self.work();
-            let finished = work.finished.entry(service.clone()).or_default();
-            finished.push(holding.fence);
-        }
-        self.entry.metrics.moved();
-        Event::Moved {
-            service: service.clone(),
-            range,
-            from: holding.from.clone(),
-            to: holding.server.clone(),
-            fence: holding.fence,
-            cause,
-            handover: handover.is_some(),
-            took_ms: clock::now_ms() - began_ms,
-        }
-        .log();
-    }
-
-    /// Makes sure that a server no longer holds a range: by its own word, or by waiting until its
-    /// last lease has run out. The result is the token for the next owner; `None` if the term has
-    /// ended meanwhile.
-    async fn free(&self, id: &Arc<str>, range: KeyRange, fence: u64) -> Option<Option<String>> {
-        let server = self.entry.view.registry().server(id).cloned();
-        // A server whose entry is gone may still serve: it is asked by a connection of its own.
-        let known = self.known_address(id);
-        let link = server
-            .as_ref()
-            .map(|server| &server.orders)
-            .or(known.as_ref());
-        let mut asked = server.is_none();
-        loop {
-            if !self.lasts() {
-                return None;
-            }
-            let free_ms = self.lease_end_ms(id);
-            let now_ms = clock::now_ms();
-            // A server that is known is asked once in any case: its token warms the next one.
-            if now_ms >= free_ms && std::mem::replace(&mut asked, true) {
-                return Some(None);
-            }
-            let Some(link) = link else {
-                time::sleep(Duration::from_millis(free_ms.saturating_sub(now_ms))).await;
-                continue;
-            };
-            let left_ms = free_ms.saturating_sub(now_ms);
-            let timeout_ms = left_ms.clamp(RELEASE_TIMEOUT_MIN_MS, RELEASE_TIMEOUT_MS);
-            match orders::release(link, id, range, fence, timeout_ms).await {
-                Ok(Released::Ended { handover }) => {
-                    self.entry.metrics.order("release", "ended");
-                    return Some(handover);
-                }
-                Ok(Released::OtherServer) => return Some(None),
-                Err(error) => {
-                    self.entry.metrics.order("release", "failed");
-                    log::debug!("{id} did not release keys: {error}");
-                    let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
-                    time::sleep(Duration::from_millis(pause_ms)).await;
-                }
-            }
-        }
-    }
-
-    fn known_address(&self, id: &Arc<str>) -> Option<Link> {
-        let address = self.entry.view.registry().former_address(id)?;
-        Some(Link::new(address))
-    }
-
-    /// Time at which the last lease that any holder may have given a server has run out.
-    fn lease_end_ms(&self, id: &Arc<str>) -> u64 {
-        let own_ms = self
-            .work()
-            .servers
-            .get(id)
-            .map_or(0, |record| record.granted_ms);
-        let others_ms = self.entry.duty.predecessors_until_ms();
-        let lease_ms = self.entry.settings.leases.lease_ms as f64 * LEASE_CLOCK_FACTOR;
-        own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
-    }
 }
 
 /// Requests a second that a server can serve; one of which nothing is known counts as typical.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -301,7 +301,7 @@
             } else if !keys.is_empty() {
                 self.report_keys(&keys);
             }
-            let full = round % FULL_REPORT_EVERY == 0;
+            let full = round.is_multiple_of(FULL_REPORT_EVERY);
             if servers == last && term == 0 && !full {
                 continue;
             }
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,7 @@
     time,
 };
 
-use super::{Entry, Settings, events::Event, forward, log_writer, settings, watch};
+use super::{Entry, Settings, events::Event, forward, log_writer, watch};
 use crate::{
     clock,
     transport::{self, AnswerBody, ListenerLimits},
@@ -41,7 +41,7 @@
     #[snafu(display("{source}"))]
     Settings {
         /// Cause.
-        source: settings::Error,
+        source: crate::settings::Error,
     },
     /// A listener cannot be opened.
     #[snafu(display("cannot listen on {address}: {source}"))]
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -1,48 +1,17 @@
 //! Settings of an entry host on the platform, read from YAML and checked as a whole.
 
-use std::{
-    net::SocketAddr,
-    path::{Path, PathBuf},
-};
+use std::{net::SocketAddr, path::Path};
 
 use log::LevelFilter;
 use serde::{Deserialize, Deserializer, de::Error as _};
-use snafu::{ResultExt, Snafu, ensure};
+use snafu::{ResultExt, ensure};
 
 use crate::{
-    configuration::{self, template::read_document},
+    configuration::template::read_document,
     platform::parse_ms,
+    settings::{DocumentSnafu, Error, ReadSnafu, ValuesSnafu},
 };
 
-/// What is wrong with a settings file.
-#[derive(Debug, Snafu)]
-pub enum Error {
-    /// The file cannot be read.
-    #[snafu(display("{}: cannot be read", path.display()))]
-    Read {
-        /// File.
-        path: PathBuf,
-        /// Cause.
-        source: std::io::Error,
-    },
-    /// The file is not a settings file.
-    #[snafu(display("{}: {source}", path.display()))]
-    Document {
-        /// File.
-        path: PathBuf,
-        /// Cause.
-        source: configuration::Error,
-    },
-    /// Values cannot work together.
-    #[snafu(display("{}: {}", path.display(), problems.join("; ")))]
-    Values {
-        /// File.
-        path: PathBuf,
-        /// All problems.
-        problems: Vec<String>,
-    },
-}
-
 /// Settings of one entry host.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,7 @@
 
 /// What is wrong with a settings file.
 #[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
 pub enum Error {
     /// The file cannot be read.
     #[snafu(display("{}: cannot be read", path.display()))]
