--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,6 +1,7 @@
 //! What hosts tell each other, by datagrams: their requests at each server, requests by key for
-//! the planner, and moves that are about to happen. All of it is best effort: it only improves
-//! decisions.
+//! the planner, moves and grants. All of that is best effort and only improves decisions. One
+//! message does more: an earlier holder's word that it gives no more leases ends a wait that keeps
+//! ownership single. Datagrams are not authenticated yet, so hosts must be alone on their network.
 
 use std::{
     collections::HashMap,
