Keys stay at servers with free slots; a sudden load is believed at once

Cause: the planner moved keys whenever a server had 1.2 times the mean load. With over a hundred servers at a third of their capacity that is mostly chance, and each move makes its keys wait for what runs on them. A real surge was believed only as the 2 s average followed.

Change: a server keeps its keys below 0.6 of its capacity; balance is planned every 200 ms; the load of a holding is taken from the last 0.5 s when it lies 3 standard deviations above the average.

Servers of hot keys still reject a third of what arrives; next are the hosts' view of those servers, moves' hold and the time to come back.

--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -26,6 +26,11 @@
         u32::from(self.last) - u32::from(self.first) + 1
     }
 
+    /// The keys as indices of a table of all keys.
+    pub fn indices(&self) -> std::ops::RangeInclusive<usize> {
+        usize::from(self.first)..=usize::from(self.last)
+    }
+
     /// Never true: a range has at least one key.
     pub fn is_empty(&self) -> bool {
         false
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -21,7 +21,7 @@
     duty::Change,
     events::Event,
     keys::{Assignment, Holding, KeyRange},
-    plan::{self, KeyLoads, PlanServer, Question},
+    plan::{self, KeyCounts, PlanServer, Question},
     server::{Server, tag_of},
     watch::store_age_ms,
 };
@@ -32,8 +32,8 @@
 
 /// Interval of the holder's rounds.
 const ROUND_MS: u64 = 100;
-/// Rounds between plans for balance: the counts need some time to tell anything.
-const BALANCE_EVERY_ROUNDS: u64 = 4;
+/// Rounds between plans for balance. Hosts report their counts about as often.
+const BALANCE_EVERY_ROUNDS: u64 = 2;
 /// Time for a server to answer a grant; it answers within a few ms as a rule.
 const GRANT_TIMEOUT_MS: u64 = 500;
 /// Failed orders in a row after which a server counts as silent.
@@ -48,8 +48,8 @@
 /// A server's clock may run slow by 2%, and a grant may arrive until it is given up.
 const LEASE_CLOCK_FACTOR: f64 = 1.03;
 const LEASE_MARGIN_MS: u64 = GRANT_TIMEOUT_MS + 250;
-/// Share of the loads that is kept from one round to the next: half is forgotten in 1.4 s.
-const LOAD_KEPT: f32 = 0.95;
+/// Rounds a second: counts are taken in once a round.
+const ROUNDS_PER_S: f32 = 1_000.0 / ROUND_MS as f32;
 /// Store silence above which no planned move begins, since it could not be recorded.
 const STORE_AGE_MAX_MS: u64 = 3_600;
 /// Time for which the first list of servers must stand before keys are distributed.
@@ -71,7 +71,7 @@
 struct Work {
     servers: HashMap<Arc<str>, LeaseRecord>,
     moving: Vec<(Arc<str>, KeyRange)>,
-    loads: HashMap<Arc<str>, KeyLoads>,
+    counts: HashMap<Arc<str>, KeyCounts>,
     first_seen_ms: HashMap<Arc<str>, u64>,
     /// Fences of finished moves whose record still names the former server, by service.
     finished: HashMap<Arc<str>, Vec<u64>>,
@@ -169,17 +169,15 @@
             .map(|name| (tag_of(&name), name))
             .collect();
         let mut work = self.work();
-        for loads in work.loads.values_mut() {
-            loads.decay(LOAD_KEPT);
+        for counts in work.counts.values_mut() {
+            counts.decay();
         }
-        // A request counted once stands for this rate, by the sum of the decaying series.
-        let per_request = (1.0 - LOAD_KEPT) * 1000.0 / ROUND_MS as f32;
         for count in reported {
             let Some(name) = names.get(&count.service_tag) else {
                 continue;
             };
-            let loads = work.loads.entry(name.clone()).or_default();
-            loads.add(count.key, f32::from(count.requests) * per_request);
+            let counts = work.counts.entry(name.clone()).or_default();
+            counts.add(count.key, count.requests, ROUNDS_PER_S);
         }
     }
 
@@ -376,11 +374,13 @@
             let moves_max = MOVES_MIN.max(servers.len() / SERVERS_PER_MOVE);
             let room = moves_max.saturating_sub(moving.len());
             let balance = round.is_multiple_of(BALANCE_EVERY_ROUNDS);
-            let loads = work.loads.entry(service.clone()).or_default();
+            let counts = work.counts.entry(service.clone()).or_default();
+            let holdings = &held.assignment.holdings;
+            let loads = counts.loads(holdings, f64::from(ROUNDS_PER_S));
             plan::plan(Question {
                 assignment: &held.assignment,
                 servers: &servers,
-                loads,
+                loads: &loads,
                 moving: &moving,
                 balance_moves_max: if balance { room } else { 0 },
             })
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -6,6 +6,11 @@
 
 /// Load of a server over the mean above which keys are moved away from it.
 const EXCESS: f64 = 1.2;
+/// Share of a server's capacity below which it keeps its keys, however little the others have: a
+/// move makes its keys wait for what runs on them, and a server with free slots is no slower.
+const BUSY_SHARE: f64 = 0.6;
+/// Share of its capacity that a server is left with, or given, by moves for balance.
+const GOAL_SHARE: f64 = 0.45;
 /// Least load, in requests being served at a time, for which a move is worth its cost.
 const LOAD_MOVED_MIN: f64 = 0.3;
 /// Cost of moving all keys, in shares of the wanted load that a move may miss: moved keys are
@@ -37,9 +42,58 @@
     }
 }
 
+/// Counts of requests by key over a long and a short time.
+#[derive(Clone, Debug, Default)]
+pub struct KeyCounts {
+    slow: KeyLoads,
+    fast: KeyLoads,
+}
+
+impl KeyCounts {
+    /// Share of the long-term count that is kept from one interval to the next: half is forgotten
+    /// in 1.4 s at ten intervals a second.
+    const SLOW_KEPT: f32 = 0.95;
+    /// The same of the short-term count: half is forgotten in 0.3 s.
+    const FAST_KEPT: f32 = 0.8;
+    /// Standard deviations by which the short-term load of a holding must exceed the long-term one
+    /// to be believed.
+    const SURGE_DEVIATIONS: f64 = 3.0;
+
+    /// Begins an interval: the past counts less.
+    pub fn decay(&mut self) {
+        self.slow.decay(Self::SLOW_KEPT);
+        self.fast.decay(Self::FAST_KEPT);
+    }
+
+    /// Adds requests of a key that came within one of `per_s` intervals a second.
+    pub fn add(&mut self, key: u16, requests: u16, per_s: f32) {
+        // A request counted once stands for this rate, by the sum of the decaying series.
+        let rate = f32::from(requests) * per_s;
+        self.slow.add(key, rate * (1.0 - Self::SLOW_KEPT));
+        self.fast.add(key, rate * (1.0 - Self::FAST_KEPT));
+    }
+
+    /// Loads for a plan: the long-term ones, but for holdings whose load has risen too much of late
+    /// to be chance.
+    pub fn loads(&self, holdings: &[Holding], per_s: f64) -> KeyLoads {
+        // Intervals that the short-term count amounts to; the variance of a count is its mean.
+        let window_s = 2.0 / f64::from(1.0 - Self::FAST_KEPT) / per_s;
+        let mut loads = self.slow.clone();
+        for holding in holdings {
+            let (slow, fast) = (self.slow.of(holding.range), self.fast.of(holding.range));
+            let deviation = (slow.max(1.0 / window_s) / window_s).sqrt();
+            if fast > slow + Self::SURGE_DEVIATIONS * deviation {
+                let keys = holding.range.indices();
+                loads.per_s[keys.clone()].copy_from_slice(&self.fast.per_s[keys]);
+            }
+        }
+        loads
+    }
+}
+
 impl KeyLoads {
     /// Lets the past count less: `kept` is the share that remains.
-    pub fn decay(&mut self, kept: f32) {
+    fn decay(&mut self, kept: f32) {
         for load in &mut self.per_s {
             *load = if *load < 0.001 { 0.0 } else { *load * kept };
         }
@@ -52,7 +106,7 @@
 
     /// Load of a range.
     pub fn of(&self, range: KeyRange) -> f64 {
-        let keys = &self.per_s[usize::from(range.first)..=usize::from(range.last)];
+        let keys = &self.per_s[range.indices()];
         keys.iter().map(|load| f64::from(*load)).sum()
     }
 
@@ -231,12 +285,14 @@
 
     fn balance(&mut self) {
         let mean = self.mean_share();
+        let busy = BUSY_SHARE.max(mean * EXCESS);
+        let goal = GOAL_SHARE.max(mean);
         for _ in 0..self.question.balance_moves_max {
             let servers = self.question.servers.iter();
             let most = servers.max_by(|a, b| self.used_share(a).total_cmp(&self.used_share(b)));
             let Some(most) = most else { return };
             let share = self.used_share(most);
-            if share < mean * EXCESS {
+            if share < busy {
                 return;
             }
             let from = most.id.clone();
@@ -244,8 +300,8 @@
             if from == to {
                 return;
             }
-            let over = self.used[&from] - mean * self.capacity(&from);
-            let room = mean * self.capacity(&to) - self.used[&to];
+            let over = self.used[&from] - goal * self.capacity(&from);
+            let room = goal * self.capacity(&to) - self.used[&to];
             let wanted = over.min(room.max(over / 2.0));
             if wanted < LOAD_MOVED_MIN {
                 return;
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -6,7 +6,7 @@
     choice::{self, Refusal},
     keys::{Assignment, Holding, KeyRange},
     model::{CallerLimits, Configuration, Part, Route, ServerEntry},
-    plan::{self, KeyLoads, Move, PlanServer, Question},
+    plan::{self, KeyCounts, KeyLoads, Move, PlanServer, Question},
     retries::RetryBudget,
     server::Server,
     settings::{Bounds, Settings},
@@ -234,6 +234,89 @@
     assert!(most <= mean * 1.25, "{most} over a mean of {mean}");
 }
 
+/// Holdings of all keys in equal parts.
+fn equal_parts(servers: &[PlanServer]) -> Assignment {
+    let mut assignment = Assignment::default();
+    for (range, server) in plan::first_assignment(servers) {
+        let fence = assignment.next_fence(1);
+        assignment.put(holding(range.first, range.last, &server, fence));
+    }
+    assignment
+}
+
+/// Each of the intervals has a request for `per_interval` keys that a fixed sequence draws.
+fn count_drawn(counts: &mut KeyCounts, intervals: u32, per_interval: u32, keys: KeyRange) {
+    let mut state = 88_172_645_463_325_252u64;
+    for _ in 0..intervals {
+        counts.decay();
+        for _ in 0..per_interval {
+            state ^= state << 13;
+            state ^= state >> 7;
+            state ^= state << 17;
+            let key = u64::from(keys.first) + state % u64::from(keys.len());
+            counts.add(key as u16, 1, 10.0);
+        }
+    }
+}
+
+#[test]
+fn uneven_load_by_chance_moves_nothing_while_servers_have_free_slots() {
+    let ids: Vec<String> = (0..119).map(|n| format!("s{n:03}")).collect();
+    let mut servers = servers(&ids);
+    for server in &mut servers {
+        server.capacity_per_s = 15.0;
+    }
+    let assignment = equal_parts(&servers);
+    let mut counts = KeyCounts::default();
+    // A fifth of what the servers can do.
+    count_drawn(&mut counts, 100, 36, KeyRange::ALL);
+    let moves = plan::plan(Question {
+        assignment: &assignment,
+        servers: &servers,
+        loads: &counts.loads(&assignment.holdings, 10.0),
+        moving: &[],
+        balance_moves_max: 30,
+    });
+    assert_eq!(moves, Vec::new());
+}
+
+#[test]
+fn a_sudden_load_is_believed_at_once_and_chance_is_not() {
+    struct Case {
+        intervals: u32,
+        per_interval: u32,
+        believed: bool,
+    }
+    let cases = [
+        Case {
+            intervals: 4,
+            per_interval: 20,
+            believed: true,
+        },
+        Case {
+            intervals: 4,
+            per_interval: 2,
+            believed: false,
+        },
+        Case {
+            intervals: 1,
+            per_interval: 3,
+            believed: false,
+        },
+    ];
+    let hot = range(30_000, 30_199);
+    let holdings = [holding(30_000, 30_999, "a", 1)];
+    for case in cases {
+        let mut counts = KeyCounts::default();
+        count_drawn(&mut counts, 100, 1, range(30_000, 30_999));
+        count_drawn(&mut counts, case.intervals, case.per_interval, hot);
+        let load = counts.loads(&holdings, 10.0).of(hot);
+        let truth = f64::from(case.per_interval) * 10.0;
+        let seen = load > truth / 2.0;
+        assert_eq!(seen, case.believed, "{load} of {truth}");
+    }
+}
+
 #[test]
 fn routes_are_found_by_host_and_longest_prefix() {
     let limits = CallerLimits {
