First keys wait for the servers to have started

Change: keys are distributed when the servers have stayed the same for 1.8 s, at once when a request is there, after 5 s at the latest.

--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -21,7 +21,7 @@
     duty::Change,
     events::Event,
     keys::{Assignment, Holding, KeyRange},
-    plan::{self, KeyCounts, PlanServer, Question},
+    plan::{self, FirstWait, KeyCounts, PlanServer, Question},
     server::{Server, tag_of},
     watch::store_age_ms,
 };
@@ -52,8 +52,6 @@
 const ROUNDS_PER_S: f32 = 1_000.0 / ROUND_MS as f32;
 /// Store silence above which no planned move begins, since it could not be recorded.
 const STORE_AGE_MAX_MS: u64 = 3_600;
-/// Time for which the first list of servers must stand before keys are distributed.
-const FIRST_WAIT_MS: u64 = 300;
 
 /// What the holder knows of the leases of one server.
 #[derive(Clone, Copy, Debug, Default)]
@@ -72,7 +70,7 @@
     servers: HashMap<Arc<str>, LeaseRecord>,
     moving: Vec<(Arc<str>, KeyRange)>,
     counts: HashMap<Arc<str>, KeyCounts>,
-    first_seen_ms: HashMap<Arc<str>, u64>,
+    first_waits: HashMap<Arc<str>, FirstWait>,
     /// Fences of finished moves whose record still names the former server, by service.
     finished: HashMap<Arc<str>, Vec<u64>>,
     /// When finished moves were last recorded.
@@ -413,12 +411,14 @@
         tasks: &mut JoinSet<()>,
     ) {
         let now_ms = clock::now_ms();
-        let first_ms = *self
-            .work()
-            .first_seen_ms
-            .entry(service.clone())
-            .or_insert(now_ms);
-        if now_ms < first_ms + FIRST_WAIT_MS || !self.mark_moving(service, KeyRange::ALL) {
+        let is_over = {
+            let mut work = self.work();
+            let requested = work.counts.contains_key(service);
+            let wait = work.first_waits.entry(service.clone());
+            let wait = wait.or_insert_with(|| FirstWait::new(now_ms));
+            wait.is_over(servers.len(), requested, now_ms)
+        };
+        if !is_over || !self.mark_moving(service, KeyRange::ALL) {
             return;
         }
         let term = self.clone();
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -6,7 +6,7 @@
     choice::{self, Refusal},
     keys::{Assignment, Holding, KeyRange},
     model::{CallerLimits, Configuration, Part, Route, ServerEntry},
-    plan::{self, KeyCounts, KeyLoads, Move, PlanServer, Question},
+    plan::{self, FirstWait, KeyCounts, KeyLoads, Move, PlanServer, Question},
     retries::RetryBudget,
     server::Server,
     settings::{Bounds, Settings},
@@ -280,6 +280,47 @@
     assert_eq!(moves, Vec::new());
 }
 
+#[test]
+fn the_first_keys_wait_for_servers_that_are_starting() {
+    struct Case {
+        /// When a server starts, and when the first request comes.
+        starts_ms: Vec<u64>,
+        requested_ms: u64,
+        /// When the keys are distributed, and over how many servers.
+        result: (u64, usize),
+    }
+    let cases = [
+        Case {
+            starts_ms: vec![0, 0, 500, 2_000, 3_500],
+            requested_ms: u64::MAX,
+            result: (5_000, 5),
+        },
+        Case {
+            starts_ms: vec![0, 700],
+            requested_ms: u64::MAX,
+            result: (2_500, 2),
+        },
+        Case {
+            starts_ms: vec![0, 700, 1_400],
+            requested_ms: 1_000,
+            result: (1_000, 2),
+        },
+        Case {
+            starts_ms: (0..20).map(|n| n * 500).collect(),
+            requested_ms: u64::MAX,
+            result: (5_000, 11),
+        },
+    ];
+    for case in cases {
+        let mut wait = FirstWait::new(0);
+        let started = |now_ms| case.starts_ms.iter().filter(|at| **at <= now_ms).count();
+        let mut times = (0..).step_by(100).map(|now_ms| (now_ms, started(now_ms)));
+        let requested = |now_ms| now_ms >= case.requested_ms;
+        let over = times.find(|(now_ms, n)| wait.is_over(*n, requested(*now_ms), *now_ms));
+        assert_eq!(over, Some(case.result));
+    }
+}
+
 #[test]
 fn a_sudden_load_is_believed_at_once_and_chance_is_not() {
     struct Case {
