The holder of the duty vouches for the store; joining servers get keys at once

Cause: each host renewed its feed of the servers every 3 s, only to notice a silent store; on the grown sites these calls were the largest price. All hosts read the duty's row when its holder fell silent.

Change: the holder, which writes to the store every 0.6 s, reports the age of the store's last answer and the version of the latest change by table. Feeds of hosts that hear this wait for up to 25 s; one that is behind what the holder has seen for 0.4 s is called anew. Without word of the holder the former rhythm returns. Four hosts watch a silent holder first, others later. Servers without keys get half of the load of the most used one.

New tests: hosts_that_hear_the_holder_of_the_duty_ask_the_store_rarely, a_host_learns_from_the_holder_that_its_feeds_are_deaf, servers_that_join_get_keys_though_nobody_is_busy.

What else calls the store is counted next.

--- a/src/entry/duty/mod.rs
+++ b/src/entry/duty/mod.rs
@@ -43,6 +43,10 @@
 const CONFIRMED_MS: u64 = 3_000;
 /// Longest random delay before the duty is taken, so that not all hosts try at once.
 const TAKE_SPREAD_MS: u64 = 120;
+/// Hosts that watch the row of a silent holder together. Reads are priced, so that not all do.
+const WATCHERS: u64 = 4;
+/// Time after which the next ones watch it too.
+const WATCHERS_EVERY_MS: u64 = 500;
 
 /// The duty's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -184,13 +188,20 @@
             }
             time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
             let heard_ms = self.peers.holder_heard_ms();
-            let silent = clock::now_ms() > heard_ms + leases.takeover_ms / 2;
+            let silent_ms = clock::now_ms().saturating_sub(heard_ms);
+            let silent = silent_ms > leases.takeover_ms / 2 + self.watch_delay_ms();
             if silent && !self.stopping() && self.view.servers_known() {
                 self.await_takeover().await;
             }
         }
     }
 
+    /// Time for which other hosts watch the row of a silent holder before this one does.
+    fn watch_delay_ms(&self) -> u64 {
+        let rank = self.peers.takeover_rank(self.settings.listen.peers);
+        rank as u64 / WATCHERS * WATCHERS_EVERY_MS
+    }
+
     /// Reads the row until it changes or has stood still for long enough to be taken.
     async fn await_takeover(&self) {
         let takeover_ms = self.settings.leases.takeover_ms;
@@ -377,6 +388,7 @@
             writer.row_version = version;
             writer.confirmation += 1;
             self.duty.confirmed_ms.store(sent_ms, Ordering::Relaxed);
+            self.heard_store(clock::now_ms());
             return;
         }
         // The write may have failed, taken effect without an answer, or met another holder's.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,7 +5,9 @@
 mod duty;
 mod events;
 pub mod explain;
+pub mod followed;
 mod forward;
+pub mod freshness;
 pub mod keys;
 mod leases;
 pub mod log_writer;
@@ -34,7 +36,7 @@
 
 use rand::Rng;
 
-use self::{duty::Duty, metrics::Metrics, peers::Peers, retries::RetryBudget, view::View};
+use self::{duty::Duty, freshness::Freshness, metrics::Metrics, peers::Peers, retries::RetryBudget, view::View};
 use crate::platform::store::Store;
 
 /// Everything that the tasks of one host share.
@@ -48,6 +50,8 @@
     pub store: Store,
     /// Configuration, servers and keys.
     pub view: View,
+    /// What is heard of the store.
+    pub freshness: Freshness,
     /// Other hosts.
     pub peers: Peers,
     /// Duty of giving leases.
@@ -75,6 +79,7 @@
             incarnation,
             store: Store::new(settings.store.address),
             view: View::default(),
+            freshness: Freshness::default(),
             peers: Peers::default(),
             duty: Duty::default(),
             retries: RetryBudget::new(&settings.bounds),
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -18,6 +18,7 @@
 
 use super::{
     Entry,
+    freshness::StoreNews,
     keys::{Holding, KeyRange},
     server::tag_of,
 };
@@ -41,7 +42,7 @@
 /// Largest datagram.
 const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -74,6 +75,8 @@
     Report {
         /// Number of the sender's term if it has the duty, or 0.
         term: u64,
+        /// What the sender knows of the store, if it has the duty.
+        news: Option<StoreNews>,
         servers: Vec<ServerLoad>,
         /// Empty if they have not changed much since the last report that had them.
         run_times: Vec<RunTime>,
@@ -140,6 +143,17 @@
         self.peers().len() + 1
     }
 
+    /// Number of hosts that come before the one at `own` in the order in which they look after the
+    /// duty. The order is another one for each term, so that hosts that are gone do not always come
+    /// first.
+    pub fn takeover_rank(&self, own: SocketAddr) -> usize {
+        let term = self.holder_term.load(Ordering::Relaxed);
+        let place = |address: &SocketAddr| tag_of(&format!("{address} {term}"));
+        let own = place(&own);
+        let peers = self.peers();
+        peers.keys().filter(|address| place(address) < own).count()
+    }
+
     /// Interval of reports at the present number of hosts.
     fn report_every_ms(&self) -> u64 {
         let every_ms = REPORT_EVERY_MS * self.hosts() as u64 / REPORT_HOSTS;
@@ -231,13 +245,14 @@
         self.send(&message, &self.addresses());
     }
 
+    /// Notes a report; true if the sender has the duty, as far as is known.
     fn note_report(
         &self,
         from: SocketAddr,
         term: u64,
         servers: Vec<ServerLoad>,
         run_times: Vec<RunTime>,
-    ) {
+    ) -> bool {
         let now_ms = clock::now_ms();
         if let Some(peer) = self.peers().get_mut(&from) {
             peer.heard_ms = now_ms;
@@ -246,11 +261,13 @@
                 peer.run_times = run_times;
             }
         }
-        if term > 0 && term >= self.holder_term.load(Ordering::Relaxed) {
+        let is_holder = term > 0 && term >= self.holder_term.load(Ordering::Relaxed);
+        if is_holder {
             self.holder_term.store(term, Ordering::Relaxed);
             self.holder_heard_ms.store(now_ms, Ordering::Relaxed);
             *self.holder() = Some(from);
         }
+        is_holder
     }
 
     /// Load and average run time by server tag, as the other hosts reported them.
@@ -302,13 +319,15 @@
             } else if !keys.is_empty() {
                 self.report_keys(&keys);
             }
+            let is_holder = self.duty.is_confirmed();
             let full = round.is_multiple_of(FULL_REPORT_EVERY);
             if servers == last && term == 0 && !full {
                 continue;
             }
             let report = Message::Report {
                 // Without confirmation the others must look whether to take the duty.
-                term: if self.duty.is_confirmed() { term } else { 0 },
+                term: if is_holder { term } else { 0 },
+                news: is_holder.then(|| self.freshness.news(self.view.store_heard_ms())),
                 servers: servers.clone(),
                 run_times: if full {
                     self.own_run_times()
@@ -393,13 +412,17 @@
         match postcard::from_bytes(body) {
             Ok(Message::Report {
                 term,
+                news,
                 servers,
                 run_times,
             }) => {
                 if let Some(term) = self.duty.note_other_term(term) {
                     self.peers.send(&Message::Stopped { term }, &[from]);
                 }
-                self.peers.note_report(from, term, servers, run_times);
+                let is_holder = self.peers.note_report(from, term, servers, run_times);
+                if let Some(news) = news.filter(|_| is_holder) {
+                    self.heard_store(self.freshness.note_told(news));
+                }
             }
             Ok(Message::Stopped { term }) => self.duty.note_stopped(from, term),
             Ok(Message::Keys(keys)) => {
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -214,6 +214,7 @@
     }
     let mut plan = Plan::new(question);
     plan.place_gaps();
+    plan.employ_idle();
     plan.balance();
     plan.moves
 }
@@ -320,19 +321,41 @@
         pieces
     }
 
+    /// Gives servers without keys half of what the most used ones have, however little that is: a
+    /// server that joins should serve before the others are full.
+    fn employ_idle(&mut self) {
+        let holds = |id: &Arc<str>| self.holdings.iter().any(|h| h.server == *id);
+        let servers = self.question.servers.iter();
+        let idle: Vec<Arc<str>> = servers
+            .filter(|server| !holds(&server.id) && self.used[&server.id] == 0.0)
+            .map(|server| server.id.clone())
+            .collect();
+        for to in idle.into_iter().take(self.question.balance_moves_max) {
+            let Some(from) = self.most_used() else { return };
+            let Some(range) = self.carve(&from, self.used[&from] / 2.0) else {
+                return;
+            };
+            self.shift(range, &from, to, "joined");
+        }
+    }
+
+    fn most_used(&self) -> Option<Arc<str>> {
+        let servers = self.question.servers.iter();
+        let most = servers.max_by(|a, b| self.used_share(a).total_cmp(&self.used_share(b)))?;
+        Some(most.id.clone())
+    }
+
     fn balance(&mut self) {
         let mean = self.mean_share();
         let busy = BUSY_SHARE.max(mean * EXCESS);
         let goal = GOAL_SHARE.max(mean);
-        for _ in 0..self.question.balance_moves_max {
-            let servers = self.question.servers.iter();
-            let most = servers.max_by(|a, b| self.used_share(a).total_cmp(&self.used_share(b)));
-            let Some(most) = most else { return };
-            let share = self.used_share(most);
+        let moves_left = self.question.balance_moves_max;
+        for _ in 0..moves_left.saturating_sub(self.moves.len()) {
+            let Some(from) = self.most_used() else { return };
+            let share = self.used[&from] / self.capacity(&from);
             if share < busy {
                 return;
             }
-            let from = most.id.clone();
             let to = self.least_used();
             if from == to {
                 return;
@@ -352,12 +375,18 @@
             if after >= share {
                 return;
             }
-            if let Some(used) = self.used.get_mut(&from) {
-                *used -= load;
-            }
-            self.clear(range);
-            self.push(range, to, "balance");
+            self.shift(range, &from, to, "balance");
+        }
+    }
+
+    /// Moves a range from a server that holds it.
+    fn shift(&mut self, range: KeyRange, from: &Arc<str>, to: Arc<str>, cause: &'static str) {
+        let load = self.question.loads.of(range);
+        if let Some(used) = self.used.get_mut(from) {
+            *used -= load;
         }
+        self.clear(range);
+        self.push(range, to, cause);
     }
 
     fn clear(&mut self, range: KeyRange) {
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -5,11 +5,11 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use super::{Entry, events::Event, keys::Assignment};
+use super::{Entry, events::Event, followed::Followed, freshness::Doubt, keys::Assignment};
 use crate::{
     clock,
     platform::{
-        Error, Result, config, servers,
+        self, Error, config, servers,
         store::{Feed, Put, Row, Rows, Transaction},
     },
 };
@@ -19,17 +19,9 @@
 /// Beginning of the keys of holdings; the service's name follows.
 pub const HOLDINGS_PREFIX: &str = "keys/";
 const HOST_PREFIX: &str = "host/";
-/// Longest wait of the servers' feed at the store. A silent store is noticed a second after that,
-/// early enough to know the configuration within the bounds once a cut has healed.
-const CANARY_WAIT_MS: u64 = 3_000;
-/// Longest wait of the other feeds, which are called anew whenever the servers' feed fails. Calls
-/// are priced, so they wait for long; the store allows 30 s.
-const FEED_WAIT_MS: u64 = 20_000;
-/// Wait of the servers' feed while the store does not answer: a silent store swallows calls, so the
-/// next one must follow soon after its return.
-const LOST_WAIT_MS: u64 = 0;
-/// Number of hosts up to which feeds rest for their shortest time.
-const FEW_HOSTS: u64 = 11;
+/// Wait of a feed that shows whether the store answers: a silent store swallows calls, so the next
+/// one must follow soon after its return.
+const PROBE_WAIT_MS: u64 = 0;
 /// Pause after a failed call, with half of it at random on top.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Missed heartbeats after which the platform removes a server's entry.
@@ -41,43 +33,14 @@
     incarnation: u64,
 }
 
-/// A table that the host follows.
+/// How far a feed can be trusted to tell of changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Followed {
-    Configuration,
-    Servers,
-    Own,
-}
-
-impl Followed {
-    fn wait_ms(self) -> u64 {
-        match self {
-            Self::Servers => CANARY_WAIT_MS,
-            Self::Configuration | Self::Own => FEED_WAIT_MS,
-        }
-    }
-
-    /// Least time between two answers of a feed, so that changes that come together cost one call.
-    /// It grows with the number of hosts, since each change wakes all of them, as far as changes
-    /// still take effect in time: configuration and servers have two seconds. Holdings also come by
-    /// datagram, and are read at once when a server does not hold what was thought.
-    fn least_interval_ms(self, hosts: usize) -> u64 {
-        let (few_hosts_ms, many_hosts_ms) = match self {
-            Self::Configuration => (150, 500),
-            Self::Servers => (250, 1_500),
-            Self::Own => (1_000, 8_000),
-        };
-        let scaled_ms = few_hosts_ms * hosts as u64 / FEW_HOSTS;
-        scaled_ms.clamp(few_hosts_ms, many_hosts_ms)
-    }
-
-    fn table(self) -> &'static str {
-        match self {
-            Self::Configuration => config::TABLE,
-            Self::Servers => servers::TABLE,
-            Self::Own => TABLE,
-        }
-    }
+enum Trust {
+    Full,
+    /// Another host has seen a change that the feed did not bring.
+    Doubted,
+    /// The last call failed.
+    Lost,
 }
 
 impl Entry {
@@ -125,28 +88,32 @@
                 pause().await;
                 continue;
             };
-            let mut lost = false;
+            let mut trust = Trust::Full;
             loop {
                 let began_ms = clock::now_ms();
-                let Some(feed) = self.next_changes(followed, after, lost).await else {
-                    continue;
+                let feed = match self.next_changes(followed, after, trust).await {
+                    Ok(feed) => feed,
+                    Err(Doubt::Behind) => {
+                        trust = Trust::Doubted;
+                        continue;
+                    }
+                    Err(Doubt::Unvouched) => continue,
                 };
                 match feed {
                     Ok(Feed::Changes(changes)) => {
-                        self.heard_store();
-                        lost = false;
-                        self.trust(followed);
+                        self.answered(followed);
+                        trust = Trust::Full;
                         after = after.max(changes.version);
                         self.apply(followed, changes.rows);
                         self.rest(followed, began_ms).await;
                     }
                     Ok(Feed::HistoryGone) => {
-                        self.heard_store();
-                        self.trust(followed);
+                        self.answered(followed);
                         break;
                     }
                     Err(error) => {
-                        self.store_failed(followed, &error, &mut lost);
+                        self.store_failed(followed, &error, trust);
+                        trust = Trust::Lost;
                         pause().await;
                     }
                 }
@@ -154,30 +121,28 @@
         }
     }
 
-    /// Waits for changes. `None` if the servers' feed failed meanwhile, so that this one cannot be
-    /// trusted to speak up either; it then waits until the store answers again.
+    /// Waits for changes, as long as the feed can be trusted to speak up. While another feed has
+    /// found the store silent, only the servers' feed asks whether it is back.
     async fn next_changes(
         &self,
         followed: Followed,
         after: u64,
-        lost: bool,
-    ) -> Option<Result<Feed>> {
-        let wait_ms = if lost {
-            LOST_WAIT_MS
-        } else {
-            followed.wait_ms()
-        };
-        let feed = self.store.feed(followed.table(), after, wait_ms);
-        if followed == Followed::Servers {
-            return Some(feed.await);
-        }
+        trust: Trust,
+    ) -> Result<platform::Result<Feed>, Doubt> {
         let mut store_lost = self.view.store_lost();
-        if store_lost.wait_for(|lost| !lost).await.is_err() {
-            return None;
+        if followed != Followed::Servers && store_lost.wait_for(|lost| !lost).await.is_err() {
+            return Err(Doubt::Behind);
+        }
+        if trust != Trust::Full || *store_lost.borrow() {
+            return Ok(self.store.feed(followed.table(), after, PROBE_WAIT_MS).await);
         }
+        let vouched = self.freshness.is_vouched();
+        let wait_ms = followed.wait_ms(vouched);
+        let relies = vouched && followed == Followed::Servers;
         tokio::select! {
-            feed = feed => Some(feed),
-            _ = store_lost.wait_for(|lost| *lost) => None,
+            feed = self.store.feed(followed.table(), after, wait_ms) => Ok(feed),
+            doubt = self.freshness.doubt(followed, after, relies) => Err(doubt),
+            _ = store_lost.wait_for(|lost| *lost) => Err(Doubt::Behind),
         }
     }
 
@@ -196,38 +161,42 @@
         sleep.await;
     }
 
-    fn store_failed(&self, followed: Followed, error: &Error, lost: &mut bool) {
-        if !std::mem::replace(lost, true) {
+    fn store_failed(&self, followed: Followed, error: &Error, trust: Trust) {
+        if trust != Trust::Lost {
             Event::StoreLost {
                 table: followed.table(),
                 problem: error.to_string(),
             }
             .log();
         }
-        if followed == Followed::Servers {
+        // A feed that failed in doubt shows more than its own connection's end.
+        if followed == Followed::Servers || trust == Trust::Doubted {
             self.view.set_store_lost(true);
         }
     }
 
-    /// Notes an answer of the servers' feed.
-    fn trust(&self, followed: Followed) {
+    /// Notes an answer of a feed.
+    fn answered(&self, followed: Followed) {
+        self.heard_store(clock::now_ms());
         if followed == Followed::Servers {
             self.view.set_store_lost(false);
         }
     }
 
-    fn heard_store(&self) {
+    /// Notes that the store answered this host, or the holder of the duty.
+    pub(super) fn heard_store(&self, at_ms: u64) {
         let lapse_ms = MISSED_HEARTBEATS * self.settings.store.server_heartbeat_ms;
-        if let Some(away_ms) = self.view.heard_store(lapse_ms.max(CANARY_WAIT_MS + 500)) {
+        let lapse_ms = lapse_ms.max(Followed::NOTICED_MS);
+        if let Some(away_ms) = self.view.heard_store(at_ms, lapse_ms) {
             Event::StoreBack { away_ms }.log();
         }
     }
 
     async fn read_whole(&self, followed: Followed) -> Option<u64> {
-        let read: Result<Rows> = self.store.table(followed.table()).await;
+        let read: platform::Result<Rows> = self.store.table(followed.table()).await;
         match read {
             Ok(rows) => {
-                self.heard_store();
+                self.heard_store(clock::now_ms());
                 let version = rows.version;
                 self.apply_whole(followed, rows.rows);
                 Some(version)
@@ -252,6 +221,9 @@
     }
 
     fn apply(&self, followed: Followed, rows: Vec<Row>) {
+        for row in &rows {
+            self.freshness.note_change(followed, row.version);
+        }
         match followed {
             Followed::Configuration => self.apply_configuration(&rows),
             Followed::Servers => self.apply_servers(&rows),
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -153,6 +153,38 @@
     }
 }
 
+#[tokio::test]
+async fn hosts_that_hear_the_holder_of_the_duty_ask_the_store_rarely() {
+    let site = Site::start(5, 2).await;
+    time::sleep(Duration::from_millis(4_000)).await;
+    let before = site.store.calls();
+    time::sleep(Duration::from_millis(9_000)).await;
+    let calls = site.store.calls() - before;
+    // The holder's confirmations, every 0.6 s, and its feed, every 3 s; with few calls to spare.
+    assert!(calls <= 22, "{calls} calls");
+}
+
+#[tokio::test]
+async fn a_host_learns_from_the_holder_that_its_feeds_are_deaf() {
+    let mut site = Site::start(1, 1).await;
+    let proxy = Proxy::start(site.store.address).await;
+    site.hosts.push(Host::start_at(proxy.address));
+    site.await_ready().await;
+    time::sleep(Duration::from_millis(4_000)).await;
+    // The feeds now wait for long. What the store says meanwhile never arrives.
+    proxy.set(Mode::Silent);
+    time::sleep(Duration::from_millis(300)).await;
+    let added = configuration(0x10, &["/added/"]);
+    site.store.put("op", "config", &added);
+    time::sleep(Duration::from_millis(2_500)).await;
+    proxy.set(Mode::Pass);
+    eventually("the new route is served", 1_500, async || {
+        let answer = ask_once(site.hosts[1].callers, read("id", "/added/x")).await;
+        answer.is_some_and(|answer| answer.status == StatusCode::OK)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_host_that_was_cut_off_soon_knows_who_left_meanwhile() {
     let mut site = Site::start_servers(2).await;
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -244,6 +244,36 @@
     assignment
 }
 
+#[test]
+fn servers_that_join_get_keys_though_nobody_is_busy() {
+    let ids: Vec<String> = (0..5).map(|n| format!("s{n}")).collect();
+    let servers = servers(&ids);
+    let mut assignment = equal_parts(&servers[..3]);
+    let mut loads = KeyLoads::default();
+    for key in (0..=u16::MAX).step_by(64) {
+        loads.add(key, 0.01);
+    }
+    for _ in 0..2 {
+        let moves = plan::plan(Question {
+            assignment: &assignment,
+            servers: &servers,
+            loads: &loads,
+            moving: &[],
+            balance_moves_max: 8,
+        });
+        apply(&mut assignment, &moves);
+    }
+    for server in &servers {
+        let mut held = assignment.holdings.iter();
+        let load: f64 = held
+            .by_ref()
+            .filter(|h| h.server == server.id)
+            .map(|h| loads.of(h.range))
+            .sum();
+        assert!(load > 0.0, "{} has no load", server.id);
+    }
+}
+
 /// Each of the intervals has a request for `per_interval` keys that a fixed sequence draws.
 fn count_drawn(counts: &mut KeyCounts, intervals: u32, per_interval: u32, keys: KeyRange) {
     let mut state = 88_172_645_463_325_252u64;
