Reports between zones are rare among many hosts; connections are kept and preferred

Change: loads go to hosts of the own zone every 0.1 to 0.2 s, to others every 1.6 s at 78 hosts; among up to 20 hosts nothing changes. The holder shows its duty by a message of its own, counts by key go to it every 0.15 s. Connections are used up to 0.8 of the idle time, a new one costs a quarter of a run time, and as many near servers are compared as hosts of the zone allow.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -11,7 +11,7 @@
 /// Cost of another availability zone, as a share of the run time: bytes between zones are priced.
 const ZONE_COST: f64 = 0.4;
 /// Cost of opening a connection, as a share of the run time: new connections are priced.
-const CONNECT_COST: f64 = 0.1;
+const CONNECT_COST: f64 = 0.25;
 /// A cold server is about half as fast.
 const COLD_FACTOR: f64 = 2.0;
 /// Cost of a server whose attempts all fail, in run times.
@@ -22,15 +22,24 @@
 /// Advantage of a server of which nothing is known lately, so that servers that join, and those
 /// that were avoided, are tried.
 const UNKNOWN_BONUS: f64 = 0.8;
-/// Servers with room that are compared for one request while there are up to [`FEW_HOSTS`] hosts.
-/// With more hosts, what each knows of the others' requests is older, and all of them would choose
-/// the same few servers: so the number falls, down to a few drawn at random.
+/// Servers with room that are compared for one request while up to [`FEW_HOSTS`] hosts choose among
+/// them. With more hosts, what each knows of the others' requests is older, and all of them would
+/// choose the same few servers: so the number falls, down to a few drawn at random.
 const CANDIDATES_MAX: usize = 24;
 const CANDIDATES_MIN: usize = 3;
 const FEW_HOSTS: usize = 11;
 /// Random part of a cost, so that hosts with the same view do not all choose the same server.
 const JITTER: f64 = 0.1;
 
+/// Numbers of hosts, the own one included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostCount {
+    /// In the own availability zone: these prefer the same servers.
+    pub near: usize,
+    /// In all zones.
+    pub all: usize,
+}
+
 /// Why a request is not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
@@ -82,10 +91,8 @@
     availability_zone: &str,
     tried: &[Arc<str>],
     left_ms: u64,
-    hosts: usize,
+    hosts: HostCount,
 ) -> Result<Arc<Server>, Refusal> {
-    let compared =
-        (CANDIDATES_MAX * FEW_HOSTS / hosts.max(1)).clamp(CANDIDATES_MIN, CANDIDATES_MAX);
     let typical_ms = typical_run_ms(servers);
     let mut best: Option<(&Arc<Server>, f64)> = None;
     let mut any = false;
@@ -96,7 +103,8 @@
         .filter(|server| !server.leaving() && !tried.contains(&server.entry.id))
         .inspect(|_| any = true)
         .filter(|server| !server.paused() && has_room(server, typical_ms, left_ms));
-    let (mut near, mut distant) = (compared, compared.div_ceil(2));
+    let mut near = compared(hosts.near);
+    let mut distant = compared(hosts.all).div_ceil(2);
     for server in usable {
         let is_near = *server.entry.availability_zone == *availability_zone;
         let left = if is_near { &mut near } else { &mut distant };
@@ -116,6 +124,11 @@
     }
 }
 
+/// Number of servers that are compared when so many hosts choose among them.
+fn compared(hosts: usize) -> usize {
+    (CANDIDATES_MAX * FEW_HOSTS / hosts.max(1)).clamp(CANDIDATES_MIN, CANDIDATES_MAX)
+}
+
 fn cost(server: &Server, availability_zone: &str, typical_ms: f64) -> f64 {
     let distant = *server.entry.availability_zone != *availability_zone;
     let zone = if distant { ZONE_COST } else { 0.0 };
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -219,7 +219,7 @@
             let registry = entry.view.registry();
             let servers = registry.of_service(&self.service);
             let zone = &entry.settings.availability_zone;
-            let hosts = entry.peers.hosts();
+            let hosts = entry.peers.host_count();
             let picked = choice::pick(servers, zone, &self.tried, self.left_ms(), hosts);
             return picked.map_err(|refusal| match refusal {
                 Refusal::NoServer => "no server may get work",
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -87,10 +87,7 @@
     /// Notes what the holder told. The result is when the store answered it.
     pub fn note_told(&self, news: StoreNews) -> u64 {
         let answered_ms = clock::now_ms().saturating_sub(u64::from(news.age_ms));
-        *self.told() = Some(Told {
-            answered_ms,
-            news,
-        });
+        *self.told() = Some(Told { answered_ms, news });
         answered_ms
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,7 +13,7 @@
 pub mod log_writer;
 pub mod metrics;
 pub mod model;
-mod peers;
+pub mod peers;
 pub mod plan;
 mod pool;
 mod registry;
@@ -36,7 +36,10 @@
 
 use rand::Rng;
 
-use self::{duty::Duty, freshness::Freshness, metrics::Metrics, peers::Peers, retries::RetryBudget, view::View};
+use self::{
+    duty::Duty, freshness::Freshness, metrics::Metrics, peers::Peers, retries::RetryBudget,
+    view::View,
+};
 use crate::platform::store::Store;
 
 /// Everything that the tasks of one host share.
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -18,6 +18,7 @@
 
 use super::{
     Entry,
+    choice::HostCount,
     freshness::StoreNews,
     keys::{Holding, KeyRange},
     server::tag_of,
@@ -30,8 +31,13 @@
 const REPORT_HOSTS: u64 = 20;
 /// Longest interval of reports.
 const REPORT_EVERY_MAX_MS: u64 = 1_000;
-/// Longest interval of the reports of the duty's holder, by which the others know that it lives.
-const HOLDER_REPORT_MS: u64 = 300;
+/// Reports to other availability zones are so much rarer once there are more than
+/// [`REPORT_HOSTS`] hosts: bytes between zones are priced, and servers of the own zone come first.
+const FAR_FACTOR: u64 = 4;
+/// Interval of counts by key to the duty's holder.
+const KEYS_EVERY_MS: u64 = 150;
+/// Interval at which the duty's holder shows the others that it lives.
+const HOLDER_EVERY_MS: u64 = 300;
 /// Every so many intervals a report has the run times too and is sent even without news, to show
 /// that the host lives.
 const FULL_REPORT_EVERY: u64 = 8;
@@ -72,11 +78,14 @@
 /// Messages between hosts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 enum Message {
-    Report {
-        /// Number of the sender's term if it has the duty, or 0.
+    /// The sender has the duty.
+    Holder {
+        /// Number of its term.
         term: u64,
-        /// What the sender knows of the store, if it has the duty.
-        news: Option<StoreNews>,
+        /// What it knows of the store.
+        news: StoreNews,
+    },
+    Report {
         servers: Vec<ServerLoad>,
         /// Empty if they have not changed much since the last report that had them.
         run_times: Vec<RunTime>,
@@ -100,6 +109,7 @@
 #[derive(Debug, Default)]
 struct Peer {
     incarnation: u64,
+    is_near: bool,
     heard_ms: u64,
     loads: Vec<ServerLoad>,
     run_times: Vec<RunTime>,
@@ -120,10 +130,12 @@
 }
 
 impl Peers {
-    /// Notes a host.
-    pub fn add(&self, address: SocketAddr, incarnation: u64) {
+    /// Notes a host; it is near if it is in the own availability zone.
+    pub fn add(&self, address: SocketAddr, incarnation: u64, is_near: bool) {
         let mut peers = self.peers();
-        peers.entry(address).or_default().incarnation = incarnation;
+        let peer = peers.entry(address).or_default();
+        peer.incarnation = incarnation;
+        peer.is_near = is_near;
     }
 
     /// Processes of the other hosts.
@@ -143,6 +155,15 @@
         self.peers().len() + 1
     }
 
+    /// Numbers of hosts in the own zone and in all.
+    pub fn host_count(&self) -> HostCount {
+        let peers = self.peers();
+        HostCount {
+            near: peers.values().filter(|peer| peer.is_near).count() + 1,
+            all: peers.len() + 1,
+        }
+    }
+
     /// Number of hosts that come before the one at `own` in the order in which they look after the
     /// duty. The order is another one for each term, so that hosts that are gone do not always come
     /// first.
@@ -154,10 +175,10 @@
         peers.keys().filter(|address| place(address) < own).count()
     }
 
-    /// Interval of reports at the present number of hosts.
-    fn report_every_ms(&self) -> u64 {
-        let every_ms = REPORT_EVERY_MS * self.hosts() as u64 / REPORT_HOSTS;
-        every_ms.clamp(REPORT_EVERY_MS, REPORT_EVERY_MAX_MS)
+    /// Intervals of reports at the present number of hosts.
+    fn rhythm(&self) -> Rhythm {
+        let hosts = self.host_count();
+        Rhythm::new(hosts.near as u64, hosts.all as u64)
     }
 
     /// When the duty's holder was last heard.
@@ -198,6 +219,12 @@
         self.peers().keys().copied().collect()
     }
 
+    fn near_addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers();
+        let near = peers.iter().filter(|(_, peer)| peer.is_near);
+        near.map(|(address, _)| *address).collect()
+    }
+
     fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -245,38 +272,35 @@
         self.send(&message, &self.addresses());
     }
 
-    /// Notes a report; true if the sender has the duty, as far as is known.
-    fn note_report(
-        &self,
-        from: SocketAddr,
-        term: u64,
-        servers: Vec<ServerLoad>,
-        run_times: Vec<RunTime>,
-    ) -> bool {
-        let now_ms = clock::now_ms();
+    fn note_report(&self, from: SocketAddr, servers: Vec<ServerLoad>, run_times: Vec<RunTime>) {
         if let Some(peer) = self.peers().get_mut(&from) {
-            peer.heard_ms = now_ms;
+            peer.heard_ms = clock::now_ms();
             peer.loads = servers;
             if !run_times.is_empty() {
                 peer.run_times = run_times;
             }
         }
-        let is_holder = term > 0 && term >= self.holder_term.load(Ordering::Relaxed);
-        if is_holder {
-            self.holder_term.store(term, Ordering::Relaxed);
-            self.holder_heard_ms.store(now_ms, Ordering::Relaxed);
-            *self.holder() = Some(from);
+    }
+
+    /// Notes a host that says that it has the duty; true if no later holder is known.
+    fn note_holder(&self, from: SocketAddr, term: u64) -> bool {
+        if term < self.holder_term.load(Ordering::Relaxed) {
+            return false;
         }
-        is_holder
+        self.holder_term.store(term, Ordering::Relaxed);
+        self.holder_heard_ms
+            .store(clock::now_ms(), Ordering::Relaxed);
+        *self.holder() = Some(from);
+        true
     }
 
     /// Load and average run time by server tag, as the other hosts reported them.
     fn loads(&self) -> HashMap<u16, ReportedLoad> {
         let now_ms = clock::now_ms();
-        let age_max_ms = self.report_every_ms() * FULL_REPORT_EVERY + REPORT_AGE_SLACK_MS;
+        let rhythm = self.rhythm();
         let mut sums: HashMap<u16, ReportedLoad> = HashMap::new();
         for peer in self.peers().values() {
-            if now_ms > peer.heard_ms + age_max_ms {
+            if now_ms > peer.heard_ms + rhythm.age_max_ms(peer.is_near) {
                 continue;
             }
             for load in &peer.loads {
@@ -292,6 +316,74 @@
     }
 }
 
+/// Intervals of reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rhythm {
+    /// Interval of reports to hosts of the own availability zone.
+    pub near_ms: u64,
+    /// Interval of reports to the others.
+    pub far_ms: u64,
+}
+
+impl Rhythm {
+    /// Intervals for numbers of hosts, the own one included: in the own zone, and in all zones.
+    pub fn new(near: u64, all: u64) -> Self {
+        let scaled = |hosts: u64, factor: u64| {
+            let every_ms = factor * REPORT_EVERY_MS * hosts / REPORT_HOSTS;
+            every_ms.clamp(REPORT_EVERY_MS, factor * REPORT_EVERY_MAX_MS)
+        };
+        if all <= REPORT_HOSTS {
+            return Self {
+                near_ms: REPORT_EVERY_MS,
+                far_ms: REPORT_EVERY_MS,
+            };
+        }
+        Self {
+            near_ms: scaled(near, 1),
+            far_ms: scaled(all, FAR_FACTOR),
+        }
+    }
+
+    /// Age up to which a report counts.
+    fn age_max_ms(&self, is_near: bool) -> u64 {
+        let every_ms = if is_near { self.near_ms } else { self.far_ms };
+        every_ms * FULL_REPORT_EVERY + REPORT_AGE_SLACK_MS
+    }
+}
+
+/// Sends reports of one interval.
+#[derive(Debug, Default)]
+struct Reporter {
+    sent_ms: u64,
+    round: u64,
+    last: Vec<ServerLoad>,
+}
+
+impl Reporter {
+    /// Sends a report if it is due and has anything new.
+    fn report(&mut self, entry: &Entry, servers: &[ServerLoad], every_ms: u64, to: &[SocketAddr]) {
+        let now_ms = clock::now_ms();
+        if now_ms < self.sent_ms + every_ms {
+            return;
+        }
+        self.sent_ms = now_ms;
+        let full = self.round.is_multiple_of(FULL_REPORT_EVERY);
+        self.round += 1;
+        if servers == self.last && !full {
+            return;
+        }
+        let run_times = if full {
+            entry.own_run_times()
+        } else {
+            Vec::new()
+        };
+        let servers = servers.to_vec();
+        self.last.clone_from(&servers);
+        let report = Message::Report { servers, run_times };
+        entry.peers.send(&report, to);
+    }
+}
+
 /// What the other hosts reported of a server.
 #[derive(Clone, Copy, Debug, Default)]
 struct ReportedLoad {
@@ -301,42 +393,50 @@
 }
 
 impl Entry {
-    /// Reports to the other hosts.
+    /// Reports requests at servers to the other hosts.
     pub(super) async fn keep_reporting(self: Arc<Self>) {
-        let mut last: Vec<ServerLoad> = Vec::new();
-        for round in 0u64.. {
-            let every_ms = match self.duty.term() {
-                0 => self.peers.report_every_ms(),
-                _ => self.peers.report_every_ms().min(HOLDER_REPORT_MS),
-            };
-            time::sleep(Duration::from_millis(every_ms)).await;
+        let mut near = Reporter::default();
+        let mut far = Reporter::default();
+        loop {
+            let rhythm = self.peers.rhythm();
+            time::sleep(Duration::from_millis(rhythm.near_ms)).await;
             self.take_in_reports();
             let servers = self.own_loads();
+            if rhythm.far_ms == rhythm.near_ms {
+                near.report(&self, &servers, rhythm.near_ms, &self.peers.addresses());
+                continue;
+            }
+            let to = self.peers.near_addresses();
+            near.report(&self, &servers, rhythm.near_ms, &to);
+            far.report(&self, &servers, rhythm.far_ms, &self.peers.addresses());
+        }
+    }
+
+    /// Reports requests by key to the holder of the duty.
+    pub(super) async fn keep_counting(self: Arc<Self>) {
+        loop {
+            time::sleep(Duration::from_millis(KEYS_EVERY_MS)).await;
             let keys = self.peers.take_counted();
-            let term = self.duty.term();
-            if term > 0 {
+            if self.duty.term() > 0 {
                 self.peers.add_reported(&keys);
             } else if !keys.is_empty() {
                 self.report_keys(&keys);
             }
-            let is_holder = self.duty.is_confirmed();
-            let full = round.is_multiple_of(FULL_REPORT_EVERY);
-            if servers == last && term == 0 && !full {
-                continue;
+        }
+    }
+
+    /// Shows the other hosts that this one has the duty, while it is confirmed: without that they
+    /// must look whether to take it.
+    pub(super) async fn keep_showing_duty(self: Arc<Self>) {
+        loop {
+            time::sleep(Duration::from_millis(HOLDER_EVERY_MS)).await;
+            if self.duty.is_confirmed() {
+                let message = Message::Holder {
+                    term: self.duty.term(),
+                    news: self.freshness.news(self.view.store_heard_ms()),
+                };
+                self.peers.send(&message, &self.peers.addresses());
             }
-            let report = Message::Report {
-                // Without confirmation the others must look whether to take the duty.
-                term: if is_holder { term } else { 0 },
-                news: is_holder.then(|| self.freshness.news(self.view.store_heard_ms())),
-                servers: servers.clone(),
-                run_times: if full {
-                    self.own_run_times()
-                } else {
-                    Vec::new()
-                },
-            };
-            self.peers.send(&report, &self.peers.addresses());
-            last = servers;
         }
     }
 
@@ -410,19 +510,9 @@
             return;
         };
         match postcard::from_bytes(body) {
-            Ok(Message::Report {
-                term,
-                news,
-                servers,
-                run_times,
-            }) => {
-                if let Some(term) = self.duty.note_other_term(term) {
-                    self.peers.send(&Message::Stopped { term }, &[from]);
-                }
-                let is_holder = self.peers.note_report(from, term, servers, run_times);
-                if let Some(news) = news.filter(|_| is_holder) {
-                    self.heard_store(self.freshness.note_told(news));
-                }
+            Ok(Message::Holder { term, news }) => self.note_holder(from, term, news),
+            Ok(Message::Report { servers, run_times }) => {
+                self.peers.note_report(from, servers, run_times);
             }
             Ok(Message::Stopped { term }) => self.duty.note_stopped(from, term),
             Ok(Message::Keys(keys)) => {
@@ -447,6 +537,15 @@
         }
     }
 
+    fn note_holder(&self, from: SocketAddr, term: u64, news: StoreNews) {
+        if let Some(term) = self.duty.note_other_term(term) {
+            self.peers.send(&Message::Stopped { term }, &[from]);
+        }
+        if self.peers.note_holder(from, term) {
+            self.heard_store(self.freshness.note_told(news));
+        }
+    }
+
     fn note_move(&self, service_tag: u32, range: KeyRange, above_fence: u64) {
         if let Some(service) = self.service_of(service_tag) {
             self.view.announce_move(&service, range, above_fence);
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -21,7 +21,7 @@
 /// idle connections after 10 s on the known sites.
 const IDLE_DEFAULT_MS: u64 = 4_000;
 /// Share of the idle time that the server names within which a connection is reused.
-const IDLE_SHARE: f64 = 0.6;
+const IDLE_SHARE: f64 = 0.8;
 /// Time for a connection to come up. A lost opening packet is sent again after a second, which
 /// is later than most requests can wait.
 const CONNECT_TIMEOUT_MS: u64 = 400;
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct HostRow {
     incarnation: u64,
+    #[serde(default)]
+    availability_zone: String,
 }
 
 /// How far a feed can be trusted to tell of changes.
@@ -73,6 +75,7 @@
         let key = format!("{HOST_PREFIX}{}", self.settings.listen.peers);
         let row = HostRow {
             incarnation: self.incarnation,
+            availability_zone: self.settings.availability_zone.clone(),
         };
         let Ok(value) = serde_json::to_vec(&row) else {
             return;
@@ -337,7 +340,8 @@
             Ok(host) if own && host.incarnation == self.incarnation => {}
             Ok(_) if own => self.view.note_former_process(),
             Ok(host) => {
-                self.peers.add(address, host.incarnation);
+                let is_near = host.availability_zone == self.settings.availability_zone;
+                self.peers.add(address, host.incarnation, is_near);
                 self.duty.note_process(address, host.incarnation);
             }
             Err(error) => log::warn!("host row {address} cannot be read: {error}"),
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -3,9 +3,10 @@
 use std::{collections::HashMap, sync::Arc};
 
 use ashroad::entry::{
-    choice::{self, Refusal},
+    choice::{self, HostCount, Refusal},
     keys::{Assignment, Holding, KeyRange},
     model::{CallerLimits, Configuration, Part, Route, ServerEntry},
+    peers::Rhythm,
     plan::{self, FirstWait, KeyCounts, KeyLoads, Move, PlanServer, Question},
     retries::RetryBudget,
     server::Server,
@@ -467,6 +468,8 @@
     }
 }
 
+const FEW_HOSTS: HostCount = HostCount { near: 4, all: 11 };
+
 fn server(id: &str, availability_zone: &str, leaving: bool) -> Arc<Server> {
     Arc::new(Server::new(ServerEntry {
         id: id.into(),
@@ -515,7 +518,7 @@
         (case.spoil)(&bad);
         let servers = [bad, good];
         for _ in 0..50 {
-            let picked = choice::pick(&servers, "z", &[], 1_000, 11).expect("a server");
+            let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS).expect("a server");
             assert_eq!(&*picked.entry.id, "good", "{}", case.name);
         }
     }
@@ -532,7 +535,7 @@
         (vec![gone, full], Refusal::Overloaded),
     ];
     for (servers, refusal) in cases {
-        let picked = choice::pick(&servers, "z", &[], 1_000, 11);
+        let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS);
         assert_eq!(picked.map(|s| s.entry.id.clone()), Err(refusal));
     }
     let near = server("near", "z", false);
@@ -541,19 +544,57 @@
     far.set_others(0, 50.0);
     let servers = [near, far];
     let picks = (0..100).filter(|_| {
-        let picked = choice::pick(&servers, "z", &[], 1_000, 11).expect("a server");
+        let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS).expect("a server");
         &*picked.entry.id == "near"
     });
     assert_eq!(picks.count(), 100, "the near one of two equal servers");
     let unknown = server("unknown", "y", false);
     let servers = [servers[0].clone(), unknown];
-    let picked = choice::pick(&servers, "z", &[], 1_000, 11).expect("a server");
+    let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS).expect("a server");
     assert_eq!(
         &*picked.entry.id, "unknown",
         "a server that joined is tried"
     );
 }
 
+#[test]
+fn reports_between_zones_are_rare_among_many_hosts_only() {
+    struct Case {
+        near: u64,
+        all: u64,
+        rhythm: Rhythm,
+    }
+    let cases = [
+        Case {
+            near: 4,
+            all: 11,
+            rhythm: Rhythm {
+                near_ms: 100,
+                far_ms: 100,
+            },
+        },
+        Case {
+            near: 26,
+            all: 78,
+            rhythm: Rhythm {
+                near_ms: 130,
+                far_ms: 1_560,
+            },
+        },
+        Case {
+            near: 640,
+            all: 4_400,
+            rhythm: Rhythm {
+                near_ms: 1_000,
+                far_ms: 4_000,
+            },
+        },
+    ];
+    for case in cases {
+        assert_eq!(Rhythm::new(case.near, case.all), case.rhythm);
+    }
+}
+
 #[test]
 fn all_hosts_together_stay_within_the_budget_of_repeats() {
     let bounds = Bounds {
