Datagrams between hosts are sealed; pauses grow while the store is away

Cause: any process that reached a host's port could end its duty or shorten the wait for silent servers (docs/PLATFORM.md, open). 31 hosts that the store turned away called it again every 0.2 s.

Hosts that have read a new secret accept both and send with the former for 20 s. The pause after a failed feed doubles up to 0.4 to 0.6 s.

Tests: only_datagrams_sealed_with_a_known_secret_are_opened, datagrams_of_strangers_change_nothing (which cannot fail on the former code, whose messages were of another version).

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -20,6 +20,7 @@
 mod registry;
 pub mod retries;
 mod run;
+pub mod seal;
 pub mod server;
 pub mod settings;
 mod view;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other, by datagrams: their requests at each server, requests by key for
 //! the planner, moves and grants. All of that is best effort and only improves decisions. One
 //! message does more: an earlier holder's word that it gives no more leases ends a wait that keeps
-//! ownership single. Datagrams are not authenticated yet, so hosts must be alone on their network.
+//! ownership single. All are sealed with a secret that the hosts share.
 
 use std::{
     collections::HashMap,
@@ -22,6 +22,7 @@
     freshness::StoreNews,
     hot_keys::HotKey,
     keys::{Holding, KeyRange},
+    seal::Seal,
     server::tag_of,
 };
 use crate::clock;
@@ -49,7 +50,7 @@
 /// Largest datagram.
 const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -121,6 +122,8 @@
 /// The other hosts.
 #[derive(Debug, Default)]
 pub struct Peers {
+    /// Seals and opens datagrams.
+    pub seal: Seal,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     socket: std::sync::OnceLock<Arc<UdpSocket>>,
     /// Requests by service tag and key since the last report.
@@ -248,9 +251,13 @@
                 return;
             }
         }
+        // Before the secret is read nothing is sent.
+        let Some(datagram) = self.seal.seal(&bytes) else {
+            return;
+        };
         for address in to {
             // Best effort: the next report makes up for a lost one.
-            if let Err(error) = socket.try_send_to(&bytes, *address) {
+            if let Err(error) = socket.try_send_to(&datagram, *address) {
                 log::debug!("no datagram to {address}: {error}");
             }
         }
@@ -510,7 +517,11 @@
     }
 
     fn take_in(&self, datagram: &[u8], from: SocketAddr) {
-        let Some((&VERSION, body)) = datagram.split_first() else {
+        let Some(message) = self.peers.seal.open(datagram) else {
+            log::debug!("datagram of {from} has no known seal");
+            return;
+        };
+        let Some((&VERSION, body)) = message.split_first() else {
             return;
         };
         match postcard::from_bytes(body) {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -119,6 +119,7 @@
     tokio::spawn(entry.clone().keep_counting());
     tokio::spawn(entry.clone().keep_showing_duty());
     tokio::spawn(entry.clone().keep_duty());
+    tokio::spawn(entry.clone().keep_secret());
     tokio::spawn(entry.clone().keep_leasing());
     tokio::spawn(sweep_connections(entry.clone()));
     tokio::spawn(async {
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -12,12 +12,14 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use super::{Entry, events::Event, followed::Followed, freshness::Doubt, keys::Assignment};
+use super::{
+    Entry, events::Event, followed::Followed, freshness::Doubt, keys::Assignment, seal::SecretRow,
+};
 use crate::{
     clock,
     platform::{
         self, Error, config, servers,
-        store::{Feed, Put, Row, Rows, Transaction},
+        store::{Expect, Feed, Put, Row, Rows, Transacted, Transaction},
     },
 };
 
@@ -26,6 +28,10 @@
 /// Beginning of the keys of holdings; the service's name follows.
 pub const HOLDINGS_PREFIX: &str = "keys/";
 const HOST_PREFIX: &str = "host/";
+/// Key of the secret that hosts share.
+const SECRET_KEY: &str = "secret";
+/// Interval at which the holder of the duty looks at the secret's age.
+const SECRET_LOOK_MS: u64 = 300;
 /// Wait of a feed that shows whether the store answers: a silent store swallows calls, so the next
 /// one must follow soon after its return.
 const PROBE_WAIT_MS: u64 = 0;
@@ -33,6 +39,9 @@
 const REST_LOOK_MS: u64 = 100;
 /// Pause after a failed call, with half of it at random on top.
 const RETRY_PAUSE_MS: u64 = 150;
+/// Longest pause of a feed whose calls go on failing. Calls are priced, also refused ones; the
+/// store's return must be noticed within a second.
+const RETRY_PAUSE_MAX_MS: u64 = 400;
 /// Missed heartbeats after which the platform removes a server's entry.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -101,6 +110,7 @@
                 continue;
             };
             let mut trust = Trust::Full;
+            let mut pause_ms = RETRY_PAUSE_MS;
             loop {
                 let began_ms = clock::now_ms();
                 let feed = match self.next_changes(followed, after, trust).await {
@@ -115,6 +125,7 @@
                     Ok(Feed::Changes(changes)) => {
                         self.answered(followed);
                         trust = Trust::Full;
+                        pause_ms = RETRY_PAUSE_MS;
                         after = after.max(changes.version);
                         self.apply(followed, changes.rows);
                         self.rest(followed, began_ms, after).await;
@@ -126,7 +137,8 @@
                     Err(error) => {
                         self.store_failed(followed, &error, trust);
                         trust = Trust::Lost;
-                        pause().await;
+                        pause_for(pause_ms).await;
+                        pause_ms = (pause_ms * 2).min(RETRY_PAUSE_MAX_MS);
                     }
                 }
             }
@@ -322,10 +334,68 @@
                 self.apply_host(address, row);
             } else if let Some(service) = row.key.strip_prefix(HOLDINGS_PREFIX) {
                 self.apply_holdings(service, row);
+            } else if row.key == SECRET_KEY {
+                self.apply_secret(row);
             }
         }
     }
 
+    fn apply_secret(&self, row: &Row) {
+        if row.removed {
+            return;
+        }
+        if let Err(error) = self.peers.seal.set(&row.value, row.version) {
+            log::error!("the hosts' secret cannot be used: {error}");
+        }
+    }
+
+    /// Makes the secret that hosts share, and another one once it is old, while this host has the
+    /// duty.
+    pub(super) async fn keep_secret(self: Arc<Self>) {
+        loop {
+            time::sleep(Duration::from_millis(SECRET_LOOK_MS)).await;
+            if !self.duty.is_confirmed() {
+                continue;
+            }
+            let known = self.peers.seal.row();
+            let fresh = |(row, _): &(SecretRow, u64)| !row.is_old(clock::unix_ms());
+            if !known.as_ref().is_some_and(fresh) {
+                self.make_secret(known.map_or(0, |(_, version)| version))
+                    .await;
+            }
+        }
+    }
+
+    async fn make_secret(&self, version: u64) {
+        let row = SecretRow::generate(clock::unix_ms());
+        let Ok(value) = serde_json::to_vec(&row) else {
+            return;
+        };
+        let transaction = Transaction {
+            expect: vec![Expect {
+                table: TABLE,
+                key: SECRET_KEY,
+                version,
+            }],
+            puts: vec![Put {
+                table: TABLE,
+                key: SECRET_KEY,
+                value: &value,
+            }],
+            ..Transaction::default()
+        };
+        match self.store.transact(&transaction).await {
+            Ok(Transacted::Done { version }) => {
+                if let Err(error) = self.peers.seal.set(&value, version) {
+                    log::error!("the new secret cannot be used: {error}");
+                }
+                self.freshness.note_change(Followed::Own, version);
+            }
+            Ok(Transacted::Conflict { rows }) => self.apply_own(&rows),
+            Err(error) => log::debug!("the hosts' secret is not stored yet: {error}"),
+        }
+    }
+
     fn apply_host(&self, address: &str, row: &Row) {
         let Ok(address) = address.parse() else {
             log::warn!("host row {address} has no address");
@@ -377,7 +447,11 @@
 
 /// Waits a moment after a failure, not in step with the other hosts.
 pub(super) async fn pause() {
-    let pause_ms = RETRY_PAUSE_MS + rand::random_range(0..RETRY_PAUSE_MS / 2);
+    pause_for(RETRY_PAUSE_MS).await;
+}
+
+async fn pause_for(least_ms: u64) {
+    let pause_ms = least_ms + rand::random_range(0..least_ms / 2);
     time::sleep(Duration::from_millis(pause_ms)).await;
 }
 
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -180,6 +180,26 @@
     }
 }
 
+#[tokio::test]
+async fn datagrams_of_strangers_change_nothing() {
+    let site = Site::start(2, 1).await;
+    let stranger = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
+    let stranger = stranger.expect("a socket");
+    // "I have the duty in term 99", without a seal and with a guessed one.
+    let claim = [3, 0, 99, 0, 0, 0, 0, 0, 0];
+    let guessed = [&[7; 8], &claim[..]].concat();
+    for host in &site.hosts {
+        for datagram in [&claim[..], &guessed, &[], &[0; 2_000]] {
+            let sent = stranger.send_to(datagram, host.peers).await;
+            assert_eq!(sent.expect("a datagram"), datagram.len());
+        }
+    }
+    time::sleep(Duration::from_millis(1_000)).await;
+    for host in &site.hosts {
+        assert_eq!(host.events("duty_lost"), Vec::<String>::new());
+    }
+}
+
 #[tokio::test]
 async fn a_host_learns_from_the_holder_that_its_feeds_are_deaf() {
     let mut site = Site::start(1, 1).await;
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -10,6 +10,7 @@
     peers::Rhythm,
     plan::{self, FirstWait, KeyCounts, KeyLoads, Move, PlanServer, Question},
     retries::RetryBudget,
+    seal::{Seal, SecretRow},
     server::Server,
     settings::{Bounds, Settings},
 };
@@ -448,6 +449,87 @@
     assert_eq!(known.get(9, 5), None);
 }
 
+fn secret(made_unix_ms: u64) -> Vec<u8> {
+    serde_json::to_vec(&SecretRow::generate(made_unix_ms)).expect("JSON")
+}
+
+#[test]
+fn only_datagrams_sealed_with_a_known_secret_are_opened() {
+    let (first, second, strange) = (secret(1), secret(2), secret(3));
+    let seal = |secrets: &[(&[u8], u64)]| {
+        let seal = Seal::default();
+        for (secret, version) in secrets {
+            seal.set(secret, *version).expect("a secret");
+        }
+        seal
+    };
+    assert_eq!(Seal::default().seal(b"message"), None);
+    let datagram = seal(&[(&first, 1)]).seal(b"message").expect("a datagram");
+    let mut changed = datagram.clone();
+    changed[10] ^= 1;
+    struct Case<'a> {
+        name: &'static str,
+        reader: Seal,
+        datagram: &'a [u8],
+        opened: bool,
+    }
+    let cases = [
+        Case {
+            name: "same secret",
+            reader: seal(&[(&first, 1)]),
+            datagram: &datagram,
+            opened: true,
+        },
+        Case {
+            name: "former secret",
+            reader: seal(&[(&first, 1), (&second, 2)]),
+            datagram: &datagram,
+            opened: true,
+        },
+        Case {
+            name: "an older version does not come back",
+            reader: seal(&[(&second, 2), (&first, 1)]),
+            datagram: &datagram,
+            opened: false,
+        },
+        Case {
+            name: "other secret",
+            reader: seal(&[(&strange, 1)]),
+            datagram: &datagram,
+            opened: false,
+        },
+        Case {
+            name: "no secret",
+            reader: Seal::default(),
+            datagram: &datagram,
+            opened: false,
+        },
+        Case {
+            name: "changed on the way",
+            reader: seal(&[(&first, 1)]),
+            datagram: &changed,
+            opened: false,
+        },
+        Case {
+            name: "too short",
+            reader: seal(&[(&first, 1)]),
+            datagram: &datagram[..5],
+            opened: false,
+        },
+    ];
+    for case in cases {
+        let opened = case.reader.open(case.datagram);
+        assert_eq!(opened.is_some(), case.opened, "{}", case.name);
+    }
+    for bad in ["{}", "{\"secret\":\"AAAA\",\"made_unix_ms\":1}", "secret"] {
+        assert!(Seal::default().set(bad.as_bytes(), 1).is_err(), "{bad}");
+    }
+    let day_ms = 24 * 3_600 * 1_000;
+    let row = SecretRow::generate(1_000);
+    assert!(!row.is_old(day_ms) && row.is_old(day_ms + 2_000));
+    assert!(!format!("{row:?}").contains("secret\":"));
+}
+
 #[test]
 fn routes_are_found_by_host_and_longest_prefix() {
     let limits = CallerLimits {
--- a/tests/platform_standin/hosts.rs
+++ b/tests/platform_standin/hosts.rs
@@ -24,6 +24,8 @@
     pub callers: SocketAddr,
     /// Address of the readiness check.
     pub readiness: SocketAddr,
+    /// Address for other hosts.
+    pub peers: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
     /// File with the host's log.
@@ -53,6 +55,7 @@
         let mut host = Self {
             callers: SocketAddr::new(ip, CALLERS_PORT),
             readiness: SocketAddr::new(ip, READINESS_PORT),
+            peers: SocketAddr::new(ip, PEERS_PORT),
             metrics: SocketAddr::new(ip, METRICS_PORT),
             child: spawn(&settings, &log),
             log,
