A taken address proves a server's end; waits for lost servers do not stop balance

The new holder waited 17 s for leases that the lost one might have given them, asking servers of another service to release keys. Meanwhile the 30 waiting moves took all the room for moves, so no hot key was moved either, and hosts sent requests for the waiting keys to their new servers: 10,586 in vain.

Change: of two entries with one address the one whose row is older has ended; its keys are free at once. Moves that wait for a lease do not count against the room. An announcement says how long the move may take: long ones are refused at once, with that time. Grants are announced three times. A holder renews for 9 s after its last confirmation (13 s before), and a new one counts the wait from its first reading of the row that stood still.

Test a_server_whose_address_another_has_taken_is_not_waited_for was red with the proof switched off.

--- a/src/entry/duty/mod.rs
+++ b/src/entry/duty/mod.rs
@@ -217,7 +217,8 @@
         };
         let own = row.address == Some(self.settings.listen.peers);
         if own && row.holder != 0 && row.holder != self.incarnation {
-            self.take_duty(Some(row), version, false).await;
+            self.take_duty(Some(row), version, clock::now_ms(), false)
+                .await;
         }
     }
 
@@ -253,7 +254,7 @@
             if free || now_ms >= since_ms + takeover_ms {
                 let spread_ms = rand::random_range(0..TAKE_SPREAD_MS);
                 time::sleep(Duration::from_millis(spread_ms)).await;
-                self.take_duty(row, version, free).await;
+                self.take_duty(row, version, since_ms, free).await;
                 return;
             }
             time::sleep(Duration::from_millis(READ_EVERY_MS)).await;
@@ -280,14 +281,16 @@
         }
     }
 
-    async fn take_duty(&self, row: Option<DutyRow>, version: u64, handed_over: bool) {
+    /// Takes the duty. Its row was first read with this content at `seen_ms`, so that the holder
+    /// before has not confirmed it since.
+    async fn take_duty(&self, row: Option<DutyRow>, version: u64, seen_ms: u64, handed_over: bool) {
         let sent_ms = clock::now_ms();
         let term = row.as_ref().map_or(0, |row| row.term) + 1;
-        let earlier_until_ms = sent_ms + row.as_ref().map_or(0, |row| row.earlier_ms);
+        let earlier_until_ms = seen_ms + row.as_ref().map_or(0, |row| row.earlier_ms);
         let leases_until_ms = if handed_over {
             earlier_until_ms
         } else {
-            earlier_until_ms.max(sent_ms + self.settings.leases.outage_ms)
+            earlier_until_ms.max(seen_ms + self.settings.leases.outage_ms)
         };
         let mut writer = self.duty.writer.lock().await;
         *writer = Writer {
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -42,6 +42,9 @@
 /// Share of the latency objective for which it is held if that is longer. Who has waited for more is
 /// better told to come back.
 const HOLD_SHARE: f64 = 0.25;
+/// Expected rest of a move from which requests are not held at all. Moves from servers that answer
+/// take less.
+const LONG_MOVE_MS: u64 = 2_600;
 /// Pause before a keyed request is sent again to a server that did not hold the key yet.
 const HOLD_PAUSE_MS: u64 = 25;
 
@@ -256,7 +259,11 @@
                     self.fences = (fence, self.fences.0);
                     return Ok(server);
                 }
-                Owner::Moving => {
+                Owner::Moving(for_ms) if for_ms > LONG_MOVE_MS => {
+                    let reason = "the key waits for the lease of a lost server to end";
+                    return Err(Refused::after(reason, for_ms));
+                }
+                Owner::Moving(_) => {
                     let left_ms = self.hold_left_ms().min(self.left_ms());
                     if left_ms < ATTEMPT_MS_MIN {
                         let reason = "the key is on its way to another server";
--- a/src/entry/forward/refused.rs
+++ b/src/entry/forward/refused.rs
@@ -27,6 +27,14 @@
         }
     }
 
+    /// The request can be served after a time.
+    pub fn after(reason: &'static str, after_ms: u64) -> Self {
+        Self {
+            reason,
+            retry_after_ms: after_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS),
+        }
+    }
+
     /// The host has just started.
     pub fn starting(reason: &'static str) -> Self {
         Self {
@@ -38,10 +46,7 @@
     /// A server of the service must finish some work first.
     pub fn after_run(reason: &'static str, registry: &Registry, service: &str) -> Self {
         let run_ms = choice::typical_run_ms(registry.of_service(service));
-        Self {
-            reason,
-            retry_after_ms: (run_ms as u64).clamp(RETRY_MIN_MS, RETRY_MAX_MS),
-        }
+        Self::after(reason, run_ms as u64)
     }
 
     /// The key gets more requests than its server can serve: a caller's turn comes after about as
@@ -49,9 +54,9 @@
     pub fn hot_key(hot: HotKey, registry: &Registry, service: &str) -> Self {
         let run_ms = choice::typical_run_ms(registry.of_service(service));
         let turn_ms = (run_ms * hot.excess()) as u64;
-        Self {
-            reason: "the key gets more requests than its server can serve",
-            retry_after_ms: turn_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS),
-        }
+        Self::after(
+            "the key gets more requests than its server can serve",
+            turn_ms,
+        )
     }
 }
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -65,11 +65,20 @@
     failures: u32,
 }
 
+/// A move under way.
+#[derive(Clone, Debug)]
+struct Moving {
+    service: Arc<str>,
+    range: KeyRange,
+    /// True while it waits for the last lease of a silent server to run out.
+    waits: bool,
+}
+
 /// State of the holder's work; void when the term ends.
 #[derive(Debug, Default)]
 struct Work {
     servers: HashMap<Arc<str>, LeaseRecord>,
-    moving: Vec<(Arc<str>, KeyRange)>,
+    moving: Vec<Moving>,
     counts: HashMap<Arc<str>, KeyCounts>,
     first_waits: HashMap<Arc<str>, FirstWait>,
     /// Fences of finished moves whose record still names the former server, by service.
@@ -81,7 +90,7 @@
 impl Work {
     fn is_moving(&self, service: &str, range: KeyRange) -> bool {
         let mut moving = self.moving.iter();
-        moving.any(|(name, other)| **name == *service && other.overlaps(&range))
+        moving.any(|m| *m.service == *service && m.range.overlaps(&range))
     }
 
     /// True if the former server of a holding may still hold its keys.
@@ -319,7 +328,11 @@
         if work.is_moving(service, range) {
             return false;
         }
-        work.moving.push((service.clone(), range));
+        work.moving.push(Moving {
+            service: service.clone(),
+            range,
+            waits: false,
+        });
         true
     }
 
@@ -361,17 +374,14 @@
         self.finish_found(service, &held.assignment, tasks);
         let moves = {
             let mut work = self.work();
-            let mut moving: Vec<KeyRange> = work
-                .moving
-                .iter()
-                .filter(|(name, _)| name == service)
-                .map(|(_, range)| *range)
-                .collect();
+            let of_service = || work.moving.iter().filter(|m| m.service == *service);
+            let active = of_service().filter(|m| !m.waits).count();
+            let mut moving: Vec<KeyRange> = of_service().map(|m| m.range).collect();
             let holdings = held.assignment.holdings.iter();
             let unfinished = holdings.filter(|h| work.is_unfinished(service, h));
             moving.extend(unfinished.map(|holding| holding.range));
             let moves_max = MOVES_MIN.max(servers.len() / SERVERS_PER_MOVE);
-            let room = moves_max.saturating_sub(moving.len());
+            let room = moves_max.saturating_sub(active);
             let balance = round.is_multiple_of(BALANCE_EVERY_ROUNDS);
             let counts = work.counts.entry(service.clone()).or_default();
             let holdings = &held.assignment.holdings;
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -4,14 +4,16 @@
 
 use tokio::{task::JoinSet, time};
 
-use super::{LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term};
+use super::{FAILURES_SILENT, LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term};
 use crate::{
     clock,
     entry::{
+        Entry,
         duty::{Change, Reassignment},
         events::Event,
         keys::{Assignment, Holding, KeyRange},
         plan::Move,
+        view::Announcement,
     },
     platform::{
         Link,
@@ -23,6 +25,8 @@
 const SETTLE_EVERY_MS: u64 = 1_000;
 /// Least time for a release, when the server's lease is about to run out or has.
 const RELEASE_TIMEOUT_MIN_MS: u64 = 300;
+/// Pauses before the announcements of a grant.
+const ANNOUNCE_PAUSES_MS: [u64; 3] = [0, 300, 1_000];
 /// Time for a server to end its work on released keys.
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
 
@@ -44,6 +48,7 @@
             if !self.mark_moving(service, holding.range) {
                 continue;
             }
+            self.announce(service, &holding, holding.fence - 1);
             let term = self.clone();
             let service = service.clone();
             tasks.spawn(async move {
@@ -102,7 +107,7 @@
     pub(super) fn end_move(&self, service: &Arc<str>, range: KeyRange) {
         let mut work = self.work();
         work.moving
-            .retain(|(name, other)| name != service || *other != range);
+            .retain(|m| m.service != *service || m.range != range);
     }
 
     async fn carry_out(
@@ -132,9 +137,7 @@
         let mut finishing = JoinSet::new();
         for ((planned, owner), holding) in moves.iter().zip(owners).zip(holdings) {
             if let Some(before) = owner {
-                let range = planned.range;
-                self.entry.view.announce_move(service, range, before.fence);
-                self.entry.peers.announce_move(service, range, before.fence);
+                self.announce(service, &holding, before.fence);
             }
             let term = self.clone();
             let service = service.clone();
@@ -147,6 +150,39 @@
         finishing.join_all().await;
     }
 
+    /// Tells all hosts that keys are on their way, and how long that may take.
+    fn announce(&self, service: &Arc<str>, holding: &Holding, above_fence: u64) {
+        let Some(from) = &holding.from else {
+            return;
+        };
+        let registry = self.entry.view.registry();
+        let is_silent = {
+            let work = self.work();
+            let record = work.servers.get(from);
+            record.is_some_and(|record| record.failures >= FAILURES_SILENT)
+        };
+        let answers = registry.server(from).is_some() && !is_silent || registry.has_ended(from);
+        let for_ms = if answers {
+            RELEASE_TIMEOUT_MS
+        } else {
+            self.lease_end_ms(from).saturating_sub(clock::now_ms())
+        };
+        let move_ahead = Announcement {
+            range: holding.range,
+            above_fence,
+            for_ms,
+        };
+        self.entry.view.announce_move(service, move_ahead);
+        self.entry.peers.announce_move(service, move_ahead);
+    }
+
+    /// Notes that a move waits for a lease to run out.
+    fn note_waiting(&self, range: KeyRange) {
+        let mut work = self.work();
+        let concerned = work.moving.iter_mut().filter(|m| m.range == range);
+        concerned.for_each(|m| m.waits = true);
+    }
+
     /// Carries out a recorded move: frees the keys, then grants them. Whatever fails here, the
     /// renewals of the new server make up for it or the planner finds another.
     async fn finish(
@@ -169,7 +205,11 @@
             self.grant(&server, range, holding.fence, handover.as_deref())
                 .await;
             self.entry.view.note_granted(service, holding.clone());
-            self.entry.peers.announce_holding(service, holding);
+            tokio::spawn(announce_holding(
+                self.entry.clone(),
+                service.clone(),
+                holding.clone(),
+            ));
         }
         if holding.from.is_some() {
             // Only now, so that no renewal comes before the grant that has the token.
@@ -207,6 +247,9 @@
             if !self.lasts() {
                 return None;
             }
+            if self.entry.view.registry().has_ended(id) {
+                return Some(None);
+            }
             let free_ms = self.lease_end_ms(id);
             let now_ms = clock::now_ms();
             // A server that is known is asked once in any case: its token warms the next one.
@@ -214,6 +257,7 @@
                 return Some(None);
             }
             let Some(link) = link else {
+                self.note_waiting(range);
                 time::sleep(Duration::from_millis(free_ms.saturating_sub(now_ms))).await;
                 continue;
             };
@@ -228,6 +272,7 @@
                 Err(error) => {
                     self.entry.metrics.order("release", "failed");
                     log::debug!("{id} did not release keys: {error}");
+                    self.note_waiting(range);
                     let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
                     time::sleep(Duration::from_millis(pause_ms)).await;
                 }
@@ -252,3 +297,12 @@
         own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
     }
 }
+
+/// Tells all hosts of a grant, more than once: datagrams may be lost, and hosts that do not hear it
+/// hold the keys' requests back.
+async fn announce_holding(entry: Arc<Entry>, service: Arc<str>, holding: Holding) {
+    for pause_ms in ANNOUNCE_PAUSES_MS {
+        time::sleep(Duration::from_millis(pause_ms)).await;
+        entry.peers.announce_holding(&service, &holding);
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -17,7 +17,7 @@
 pub mod peers;
 pub mod plan;
 mod pool;
-mod registry;
+pub mod registry;
 pub mod retries;
 mod run;
 pub mod seal;
--- a/src/entry/peers.rs
+++ b/src/entry/peers.rs
@@ -17,13 +17,8 @@
 use tokio::{net::UdpSocket, time};
 
 use super::{
-    Entry,
-    choice::HostCount,
-    freshness::StoreNews,
-    hot_keys::HotKey,
-    keys::{Holding, KeyRange},
-    seal::Seal,
-    server::tag_of,
+    Entry, choice::HostCount, freshness::StoreNews, hot_keys::HotKey, keys::Holding, seal::Seal,
+    server::tag_of, view::Announcement,
 };
 use crate::clock;
 
@@ -50,7 +45,7 @@
 /// Largest datagram.
 const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,8 +92,7 @@
     Keys(Vec<KeyCount>),
     Moving {
         service_tag: u32,
-        range: KeyRange,
-        above_fence: u64,
+        announcement: Announcement,
     },
     /// The sender had the duty in this term and gives no more leases.
     Stopped {
@@ -264,11 +258,10 @@
     }
 
     /// Tells all hosts that keys are about to move.
-    pub fn announce_move(&self, service: &str, range: KeyRange, above_fence: u64) {
+    pub fn announce_move(&self, service: &str, announcement: Announcement) {
         let message = Message::Moving {
             service_tag: tag_of(service),
-            range,
-            above_fence,
+            announcement,
         };
         self.send(&message, &self.addresses());
     }
@@ -545,9 +538,8 @@
             }
             Ok(Message::Moving {
                 service_tag,
-                range,
-                above_fence,
-            }) => self.note_move(service_tag, range, above_fence),
+                announcement,
+            }) => self.note_move(service_tag, announcement),
             Err(error) => log::debug!("datagram of {from} cannot be read: {error}"),
         }
     }
@@ -562,9 +554,9 @@
         }
     }
 
-    fn note_move(&self, service_tag: u32, range: KeyRange, above_fence: u64) {
+    fn note_move(&self, service_tag: u32, announcement: Announcement) {
         if let Some(service) = self.service_of(service_tag) {
-            self.view.announce_move(&service, range, above_fence);
+            self.view.announce_move(&service, announcement);
         }
     }
 
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -91,8 +91,9 @@
     pub confirm_every_ms: u64,
     /// Time without change of the row after which another host takes the duty.
     pub takeover_ms: u64,
-    /// Time after its last confirmation up to which a holder renews leases. Longer than the
-    /// store's usual outages of about 9 s.
+    /// Time after its last confirmation up to which a holder renews leases. With a lease on top it
+    /// outlasts the store's usual outages of about 9 s; keys of servers that are lost together with
+    /// the holder wait for as long.
     pub outage_ms: u64,
 }
 
@@ -103,7 +104,7 @@
             renew_every_ms: 1_200,
             confirm_every_ms: 600,
             takeover_ms: 1_600,
-            outage_ms: 13_000,
+            outage_ms: 9_000,
         }
     }
 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
 
 use super::{
@@ -20,9 +21,9 @@
 };
 use crate::clock;
 
-/// Time after which a move whose end was not announced no longer holds requests back. A release
-/// waits for what runs on the keys.
-const MOVE_HOLD_MS: u64 = 2_500;
+/// Longest time for which a move whose end was not announced holds requests back: that of a wait
+/// for the leases of a server and a holder that were lost together.
+const MOVE_HOLD_MAX_MS: u64 = 20_000;
 /// Time for which no request goes to a server that did not hold the key.
 const NOT_HELD_MS: u64 = 250;
 /// Time for which an announced grant counts; the record has been read by then.
@@ -37,6 +38,17 @@
     pub version: u64,
 }
 
+/// Word of the holder that keys are on their way to another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// Keys.
+    pub range: KeyRange,
+    /// They are there once a grant under a higher fence is announced.
+    pub above_fence: u64,
+    /// Time after which the word no longer counts, whatever was heard.
+    pub for_ms: u64,
+}
+
 /// Keys that are on their way to another server.
 #[derive(Clone, Debug)]
 struct Moving {
@@ -68,8 +80,9 @@
 pub enum Owner {
     /// To this server, under this fence.
     Server(Arc<str>, u64),
-    /// The keys are on their way: ask again when the view changes or a moment has passed.
-    Moving,
+    /// The keys are on their way, for this time at most: ask again when the view changes or a moment
+    /// has passed.
+    Moving(u64),
     /// No server holds the key.
     Nobody,
 }
@@ -263,7 +276,12 @@
     }
 
     /// Notes that keys are on their way to another server.
-    pub fn announce_move(&self, service: &Arc<str>, range: KeyRange, above_fence: u64) {
+    pub fn announce_move(&self, service: &Arc<str>, announcement: Announcement) {
+        let Announcement {
+            range,
+            above_fence,
+            for_ms,
+        } = announcement;
         let now_ms = clock::now_ms();
         // Datagrams may come in another order than they were sent.
         let has_ended = self.granted().iter().any(|g| {
@@ -279,7 +297,7 @@
             service: service.clone(),
             range,
             above_fence,
-            until_ms: now_ms + MOVE_HOLD_MS,
+            until_ms: now_ms + for_ms.min(MOVE_HOLD_MAX_MS),
         });
     }
 
@@ -307,13 +325,15 @@
         };
         // The record comes before the grant, so only an announced grant ends the wait.
         let granted_fence = granted.map_or(0, |(_, fence)| fence);
-        let waits = self.moving().iter().any(|m| {
+        let moving = self.moving();
+        let waits = moving.iter().filter(|m| {
             let concerns = m.service == *service && m.range.contains(key);
             concerns && now_ms < m.until_ms && granted_fence <= m.above_fence
         });
-        if waits {
-            return Owner::Moving;
+        if let Some(until_ms) = waits.map(|m| m.until_ms).max() {
+            return Owner::Moving(until_ms - now_ms);
         }
+        drop(moving);
         let refused = self.not_held().iter().any(|n| {
             let concerns = n.service == *service && n.fence == fence;
             concerns && now_ms < n.until_ms
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -306,7 +306,7 @@
                         if entry.leaving {
                             self.freshness.note_left(row.version);
                         }
-                        registry.put(entry);
+                        registry.put(entry, row.version);
                     }
                     Err(error) => bad_row(servers::TABLE, &row.key, &error),
                 }
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -186,7 +186,7 @@
     let stranger = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
     let stranger = stranger.expect("a socket");
     // "I have the duty in term 99", without a seal and with a guessed one.
-    let claim = [3, 0, 99, 0, 0, 0, 0, 0, 0];
+    let claim = [4, 0, 99, 0, 0, 0, 0, 0, 0];
     let guessed = [&[7; 8], &claim[..]].concat();
     for host in &site.hosts {
         for datagram in [&claim[..], &guessed, &[], &[0; 2_000]] {
@@ -352,6 +352,24 @@
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
 
+#[tokio::test]
+async fn a_server_whose_address_another_has_taken_is_not_waited_for() {
+    let mut site = Site::start(3, 4).await;
+    let is_holder = |host: &Host| !host.events("duty_taken").is_empty();
+    let holder = site.hosts.iter().position(is_holder).expect("a holder");
+    // Nobody can tell any more what leases the lost holder gave.
+    site.hosts[holder].kill();
+    let (lost, others) = site.keyed.split_first().expect("servers");
+    lost.crash(&site.store);
+    time::sleep(Duration::from_millis(2_500)).await;
+    lost.register_another(&site.store, "i-another");
+    eventually("all keys are held by the others", 4_000, async || {
+        others.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+    })
+    .await;
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
 #[tokio::test]
 async fn a_restarted_holder_resumes_the_duty_at_once() {
     let mut site = Site::start(3, 2).await;
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -9,6 +9,7 @@
     model::{CallerLimits, Configuration, Part, Route, ServerEntry},
     peers::Rhythm,
     plan::{self, FirstWait, KeyCounts, KeyLoads, Move, PlanServer, Question},
+    registry::Registry,
     retries::RetryBudget,
     seal::{Seal, SecretRow},
     server::Server,
@@ -623,6 +624,69 @@
     }))
 }
 
+#[test]
+fn of_two_servers_at_one_address_the_later_one_lives() {
+    let entry = |id: &str, port| ServerEntry {
+        address: ([127, 0, 0, 1], port).into(),
+        ..server(id, "z", false).entry.clone()
+    };
+    struct Case {
+        name: &'static str,
+        /// Id, port, version of the row.
+        puts: &'static [(&'static str, u16, u64)],
+        ended: &'static [&'static str],
+        alive: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "two addresses",
+            puts: &[("a", 1, 5), ("b", 2, 6)],
+            ended: &[],
+            alive: &["a", "b"],
+        },
+        Case {
+            name: "the same server again",
+            puts: &[("a", 1, 5), ("a", 1, 7)],
+            ended: &[],
+            alive: &["a"],
+        },
+        Case {
+            name: "taken over",
+            puts: &[("a", 1, 5), ("b", 1, 6)],
+            ended: &["a"],
+            alive: &["b"],
+        },
+        Case {
+            name: "read in another order",
+            puts: &[("b", 1, 6), ("a", 1, 5)],
+            ended: &["a"],
+            alive: &["b"],
+        },
+        Case {
+            name: "taken over twice",
+            puts: &[("a", 1, 5), ("b", 1, 6), ("c", 1, 9)],
+            ended: &["a", "b"],
+            alive: &["c"],
+        },
+    ];
+    for case in cases {
+        let mut registry = Registry::default();
+        for (id, port, version) in case.puts {
+            registry.put(entry(id, *port), *version);
+        }
+        for id in ["a", "b", "c"] {
+            let name = case.name;
+            assert_eq!(
+                registry.has_ended(id),
+                case.ended.contains(&id),
+                "{name} {id}"
+            );
+            let alive = registry.server(id).is_some();
+            assert_eq!(alive, case.alive.contains(&id), "{name} {id}");
+        }
+    }
+}
+
 #[test]
 fn the_choice_avoids_leaving_full_slow_and_failing_servers() {
     struct Case {
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -236,6 +236,16 @@
         store.remove("servers", &self.id);
     }
 
+    /// Writes the entry of another server, of another service, that has this one's address.
+    pub fn register_another(&self, store: &Store, id: &str) {
+        let entry = json!({
+            "addr": self.address.to_string(),
+            "info": {"service": "orders", "version": "v1", "zone": "a", "slots": 4},
+            "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
+        });
+        store.put("servers", id, &entry);
+    }
+
     /// Lets the server answer nothing, or answer again. What it holds stays held.
     pub fn set_silent(&self, silent: bool) {
         self.state.silent.store(silent, Ordering::Relaxed);
