Hosts without the duty leave its row alone while the store is silent

Cause: while the store refuses calls the holder cannot confirm its duty, so the other hosts began to read its row, every 0.2 s each, until the store was back.

Change: they wait for the store's return, which the servers' feed notices.

Test an_absent_store_is_called_rarely was red without the change (132 calls, 64 allowed).

--- a/src/entry/duty/mod.rs
+++ b/src/entry/duty/mod.rs
@@ -201,6 +201,8 @@
             let silent_ms = clock::now_ms().saturating_sub(heard_ms);
             let silent = silent_ms > leases.takeover_ms / 2 + self.watch_delay_ms();
             if silent && !self.stopping() && self.view.servers_known() {
+                // Calls are priced; the servers' feed notices the store's return.
+                self.view.store_returned().await;
                 self.await_takeover().await;
             }
         }
@@ -238,6 +240,7 @@
                 // Nothing is known about time in which the store did not answer.
                 seen = None;
                 pause().await;
+                self.view.store_returned().await;
                 if clock::now_ms() > started_ms + 10 * takeover_ms {
                     return;
                 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -275,6 +275,14 @@
         self.store_lost.subscribe()
     }
 
+    /// Returns when the store is not known to be silent.
+    pub async fn store_returned(&self) {
+        let mut lost = self.store_lost();
+        if lost.wait_for(|lost| !lost).await.is_err() {
+            log::debug!("the view has ended");
+        }
+    }
+
     /// Notes that keys are on their way to another server.
     pub fn announce_move(&self, service: &Arc<str>, announcement: Announcement) {
         let Announcement {
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -200,6 +200,22 @@
     }
 }
 
+#[tokio::test]
+async fn an_absent_store_is_called_rarely() {
+    let site = Site::start(5, 2).await;
+    time::sleep(Duration::from_millis(3_000)).await;
+    site.store.set_faults(Faults {
+        refusing: true,
+        ..Faults::default()
+    });
+    time::sleep(Duration::from_millis(4_000)).await;
+    let before = site.store.calls();
+    time::sleep(Duration::from_millis(4_000)).await;
+    let calls = site.store.calls() - before;
+    // Each host every 0.4 to 0.6 s, and the holder's confirmations with their readings.
+    assert!(calls <= 5 * 10 + 14, "{calls} calls");
+}
+
 #[tokio::test]
 async fn a_host_learns_from_the_holder_that_its_feeds_are_deaf() {
     let mut site = Site::start(1, 1).await;
