Hosts' messages, takeover, renewal, key loads and the secret in files of their own

Change: peers/ (message, report, receive), duty/takeover.rs, leases/renewal.rs, key_loads.rs, secret.rs. Code was moved and made visible where needed; nothing that runs was changed.

Checked by clippy and the tests entry_host (24) and entry_rules (20), green.

--- a/src/entry/hot_keys.rs
+++ b/src/entry/hot_keys.rs
@@ -9,10 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{
-    keys::Assignment,
-    plan::{KeyLoads, PlanServer},
-};
+use super::{key_loads::KeyLoads, keys::Assignment, plan::PlanServer};
 use crate::clock;
 
 /// Load over capacity from which a key counts as hot.
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::keys::{Assignment, Holding, KeyRange};
+use super::{
+    key_loads::{KEYS, KeyLoads},
+    keys::{Assignment, Holding, KeyRange},
+};
 
 /// Load of a server over the mean above which keys are moved away from it.
 const EXCESS: f64 = 1.2;
@@ -16,8 +19,6 @@
 /// Cost of moving all keys, in shares of the wanted load that a move may miss: moved keys are
 /// priced by their number.
 const KEY_SHARE_COST: f64 = 4.0;
-/// Number of keys by service.
-const KEYS: usize = 1 << 16;
 
 /// A server as the planner sees it.
 #[derive(Clone, Debug)]
@@ -28,94 +29,6 @@
     pub capacity_per_s: f64,
 }
 
-/// Smoothed requests a second by key.
-#[derive(Clone, Debug)]
-pub struct KeyLoads {
-    per_s: Vec<f32>,
-}
-
-impl Default for KeyLoads {
-    fn default() -> Self {
-        Self {
-            per_s: vec![0.0; KEYS],
-        }
-    }
-}
-
-/// Counts of requests by key over a long and a short time.
-#[derive(Clone, Debug, Default)]
-pub struct KeyCounts {
-    slow: KeyLoads,
-    fast: KeyLoads,
-}
-
-impl KeyCounts {
-    /// Share of the long-term count that is kept from one interval to the next: half is forgotten
-    /// in 1.4 s at ten intervals a second.
-    const SLOW_KEPT: f32 = 0.95;
-    /// The same of the short-term count: half is forgotten in 0.3 s.
-    const FAST_KEPT: f32 = 0.8;
-    /// Standard deviations by which the short-term load of a holding must exceed the long-term one
-    /// to be believed.
-    const SURGE_DEVIATIONS: f64 = 3.0;
-
-    /// Begins an interval: the past counts less.
-    pub fn decay(&mut self) {
-        self.slow.decay(Self::SLOW_KEPT);
-        self.fast.decay(Self::FAST_KEPT);
-    }
-
-    /// Adds requests of a key that came within one of `per_s` intervals a second.
-    pub fn add(&mut self, key: u16, requests: u16, per_s: f32) {
-        // A request counted once stands for this rate, by the sum of the decaying series.
-        let rate = f32::from(requests) * per_s;
-        self.slow.add(key, rate * (1.0 - Self::SLOW_KEPT));
-        self.fast.add(key, rate * (1.0 - Self::FAST_KEPT));
-    }
-
-    /// Loads for a plan: the long-term ones, but for holdings whose load has risen too much of late
-    /// to be chance.
-    pub fn loads(&self, holdings: &[Holding], per_s: f64) -> KeyLoads {
-        // Intervals that the short-term count amounts to; the variance of a count is its mean.
-        let window_s = 2.0 / f64::from(1.0 - Self::FAST_KEPT) / per_s;
-        let mut loads = self.slow.clone();
-        for holding in holdings {
-            let (slow, fast) = (self.slow.of(holding.range), self.fast.of(holding.range));
-            let deviation = (slow.max(1.0 / window_s) / window_s).sqrt();
-            if fast > slow + Self::SURGE_DEVIATIONS * deviation {
-                let keys = holding.range.indices();
-                loads.per_s[keys.clone()].copy_from_slice(&self.fast.per_s[keys]);
-            }
-        }
-        loads
-    }
-}
-
-impl KeyLoads {
-    /// Lets the past count less: `kept` is the share that remains.
-    fn decay(&mut self, kept: f32) {
-        for load in &mut self.per_s {
-            *load = if *load < 0.001 { 0.0 } else { *load * kept };
-        }
-    }
-
-    /// Adds load of a key.
-    pub fn add(&mut self, key: u16, per_s: f32) {
-        self.per_s[usize::from(key)] += per_s;
-    }
-
-    /// Load of a range.
-    pub fn of(&self, range: KeyRange) -> f64 {
-        let keys = &self.per_s[range.indices()];
-        keys.iter().map(|load| f64::from(*load)).sum()
-    }
-
-    /// Load of a key.
-    pub fn key(&self, key: u16) -> f64 {
-        f64::from(self.per_s[usize::from(key)])
-    }
-}
-
 /// A move that should be made.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Move {
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -13,13 +13,14 @@
 use tokio::time;
 
 use super::{
-    Entry, events::Event, followed::Followed, freshness::Doubt, keys::Assignment, seal::SecretRow,
+    Entry, events::Event, followed::Followed, freshness::Doubt, keys::Assignment,
+    secret::SECRET_KEY,
 };
 use crate::{
     clock,
     platform::{
         self, Error, config, servers,
-        store::{Expect, Feed, Put, Row, Rows, Transacted, Transaction},
+        store::{Feed, Put, Row, Rows, Transaction},
     },
 };
 
@@ -28,10 +29,6 @@
 /// Beginning of the keys of holdings; the service's name follows.
 pub const HOLDINGS_PREFIX: &str = "keys/";
 const HOST_PREFIX: &str = "host/";
-/// Key of the secret that hosts share.
-const SECRET_KEY: &str = "secret";
-/// Interval at which the holder of the duty looks at the secret's age.
-const SECRET_LOOK_MS: u64 = 300;
 /// Wait of a feed that shows whether the store answers: a silent store swallows calls, so the next
 /// one must follow soon after its return.
 const PROBE_WAIT_MS: u64 = 0;
@@ -328,7 +325,7 @@
         }
     }
 
-    fn apply_own(&self, rows: &[Row]) {
+    pub(super) fn apply_own(&self, rows: &[Row]) {
         for row in rows {
             if let Some(address) = row.key.strip_prefix(HOST_PREFIX) {
                 self.apply_host(address, row);
@@ -340,62 +337,6 @@
         }
     }
 
-    fn apply_secret(&self, row: &Row) {
-        if row.removed {
-            return;
-        }
-        if let Err(error) = self.peers.seal.set(&row.value, row.version) {
-            log::error!("the hosts' secret cannot be used: {error}");
-        }
-    }
-
-    /// Makes the secret that hosts share, and another one once it is old, while this host has the
-    /// duty.
-    pub(super) async fn keep_secret(self: Arc<Self>) {
-        loop {
-            time::sleep(Duration::from_millis(SECRET_LOOK_MS)).await;
-            if !self.duty.is_confirmed() {
-                continue;
-            }
-            let known = self.peers.seal.row();
-            let fresh = |(row, _): &(SecretRow, u64)| !row.is_old(clock::unix_ms());
-            if !known.as_ref().is_some_and(fresh) {
-                self.make_secret(known.map_or(0, |(_, version)| version))
-                    .await;
-            }
-        }
-    }
-
-    async fn make_secret(&self, version: u64) {
-        let row = SecretRow::generate(clock::unix_ms());
-        let Ok(value) = serde_json::to_vec(&row) else {
-            return;
-        };
-        let transaction = Transaction {
-            expect: vec![Expect {
-                table: TABLE,
-                key: SECRET_KEY,
-                version,
-            }],
-            puts: vec![Put {
-                table: TABLE,
-                key: SECRET_KEY,
-                value: &value,
-            }],
-            ..Transaction::default()
-        };
-        match self.store.transact(&transaction).await {
-            Ok(Transacted::Done { version }) => {
-                if let Err(error) = self.peers.seal.set(&value, version) {
-                    log::error!("the new secret cannot be used: {error}");
-                }
-                self.freshness.note_change(Followed::Own, version);
-            }
-            Ok(Transacted::Conflict { rows }) => self.apply_own(&rows),
-            Err(error) => log::debug!("the hosts' secret is not stored yet: {error}"),
-        }
-    }
-
     fn apply_host(&self, address: &str, row: &Row) {
         let Ok(address) = address.parse() else {
             log::warn!("host row {address} has no address");
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -5,10 +5,11 @@
 use ashroad::entry::{
     choice::{self, HostCount, Refusal},
     hot_keys::{self, HotKey, HotKeys},
+    key_loads::{KeyCounts, KeyLoads},
     keys::{Assignment, Holding, KeyRange},
     model::{CallerLimits, Configuration, Part, Route, ServerEntry},
     peers::Rhythm,
-    plan::{self, FirstWait, KeyCounts, KeyLoads, Move, PlanServer, Question},
+    plan::{self, FirstWait, Move, PlanServer, Question},
     registry::Registry,
     retries::RetryBudget,
     seal::{Seal, SecretRow},
