Moves and grants are announced in batches

The holder, on a tenth of a core and 10 Mbit/s, sent a datagram a host for each move, grant and repeat of it, some 9,000 for one plan, and neither confirmed its duty nor was heard in time.

Change: word of moves and grants waits up to 20 ms and goes out in datagrams of up to 30 words each. Hosts that do not know the secret yet read their table sooner.

--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -8,11 +8,11 @@
 use crate::{
     clock,
     entry::{
-        Entry,
         duty::{Change, Reassignment},
         events::Event,
         keys::{Assignment, Holding, KeyRange},
         plan::Move,
+        server::tag_of,
         view::Announcement,
     },
     platform::{
@@ -25,8 +25,6 @@
 const SETTLE_EVERY_MS: u64 = 1_000;
 /// Least time for a release, when the server's lease is about to run out or has.
 const RELEASE_TIMEOUT_MIN_MS: u64 = 300;
-/// Pauses before the announcements of a grant.
-const ANNOUNCE_PAUSES_MS: [u64; 3] = [0, 300, 1_000];
 /// Time for a server to end its work on released keys.
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
 
@@ -173,7 +171,8 @@
             for_ms,
         };
         self.entry.view.announce_move(service, move_ahead);
-        self.entry.peers.announce_move(service, move_ahead);
+        let outbox = &self.entry.peers.outbox;
+        outbox.announce_move(tag_of(service), move_ahead);
     }
 
     /// Notes that a move waits for a lease to run out.
@@ -205,11 +204,8 @@
             self.grant(&server, range, holding.fence, handover.as_deref())
                 .await;
             self.entry.view.note_granted(service, holding.clone());
-            tokio::spawn(announce_holding(
-                self.entry.clone(),
-                service.clone(),
-                holding.clone(),
-            ));
+            let outbox = &self.entry.peers.outbox;
+            outbox.announce_holding(tag_of(service), holding);
         }
         if holding.from.is_some() {
             // Only now, so that no renewal comes before the grant that has the token.
@@ -297,12 +293,3 @@
         own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
     }
 }
-
-/// Tells all hosts of a grant, more than once: datagrams may be lost, and hosts that do not hear it
-/// hold the keys' requests back.
-async fn announce_holding(entry: Arc<Entry>, service: Arc<str>, holding: Holding) {
-    for pause_ms in ANNOUNCE_PAUSES_MS {
-        time::sleep(Duration::from_millis(pause_ms)).await;
-        entry.peers.announce_holding(&service, &holding);
-    }
-}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -25,7 +25,7 @@
 mod secret;
 pub mod server;
 pub mod settings;
-mod view;
+pub mod view;
 mod watch;
 
 pub use self::{
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -9,19 +9,23 @@
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerLoad {
+    /// Server.
     pub server_tag: u16,
+    /// Requests of the host that are there.
     pub in_flight: u8,
 }
 
 /// Average run time of one server by one host's evidence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunTime {
+    /// Server.
     pub server_tag: u16,
+    /// Average run time.
     pub run_ms: u16,
 }
 
@@ -48,22 +52,33 @@
         /// Keys that get too many requests.
         hot: Vec<HotKey>,
     },
+    /// What the sender knows of servers.
     Report {
+        /// Its requests there.
         servers: Vec<ServerLoad>,
-        /// Empty if they have not changed much since the last report that had them.
+        /// Their run times; empty if they have not changed much since the last report that had
+        /// them.
         run_times: Vec<RunTime>,
     },
+    /// Requests by key, for the holder of the duty.
     Keys(Vec<KeyCount>),
+    /// Keys are on their way to other servers.
     Moving {
+        /// Service.
         service_tag: u32,
-        announcement: Announcement,
+        /// Keys.
+        announcements: Vec<Announcement>,
     },
     /// The sender had the duty in this term and gives no more leases.
     Stopped {
+        /// Number of the term.
         term: u64,
     },
+    /// Servers have got keys.
     Held {
+        /// Service.
         service_tag: u32,
-        holding: Holding,
+        /// Keys and servers.
+        holdings: Vec<Holding>,
     },
 }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -3,7 +3,8 @@
 //! message does more: an earlier holder's word that it gives no more leases ends a wait that keeps
 //! ownership single. All are sealed with a secret that the hosts share.
 
-mod message;
+pub mod message;
+pub mod outbox;
 mod receive;
 mod report;
 
@@ -20,8 +21,11 @@
 
 use tokio::net::UdpSocket;
 
-use self::message::{Message, RunTime, ServerLoad, VERSION};
-use super::{choice::HostCount, keys::Holding, seal::Seal, server::tag_of, view::Announcement};
+use self::{
+    message::{Message, RunTime, ServerLoad, VERSION},
+    outbox::Outbox,
+};
+use super::{choice::HostCount, seal::Seal, server::tag_of};
 use crate::clock;
 
 /// What the other hosts reported of a server.
@@ -46,6 +50,8 @@
 pub struct Peers {
     /// Seals and opens datagrams.
     pub seal: Seal,
+    /// Word of moves and grants that waits to be sent.
+    pub outbox: Outbox,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     socket: std::sync::OnceLock<Arc<UdpSocket>>,
     /// Requests by service tag and key since the last report.
@@ -185,24 +191,6 @@
         }
     }
 
-    /// Tells all hosts that keys are about to move.
-    pub fn announce_move(&self, service: &str, announcement: Announcement) {
-        let message = Message::Moving {
-            service_tag: tag_of(service),
-            announcement,
-        };
-        self.send(&message, &self.addresses());
-    }
-
-    /// Tells all hosts that a server has got keys.
-    pub fn announce_holding(&self, service: &str, holding: &Holding) {
-        let message = Message::Held {
-            service_tag: tag_of(service),
-            holding: holding.clone(),
-        };
-        self.send(&message, &self.addresses());
-    }
-
     fn note_report(&self, from: SocketAddr, servers: Vec<ServerLoad>, run_times: Vec<RunTime>) {
         if let Some(peer) = self.peers().get_mut(&from) {
             peer.heard_ms = clock::now_ms();
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -6,7 +6,8 @@
 
 use super::message::{DATAGRAM_BYTES_MAX, Message, VERSION};
 use crate::entry::{
-    Entry, freshness::StoreNews, hot_keys::HotKey, server::tag_of, view::Announcement,
+    Entry, freshness::StoreNews, hot_keys::HotKey, keys::Holding, server::tag_of,
+    view::Announcement,
 };
 
 /// Pause after a failed reading of the socket.
@@ -54,16 +55,12 @@
             }
             Ok(Message::Held {
                 service_tag,
-                holding,
-            }) => {
-                if let Some(service) = self.service_of(service_tag) {
-                    self.view.note_granted(&service, holding);
-                }
-            }
+                holdings,
+            }) => self.note_held(service_tag, holdings),
             Ok(Message::Moving {
                 service_tag,
-                announcement,
-            }) => self.note_move(service_tag, announcement),
+                announcements,
+            }) => self.note_moves(service_tag, &announcements),
             Err(error) => log::debug!("datagram of {from} cannot be read: {error}"),
         }
     }
@@ -78,9 +75,21 @@
         }
     }
 
-    fn note_move(&self, service_tag: u32, announcement: Announcement) {
-        if let Some(service) = self.service_of(service_tag) {
-            self.view.announce_move(&service, announcement);
+    fn note_moves(&self, service_tag: u32, announcements: &[Announcement]) {
+        let Some(service) = self.service_of(service_tag) else {
+            return;
+        };
+        for announcement in announcements {
+            self.view.announce_move(&service, *announcement);
+        }
+    }
+
+    fn note_held(&self, service_tag: u32, holdings: Vec<Holding>) {
+        let Some(service) = self.service_of(service_tag) else {
+            return;
+        };
+        for holding in holdings {
+            self.view.note_granted(&service, holding);
         }
     }
 
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -117,6 +117,7 @@
     tokio::spawn(entry.clone().keep_listening(peers));
     tokio::spawn(entry.clone().keep_reporting());
     tokio::spawn(entry.clone().keep_counting());
+    tokio::spawn(entry.clone().keep_announcing());
     tokio::spawn(entry.clone().keep_showing_duty());
     tokio::spawn(entry.clone().keep_duty());
     tokio::spawn(entry.clone().keep_secret());
--- a/src/entry/seal.rs
+++ b/src/entry/seal.rs
@@ -129,6 +129,11 @@
         Ok(())
     }
 
+    /// True once a secret was read.
+    pub fn is_known(&self) -> bool {
+        self.keys.load().is_some()
+    }
+
     /// The stored secret in use, with its version.
     pub fn row(&self) -> Option<(SecretRow, u64)> {
         let keys = self.keys.load();
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -197,7 +197,8 @@
                 self.freshness.has_left_since(after) || !self.freshness.is_vouched()
             }
             Followed::Own => {
-                self.view.lacks_holdings() && self.freshness.is_behind(followed, after)
+                let lacks = self.view.lacks_holdings();
+                lacks && self.freshness.is_behind(followed, after) || !self.peers.seal.is_known()
             }
         }
     }
--- a/tests/entry_host.rs
+++ b/tests/entry_host.rs
@@ -186,7 +186,7 @@
     let stranger = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
     let stranger = stranger.expect("a socket");
     // "I have the duty in term 99", without a seal and with a guessed one.
-    let claim = [4, 0, 99, 0, 0, 0, 0, 0, 0];
+    let claim = [5, 0, 99, 0, 0, 0, 0, 0, 0];
     let guessed = [&[7; 8], &claim[..]].concat();
     for host in &site.hosts {
         for datagram in [&claim[..], &guessed, &[], &[0; 2_000]] {
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -2,19 +2,23 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use ashroad::entry::{
-    choice::{self, HostCount, Refusal},
-    hot_keys::{self, HotKey, HotKeys},
-    key_loads::{KeyCounts, KeyLoads},
-    keys::{Assignment, Holding, KeyRange},
-    model::{CallerLimits, Configuration, Part, Route, ServerEntry},
-    peers::Rhythm,
-    plan::{self, FirstWait, Move, PlanServer, Question},
-    registry::Registry,
-    retries::RetryBudget,
-    seal::{Seal, SecretRow},
-    server::Server,
-    settings::{Bounds, Settings},
+use ashroad::{
+    clock,
+    entry::{
+        choice::{self, HostCount, Refusal},
+        hot_keys::{self, HotKey, HotKeys},
+        key_loads::{KeyCounts, KeyLoads},
+        keys::{Assignment, Holding, KeyRange},
+        model::{CallerLimits, Configuration, Part, Route, ServerEntry},
+        peers::{Rhythm, message::Message, outbox::Outbox},
+        plan::{self, FirstWait, Move, PlanServer, Question},
+        registry::Registry,
+        retries::RetryBudget,
+        seal::{Seal, SecretRow},
+        server::Server,
+        settings::{Bounds, Settings},
+        view::Announcement,
+    },
 };
 use quickcheck::quickcheck;
 
@@ -625,6 +629,34 @@
     }))
 }
 
+#[test]
+fn word_of_many_moves_takes_few_datagrams() {
+    let outbox = Outbox::default();
+    let now_ms = clock::now_ms();
+    for number in 0..40u16 {
+        let announcement = Announcement {
+            range: range(number, number),
+            above_fence: 1,
+            for_ms: 2_500,
+        };
+        outbox.announce_move(9, announcement);
+        outbox.announce_holding(9, &holding(number, number, "a", 2));
+    }
+    let later_ms = now_ms + 100;
+    let first = outbox.take_due(later_ms);
+    let is_move = |message: &Message| matches!(message, Message::Moving { .. });
+    assert_eq!(first.len(), 4, "30 and 10 of each");
+    assert!(is_move(&first[0]) && is_move(&first[1]) && !is_move(&first[2]));
+    assert_eq!(outbox.take_due(later_ms).len(), 0);
+    // Grants are told twice more.
+    assert_eq!(outbox.take_due(now_ms + 5_000).len(), 3);
+    assert_eq!(outbox.take_due(now_ms + 9_000).len(), 0);
+    for message in first {
+        let bytes = postcard::to_stdvec(&message).expect("a message");
+        assert!(bytes.len() < 1_200, "{} bytes", bytes.len());
+    }
+}
+
 #[test]
 fn of_two_servers_at_one_address_the_later_one_lives() {
     let entry = |id: &str, port| ServerEntry {
