--- a/src/bin/ashroad/check.rs
+++ b/src/bin/ashroad/check.rs
@@ -7,6 +7,7 @@
 
 use ashroad::{
     configuration::{Template, Workspace, expand, template::read_document},
+    entry,
     settings::Settings,
 };
 use serde::Serialize;
@@ -85,14 +86,17 @@
         let read = Workspace::read(bytes).map(Document::Workspace);
         return read.map_err(|error| error.to_string());
     }
-    match Settings::read(file) {
-        Ok(_) => Ok(Document::Settings),
-        Err(error) => {
-            let whole = error.to_string();
-            let prefix = format!("{}: ", file.display());
-            Err(whole.strip_prefix(&prefix).unwrap_or(&whole).to_owned())
-        }
-    }
+    // Only the settings of an entry host on the users' platform name the store's heartbeat.
+    let read = if text.contains("server_heartbeat") {
+        entry::Settings::read(file).map(|_| Document::Settings)
+    } else {
+        Settings::read(file).map(|_| Document::Settings)
+    };
+    read.map_err(|error| {
+        let whole = error.to_string();
+        let prefix = format!("{}: ", file.display());
+        whole.strip_prefix(&prefix).unwrap_or(&whole).to_owned()
+    })
 }
 
 fn report(problems: &[Problem], files: usize, json: bool) -> Result<()> {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -28,6 +28,17 @@
     format!("template: t\nparameters: [{parameters}]\n{SERVICE}{rest} }}\n").into_bytes()
 }
 
+fn entry_settings(lease_max: &str, leases: &str) -> Vec<u8> {
+    format!(
+        "name: h\navailability_zone: z\nlisten: {{ callers: 127.0.0.1:1, readiness: \
+         127.0.0.1:2, peers: 127.0.0.1:3, metrics: 127.0.0.1:4 }}\n\
+         store: {{ address: 127.0.0.1:5, server_heartbeat: 870ms }}\n\
+         bounds: {{ stop_grace: 6s, lease_max: {lease_max}, retry_window: 10s, retry_ratio: 0.2, \
+         retry_allowance: 62 }}\nleases: {{ {leases} }}\n"
+    )
+    .into_bytes()
+}
+
 const TARGETS: &str = "{ name: targets, type: targets, max: 9 }";
 
 #[test]
@@ -87,6 +98,16 @@
                 .to_vec(),
             said: "at most 2600",
         },
+        Case {
+            name: "entry-leases",
+            content: entry_settings("10s", "lease_ms: 12000"),
+            said: "at most bounds.lease_max",
+        },
+        Case {
+            name: "entry-duration",
+            content: entry_settings("long", "lease_ms: 4000"),
+            said: "not a duration like 2s",
+        },
     ];
     let directory = directory("bad-input");
     for case in cases {
@@ -111,6 +132,7 @@
         &file("mittelland/template.yaml"),
         &file("mittelland/workspace.yaml"),
         &file("mittelland/host.yaml"),
+        &file("mittelland/entry.yaml"),
         &file("etna/template.yaml"),
         &file("etna/workspace.yaml"),
     ]);
