Balance allows for chance; capacities within bounds; queues no longer than the objective

Change: the bound is 1.1 times the mean and 2.5 standard deviations, requests are counted over 4 s, a surge must be 4 deviations; a server's run time counts within 0.6 to 4 of the typical one; a server has room if an answer is expected within the objective, and once that is past, within the deadline.

--- a/src/entry/choice.rs
+++ b/src/entry/choice.rs
@@ -12,6 +12,10 @@
 const ZONE_COST: f64 = 0.4;
 /// Cost of opening a connection, as a share of the run time: new connections are priced.
 const CONNECT_COST: f64 = 0.25;
+/// Bounds of a server's run time for the planner, as shares of the typical one. Servers of a service
+/// differ in speed by a factor of 2 to 3.
+const RUN_LEAST: f64 = 0.6;
+const RUN_MOST: f64 = 4.0;
 /// A cold server is about half as fast.
 const COLD_FACTOR: f64 = 2.0;
 /// Cost of a server whose attempts all fail, in run times.
@@ -72,6 +76,23 @@
     server.load() < load_max && expected_ms(server, run_ms) < left_ms as f64
 }
 
+/// Requests a second that a server can serve. One of which nothing is known counts as typical, and
+/// what is known counts within the bounds in which servers of a service differ: quick answers may
+/// be failures, and slow ones have waited.
+pub fn capacity_per_s(server: &Server, typical_ms: f64) -> f64 {
+    let run_ms = match server.run_ms() {
+        known if known > 0.0 => known,
+        _ => typical_ms,
+    };
+    let run_ms = run_ms.clamp(typical_ms * RUN_LEAST, typical_ms * RUN_MOST);
+    let warm = f64::from(server.entry.slots) * 1000.0 / run_ms;
+    if server.cold() {
+        warm / COLD_FACTOR
+    } else {
+        warm
+    }
+}
+
 /// Average run time of a service's servers.
 pub fn typical_run_ms(servers: &[Arc<Server>]) -> f64 {
     let known: Vec<f64> = servers
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -84,6 +84,17 @@
         self.deadline_ms.saturating_sub(clock::now_ms())
     }
 
+    /// Time in which an answer has its full use: until the latency objective while that can be met,
+    /// else until the deadline. A longer queue would make all answers late and serve no more.
+    fn useful_ms(&self) -> u64 {
+        let aim_at_ms = self.arrived_ms + self.route.aim_ms;
+        let aim_left_ms = aim_at_ms.saturating_sub(clock::now_ms());
+        if aim_left_ms < ATTEMPT_MS_MIN {
+            return self.left_ms();
+        }
+        aim_left_ms.min(self.left_ms())
+    }
+
     /// Makes attempts until one is answered or nothing more can be done.
     pub(super) async fn run(
         &mut self,
@@ -239,7 +250,7 @@
             let servers = registry.of_service(&self.service);
             let zone = &entry.settings.availability_zone;
             let hosts = entry.peers.host_count();
-            let picked = choice::pick(servers, zone, &self.tried, self.left_ms(), hosts);
+            let picked = choice::pick(servers, zone, &self.tried, self.useful_ms(), hosts);
             return picked.map_err(|refusal| match refusal {
                 Refusal::NoServer => Refused::soon("no server may get work"),
                 Refusal::Overloaded => self.refused_for_a_run(entry, "all servers are overloaded"),
@@ -293,7 +304,7 @@
             return Err(Refused::soon("the key's server is leaving"));
         }
         let typical_ms = choice::typical_run_ms(registry.of_service(&self.service));
-        if !choice::has_room(server, typical_ms, self.left_ms()) {
+        if !choice::has_room(server, typical_ms, self.useful_ms()) {
             return Err(self.refused_for_a_run(entry, "the key's server is overloaded"));
         }
         Ok(server.clone())
--- a/src/entry/key_loads.rs
+++ b/src/entry/key_loads.rs
@@ -9,12 +9,15 @@
 #[derive(Clone, Debug)]
 pub struct KeyLoads {
     per_s: Vec<f32>,
+    /// Time over which requests were counted for them.
+    window_s: f64,
 }
 
 impl Default for KeyLoads {
     fn default() -> Self {
         Self {
             per_s: vec![0.0; KEYS],
+            window_s: f64::INFINITY,
         }
     }
 }
@@ -28,13 +31,13 @@
 
 impl KeyCounts {
     /// Share of the long-term count that is kept from one interval to the next: half is forgotten
-    /// in 1.4 s at ten intervals a second.
-    const SLOW_KEPT: f32 = 0.95;
+    /// in 2.7 s at ten intervals a second.
+    const SLOW_KEPT: f32 = 0.975;
     /// The same of the short-term count: half is forgotten in 0.3 s.
     const FAST_KEPT: f32 = 0.8;
     /// Standard deviations by which the short-term load of a holding must exceed the long-term one
     /// to be believed.
-    const SURGE_DEVIATIONS: f64 = 3.0;
+    const SURGE_DEVIATIONS: f64 = 4.0;
 
     /// Begins an interval: the past counts less.
     pub fn decay(&mut self) {
@@ -53,9 +56,9 @@
     /// Loads for a plan: the long-term ones, but for holdings whose load has risen too much of late
     /// to be chance.
     pub fn loads(&self, holdings: &[Holding], per_s: f64) -> KeyLoads {
-        // Intervals that the short-term count amounts to; the variance of a count is its mean.
-        let window_s = 2.0 / f64::from(1.0 - Self::FAST_KEPT) / per_s;
+        let window_s = window_s(Self::FAST_KEPT, per_s);
         let mut loads = self.slow.clone();
+        loads.window_s = self::window_s(Self::SLOW_KEPT, per_s);
         for holding in holdings {
             let (slow, fast) = (self.slow.of(holding.range), self.fast.of(holding.range));
             let deviation = (slow.max(1.0 / window_s) / window_s).sqrt();
@@ -68,7 +71,17 @@
     }
 }
 
+/// Time that a decaying count amounts to: the variance of a load is the load over this time.
+fn window_s(kept: f32, per_s: f64) -> f64 {
+    2.0 / f64::from(1.0 - kept) / per_s
+}
+
 impl KeyLoads {
+    /// Standard deviation, as a share, of a load of this size by chance alone.
+    pub fn deviation(&self, load_per_s: f64) -> f64 {
+        (1.0 / (load_per_s.max(0.1) * self.window_s)).sqrt()
+    }
+
     /// Lets the past count less: `kept` is the share that remains.
     fn decay(&mut self, kept: f32) {
         for load in &mut self.per_s {
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -24,7 +24,7 @@
     key_loads::KeyCounts,
     keys::{Holding, KeyRange},
     plan::{self, FirstWait, PlanServer, Question},
-    server::{Server, tag_of},
+    server::tag_of,
     watch::store_age_ms,
 };
 use crate::clock;
@@ -212,7 +212,7 @@
         let mut servers: Vec<PlanServer> = usable
             .map(|server| PlanServer {
                 id: server.entry.id.clone(),
-                capacity_per_s: capacity_per_s(server, typical_ms),
+                capacity_per_s: choice::capacity_per_s(server, typical_ms),
             })
             .collect();
         servers.sort_by(|a, b| a.id.cmp(&b.id));
@@ -309,13 +309,3 @@
         });
     }
 }
-
-/// Requests a second that a server can serve; one of which nothing is known counts as typical.
-fn capacity_per_s(server: &Server, typical_ms: f64) -> f64 {
-    let run_ms = match server.run_ms() {
-        run_ms if run_ms > 0.0 => run_ms,
-        _ => typical_ms,
-    };
-    let warm = f64::from(server.entry.slots) * 1000.0 / run_ms;
-    if server.cold() { warm / 2.0 } else { warm }
-}
--- a/src/entry/plan.rs
+++ b/src/entry/plan.rs
@@ -7,8 +7,12 @@
     keys::{Assignment, Holding, KeyRange},
 };
 
-/// Load of a server over the mean above which keys are moved away from it.
-const EXCESS: f64 = 1.2;
+/// Load of a server over the mean above which keys are moved away from it, if it were not for
+/// chance.
+const EXCESS: f64 = 1.1;
+/// Standard deviations of a server's load that are put down to chance. With a hundred servers one
+/// or two are still beyond.
+const CHANCE_DEVIATIONS: f64 = 2.5;
 /// Share of a server's capacity below which it keeps its keys, however little the others have: a
 /// move makes its keys wait for what runs on them, and a server with free slots is no slower.
 const BUSY_SHARE: f64 = 0.6;
@@ -261,7 +265,10 @@
 
     fn balance(&mut self) {
         let mean = self.mean_share();
-        let busy = BUSY_SHARE.max(mean * EXCESS);
+        let servers = self.question.servers.len() as f64;
+        let load = self.question.loads.of(KeyRange::ALL) / servers;
+        let excess = EXCESS + CHANCE_DEVIATIONS * self.question.loads.deviation(load);
+        let busy = BUSY_SHARE.max(mean * excess);
         let goal = GOAL_SHARE.max(mean);
         let moves_left = self.question.balance_moves_max;
         for _ in 0..moves_left.saturating_sub(self.moves.len()) {
