A taken address proves nothing: keys are not freed by another server's entry

Cause: took the entry of another server with the same address and a later row as proof that the one before had ended. The store may take in a late heartbeat of an earlier life after the first of a later one; then the living server was dropped and its keys were granted without a release.

--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -159,7 +159,7 @@
             let record = work.servers.get(from);
             record.is_some_and(|record| record.failures >= FAILURES_SILENT)
         };
-        let answers = registry.server(from).is_some() && !is_silent || registry.has_ended(from);
+        let answers = registry.server(from).is_some() && !is_silent;
         let for_ms = if answers {
             RELEASE_TIMEOUT_MS
         } else {
@@ -243,9 +243,6 @@
             if !self.lasts() {
                 return None;
             }
-            if self.entry.view.registry().has_ended(id) {
-                return Some(None);
-            }
             let free_ms = self.lease_end_ms(id);
             let now_ms = clock::now_ms();
             // A server that is known is asked once in any case: its token warms the next one.
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -26,11 +26,6 @@
     missing: HashMap<Arc<str>, u64>,
     /// Addresses of servers that are gone, the latest last: they may still hold keys.
     former: Vec<(Arc<str>, SocketAddr)>,
-    /// Latest entry by address, with the version of its first row.
-    latest: HashMap<SocketAddr, (u64, Arc<str>)>,
-    /// Servers whose address another one has taken, so that they have certainly ended; the latest
-    /// last.
-    ended: Vec<Arc<str>>,
 }
 
 impl Registry {
@@ -55,16 +50,9 @@
         found.map(|(_, address)| *address)
     }
 
-    /// True if a server has certainly ended: another one has its address.
-    pub fn has_ended(&self, id: &str) -> bool {
-        self.ended.iter().any(|ended| **ended == *id)
-    }
-
-    /// Notes an entry, with the version of its row.
-    pub fn put(&mut self, entry: ServerEntry, version: u64) {
-        if self.is_outlived(&entry, version) {
-            return;
-        }
+    /// Notes an entry. Another entry with the same address proves nothing: the store may take in a
+    /// late heartbeat of an earlier life after the first one of a later life.
+    pub fn put(&mut self, entry: ServerEntry) {
         self.missing.remove(&entry.id);
         if let Some(known) = self.by_id.get(&entry.id) {
             if known.leaving() != entry.leaving {
@@ -80,37 +68,6 @@
         self.by_service.entry(service).or_default().push(server);
     }
 
-    /// True if another server has the entry's address already. Of two at one address the one whose
-    /// row was written first has ended, and is dropped.
-    fn is_outlived(&mut self, entry: &ServerEntry, version: u64) -> bool {
-        let latest = self.latest.get(&entry.address);
-        let Some((latest_version, latest_id)) = latest.filter(|(_, id)| *id != entry.id).cloned()
-        else {
-            let first = (version, entry.id.clone());
-            self.latest.entry(entry.address).or_insert(first);
-            return false;
-        };
-        if version < latest_version {
-            self.note_ended(entry.id.clone());
-            return true;
-        }
-        let latest = (version, entry.id.clone());
-        self.latest.insert(entry.address, latest);
-        self.drop_server(&latest_id);
-        self.note_ended(latest_id);
-        false
-    }
-
-    fn note_ended(&mut self, id: Arc<str>) {
-        if self.has_ended(&id) {
-            return;
-        }
-        if self.ended.len() >= FORMER_MAX {
-            self.ended.remove(0);
-        }
-        self.ended.push(id);
-    }
-
     /// Notes that an entry is gone: at once, or, if the store has just come back, after the time
     /// in which live servers write theirs again.
     pub fn remove(&mut self, id: &str, store_returned_ms: u64) {
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -304,7 +304,7 @@
                         if entry.leaving {
                             self.freshness.note_left(row.version);
                         }
-                        registry.put(entry, row.version);
+                        registry.put(entry);
                     }
                     Err(error) => bad_row(servers::TABLE, &row.key, &error),
                 }
