--- a/src/entry/duty/mod.rs
+++ b/src/entry/duty/mod.rs
@@ -32,6 +32,13 @@
 const DUTY_KEY: &str = "leases";
 /// Age of the last confirmation up to which a holder tells the others that it has the duty.
 const CONFIRMED_MS: u64 = 3_000;
+/// Time for a write of the duty's row. A store that comes back must be written to before other
+/// hosts have seen the row stand still for the time of a takeover, 1.6 s; on its slow days it takes
+/// 0.5 s.
+const CONFIRM_TIMEOUT_MS: u64 = 1_000;
+/// Time for which a host that has lost the duty answers the next holder that it has stopped.
+const STOPPED_TOLD_MS: u64 = 3_000;
+
 /// The duty's row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct DutyRow {
@@ -69,6 +76,9 @@
     /// Up to this time an earlier holder may have given leases.
     predecessors_until_ms: AtomicU64,
     predecessor: StdMutex<Option<Predecessor>>,
+    /// Number of the last term that this host has lost, and when.
+    lost_term: AtomicU64,
+    lost_ms: AtomicU64,
     giving_up: AtomicBool,
     writer: Mutex<Writer>,
 }
@@ -140,19 +150,27 @@
     }
 
     /// Notes that another host has the duty in a term. If that is later than this host's own, this
-    /// host stops, and the result is the term that it had.
+    /// host stops. The result is the term that it had until lately: the other host waits for the
+    /// end of its leases.
     pub fn note_other_term(&self, term: u64) -> Option<u64> {
         let own = self.term();
-        if own == 0 || own >= term {
+        if own >= term {
             return None;
         }
-        self.lose("a later holder was heard");
-        Some(own)
+        if own > 0 {
+            self.lose("a later holder was heard");
+        }
+        let lost_term = self.lost_term.load(Ordering::Relaxed);
+        let lost_ms = self.lost_ms.load(Ordering::Relaxed);
+        let lately = clock::now_ms() < lost_ms + STOPPED_TOLD_MS;
+        (lost_term > 0 && lost_term < term && lately).then_some(lost_term)
     }
 
     fn lose(&self, reason: &'static str) {
         let term = self.term.swap(0, Ordering::Relaxed);
         if term > 0 {
+            self.lost_ms.store(clock::now_ms(), Ordering::Relaxed);
+            self.lost_term.store(term, Ordering::Relaxed);
             Event::DutyLost { term, reason }.log();
         }
     }
@@ -195,7 +213,8 @@
             }],
             ..Transaction::default()
         };
-        match self.store.transact(&transaction).await {
+        let written = self.store.transact_within(&transaction, CONFIRM_TIMEOUT_MS);
+        match written.await {
             Ok(Transacted::Done { version }) => Some(version),
             Ok(Transacted::Conflict { rows }) => {
                 // An earlier try whose answer was lost may have taken effect.
@@ -209,6 +228,17 @@
         }
     }
 
+    /// Confirms the duty. Calls that a silent store has swallowed are given up as soon as it is
+    /// known to be back, and made anew before other hosts take the duty.
+    async fn confirm_duty_through_outages(&self) {
+        loop {
+            tokio::select! {
+                () = self.confirm_duty() => return,
+                () = self.view.store_lost_and_returned() => {}
+            }
+        }
+    }
+
     async fn confirm_duty(&self) {
         let sent_ms = clock::now_ms();
         let mut writer = self.duty.writer.lock().await;
--- a/src/entry/duty/takeover.rs
+++ b/src/entry/duty/takeover.rs
@@ -48,7 +48,7 @@
             if self.duty.term() > 0 {
                 time::sleep(Duration::from_millis(leases.confirm_every_ms)).await;
                 if self.duty.term() > 0 {
-                    self.confirm_duty().await;
+                    self.confirm_duty_through_outages().await;
                 }
                 continue;
             }
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -52,14 +52,27 @@
 /// What the holder knows of the leases of one server.
 #[derive(Clone, Copy, Debug, Default)]
 struct LeaseRecord {
-    /// When the last grant was sent.
+    /// When the last grant was sent that may have arrived.
     granted_ms: u64,
+    /// Grants that are on their way.
+    under_way: u32,
     /// When renewals were last begun.
     renewed_ms: u64,
     /// Failed orders in a row.
     failures: u32,
 }
 
+impl LeaseRecord {
+    /// Time of the last grant that the server may take, or may have taken.
+    fn last_grant_ms(&self, now_ms: u64) -> u64 {
+        if self.under_way > 0 {
+            now_ms
+        } else {
+            self.granted_ms
+        }
+    }
+}
+
 /// A move under way.
 #[derive(Clone, Debug)]
 struct Moving {
@@ -274,7 +287,7 @@
                 continue;
             };
             // After its lease has run out and its keys have gone, it may try anew.
-            if record.failures >= FAILURES_SILENT && now_ms > record.granted_ms + 2 * lease_ms {
+            if record.failures >= FAILURES_SILENT && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms {
                 record.failures = 0;
             }
         }
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -280,11 +280,12 @@
 
     /// Time at which the last lease that any holder may have given a server has run out.
     fn lease_end_ms(&self, id: &Arc<str>) -> u64 {
+        let now_ms = clock::now_ms();
         let own_ms = self
             .work()
             .servers
             .get(id)
-            .map_or(0, |record| record.granted_ms);
+            .map_or(0, |record| record.last_grant_ms(now_ms));
         let others_ms = self.entry.duty.predecessors_until_ms();
         let lease_ms = self.entry.settings.leases.lease_ms as f64 * LEASE_CLOCK_FACTOR;
         own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -13,7 +13,10 @@
         keys::{Assignment, Holding, KeyRange},
         server::Server,
     },
-    platform::orders::{self, Grant, Granted},
+    platform::{
+        Error,
+        orders::{self, Grant, Granted},
+    },
 };
 
 /// Distance of a raised fence from the last one, above what an earlier holder may have used
@@ -85,13 +88,14 @@
             return None;
         }
         let id = &server.entry.id;
+        let sent_ms = clock::now_ms();
         {
             let mut work = self.work();
             let record = work.servers.entry(id.clone()).or_default();
             if record.failures >= FAILURES_SILENT {
                 return None;
             }
-            record.granted_ms = clock::now_ms();
+            record.under_way += 1;
         }
         let order = Grant {
             server: id,
@@ -103,6 +107,12 @@
         let answer = orders::grant(&server.orders, order, GRANT_TIMEOUT_MS).await;
         let mut work = self.work();
         let record = work.servers.entry(id.clone()).or_default();
+        record.under_way -= 1;
+        // What was never sent prolongs nothing, so that the keys are free earlier.
+        let sent = answer.as_ref().err().is_none_or(Error::may_have_run);
+        if sent {
+            record.granted_ms = record.granted_ms.max(sent_ms);
+        }
         match answer {
             Ok(granted) => {
                 record.failures = 0;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -283,6 +283,15 @@
         }
     }
 
+    /// Returns when the store was found silent and answers again.
+    pub async fn store_lost_and_returned(&self) {
+        let mut lost = self.store_lost();
+        if lost.wait_for(|lost| *lost).await.is_err() {
+            log::debug!("the view has ended");
+        }
+        self.store_returned().await;
+    }
+
     /// Notes that keys are on their way to another server.
     pub fn announce_move(&self, service: &Arc<str>, announcement: Announcement) {
         let Announcement {
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -76,8 +76,12 @@
         self.follow(Followed::Own).await;
     }
 
-    /// Writes this host's row, until that has succeeded.
+    /// Writes this host's row, until that has succeeded. The rows are read first: the row of the
+    /// process that ran here before tells that one had the duty, and this call overwrites it.
     pub(super) async fn register(self: Arc<Self>) {
+        if !self.view.hosts_known().await {
+            return;
+        }
         let key = format!("{HOST_PREFIX}{}", self.settings.listen.peers);
         let row = HostRow {
             incarnation: self.incarnation,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -187,11 +187,20 @@
     /// Runs a transaction. After an error for which [`Error::may_have_run`] holds it may have
     /// taken effect, or may do so seconds later if its conditions still hold then.
     pub async fn transact(&self, transaction: &Transaction<'_>) -> Result<Transacted> {
+        self.transact_within(transaction, CALL_TIMEOUT_MS).await
+    }
+
+    /// Does the same with a time of the caller's choice for the answer.
+    pub async fn transact_within(
+        &self,
+        transaction: &Transaction<'_>,
+        timeout_ms: u64,
+    ) -> Result<Transacted> {
         let body = serde_json::to_vec(&encode(transaction)).map_err(|error| Error::Document {
             what: "transaction".to_owned(),
             message: error.to_string(),
         })?;
-        let answer = self.send(Method::POST, "/rows-tx", body.into(), CALL_TIMEOUT_MS);
+        let answer = self.send(Method::POST, "/rows-tx", body.into(), timeout_ms);
         let answer = answer.await?;
         if answer.status == StatusCode::PRECONDITION_FAILED {
             let found: WireRows = self.parse(&answer.body)?;
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -33,6 +33,8 @@
     pub lose_answer_every: u64,
     /// Time before each call takes effect.
     pub slow_ms: u64,
+    /// Time before a read takes effect, on top of that.
+    pub slow_reads_ms: u64,
 }
 
 #[derive(Debug, Default)]
@@ -240,7 +242,9 @@
             rows.calls += 1;
             rows.faults
         };
-        time::sleep(Duration::from_millis(faults.slow_ms)).await;
+        let is_read = request.uri().path() == "/rows-get";
+        let read_ms = if is_read { faults.slow_reads_ms } else { 0 };
+        time::sleep(Duration::from_millis(faults.slow_ms + read_ms)).await;
         if faults.silent {
             return std::future::pending().await;
         }
