--- /dev/null
+++ b/src/entry/decide/admission.rs
@@ -0,0 +1,80 @@
+//! Admission of a request at a server: by when it is expected to be answered there. A queue that is
+//! longer than the objective makes all answers late and serves no more.
+
+use super::{Candidate, Policy, TimeLeft};
+
+/// Run time that is assumed of a server while nothing is known of it or its like.
+const RUN_DEFAULT_MS: f64 = 60.0;
+/// Bounds of a server's run time for the planner, as shares of the typical one. Servers of a service
+/// differ in speed by a factor of 2 to 3.
+const RUN_LEAST: f64 = 0.6;
+const RUN_MOST: f64 = 4.0;
+
+/// Average run time of servers, of which those with 0 are unknown.
+pub fn typical_run_ms(runs_ms: impl Iterator<Item = f64>) -> f64 {
+    let (sum, known) = runs_ms
+        .filter(|run_ms| *run_ms > 0.0)
+        .fold((0.0, 0u32), |(sum, known), run_ms| {
+            (sum + run_ms, known + 1)
+        });
+    if known == 0 {
+        return RUN_DEFAULT_MS;
+    }
+    sum / f64::from(known)
+}
+
+/// Run time that is expected of a server.
+fn run_ms(server: &Candidate, typical_ms: f64, policy: &Policy) -> f64 {
+    let run_ms = if server.run_ms > 0.0 {
+        server.run_ms
+    } else {
+        typical_ms
+    };
+    if server.is_cold {
+        run_ms * policy.cold_factor
+    } else {
+        run_ms
+    }
+}
+
+/// Expected time until a server has answered a further request.
+pub fn expected_ms(server: &Candidate, typical_ms: f64, policy: &Policy) -> f64 {
+    let ahead = f64::from(server.load + 1);
+    let slots = f64::from(server.slots);
+    let waiting = (ahead - slots).max(0.0) / slots;
+    run_ms(server, typical_ms, policy) * (1.0 + waiting)
+}
+
+/// True if a server has room for a request with so much time left.
+pub fn has_room(server: &Candidate, typical_ms: f64, left: TimeLeft, policy: &Policy) -> bool {
+    if server.load >= server.slots * policy.load_max_factor {
+        return false;
+    }
+    let expected_ms = expected_ms(server, typical_ms, policy);
+    if policy.free_slot_admits && server.load < server.slots {
+        return expected_ms < left.deadline_ms as f64;
+    }
+    if left.objective_ms > 0 {
+        let objective_ms = left.objective_ms.min(left.deadline_ms) as f64;
+        return expected_ms < objective_ms * policy.queue_share;
+    }
+    policy.late_may_queue && expected_ms < left.deadline_ms as f64
+}
+
+/// Requests a second that a server can serve. One of which nothing is known counts as typical, and
+/// what is known counts within the bounds in which servers of a service differ: quick answers may
+/// be failures, and slow ones have waited.
+pub fn capacity_per_s(server: &Candidate, typical_ms: f64, policy: &Policy) -> f64 {
+    let run_ms = if server.run_ms > 0.0 {
+        server.run_ms
+    } else {
+        typical_ms
+    };
+    let run_ms = run_ms.clamp(typical_ms * RUN_LEAST, typical_ms * RUN_MOST);
+    let warm = f64::from(server.slots) * 1000.0 / run_ms;
+    if server.is_cold {
+        warm / policy.cold_factor
+    } else {
+        warm
+    }
+}
--- a/src/entry/retries.rs
+++ b/src/entry/decide/budget.rs
@@ -6,8 +6,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use super::settings::Bounds;
-use crate::clock;
+use crate::entry::settings::Bounds;
 
 /// Part of the allowed share of repeats that is used, to keep clear of the bound.
 const RATIO_USED: f64 = 0.9;
@@ -41,20 +40,19 @@
     }
 
     /// Pays in for a first attempt.
-    pub fn request(&self, service: &Arc<str>, hosts: usize) {
+    pub fn request(&self, service: &Arc<str>, hosts: usize, now_ms: u64) {
         let most = self.burst(hosts);
         let mut buckets = self.buckets();
         let bucket = buckets.entry(service.clone()).or_insert_with(|| Bucket {
             tokens: most / 2.0,
-            at_ms: clock::now_ms(),
+            at_ms: now_ms,
         });
         bucket.tokens = (bucket.tokens + self.per_request).min(most);
     }
 
     /// Takes out a repeat; false if the budget is spent.
-    pub fn repeat(&self, service: &Arc<str>, hosts: usize) -> bool {
+    pub fn repeat(&self, service: &Arc<str>, hosts: usize, now_ms: u64) -> bool {
         let most = self.burst(hosts);
-        let now_ms = clock::now_ms();
         let mut buckets = self.buckets();
         let Some(bucket) = buckets.get_mut(service) else {
             return false;
--- a/src/entry/hot_keys.rs
+++ b/src/entry/decide/hot_keys.rs
@@ -9,14 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{key_loads::KeyLoads, keys::Assignment, plan::PlanServer};
-use crate::clock;
-
-/// Load over capacity from which a key counts as hot.
-const HOT_FACTOR: f64 = 1.1;
-/// Requests that are admitted, as a multiple of the capacity: arrivals by chance leave gaps that a
-/// short queue fills.
-const ADMITTED_FACTOR: f64 = 1.15;
+use super::{Policy, key_loads::KeyLoads, plan::PlanServer};
+use crate::entry::keys::Assignment;
+
 /// Most hot keys in one message.
 const HOT_MAX: usize = 40;
 /// Time for which the holder's word counts; it comes every 0.3 s.
@@ -42,8 +37,8 @@
     }
 
     /// Share of the requests that is admitted.
-    pub fn admitted(&self) -> f64 {
-        (ADMITTED_FACTOR / self.excess()).min(1.0)
+    pub fn admitted(&self, policy: &Policy) -> f64 {
+        (policy.hot_admitted / self.excess()).min(1.0)
     }
 }
 
@@ -53,6 +48,7 @@
     assignment: &Assignment,
     servers: &[PlanServer],
     loads: &KeyLoads,
+    policy: &Policy,
 ) -> Vec<HotKey> {
     let capacities: HashMap<&str, f64> = servers
         .iter()
@@ -63,12 +59,12 @@
         let Some(capacity_per_s) = capacities.get(&*holding.server).copied() else {
             continue;
         };
-        if loads.of(holding.range) < capacity_per_s * HOT_FACTOR {
+        if loads.of(holding.range) < capacity_per_s * policy.hot_factor {
             continue;
         }
         for key in holding.range.first..=holding.range.last {
             let load_per_s = loads.key(key);
-            if load_per_s >= capacity_per_s * HOT_FACTOR {
+            if load_per_s >= capacity_per_s * policy.hot_factor {
                 found.push(HotKey {
                     service_tag,
                     key,
@@ -103,24 +99,24 @@
     }
 
     /// All that this host has found, for the other hosts. It obeys itself.
-    pub fn tell(&self) -> Vec<HotKey> {
+    pub fn tell(&self, now_ms: u64) -> Vec<HotKey> {
         let mut keys: Vec<HotKey> = self.found().values().flatten().copied().collect();
         keys.sort_unstable_by(|a, b| b.excess().total_cmp(&a.excess()));
         keys.truncate(HOT_MAX);
-        self.note_told(keys.clone());
+        self.note_told(keys.clone(), now_ms);
         keys
     }
 
     /// Notes what the holder told.
-    pub fn note_told(&self, keys: Vec<HotKey>) {
-        let until_ms = clock::now_ms() + TOLD_KEPT_MS;
+    pub fn note_told(&self, keys: Vec<HotKey>, now_ms: u64) {
+        let until_ms = now_ms + TOLD_KEPT_MS;
         *self.told() = Told { keys, until_ms };
     }
 
     /// A hot key by the holder's latest word.
-    pub fn get(&self, service_tag: u32, key: u16) -> Option<HotKey> {
+    pub fn get(&self, service_tag: u32, key: u16, now_ms: u64) -> Option<HotKey> {
         let told = self.told();
-        if clock::now_ms() >= told.until_ms {
+        if now_ms >= told.until_ms {
             return None;
         }
         let mut keys = told.keys.iter();
--- a/src/entry/key_loads.rs
+++ b/src/entry/decide/key_loads.rs
@@ -1,6 +1,6 @@
 //! Requests by key, counted over a long and a short time.
 
-use super::keys::{Holding, KeyRange};
+use crate::entry::keys::{Holding, KeyRange};
 
 /// Number of keys by service.
 pub const KEYS: usize = 1 << 16;
--- /dev/null
+++ b/src/entry/decide/mod.rs
@@ -0,0 +1,64 @@
+//! Decisions under load: which server gets a request, whether it is refused and when its caller
+//! should come back, whether it is repeated, and which keys move.
+//!
+//! Everything here is pure: what a host knows, the time and random numbers come in as arguments, and
+//! a verdict comes out. Nothing reads a clock, opens a socket or waits. `forward` and `leases` ask
+//! and carry out; `bench::decisions` plays load on the same code in virtual time.
+//!
+//! | module | load that it answers |
+//! |---|---|
+//! | [`behaviour`] | servers that are slow, fail or cannot be reached |
+//! | [`admission`] | more requests for a server than it can answer in time |
+//! | [`choice`] | requests that any server of a service may run |
+//! | [`hot_keys`] | one key with more requests than any server can run |
+//! | [`hold`] | requests for keys that are on their way between servers |
+//! | [`elapsed`] | callers that come back after a refusal |
+//! | [`return_time`] | when refused callers should come back |
+//! | [`budget`] | repeats that would feed an overload |
+//! | [`key_loads`], [`plan`] | uneven load by key, servers that join and leave |
+//!
+//! The thresholds stand in [`Policy`], each with its unit and reason.
+
+pub mod admission;
+pub mod behaviour;
+pub mod budget;
+pub mod choice;
+pub mod elapsed;
+pub mod hold;
+pub mod hot_keys;
+pub mod key_loads;
+pub mod plan;
+mod policy;
+pub mod return_time;
+
+pub use self::policy::Policy;
+
+/// A server as a decision sees it at one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// Requests of all hosts that are there, as far as this host knows.
+    pub load: u32,
+    /// Average run time; 0 if nothing is known of it.
+    pub run_ms: f64,
+    /// Share of the latest attempts that failed.
+    pub failures: f64,
+    /// True while it is slow after its start.
+    pub is_cold: bool,
+    /// True while connections to it fail.
+    pub is_paused: bool,
+    /// True if it is in the host's own availability zone.
+    pub is_near: bool,
+    /// True if a connection to it is idle.
+    pub has_idle_connection: bool,
+}
+
+/// Time that a request has left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeLeft {
+    /// Until the latency objective, counted from the caller's first attempt; 0 once it has passed.
+    pub objective_ms: u64,
+    /// Until the deadline.
+    pub deadline_ms: u64,
+}
--- a/src/entry/plan.rs
+++ b/src/entry/decide/plan.rs
@@ -3,21 +3,11 @@
 use std::{collections::HashMap, sync::Arc};
 
 use super::{
+    Policy,
     key_loads::{KEYS, KeyLoads},
-    keys::{Assignment, Holding, KeyRange},
 };
+use crate::entry::keys::{Assignment, Holding, KeyRange};
 
-/// Load of a server over the mean above which keys are moved away from it, if it were not for
-/// chance.
-const EXCESS: f64 = 1.1;
-/// Standard deviations of a server's load that are put down to chance. With a hundred servers one
-/// or two are still beyond.
-const CHANCE_DEVIATIONS: f64 = 2.5;
-/// Share of a server's capacity below which it keeps its keys, however little the others have: a
-/// move makes its keys wait for what runs on them, and a server with free slots is no slower.
-const BUSY_SHARE: f64 = 0.6;
-/// Share of its capacity that a server is left with, or given, by moves for balance.
-const GOAL_SHARE: f64 = 0.45;
 /// Least load, in requests being served at a time, for which a move is worth its cost.
 const LOAD_MOVED_MIN: f64 = 0.3;
 /// Cost of moving all keys, in shares of the wanted load that a move may miss: moved keys are
@@ -57,6 +47,8 @@
     pub moving: &'a [KeyRange],
     /// Most moves for balance.
     pub balance_moves_max: usize,
+    /// Thresholds.
+    pub policy: &'a Policy,
 }
 
 struct Plan<'a> {
@@ -267,9 +259,12 @@
         let mean = self.mean_share();
         let servers = self.question.servers.len() as f64;
         let load = self.question.loads.of(KeyRange::ALL) / servers;
-        let excess = EXCESS + CHANCE_DEVIATIONS * self.question.loads.deviation(load);
-        let busy = BUSY_SHARE.max(mean * excess);
-        let goal = GOAL_SHARE.max(mean);
+        let policy = self.question.policy;
+        let chance = policy.balance_chance * self.question.loads.deviation(load);
+        let busy = policy
+            .balance_busy_share
+            .max(mean * (policy.balance_excess + chance));
+        let goal = policy.balance_goal_share.max(mean);
         let moves_left = self.question.balance_moves_max;
         for _ in 0..moves_left.saturating_sub(self.moves.len()) {
             let Some(from) = self.most_used() else { return };
--- /dev/null
+++ b/src/entry/decide/return_time.rs
@@ -0,0 +1,62 @@
+//! When a refused caller should come back. Callers obey up to a third of the time that they have
+//! left; each return that is refused again costs them more than the first refusal.
+
+use super::{Candidate, Policy, hot_keys::HotKey};
+
+/// Longest time after which a caller should come back.
+const RETURN_MAX_MS: u64 = 5_000;
+/// Time after which a host that has just started knows what it needs.
+const START_MS: u64 = 500;
+
+/// Why a request is refused. It has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Reason, for the caller and the log.
+    pub reason: &'static str,
+    /// Time after which the caller should come back.
+    pub return_ms: u64,
+}
+
+impl Refused {
+    /// Another host, or this one in a moment, may serve the request.
+    pub fn soon(reason: &'static str, policy: &Policy) -> Self {
+        Self::after(reason, 0, policy)
+    }
+
+    /// The request can be served after a time.
+    pub fn after(reason: &'static str, after_ms: u64, policy: &Policy) -> Self {
+        Self {
+            reason,
+            return_ms: after_ms.clamp(policy.return_min_ms, RETURN_MAX_MS),
+        }
+    }
+
+    /// The host has just started.
+    pub fn starting(reason: &'static str) -> Self {
+        Self {
+            reason,
+            return_ms: START_MS,
+        }
+    }
+
+    /// The key gets more requests than its server can serve: a caller's turn comes after about as
+    /// many runs as there are requests for each one that is served.
+    pub fn hot_key(hot: HotKey, typical_ms: f64, policy: &Policy) -> Self {
+        let turn_ms = (typical_ms * hot.excess()) as u64;
+        let reason = "the key gets more requests than its server can serve";
+        Self::after(reason, turn_ms, policy)
+    }
+
+    /// A server said that it did not run the request. If it has free slots, it sheds at random and
+    /// nothing has to drain; else some work must end first.
+    pub fn not_run(server: &Candidate, typical_ms: f64, policy: &Policy) -> Self {
+        let reason = "the server did not run the request";
+        if server.load < server.slots {
+            return Self {
+                reason,
+                return_ms: policy.return_shed_ms,
+            };
+        }
+        Self::after(reason, typical_ms as u64, policy)
+    }
+}
--- a/src/entry/forward/head.rs
+++ b/src/entry/forward/head.rs
@@ -3,8 +3,10 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, Uri, header, response};
 
-use super::refused::Refused;
-use crate::transport::{AnswerBody, whole};
+use crate::{
+    entry::decide::return_time::Refused,
+    transport::{AnswerBody, whole},
+};
 
 const HOP_HEADERS: [HeaderName; 8] = [
     header::CONNECTION,
@@ -63,7 +65,7 @@
 /// Answer to a request that has not run, with the time to come back.
 pub fn refusal(refused: &Refused) -> Response<AnswerBody> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, refused.reason);
-    let seconds = refused.retry_after_ms as f64 / 1000.0;
+    let seconds = refused.return_ms as f64 / 1000.0;
     match HeaderValue::from_str(&format!("{seconds:.2}")) {
         Ok(after) => {
             response.headers_mut().insert(header::RETRY_AFTER, after);
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -3,7 +3,6 @@
 mod body;
 mod head;
 mod passage;
-mod refused;
 
 use std::{sync::Arc, time::Duration};
 
@@ -14,11 +13,11 @@
 use self::{
     body::{Payload, read_payload},
     head::{plain, refusal},
-    passage::Passage,
-    refused::Refused,
+    passage::{Passage, Times},
 };
 use super::{
     Entry,
+    decide::return_time::Refused,
     model::{Configuration, Part, Route},
     server::tag_of,
 };
@@ -48,6 +47,7 @@
 
 async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived_ms = clock::now_ms();
+    let policy = entry.settings.policy;
     let Some(configuration) = entry.view.configuration() else {
         return refusal(&Refused::starting("no configuration is known yet"));
     };
@@ -62,7 +62,7 @@
         .min(route.timeout_ms);
     let deadline_ms = arrived_ms + left_ms;
     if deadline_ms + STOP_MARGIN_MS > entry.ends_ms() {
-        return refusal(&Refused::soon("this host is about to stop"));
+        return refusal(&Refused::soon("this host is about to stop", &policy));
     }
     let body_max = configuration.limits.body_bytes;
     if header_number(&head.headers, "content-length").is_some_and(|length| length > body_max) {
@@ -73,13 +73,22 @@
     let payload = match time::timeout(limit, reading).await {
         Ok(Ok(payload)) => payload,
         Ok(Err(error)) => return plain(StatusCode::BAD_REQUEST, &error.to_string()),
-        Err(_) => return refusal(&Refused::soon("the body did not come in time")),
+        Err(_) => {
+            let reason = "the body did not come in time";
+            return refusal(&Refused::soon(reason, &policy));
+        }
     };
     let repeatable = route.repeatable;
-    let passing = async move {
-        let times = (arrived_ms, deadline_ms);
-        pass(&entry, &configuration, &route, &head, payload, times).await
+    let elapsed_ms = match asked_ms {
+        Some(asked_ms) if policy.infer_elapsed => entry.elapsed_ms(&route.name, asked_ms),
+        _ => 0,
+    };
+    let times = Times {
+        arrived_ms,
+        objective_ms: (arrived_ms + route.aim_ms).saturating_sub(elapsed_ms),
+        deadline_ms,
     };
+    let passing = async move { pass(&entry, &configuration, &route, &head, payload, times).await };
     if repeatable {
         // Dropped with its connections when the caller leaves.
         return passing.await;
@@ -100,10 +109,11 @@
     route: &Arc<Route>,
     head: &request::Parts,
     mut payload: Payload,
-    (arrived_ms, deadline_ms): (u64, u64),
+    times: Times,
 ) -> Response<AnswerBody> {
     let Some(part) = choose_part(&route.parts) else {
-        return refusal(&Refused::soon("the route has no service"));
+        let policy = &entry.settings.policy;
+        return refusal(&Refused::soon("the route has no service", policy));
     };
     let service = part.service.clone();
     let divided = configuration
@@ -121,7 +131,8 @@
     if let Some(key) = key {
         entry.peers.count(tag_of(&service), key);
     }
-    entry.retries.request(&service, entry.peers.hosts());
+    let hosts = entry.peers.hosts();
+    entry.retries.request(&service, hosts, clock::now_ms());
     let request_id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
     let mut passage = Passage {
         configuration,
@@ -130,8 +141,7 @@
         key,
         head,
         request_id,
-        arrived_ms,
-        deadline_ms,
+        times,
         attempts: 0,
         connects: 0,
         tried: Vec::new(),
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -12,13 +12,17 @@
 use super::{
     body::{Payload, Received, Streamed, receive},
     head::{build_answer, origin_form, plain, promises_not_run, refusal, strip_hop_headers},
-    refused::Refused,
 };
 use crate::{
     clock,
     entry::{
         Entry,
-        choice::{self, Refusal},
+        decide::{
+            Candidate, TimeLeft, admission,
+            choice::{self, Question},
+            hold::{self, Hold, MoveRest, MoveWait},
+            return_time::Refused,
+        },
         events::Event,
         followed::Followed,
         model::{Configuration, Route},
@@ -36,18 +40,20 @@
 const ATTEMPT_MS_MIN: u64 = 10;
 /// Connects that may fail for one request before it is given up.
 const CONNECTS_MAX: u32 = 3;
-/// Time for which a request is held while its key is on its way. Most moves between servers whose
-/// requests run for 100 ms end within it.
-const HOLD_MS: u64 = 400;
-/// Share of the latency objective for which it is held if that is longer. Who has waited for more is
-/// better told to come back.
-const HOLD_SHARE: f64 = 0.25;
-/// Expected rest of a move from which requests are not held at all. Moves from servers that answer
-/// take less.
-const LONG_MOVE_MS: u64 = 2_600;
 /// Pause before a keyed request is sent again to a server that did not hold the key yet.
 const HOLD_PAUSE_MS: u64 = 25;
 
+/// Times of a request by the host's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Its arrival.
+    pub arrived_ms: u64,
+    /// End of its latency objective, counted from the caller's first attempt.
+    pub objective_ms: u64,
+    /// Its deadline.
+    pub deadline_ms: u64,
+}
+
 /// A request on its way.
 pub struct Passage<'a> {
     pub(super) configuration: &'a Configuration,
@@ -56,8 +62,7 @@
     pub(super) key: Option<u16>,
     pub(super) head: &'a request::Parts,
     pub(super) request_id: &'a str,
-    pub(super) arrived_ms: u64,
-    pub(super) deadline_ms: u64,
+    pub(super) times: Times,
     pub(super) attempts: u32,
     pub(super) connects: u32,
     pub(super) tried: Vec<Arc<str>>,
@@ -81,18 +86,24 @@
 
 impl Passage<'_> {
     fn left_ms(&self) -> u64 {
-        self.deadline_ms.saturating_sub(clock::now_ms())
+        self.times.deadline_ms.saturating_sub(clock::now_ms())
     }
 
-    /// Time in which an answer has its full use: until the latency objective while that can be met,
-    /// else until the deadline. A longer queue would make all answers late and serve no more.
-    fn useful_ms(&self) -> u64 {
-        let aim_at_ms = self.arrived_ms + self.route.aim_ms;
-        let aim_left_ms = aim_at_ms.saturating_sub(clock::now_ms());
-        if aim_left_ms < ATTEMPT_MS_MIN {
-            return self.left_ms();
+    /// Time in which an answer has its use: the whole until the objective, less until the deadline.
+    fn time_left(&self) -> TimeLeft {
+        let objective_ms = self.times.objective_ms.saturating_sub(clock::now_ms());
+        TimeLeft {
+            objective_ms: if objective_ms < ATTEMPT_MS_MIN {
+                0
+            } else {
+                objective_ms
+            },
+            deadline_ms: self.left_ms(),
         }
-        aim_left_ms.min(self.left_ms())
+    }
+
+    fn held_ms(&self) -> u64 {
+        clock::now_ms().saturating_sub(self.times.arrived_ms)
     }
 
     /// Makes attempts until one is answered or nothing more can be done.
@@ -139,7 +150,12 @@
     }
 
     fn refused_for_a_run(&self, entry: &Entry, reason: &'static str) -> Refused {
-        Refused::after_run(reason, &entry.view.registry(), &self.service)
+        let run_ms = entry.view.registry().typical_run_ms(&self.service) as u64;
+        Refused::after(reason, run_ms, &entry.settings.policy)
+    }
+
+    fn candidate(entry: &Entry, server: &Server) -> Candidate {
+        server.candidate(&entry.settings.availability_zone)
     }
 
     /// After a connection that did not come up: another server, or the same one for a key.
@@ -154,7 +170,7 @@
         self.connects += 1;
         if self.connects >= CONNECTS_MAX || !payload.can_repeat() {
             let logged = format!("no connection: {reason}");
-            let refused = Refused::soon("no connection to the server");
+            let refused = Refused::soon("no connection to the server", &entry.settings.policy);
             return Some(self.refuse(entry, logged, &refused));
         }
         if self.key.is_some() {
@@ -182,7 +198,9 @@
         }
         let logged = format!("the server answered {status}, not run");
         if !self.may_repeat(entry, payload) {
-            let refused = self.refused_for_a_run(entry, "the server did not run the request");
+            let typical_ms = entry.view.registry().typical_run_ms(&self.service);
+            let seen = Self::candidate(entry, server);
+            let refused = Refused::not_run(&seen, typical_ms, &entry.settings.policy);
             return Some(self.refuse(entry, logged, &refused));
         }
         self.log("repeated", logged);
@@ -228,7 +246,10 @@
         let may = self.attempts < self.route.attempts_max
             && payload.can_repeat()
             && self.left_ms() > ATTEMPT_MS_MIN
-            && entry.retries.repeat(&self.service, entry.peers.hosts());
+            && {
+                let hosts = entry.peers.hosts();
+                entry.retries.repeat(&self.service, hosts, clock::now_ms())
+            };
         if may {
             entry.metrics.repeat();
         }
@@ -237,50 +258,57 @@
 
     /// Counts the request when its answer is known.
     fn end(&self, entry: &Entry, outcome: &'static str) {
-        let after_ms = clock::now_ms() - self.arrived_ms;
+        let after_ms = self.held_ms();
         entry.metrics.request(&self.service, outcome, after_ms);
     }
 
     async fn choose(&mut self, entry: &Entry) -> Result<Arc<Server>, Refused> {
         if self.left_ms() < ATTEMPT_MS_MIN {
-            return Err(Refused::soon("the deadline is too near"));
+            let policy = &entry.settings.policy;
+            return Err(Refused::soon("the deadline is too near", policy));
+        }
+        match self.key {
+            Some(key) => self.owner(entry, key).await,
+            None => self.any_server(entry),
         }
-        let Some(key) = self.key else {
-            let registry = entry.view.registry();
-            let servers = registry.of_service(&self.service);
-            let zone = &entry.settings.availability_zone;
-            let hosts = entry.peers.host_count();
-            let picked = choice::pick(servers, zone, &self.tried, self.useful_ms(), hosts);
-            return picked.map_err(|refusal| match refusal {
-                Refusal::NoServer => Refused::soon("no server may get work"),
-                Refusal::Overloaded => self.refused_for_a_run(entry, "all servers are overloaded"),
-            });
+    }
+
+    /// A server of a service whose servers all may run the request.
+    fn any_server(&self, entry: &Entry) -> Result<Arc<Server>, Refused> {
+        let policy = &entry.settings.policy;
+        let registry = entry.view.registry();
+        let usable = registry.usable(&self.service, &self.tried);
+        if usable.is_empty() {
+            return Err(Refused::soon("no server may get work", policy));
+        }
+        let seen = usable.iter().map(|server| Self::candidate(entry, server));
+        let question = Question {
+            servers: &seen.collect::<Vec<_>>(),
+            typical_ms: registry.typical_run_ms(&self.service),
+            left: self.time_left(),
+            hosts: entry.peers.host_count(),
         };
-        self.owner(entry, key).await
+        match choice::pick(question, policy, &mut rand::rng()) {
+            Some(place) => Ok(usable[place].clone()),
+            None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
+        }
     }
 
     /// The server that holds the key; waits a little while the key is on its way.
     async fn owner(&mut self, entry: &Entry, key: u16) -> Result<Arc<Server>, Refused> {
+        let policy = &entry.settings.policy;
         let mut changes = entry.view.changes();
         loop {
             match entry.view.owner(&self.service, key) {
-                Owner::Nobody => return Err(Refused::soon("no server holds the key")),
+                Owner::Nobody => return Err(Refused::soon("no server holds the key", policy)),
                 Owner::Server(id, fence) => {
                     let server = self.holder(entry, &id)?;
                     self.fences = (fence, self.fences.0);
                     return Ok(server);
                 }
-                Owner::Moving(for_ms) if for_ms > LONG_MOVE_MS => {
-                    let reason = "the key waits for the lease of a lost server to end";
-                    return Err(Refused::after(reason, for_ms));
-                }
-                Owner::Moving(_) => {
-                    let left_ms = self.hold_left_ms().min(self.left_ms());
-                    if left_ms < ATTEMPT_MS_MIN {
-                        let reason = "the key is on its way to another server";
-                        return Err(self.refused_for_a_run(entry, reason));
-                    }
-                    let wait = Duration::from_millis(HOLD_PAUSE_MS.min(left_ms));
+                Owner::Moving(rest) => {
+                    let room_ms = self.hold(entry, rest)?;
+                    let wait = Duration::from_millis(HOLD_PAUSE_MS.min(room_ms));
                     // Either way the view is asked again.
                     if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
                         log::debug!("the view has ended: {closed}");
@@ -290,39 +318,55 @@
         }
     }
 
+    /// Time for which the request may wait here for its key.
+    fn hold(&self, entry: &Entry, rest: MoveRest) -> Result<u64, Refused> {
+        let policy = &entry.settings.policy;
+        let aim_ms = self.route.aim_ms;
+        match hold::decide(rest, self.held_ms(), self.left_ms(), aim_ms, policy) {
+            Hold::For(room_ms) => Ok(room_ms),
+            Hold::Refuse if rest.wait == MoveWait::Lease => {
+                let reason = "the key waits for the lease of a lost server to end";
+                Err(Refused::after(reason, rest.rest_ms, policy))
+            }
+            Hold::Refuse => {
+                let reason = "the key is on its way to another server";
+                Err(self.refused_for_a_run(entry, reason))
+            }
+        }
+    }
+
     /// The server with an id, if it may get the request.
     fn holder(&mut self, entry: &Entry, id: &str) -> Result<Arc<Server>, Refused> {
+        let policy = &entry.settings.policy;
         let registry = entry.view.registry();
         let Some(server) = registry.server(id) else {
             if registry.former_address(id).is_none() {
                 entry.view.want_reading(Followed::Servers);
             }
-            return Err(Refused::soon("the key's server is gone"));
+            return Err(Refused::soon("the key's server is gone", policy));
         };
         self.last = Some(server.clone());
         if server.leaving() {
-            return Err(Refused::soon("the key's server is leaving"));
+            return Err(Refused::soon("the key's server is leaving", policy));
         }
-        let typical_ms = choice::typical_run_ms(registry.of_service(&self.service));
-        if !choice::has_room(server, typical_ms, self.useful_ms()) {
+        let typical_ms = registry.typical_run_ms(&self.service);
+        let seen = Self::candidate(entry, server);
+        if !admission::has_room(&seen, typical_ms, self.time_left(), policy) {
             return Err(self.refused_for_a_run(entry, "the key's server is overloaded"));
         }
         Ok(server.clone())
     }
 
-    /// Time for which the request may still be held because its key is on its way.
-    fn hold_left_ms(&self) -> u64 {
-        let hold_ms = (self.route.aim_ms as f64 * HOLD_SHARE) as u64;
-        (self.arrived_ms + hold_ms.max(HOLD_MS)).saturating_sub(clock::now_ms())
-    }
-
     /// Refuses a request for a hot key, but for the share that its server can serve.
     pub(super) fn refuse_hot(&self, entry: &Entry) -> Option<Response<AnswerBody>> {
-        let hot = entry.hot_keys.get(tag_of(&self.service), self.key?)?;
-        if rand::random::<f64>() < hot.admitted() {
+        let policy = &entry.settings.policy;
+        let tag = tag_of(&self.service);
+        let hot = entry.hot_keys.get(tag, self.key?, clock::now_ms())?;
+        if rand::random::<f64>() < hot.admitted(policy) {
             return None;
         }
-        let refused = Refused::hot_key(hot, &entry.view.registry(), &self.service);
+        let typical_ms = entry.view.registry().typical_run_ms(&self.service);
+        let refused = Refused::hot_key(hot, typical_ms, policy);
         let logged = format!("{}: {:.1} for each served", refused.reason, hot.excess());
         Some(self.refuse(entry, logged, &refused))
     }
@@ -439,7 +483,7 @@
             server: self.last.as_ref().map(|server| server.entry.id.clone()),
             load: self.last.as_ref().map_or(0, |server| server.load()),
             attempts: self.attempts,
-            after_ms: clock::now_ms() - self.arrived_ms,
+            after_ms: self.held_ms(),
             left_ms: self.left_ms(),
             configuration: self.configuration.version,
         }
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -18,13 +18,16 @@
 use tokio::{task::JoinSet, time};
 
 use super::{
-    Entry, choice,
+    Entry,
+    decide::{
+        admission, hot_keys,
+        key_loads::KeyCounts,
+        plan::{self, FirstWait, PlanServer, Question},
+    },
     duty::Change,
-    hot_keys,
-    key_loads::KeyCounts,
     keys::{Holding, KeyRange},
-    plan::{self, FirstWait, PlanServer, Question},
     server::tag_of,
+    settings::Settings,
     watch::store_age_ms,
 };
 use crate::clock;
@@ -221,11 +224,19 @@
             let silent = record.is_some_and(|r| r.failures >= FAILURES_SILENT);
             !server.leaving() && !silent
         });
-        let typical_ms = choice::typical_run_ms(registry.of_service(service));
+        let typical_ms = registry.typical_run_ms(service);
+        let Settings {
+            availability_zone,
+            policy,
+            ..
+        } = &self.entry.settings;
         let mut servers: Vec<PlanServer> = usable
             .map(|server| PlanServer {
                 id: server.entry.id.clone(),
-                capacity_per_s: choice::capacity_per_s(server, typical_ms),
+                capacity_per_s: {
+                    let seen = server.candidate(availability_zone);
+                    admission::capacity_per_s(&seen, typical_ms, policy)
+                },
             })
             .collect();
         servers.sort_by(|a, b| a.id.cmp(&b.id));
@@ -262,7 +273,8 @@
             let holdings = &held.assignment.holdings;
             let loads = counts.loads(holdings, f64::from(ROUNDS_PER_S));
             let tag = tag_of(service);
-            let hot = hot_keys::find(tag, &held.assignment, &servers, &loads);
+            let policy = &self.entry.settings.policy;
+            let hot = hot_keys::find(tag, &held.assignment, &servers, &loads, policy);
             self.entry.hot_keys.note_found(tag, hot);
             plan::plan(Question {
                 assignment: &held.assignment,
@@ -270,6 +282,7 @@
                 loads: &loads,
                 moving: &moving,
                 balance_moves_max: if balance { room } else { 0 },
+                policy,
             })
         };
         self.begin_moves(service, moves, &held.assignment, tasks);
@@ -287,7 +300,9 @@
                 continue;
             };
             // After its lease has run out and its keys have gone, it may try anew.
-            if record.failures >= FAILURES_SILENT && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms {
+            if record.failures >= FAILURES_SILENT
+                && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms
+            {
                 record.failures = 0;
             }
         }
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -8,10 +8,13 @@
 use crate::{
     clock,
     entry::{
+        decide::{
+            hold::{MoveRest, MoveWait},
+            plan::Move,
+        },
         duty::{Change, Reassignment},
         events::Event,
         keys::{Assignment, Holding, KeyRange},
-        plan::Move,
         server::tag_of,
         view::Announcement,
     },
@@ -160,26 +163,42 @@
             record.is_some_and(|record| record.failures >= FAILURES_SILENT)
         };
         let answers = registry.server(from).is_some() && !is_silent;
-        let for_ms = if answers {
-            RELEASE_TIMEOUT_MS
+        let rest = if answers {
+            MoveRest {
+                wait: MoveWait::Work,
+                rest_ms: RELEASE_TIMEOUT_MS,
+            }
         } else {
-            self.lease_end_ms(from).saturating_sub(clock::now_ms())
+            MoveRest {
+                wait: MoveWait::Lease,
+                rest_ms: self.lease_end_ms(from).saturating_sub(clock::now_ms()),
+            }
         };
+        self.announce_rest(service, holding, above_fence, rest);
+    }
+
+    fn announce_rest(
+        &self,
+        service: &Arc<str>,
+        holding: &Holding,
+        above_fence: u64,
+        rest: MoveRest,
+    ) {
         let move_ahead = Announcement {
             range: holding.range,
             above_fence,
-            for_ms,
+            rest,
         };
         self.entry.view.announce_move(service, move_ahead);
         let outbox = &self.entry.peers.outbox;
         outbox.announce_move(tag_of(service), move_ahead);
     }
 
-    /// Notes that a move waits for a lease to run out.
-    fn note_waiting(&self, range: KeyRange) {
+    /// Notes that a move waits for a lease to run out; false if that was known.
+    fn note_waiting(&self, range: KeyRange) -> bool {
         let mut work = self.work();
-        let concerned = work.moving.iter_mut().filter(|m| m.range == range);
-        concerned.for_each(|m| m.waits = true);
+        let mut concerned = work.moving.iter_mut().filter(|m| m.range == range);
+        concerned.any(|moving| !std::mem::replace(&mut moving.waits, true))
     }
 
     /// Carries out a recorded move: frees the keys, then grants them. Whatever fails here, the
@@ -194,7 +213,7 @@
         let range = holding.range;
         let mut handover = None;
         if let Some(from) = &holding.from {
-            let Some(token) = self.free(from, range, holding.fence).await else {
+            let Some(token) = self.free(service, holding, from).await else {
                 return;
             };
             handover = token;
@@ -230,7 +249,13 @@
     /// Makes sure that a server no longer holds a range: by its own word, or by waiting until its
     /// last lease has run out. The result is the token for the next owner; `None` if the term has
     /// ended meanwhile.
-    async fn free(&self, id: &Arc<str>, range: KeyRange, fence: u64) -> Option<Option<String>> {
+    async fn free(
+        &self,
+        service: &Arc<str>,
+        holding: &Holding,
+        id: &Arc<str>,
+    ) -> Option<Option<String>> {
+        let Holding { range, fence, .. } = *holding;
         let server = self.entry.view.registry().server(id).cloned();
         // A server whose entry is gone may still serve: it is asked by a connection of its own.
         let known = self.known_address(id);
@@ -265,7 +290,13 @@
                 Err(error) => {
                     self.entry.metrics.order("release", "failed");
                     log::debug!("{id} did not release keys: {error}");
-                    self.note_waiting(range);
+                    if self.note_waiting(range) {
+                        let rest = MoveRest {
+                            wait: MoveWait::Lease,
+                            rest_ms: self.lease_end_ms(id).saturating_sub(clock::now_ms()),
+                        };
+                        self.announce_rest(service, holding, fence - 1, rest);
+                    }
                     let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
                     time::sleep(Duration::from_millis(pause_ms)).await;
                 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,25 +1,21 @@
 //! An entry host on the users' platform: it passes requests on to backend servers, and one host
 //! at a time has the duty of saying which server holds which keys.
 
-pub mod choice;
+pub mod decide;
 mod duty;
 mod events;
 pub mod explain;
 pub mod followed;
 mod forward;
 pub mod freshness;
-pub mod hot_keys;
-pub mod key_loads;
 pub mod keys;
 mod leases;
 pub mod log_writer;
 pub mod metrics;
 pub mod model;
 pub mod peers;
-pub mod plan;
 mod pool;
 pub mod registry;
-pub mod retries;
 mod run;
 pub mod seal;
 mod secret;
@@ -33,16 +29,23 @@
     settings::Settings,
 };
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use rand::Rng;
 
 use self::{
-    duty::Duty, freshness::Freshness, hot_keys::HotKeys, metrics::Metrics, peers::Peers,
-    retries::RetryBudget, view::View,
+    decide::{budget::RetryBudget, elapsed::Deadlines, hot_keys::HotKeys},
+    duty::Duty,
+    freshness::Freshness,
+    metrics::Metrics,
+    peers::Peers,
+    view::View,
 };
 use crate::platform::store::Store;
 
@@ -67,6 +70,8 @@
     pub duty: Duty,
     /// Budget of repeated requests.
     pub retries: RetryBudget,
+    /// Deadlines of callers by route.
+    deadlines: Mutex<HashMap<Arc<str>, Deadlines>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     stopping: AtomicBool,
@@ -93,6 +98,7 @@
             peers: Peers::default(),
             duty: Duty::default(),
             retries: RetryBudget::new(&settings.bounds),
+            deadlines: Mutex::default(),
             metrics: Metrics::default(),
             stopping: AtomicBool::new(false),
             ends_ms: AtomicU64::new(u64::MAX),
@@ -123,6 +129,15 @@
         number.is_multiple_of(ANSWER_SAMPLE)
     }
 
+    /// Time since the first attempt of a caller that names a deadline.
+    fn elapsed_ms(&self, route: &Arc<str>, deadline_ms: u64) -> u64 {
+        let deadlines = self.deadlines.lock();
+        let mut deadlines = deadlines.unwrap_or_else(PoisonError::into_inner);
+        let deadlines = deadlines.entry(route.clone()).or_default();
+        deadlines.note(deadline_ms);
+        deadlines.elapsed_ms(deadline_ms)
+    }
+
     fn enter(self: &Arc<Self>) -> Present {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         Present(self.clone())
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -2,14 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::entry::{freshness::StoreNews, hot_keys::HotKey, keys::Holding, view::Announcement};
+use crate::entry::{
+    decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding, view::Announcement,
+};
 
 /// Most servers and keys in one datagram; it stays under the usual packet size.
 pub const ENTRIES_MAX: usize = 120;
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -25,7 +25,7 @@
     message::{Message, RunTime, ServerLoad, VERSION},
     outbox::Outbox,
 };
-use super::{choice::HostCount, seal::Seal, server::tag_of};
+use super::{decide::choice::HostCount, seal::Seal, server::tag_of};
 use crate::clock;
 
 /// What the other hosts reported of a server.
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -5,9 +5,12 @@
 use tokio::{net::UdpSocket, time};
 
 use super::message::{DATAGRAM_BYTES_MAX, Message, VERSION};
-use crate::entry::{
-    Entry, freshness::StoreNews, hot_keys::HotKey, keys::Holding, server::tag_of,
-    view::Announcement,
+use crate::{
+    clock,
+    entry::{
+        Entry, decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding, server::tag_of,
+        view::Announcement,
+    },
 };
 
 /// Pause after a failed reading of the socket.
@@ -71,7 +74,7 @@
         }
         if self.peers.note_holder(from, term) {
             self.heard_store(self.freshness.note_told(news));
-            self.hot_keys.note_told(hot);
+            self.hot_keys.note_told(hot, clock::now_ms());
         }
     }
 
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -136,7 +136,7 @@
                 let message = Message::Holder {
                     term: self.duty.term(),
                     news: self.freshness.news(self.view.store_heard_ms()),
-                    hot: self.hot_keys.tell(),
+                    hot: self.hot_keys.tell(clock::now_ms()),
                 };
                 self.peers.send(&message, &self.peers.addresses());
             }
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use super::{events::Event, model::ServerEntry, server::Server};
+use super::{decide::admission, events::Event, model::ServerEntry, server::Server};
 use crate::clock;
 
 /// Time after the store's return was noticed in which entries that lapsed meanwhile may come back.
@@ -39,6 +39,19 @@
         self.by_service.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Servers of a service that may get a request which was at the `tried` ones before.
+    pub fn usable(&self, service: &str, tried: &[Arc<str>]) -> Vec<&Arc<Server>> {
+        let servers = self.of_service(service).iter();
+        let usable = servers.filter(|s| !s.leaving() && !tried.contains(&s.entry.id));
+        usable.collect()
+    }
+
+    /// Average run time of a service's servers.
+    pub fn typical_run_ms(&self, service: &str) -> f64 {
+        let servers = self.of_service(service).iter();
+        admission::typical_run_ms(servers.map(|server| server.run_ms()))
+    }
+
     /// All servers.
     pub fn servers(&self) -> impl Iterator<Item = &Arc<Server>> {
         self.by_id.values()
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -7,36 +7,13 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{model::ServerEntry, pool::Pool};
+use super::{
+    decide::{Candidate, behaviour::Behaviour},
+    model::ServerEntry,
+    pool::Pool,
+};
 use crate::{clock, platform::Link};
 
-/// Share of a new sample in the average of run times.
-const RUN_SAMPLE_WEIGHT: f64 = 0.2;
-/// Share of a new outcome in the share of failures.
-const FAILURE_SAMPLE_WEIGHT: f64 = 0.15;
-/// Time in which half of what is known of a server is forgotten, so that one that was avoided is
-/// tried again.
-const FORGET_HALF_MS: f64 = 3_000.0;
-/// First pause after a failed connect; it doubles with each further one.
-const PAUSE_FIRST_MS: u64 = 200;
-/// Longest pause after failed connects.
-const PAUSE_MAX_MS: u64 = 2_000;
-
-/// What one host has learnt of a server.
-#[derive(Clone, Copy, Debug, Default)]
-struct Record {
-    /// Average time of requests that found a free slot; 0 if unknown.
-    run_ms: f64,
-    /// Share of attempts that failed or were shed.
-    failures: f64,
-    /// When the two were last brought up to date.
-    at_ms: u64,
-    /// Failed connects in a row.
-    connect_failures: u32,
-    /// No attempt before this time.
-    paused_until_ms: u64,
-}
-
 /// A backend server.
 #[derive(Debug)]
 pub struct Server {
@@ -53,7 +30,7 @@
     own: AtomicU32,
     others: AtomicU32,
     shared_run_us: AtomicU64,
-    record: Mutex<Record>,
+    behaviour: Mutex<Behaviour>,
 }
 
 /// Short name of a server or service in messages between hosts.
@@ -73,7 +50,7 @@
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
             shared_run_us: AtomicU64::new(0),
-            record: Mutex::default(),
+            behaviour: Mutex::default(),
             entry,
         }
     }
@@ -88,11 +65,6 @@
         self.leaving.store(leaving, Ordering::Relaxed);
     }
 
-    /// True while it is slow after its start.
-    pub fn cold(&self) -> bool {
-        clock::now_ms() < self.cold_until_ms
-    }
-
     /// Requests of this host that are at the server.
     pub fn own_load(&self) -> u32 {
         self.own.load(Ordering::Relaxed)
@@ -129,75 +101,48 @@
 
     /// Average run time by this host's evidence; 0 if unknown.
     pub fn own_run_ms(&self) -> f64 {
-        let record = self.record();
-        // After long silence the evidence is worth nothing.
-        let age_ms = clock::now_ms().saturating_sub(record.at_ms) as f64;
-        if age_ms > 2.0 * FORGET_HALF_MS {
-            return 0.0;
+        self.behaviour().run_ms(clock::now_ms())
+    }
+
+    /// The server as decisions of a host in `availability_zone` see it now.
+    pub fn candidate(&self, availability_zone: &str) -> Candidate {
+        let now_ms = clock::now_ms();
+        let behaviour = *self.behaviour();
+        Candidate {
+            slots: self.entry.slots,
+            load: self.load(),
+            run_ms: self.run_ms(),
+            failures: behaviour.failures(now_ms),
+            is_cold: now_ms < self.cold_until_ms,
+            is_paused: behaviour.is_paused(now_ms),
+            is_near: *self.entry.availability_zone == *availability_zone,
+            has_idle_connection: self.pool.has_idle(),
         }
-        record.run_ms
-    }
-
-    /// Share of attempts that failed of late.
-    pub fn failures(&self) -> f64 {
-        let record = self.record();
-        record.failures * remembered(record.at_ms)
-    }
-
-    /// True while no attempt should be made because connections fail.
-    pub fn paused(&self) -> bool {
-        clock::now_ms() < self.record().paused_until_ms
     }
 
     /// Notes an answer; `found_free_slot` if it did not have to queue.
     pub fn answered(&self, run_ms: f64, found_free_slot: bool) {
-        let mut record = self.record();
-        record.update_failures(0.0);
-        record.connect_failures = 0;
-        record.paused_until_ms = 0;
-        if !found_free_slot {
-            return;
-        }
-        record.run_ms = if record.run_ms == 0.0 {
-            run_ms
-        } else {
-            record.run_ms + RUN_SAMPLE_WEIGHT * (run_ms - record.run_ms)
-        };
+        let now_ms = clock::now_ms();
+        self.behaviour().answered(run_ms, found_free_slot, now_ms);
     }
 
     /// Notes an attempt that was shed, broke off or timed out.
     pub fn failed(&self) {
-        self.record().update_failures(1.0);
+        self.behaviour().failed(clock::now_ms());
     }
 
     /// Notes a connection that did not come up.
     pub fn not_connected(&self) {
-        let mut record = self.record();
-        record.update_failures(1.0);
-        let pause_ms = PAUSE_FIRST_MS << record.connect_failures.min(8);
-        record.connect_failures += 1;
-        record.paused_until_ms = clock::now_ms() + pause_ms.min(PAUSE_MAX_MS);
+        self.behaviour().not_connected(clock::now_ms());
     }
 
-    fn record(&self) -> MutexGuard<'_, Record> {
-        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    fn behaviour(&self) -> MutexGuard<'_, Behaviour> {
+        self.behaviour
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-impl Record {
-    fn update_failures(&mut self, outcome: f64) {
-        let before = self.failures * remembered(self.at_ms);
-        self.failures = before + FAILURE_SAMPLE_WEIGHT * (outcome - before);
-        self.at_ms = clock::now_ms();
-    }
-}
-
-/// Share of evidence of that time which still counts.
-fn remembered(at_ms: u64) -> f64 {
-    let age_ms = clock::now_ms().saturating_sub(at_ms) as f64;
-    0.5_f64.powf(age_ms / FORGET_HALF_MS)
-}
-
 /// A request at a server; counted until dropped.
 #[derive(Debug)]
 pub struct InFlight(std::sync::Arc<Server>);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Deserializer, de::Error as _};
 use snafu::{ResultExt, ensure};
 
+use super::decide::Policy;
 use crate::{
     configuration::template::read_document,
     platform::parse_ms,
@@ -29,6 +30,9 @@
     /// Leases and the duty of giving them.
     #[serde(default)]
     pub leases: Leases,
+    /// Thresholds of the decisions under load.
+    #[serde(default)]
+    pub policy: Policy,
     /// Logs.
     #[serde(default = "default_level")]
     pub log_level: LevelFilter,
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
+    decide::hold::{MoveRest, MoveWait},
     events::Event,
     followed::Followed,
     keys::{Assignment, Holding, KeyRange},
@@ -46,7 +47,7 @@
     /// They are there once a grant under a higher fence is announced.
     pub above_fence: u64,
     /// Time after which the word no longer counts, whatever was heard.
-    pub for_ms: u64,
+    pub rest: MoveRest,
 }
 
 /// Keys that are on their way to another server.
@@ -56,6 +57,7 @@
     range: KeyRange,
     /// Requests wait for the record of a holding with a higher fence.
     above_fence: u64,
+    wait: MoveWait,
     until_ms: u64,
 }
 
@@ -80,9 +82,8 @@
 pub enum Owner {
     /// To this server, under this fence.
     Server(Arc<str>, u64),
-    /// The keys are on their way, for this time at most: ask again when the view changes or a moment
-    /// has passed.
-    Moving(u64),
+    /// The keys are on their way: ask again when the view changes or a moment has passed.
+    Moving(MoveRest),
     /// No server holds the key.
     Nobody,
 }
@@ -297,7 +298,7 @@
         let Announcement {
             range,
             above_fence,
-            for_ms,
+            rest,
         } = announcement;
         let now_ms = clock::now_ms();
         // Datagrams may come in another order than they were sent.
@@ -314,7 +315,8 @@
             service: service.clone(),
             range,
             above_fence,
-            until_ms: now_ms + for_ms.min(MOVE_HOLD_MAX_MS),
+            wait: rest.wait,
+            until_ms: now_ms + rest.rest_ms.min(MOVE_HOLD_MAX_MS),
         });
     }
 
@@ -347,8 +349,11 @@
             let concerns = m.service == *service && m.range.contains(key);
             concerns && now_ms < m.until_ms && granted_fence <= m.above_fence
         });
-        if let Some(until_ms) = waits.map(|m| m.until_ms).max() {
-            return Owner::Moving(until_ms - now_ms);
+        if let Some(longest) = waits.max_by_key(|m| m.until_ms) {
+            return Owner::Moving(MoveRest {
+                wait: longest.wait,
+                rest_ms: longest.until_ms - now_ms,
+            });
         }
         drop(moving);
         let refused = self.not_held().iter().any(|n| {
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -5,15 +5,20 @@
 use ashroad::{
     clock,
     entry::{
-        choice::{self, HostCount, Refusal},
-        hot_keys::{self, HotKey, HotKeys},
-        key_loads::{KeyCounts, KeyLoads},
+        decide::{
+            Candidate, Policy, TimeLeft, admission,
+            behaviour::Behaviour,
+            budget::RetryBudget,
+            choice::{self, HostCount},
+            hold::{MoveRest, MoveWait},
+            hot_keys::{self, HotKey, HotKeys},
+            key_loads::{KeyCounts, KeyLoads},
+            plan::{self, FirstWait, Move, PlanServer, Question},
+        },
         keys::{Assignment, Holding, KeyRange},
         model::{CallerLimits, Configuration, Part, Route, ServerEntry},
         peers::{Rhythm, message::Message, outbox::Outbox},
-        plan::{self, FirstWait, Move, PlanServer, Question},
         registry::Registry,
-        retries::RetryBudget,
         seal::{Seal, SecretRow},
         server::Server,
         settings::{Bounds, Settings},
@@ -167,6 +172,7 @@
             loads: &key_loads,
             moving: &[],
             balance_moves_max: 4,
+            policy: &Policy::default(),
         });
         for (number, planned) in moves.iter().enumerate() {
             let alone = moves[number + 1..].iter().all(|m| !m.range.overlaps(&planned.range));
@@ -226,6 +232,7 @@
             loads: &loads,
             moving: &[],
             balance_moves_max: 8,
+            policy: &Policy::default(),
         });
         if moves.is_empty() {
             break;
@@ -269,6 +276,7 @@
             loads: &loads,
             moving: &[],
             balance_moves_max: 8,
+            policy: &Policy::default(),
         });
         apply(&mut assignment, &moves);
     }
@@ -342,6 +350,7 @@
             loads: &counts.loads(&assignment.holdings, 10.0),
             moving: &[],
             balance_moves_max: 30,
+            policy: &Policy::default(),
         });
         let number = moves.len();
         assert!(number <= case.moves_max, "{}: {number} moves", case.name);
@@ -455,11 +464,11 @@
         for (key, load) in case.loads {
             loads.add(*key, *load);
         }
-        let found = hot_keys::find(9, &assignment, &servers, &loads);
+        let found = hot_keys::find(9, &assignment, &servers, &loads, &Policy::default());
         let keys: Vec<u16> = found.iter().map(|hot| hot.key).collect();
         assert_eq!(keys, case.hot);
         for hot in found {
-            let served = hot.admitted() * f64::from(hot.load_per_s);
+            let served = hot.admitted(&Policy::default()) * f64::from(hot.load_per_s);
             assert!((66.0..=80.0).contains(&served), "{served} of {hot:?}");
         }
     }
@@ -475,13 +484,14 @@
         capacity_per_s: 66.0,
     };
     known.note_found(9, vec![hot]);
-    assert_eq!(known.get(9, 5), None, "not told yet");
-    assert_eq!(known.tell(), [hot]);
-    assert_eq!(known.get(9, 5), Some(hot));
-    assert_eq!(known.get(8, 5), None);
-    assert_eq!(known.get(9, 6), None);
-    known.note_told(Vec::new());
-    assert_eq!(known.get(9, 5), None);
+    assert_eq!(known.get(9, 5, 100), None, "not told yet");
+    assert_eq!(known.tell(100), [hot]);
+    assert_eq!(known.get(9, 5, 1_000), Some(hot));
+    assert_eq!(known.get(9, 5, 1_200), None, "the word is too old");
+    assert_eq!(known.get(8, 5, 1_000), None);
+    assert_eq!(known.get(9, 6, 1_000), None);
+    known.note_told(Vec::new(), 1_000);
+    assert_eq!(known.get(9, 5, 1_000), None);
 }
 
 fn secret(made_unix_ms: u64) -> Vec<u8> {
@@ -666,7 +676,10 @@
         let announcement = Announcement {
             range: range(number, number),
             above_fence: 1,
-            for_ms: 2_500,
+            rest: MoveRest {
+                wait: MoveWait::Work,
+                rest_ms: 2_500,
+            },
         };
         outbox.announce_move(9, announcement);
         outbox.announce_holding(9, &holding(number, number, "a", 2));
@@ -709,48 +722,106 @@
     }
 }
 
+/// A warm server with four free slots and a run time of 50 ms.
+const GOOD: Candidate = Candidate {
+    slots: 4,
+    load: 0,
+    run_ms: 50.0,
+    failures: 0.0,
+    is_cold: false,
+    is_paused: false,
+    is_near: true,
+    has_idle_connection: false,
+};
+
+/// Picks one of some servers for a request with a second left.
+fn pick(servers: &[Candidate]) -> Option<usize> {
+    let question = choice::Question {
+        servers,
+        typical_ms: admission::typical_run_ms(servers.iter().map(|server| server.run_ms)),
+        left: TimeLeft {
+            objective_ms: 1_000,
+            deadline_ms: 1_000,
+        },
+        hosts: FEW_HOSTS,
+    };
+    choice::pick(question, &Policy::default(), &mut rand::rng())
+}
+
+/// A server's failures and pause by its latest attempts.
+fn after(attempts: fn(&mut Behaviour)) -> Candidate {
+    let mut behaviour = Behaviour::default();
+    attempts(&mut behaviour);
+    Candidate {
+        failures: behaviour.failures(10),
+        is_paused: behaviour.is_paused(10),
+        ..GOOD
+    }
+}
+
 #[test]
-fn the_choice_avoids_leaving_full_slow_and_failing_servers() {
+fn the_choice_avoids_full_slow_and_failing_servers() {
     struct Case {
         name: &'static str,
-        spoil: fn(&Arc<Server>),
+        bad: Candidate,
     }
     let cases = [
-        Case {
-            name: "leaving",
-            spoil: |server| server.set_leaving(true),
-        },
         Case {
             name: "full",
-            spoil: |server| server.set_others(16, 50.0),
+            bad: Candidate { load: 16, ..GOOD },
         },
         Case {
             name: "slow",
-            spoil: |server| server.set_others(0, 500.0),
+            bad: Candidate {
+                run_ms: 500.0,
+                ..GOOD
+            },
         },
         Case {
             name: "failing",
-            spoil: |server| (0..10).for_each(|_| server.failed()),
+            bad: after(|server| (0..10).for_each(|_| server.failed(10))),
         },
         Case {
             name: "not connected",
-            spoil: |server| server.not_connected(),
+            bad: after(|server| server.not_connected(10)),
         },
     ];
     for case in cases {
-        let good = server("good", "z", false);
-        good.set_others(0, 50.0);
-        let bad = server("bad", "z", false);
-        bad.set_others(0, 50.0);
-        (case.spoil)(&bad);
-        let servers = [bad, good];
         for _ in 0..50 {
-            let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS).expect("a server");
-            assert_eq!(&*picked.entry.id, "good", "{}", case.name);
+            assert_eq!(pick(&[case.bad, GOOD]), Some(1), "{}", case.name);
         }
     }
 }
 
+#[test]
+fn servers_that_leave_or_were_tried_are_not_usable() {
+    let mut registry = Registry::default();
+    for id in ["a", "b", "c"] {
+        registry.put(server(id, "z", id == "b").entry.clone());
+    }
+    let usable = |tried: &[Arc<str>]| {
+        let servers = registry.usable("s", tried).into_iter();
+        servers.map(|s| s.entry.id.to_string()).collect::<Vec<_>>()
+    };
+    assert_eq!(usable(&[]), ["a", "c"]);
+    assert_eq!(usable(&["a".into()]), ["c"]);
+    assert_eq!(usable(&["a".into(), "c".into()]), Vec::<String>::new());
+    assert!(registry.usable("another", &[]).is_empty());
+}
+
+#[test]
+fn what_a_server_did_long_ago_is_forgotten() {
+    let mut behaviour = Behaviour::default();
+    behaviour.answered(50.0, true, 1_000);
+    behaviour.failed(1_000);
+    behaviour.not_connected(1_000);
+    assert_eq!(behaviour.run_ms(2_000), 50.0);
+    assert!(behaviour.is_paused(1_100) && !behaviour.is_paused(1_300));
+    assert!(behaviour.failures(1_000) > 0.2);
+    assert!(behaviour.failures(10_000) < 0.05);
+    assert_eq!(behaviour.run_ms(10_000), 0.0);
+}
+
 #[test]
 fn capacities_stay_within_what_servers_differ_by() {
     struct Case {
@@ -776,44 +847,28 @@
         },
     ];
     for case in cases {
-        let server = server("s", "z", false);
-        server.set_others(0, case.run_ms);
-        let capacity = choice::capacity_per_s(&server, 100.0);
+        let server = Candidate {
+            run_ms: case.run_ms,
+            ..GOOD
+        };
+        let capacity = admission::capacity_per_s(&server, 100.0, &Policy::default());
         assert!((capacity - case.capacity_per_s).abs() < 0.1, "{capacity}");
     }
 }
 
 #[test]
-fn the_choice_tells_overload_from_no_server() {
-    let full = server("full", "z", false);
-    full.set_others(16, 50.0);
-    let gone = server("gone", "z", true);
-    let cases = [
-        (vec![], Refusal::NoServer),
-        (vec![gone.clone()], Refusal::NoServer),
-        (vec![gone, full], Refusal::Overloaded),
-    ];
-    for (servers, refusal) in cases {
-        let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS);
-        assert_eq!(picked.map(|s| s.entry.id.clone()), Err(refusal));
-    }
-    let near = server("near", "z", false);
-    near.set_others(0, 50.0);
-    let far = server("far", "y", false);
-    far.set_others(0, 50.0);
-    let servers = [near, far];
-    let picks = (0..100).filter(|_| {
-        let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS).expect("a server");
-        &*picked.entry.id == "near"
-    });
+fn the_choice_prefers_near_and_untried_servers_and_none_that_is_full() {
+    let full = Candidate { load: 16, ..GOOD };
+    assert_eq!(pick(&[]), None);
+    assert_eq!(pick(&[full, full]), None);
+    let far = Candidate {
+        is_near: false,
+        ..GOOD
+    };
+    let picks = (0..100).filter(|_| pick(&[GOOD, far]) == Some(0));
     assert_eq!(picks.count(), 100, "the near one of two equal servers");
-    let unknown = server("unknown", "y", false);
-    let servers = [servers[0].clone(), unknown];
-    let picked = choice::pick(&servers, "z", &[], 1_000, FEW_HOSTS).expect("a server");
-    assert_eq!(
-        &*picked.entry.id, "unknown",
-        "a server that joined is tried"
-    );
+    let unknown = Candidate { run_ms: 0.0, ..far };
+    assert_eq!(pick(&[GOOD, unknown]), Some(1), "a server that joined");
 }
 
 #[test]
@@ -870,9 +925,9 @@
             for _ in 0..hosts {
                 let budget = RetryBudget::new(&bounds);
                 for _ in 0..requests {
-                    budget.request(&service, hosts);
+                    budget.request(&service, hosts, 0);
                     // Each request asks for more repeats than any route allows.
-                    repeats += (0..3).filter(|_| budget.repeat(&service, hosts)).count();
+                    repeats += (0..3).filter(|_| budget.repeat(&service, hosts, 0)).count();
                 }
             }
             let all = f64::from(requests) * hosts as f64;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -173,6 +173,7 @@
                     refusing: self.rng.random_bool(0.2),
                     lose_answer_every: self.rng.random_range(0..4),
                     slow_ms: self.rng.random_range(0..120),
+                    slow_reads_ms: self.rng.random_range(0..120),
                 };
                 self.site.store.set_faults(faults);
                 self.count("store");
