The holder of the duty passes changes of servers on; hosts ask the store less

Change: the holder sends changes of servers' entries with the versions that they cover, and tells how far it has read; a host that has missed one sees that by the holder's news and asks the store as before. Who meets a server without the key asks the holder. Hosts wait for the holder's word for 1.3 s at their start, watch the duty's row by rank from their start on, and pause longer after failures while they hear that nothing has changed. The feeds of the holder, and of hosts that hear none, wait for 3 s, so that a silent connection is found; before, the configuration's feed of a holder could be deaf for 25 s.

--- a/src/entry/duty/takeover.rs
+++ b/src/entry/duty/takeover.rs
@@ -43,7 +43,7 @@
         if self.view.had_former_process() {
             self.resume_duty().await;
         }
-        time::sleep(Duration::from_millis(START_PATIENCE_MS)).await;
+        let started_ms = clock::now_ms();
         loop {
             if self.duty.term() > 0 {
                 time::sleep(Duration::from_millis(leases.confirm_every_ms)).await;
@@ -53,10 +53,7 @@
                 continue;
             }
             time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
-            let heard_ms = self.peers.holder_heard_ms();
-            let silent_ms = clock::now_ms().saturating_sub(heard_ms);
-            let silent = silent_ms > leases.takeover_ms / 2 + self.watch_delay_ms();
-            if silent && !self.stopping() && self.view.servers_known() {
+            if self.holder_is_silent(started_ms) && !self.stopping() && self.view.servers_known() {
                 // Calls are priced; the servers' feed notices the store's return.
                 self.view.store_returned().await;
                 self.await_takeover().await;
@@ -80,6 +77,18 @@
         }
     }
 
+    /// True if the holder has been silent for so long, or since the start of this host, that its row
+    /// should be watched.
+    fn holder_is_silent(&self, started_ms: u64) -> bool {
+        let heard_ms = self.peers.holder_heard_ms();
+        let silent_after_ms = if heard_ms == 0 {
+            started_ms + START_PATIENCE_MS
+        } else {
+            heard_ms + self.settings.leases.takeover_ms / 2
+        };
+        clock::now_ms() > silent_after_ms + self.watch_delay_ms()
+    }
+
     /// Time for which other hosts watch the row of a silent holder before this one does.
     fn watch_delay_ms(&self) -> u64 {
         let rank = self.peers.takeover_rank(self.settings.listen.peers);
--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -10,6 +10,17 @@
 /// Longest wait of feeds that are called anew when anything shows that they are deaf. Calls are
 /// priced, so they wait for long; the store allows 30 s.
 const FEED_WAIT_MS: u64 = 25_000;
+/// Longest rest of a feed while the holder of the duty passes all changes on. A host that has
+/// missed one notices by the holder's news, or when it meets a host or a secret that it does not
+/// know.
+const TOLD_REST_MS: u64 = 120_000;
+/// The same for the product's own rows: announced grants count for 40 s.
+const OWN_TOLD_REST_MS: u64 = 30_000;
+/// Least rest of the feed of the product's own rows.
+const OWN_REST_MS: u64 = 300;
+/// Time without a call after which a table is read as a whole: the store keeps the history of
+/// 20 s, and a feed that comes too late costs a call more.
+pub const HISTORY_MS: u64 = 15_000;
 /// Number of hosts up to which feeds rest for their shortest time.
 const FEW_HOSTS: u64 = 11;
 
@@ -45,11 +56,14 @@
         }
     }
 
-    /// Time for which a feed may wait at the store.
-    pub fn wait_ms(self, vouched: bool) -> u64 {
+    /// Time for which a feed may wait at the store. The holder of the duty has nobody who tells it
+    /// that its connections have fallen silent, and nor has a host that does not hear one.
+    pub fn wait_ms(self, vouched: bool, is_holder: bool) -> u64 {
+        let told_of_silence = vouched && !is_holder;
         match self {
-            Self::Servers if !vouched => CANARY_WAIT_MS,
-            _ => FEED_WAIT_MS,
+            Self::Own => FEED_WAIT_MS,
+            _ if told_of_silence => FEED_WAIT_MS,
+            _ => CANARY_WAIT_MS,
         }
     }
 
@@ -63,21 +77,21 @@
         match self {
             // It has two seconds to take effect.
             Self::Configuration => Rest::fixed(scaled(150, 500)),
-            // The others learn from the holder that a server leaves.
+            // The others learn from the holder what changes.
             Self::Servers if is_holder => Rest::fixed(SERVERS_REST_MS),
             Self::Servers if vouched => Rest {
                 least_ms: scaled(SERVERS_REST_MS, 1_000),
-                most_ms: scaled(1_000, 6_000),
+                most_ms: TOLD_REST_MS,
             },
             Self::Servers => Rest::fixed(scaled(SERVERS_REST_MS, 1_500)),
             // Holdings also come by datagram, once the holder knows this host.
+            Self::Own if vouched => Rest {
+                least_ms: OWN_REST_MS,
+                most_ms: OWN_TOLD_REST_MS,
+            },
             Self::Own => Rest {
-                least_ms: 300,
-                most_ms: if vouched {
-                    scaled(3_000, 15_000)
-                } else {
-                    scaled(1_000, 2_000)
-                },
+                least_ms: OWN_REST_MS,
+                most_ms: scaled(1_000, 2_000),
             },
         }
     }
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -26,6 +26,7 @@
         events::Event,
         followed::Followed,
         model::{Configuration, Route},
+        peers::message::Message,
         pool::Connection,
         server::{Server, tag_of},
         view::Owner,
@@ -374,13 +375,26 @@
     /// After a server said that it does not hold the key: waits for a change, but not for long.
     async fn await_move(&self, entry: &Entry) {
         let mut changes = entry.view.changes();
-        entry.view.want_reading(Followed::Own);
+        self.ask_who_holds(entry);
         let wait = Duration::from_millis(HOLD_PAUSE_MS.min(self.left_ms()));
         if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
             log::debug!("the view has ended: {closed}");
         }
     }
 
+    /// Asks the holder of the duty who holds the key; the store only if no holder is heard.
+    fn ask_who_holds(&self, entry: &Entry) {
+        let Some(key) = self.key else { return };
+        let question = Message::WhoHolds {
+            service_tag: tag_of(&self.service),
+            key,
+        };
+        let asked = entry.freshness.is_vouched() && entry.peers.send_to_holder(&question);
+        if !asked {
+            entry.view.want_reading(Followed::Own);
+        }
+    }
+
     async fn attempt(&self, server: &Arc<Server>, payload: &mut Payload) -> Attempt {
         let mut connection = match server.pool.take() {
             Some(connection) => connection,
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -23,7 +23,7 @@
 /// confirms its duty every 0.6 s, and an answer takes up to half a second on slow days.
 const VOUCHED_MS: u64 = 2_000;
 /// Time for which a feed may be behind the holder's: an answer may be on its way.
-const LAG_GRACE_MS: u64 = 400;
+pub const LAG_GRACE_MS: u64 = 400;
 /// Interval at which a waiting feed is compared with what the holder has seen.
 const LOOK_EVERY_MS: u64 = 100;
 
@@ -36,11 +36,15 @@
     pub changed: [u64; TABLES],
     /// Version of the latest change by which a server was to get no new work.
     pub left: u64,
+    /// Version up to which the holder has the servers' entries, changed or not.
+    pub servers_up_to: u64,
 }
 
 /// What this host has heard of the store, and what the holder told.
 #[derive(Debug, Default)]
 pub struct Freshness {
+    /// Version up to which this host has each table.
+    applied: [AtomicU64; TABLES],
     changed: [AtomicU64; TABLES],
     left: AtomicU64,
     told: Mutex<Option<Told>>,
@@ -63,6 +67,16 @@
 }
 
 impl Freshness {
+    /// Notes that this host has all changes of a table up to a version.
+    pub fn note_applied(&self, followed: Followed, version: u64) {
+        self.applied[followed.index()].fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Version up to which this host has a table; 0 if it was never read.
+    pub fn applied(&self, followed: Followed) -> u64 {
+        self.applied[followed.index()].load(Ordering::Relaxed)
+    }
+
     /// Notes the version of a change that was seen.
     pub fn note_change(&self, followed: Followed, version: u64) {
         self.changed[followed.index()].fetch_max(version, Ordering::Relaxed);
@@ -81,6 +95,7 @@
             age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
             changed: std::array::from_fn(|table| self.changed[table].load(Ordering::Relaxed)),
             left: self.left.load(Ordering::Relaxed),
+            servers_up_to: self.applied(Followed::Servers),
         }
     }
 
@@ -88,6 +103,11 @@
     pub fn note_told(&self, news: StoreNews) -> u64 {
         let answered_ms = clock::now_ms().saturating_sub(u64::from(news.age_ms));
         *self.told() = Some(Told { answered_ms, news });
+        let servers = Followed::Servers;
+        if self.applied(servers) > 0 && self.applied(servers) >= news.changed[servers.index()] {
+            // Nothing has changed since, so that the store's history is not needed that far back.
+            self.note_applied(servers, news.servers_up_to);
+        }
         answered_ms
     }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 pub mod peers;
 mod pool;
 pub mod registry;
+pub mod relay;
 mod run;
 pub mod seal;
 mod secret;
@@ -45,6 +46,7 @@
     freshness::Freshness,
     metrics::Metrics,
     peers::Peers,
+    relay::Relay,
     view::View,
 };
 use crate::platform::store::Store;
@@ -62,6 +64,8 @@
     pub view: View,
     /// What is heard of the store.
     pub freshness: Freshness,
+    /// Whether changes that the holder of the duty passes on can be taken.
+    pub relay: Relay,
     /// Keys that get too many requests.
     pub hot_keys: HotKeys,
     /// Other hosts.
@@ -94,6 +98,7 @@
             store: Store::new(settings.store.address),
             view: View::default(),
             freshness: Freshness::default(),
+            relay: Relay::default(),
             hot_keys: HotKeys::default(),
             peers: Peers::default(),
             duty: Duty::default(),
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
+use serde::{Deserialize, Serialize};
+
 /// Limits that operators set for callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -114,7 +116,7 @@
 }
 
 /// What a backend server says of itself.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// Incarnation: each start has another one.
     pub id: Arc<str>,
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{
-    decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding, view::Announcement,
+    decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding, relay::ServerChanges,
+    view::Announcement,
 };
 
 /// Most servers and keys in one datagram; it stays under the usual packet size.
@@ -11,7 +12,7 @@
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 8;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +72,15 @@
         /// Keys.
         announcements: Vec<Announcement>,
     },
+    /// Changes of servers' entries that the sender, which has the duty, was told by the store.
+    Servers(ServerChanges),
+    /// Asks the holder of the duty who holds a key.
+    WhoHolds {
+        /// Service.
+        service_tag: u32,
+        /// Key.
+        key: u16,
+    },
     /// The sender had the duty in this term and gives no more leases.
     Stopped {
         /// Number of the term.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -79,6 +79,11 @@
         processes.collect()
     }
 
+    /// True if a host at this address is known.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.peers().contains_key(&address)
+    }
+
     /// Forgets a host.
     pub fn remove(&self, address: SocketAddr) {
         self.peers().remove(&address);
@@ -167,6 +172,20 @@
         self.holder.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Sends a message to all other hosts.
+    pub(in crate::entry) fn send_to_all(&self, message: &Message) {
+        self.send(message, &self.addresses());
+    }
+
+    /// Sends a message to the holder of the duty; false if none is known.
+    pub(in crate::entry) fn send_to_holder(&self, message: &Message) -> bool {
+        let Some(holder) = *self.holder() else {
+            return false;
+        };
+        self.send(message, &[holder]);
+        true
+    }
+
     fn send(&self, message: &Message, to: &[SocketAddr]) {
         let Some(socket) = self.socket.get() else {
             return;
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -8,8 +8,13 @@
 use crate::{
     clock,
     entry::{
-        Entry, decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding, server::tag_of,
-        view::Announcement,
+        Entry,
+        decide::hot_keys::HotKey,
+        followed::Followed,
+        freshness::StoreNews,
+        keys::Holding,
+        server::tag_of,
+        view::{Announcement, Owner},
     },
 };
 
@@ -39,9 +44,16 @@
 
     fn take_in(&self, datagram: &[u8], from: SocketAddr) {
         let Some(message) = self.peers.seal.open(datagram) else {
+            // Another secret may be in use, if it was a host.
             log::debug!("datagram of {from} has no known seal");
+            if self.peers.knows(from) {
+                self.view.want_reading(Followed::Own);
+            }
             return;
         };
+        if !self.peers.knows(from) {
+            self.view.want_reading(Followed::Own);
+        }
         let Some((&VERSION, body)) = message.split_first() else {
             return;
         };
@@ -50,6 +62,8 @@
             Ok(Message::Report { servers, run_times }) => {
                 self.peers.note_report(from, servers, run_times);
             }
+            Ok(Message::Servers(changes)) => self.take_servers(changes),
+            Ok(Message::WhoHolds { service_tag, key }) => self.tell_holder(from, service_tag, key),
             Ok(Message::Stopped { term }) => self.duty.note_stopped(from, term),
             Ok(Message::Keys(keys)) => {
                 if self.duty.term() > 0 {
@@ -96,6 +110,31 @@
         }
     }
 
+    /// Tells a host that met a server without a key who holds it, while this host has the duty.
+    fn tell_holder(&self, to: SocketAddr, service_tag: u32, key: u16) {
+        if self.duty.term() == 0 {
+            return;
+        }
+        let Some(service) = self.service_of(service_tag) else {
+            return;
+        };
+        let Owner::Server(_, fence) = self.view.owner(&service, key) else {
+            return;
+        };
+        let Some(held) = self.view.held(&service) else {
+            return;
+        };
+        let holding = held.assignment.holding(key).filter(|h| h.fence == fence);
+        let Some(holding) = holding.cloned() else {
+            return;
+        };
+        let message = Message::Held {
+            service_tag,
+            holdings: vec![holding],
+        };
+        self.peers.send(&message, &[to]);
+    }
+
     fn service_of(&self, tag: u32) -> Option<Arc<str>> {
         let configuration = self.view.configuration()?;
         let mut services = configuration.services();
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,157 @@
+//! Changes of servers' entries that the holder of the duty passes on to the other hosts, so that not
+//! every host asks the store for them: calls are priced. The holder also tells how far it has read
+//! each table, so a host that has missed a change notices and asks the store.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Entry, followed::Followed, model::ServerEntry, peers::message::Message, watch::decode_servers,
+};
+use crate::platform::store::Rows;
+
+/// Most changes in one datagram, of about 50 bytes each.
+const CHANGES_MAX: usize = 24;
+/// Most changes that are passed on at a time. The start of a whole deployment would fill the link
+/// of a small host; the others read that by themselves.
+const PASSED_MAX: usize = 144;
+
+/// What happened to a server's entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ServerNews {
+    /// It was written.
+    Entry(ServerEntry),
+    /// That of the server with this id was removed.
+    Removed(Arc<str>),
+}
+
+/// A change of a server's entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerChange {
+    /// Version of the row.
+    pub version: u64,
+    /// What changed.
+    pub what: ServerNews,
+}
+
+impl ServerChange {
+    /// True if the server gets no new work after it.
+    pub fn is_end(&self) -> bool {
+        match &self.what {
+            ServerNews::Entry(entry) => entry.leaving,
+            ServerNews::Removed(_) => true,
+        }
+    }
+}
+
+/// All changes of servers' entries after one version and up to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerChanges {
+    /// Version after which they begin.
+    pub after: u64,
+    /// Version up to which they go.
+    pub up_to: u64,
+    /// The changes in order.
+    pub changes: Vec<ServerChange>,
+}
+
+impl ServerChanges {
+    /// Parts that fit a datagram each; together they say the same.
+    pub fn split(self) -> Vec<Self> {
+        let mut parts = Vec::new();
+        let mut after = self.after;
+        let chunks = self.changes.chunks(CHANGES_MAX);
+        let number = chunks.len();
+        for (index, changes) in chunks.enumerate() {
+            let is_last = index + 1 == number;
+            let last = changes.last().map_or(self.up_to, |change| change.version);
+            let up_to = if is_last { self.up_to } else { last };
+            parts.push(Self {
+                after,
+                up_to,
+                changes: changes.to_vec(),
+            });
+            after = up_to;
+        }
+        parts
+    }
+
+    /// What is new for a host that has the table up to `applied`; `None` if it has missed changes
+    /// before these.
+    pub fn new_after(self, applied: u64) -> Option<Vec<ServerChange>> {
+        if applied < self.after {
+            return None;
+        }
+        let mut changes = self.changes;
+        changes.retain(|change| change.version > applied);
+        Some(changes)
+    }
+}
+
+/// Whether this host can take what is passed on.
+#[derive(Debug, Default)]
+pub struct Relay {
+    /// False while the table is being read as a whole, whose result would undo later changes.
+    servers_read: AtomicBool,
+}
+
+impl Relay {
+    /// Notes that a whole table is about to be read.
+    pub fn begin_reading(&self, followed: Followed) {
+        if followed == Followed::Servers {
+            self.servers_read.store(false, Ordering::Relaxed);
+        }
+    }
+
+    /// Notes that a whole table was read.
+    pub fn end_reading(&self, followed: Followed) {
+        if followed == Followed::Servers {
+            self.servers_read.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn can_take(&self) -> bool {
+        self.servers_read.load(Ordering::Relaxed)
+    }
+}
+
+impl Entry {
+    /// Passes changes of servers' entries on that the store told this host, which has the duty.
+    pub(super) fn pass_servers_on(&self, after: u64, rows: &Rows) {
+        if rows.rows.is_empty() || rows.rows.len() > PASSED_MAX {
+            return;
+        }
+        let changes = ServerChanges {
+            after,
+            up_to: rows.version,
+            changes: decode_servers(&rows.rows),
+        };
+        for part in changes.split() {
+            self.peers.send_to_all(&Message::Servers(part));
+        }
+    }
+
+    /// Takes changes of servers' entries that the holder of the duty has passed on.
+    pub(super) fn take_servers(&self, passed: ServerChanges) {
+        if !self.relay.can_take() {
+            return;
+        }
+        let up_to = passed.up_to;
+        let applied = self.freshness.applied(Followed::Servers);
+        let Some(changes) = passed.new_after(applied) else {
+            return;
+        };
+        for change in &changes {
+            self.freshness
+                .note_change(Followed::Servers, change.version);
+        }
+        if !changes.is_empty() {
+            self.change_servers(changes);
+        }
+        self.freshness.note_applied(Followed::Servers, up_to);
+    }
+}
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -13,7 +13,10 @@
 use tokio::sync::{Notify, watch};
 
 use super::{
-    decide::hold::{MoveRest, MoveWait},
+    decide::{
+        hold::{MoveRest, MoveWait},
+        key_loads::KEYS,
+    },
     events::Event,
     followed::Followed,
     keys::{Assignment, Holding, KeyRange},
@@ -187,9 +190,26 @@
         let Some(configuration) = self.configuration() else {
             return false;
         };
-        let held = self.held_map();
         let mut divided = configuration.services().filter(|s| s.divided_by_key);
-        divided.any(|service| !held.contains_key(&service.name))
+        divided
+            .any(|service| self.held(&service.name).is_none() && !self.all_granted(&service.name))
+    }
+
+    /// True if grants of all keys of a service were announced.
+    fn all_granted(&self, service: &str) -> bool {
+        let granted = self.granted();
+        let of_service = granted.iter().filter(|g| *g.service == *service);
+        let mut ranges: Vec<KeyRange> = of_service.map(|g| g.holding.range).collect();
+        drop(granted);
+        ranges.sort_unstable_by_key(|range| range.first);
+        let mut next = 0u32;
+        for range in ranges {
+            if u32::from(range.first) > next {
+                return false;
+            }
+            next = next.max(u32::from(range.last) + 1);
+        }
+        next == KEYS as u32
     }
 
     /// Notes the holdings of a service, unless a newer version is known.
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -13,7 +13,12 @@
 use tokio::time;
 
 use super::{
-    Entry, events::Event, followed::Followed, freshness::Doubt, keys::Assignment,
+    Entry,
+    events::Event,
+    followed::{Followed, HISTORY_MS},
+    freshness::{Doubt, LAG_GRACE_MS},
+    keys::Assignment,
+    relay::{ServerChange, ServerNews},
     secret::SECRET_KEY,
 };
 use crate::{
@@ -39,6 +44,12 @@
 /// Longest pause of a feed whose calls go on failing. Calls are priced, also refused ones; the
 /// store's return must be noticed within a second.
 const RETRY_PAUSE_MAX_MS: u64 = 400;
+/// Longer pause while the holder of the duty tells that nothing has changed in the store, which may
+/// turn away this host only.
+const TOLD_PAUSE_MS: u64 = 1_500;
+/// Time for which a host that has just read a table waits to hear the holder of the duty before it
+/// asks for changes: hosts that start together would all ask for each other's rows.
+const START_REST_MS: u64 = 1_300;
 /// Missed heartbeats after which the platform removes a server's entry.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -106,14 +117,23 @@
 
     async fn follow(&self, followed: Followed) {
         loop {
-            let Some(mut after) = self.read_whole(followed).await else {
+            self.relay.begin_reading(followed);
+            if !self.read_whole(followed).await {
                 pause().await;
                 continue;
-            };
+            }
+            self.relay.end_reading(followed);
+            self.rest_at_start(followed).await;
+            let mut called_ms = clock::now_ms();
             let mut trust = Trust::Full;
             let mut pause_ms = RETRY_PAUSE_MS;
             loop {
                 let began_ms = clock::now_ms();
+                if followed == Followed::Own && began_ms > called_ms + HISTORY_MS {
+                    break;
+                }
+                called_ms = began_ms;
+                let after = self.freshness.applied(followed);
                 let feed = match self.next_changes(followed, after, trust).await {
                     Ok(feed) => feed,
                     Err(Doubt::Behind) => {
@@ -127,9 +147,8 @@
                         self.answered(followed);
                         trust = Trust::Full;
                         pause_ms = RETRY_PAUSE_MS;
-                        after = after.max(changes.version);
-                        self.apply(followed, changes.rows);
-                        self.rest(followed, began_ms, after).await;
+                        self.take_changes(followed, after, changes);
+                        self.rest(followed, began_ms).await;
                     }
                     Ok(Feed::HistoryGone) => {
                         self.answered(followed);
@@ -140,6 +159,7 @@
                         trust = Trust::Lost;
                         pause_for(pause_ms).await;
                         pause_ms = (pause_ms * 2).min(RETRY_PAUSE_MAX_MS);
+                        self.pause_while_told().await;
                     }
                 }
             }
@@ -164,7 +184,7 @@
             return Ok(self.store.feed(table, after, PROBE_WAIT_MS, &begun).await);
         }
         let vouched = self.freshness.is_vouched();
-        let wait_ms = followed.wait_ms(vouched);
+        let wait_ms = followed.wait_ms(vouched, self.duty.term() > 0);
         let relies = vouched && followed == Followed::Servers;
         let is_silent = || !begun.load(Ordering::Relaxed);
         tokio::select! {
@@ -174,8 +194,48 @@
         }
     }
 
-    /// Rests before the next call of a feed that has brought all changes up to a version.
-    async fn rest(&self, followed: Followed, began_ms: u64, after: u64) {
+    /// Waits a little longer after a failed call, as long as this host has what the holder of the duty
+    /// has seen.
+    async fn pause_while_told(&self) {
+        let until_ms = clock::now_ms() + TOLD_PAUSE_MS;
+        let is_behind = |followed| {
+            let applied = self.freshness.applied(followed);
+            self.freshness.is_behind(followed, applied)
+        };
+        while clock::now_ms() < until_ms && self.freshness.is_vouched() {
+            if is_behind(Followed::Configuration) || is_behind(Followed::Servers) {
+                return;
+            }
+            time::sleep(Duration::from_millis(REST_LOOK_MS)).await;
+        }
+    }
+
+    /// Waits for the holder of the duty to be heard, and rests if it is.
+    async fn rest_at_start(&self, followed: Followed) {
+        let began_ms = clock::now_ms();
+        while !self.freshness.is_vouched() && clock::now_ms() < began_ms + START_REST_MS {
+            time::sleep(Duration::from_millis(REST_LOOK_MS)).await;
+        }
+        if self.freshness.is_vouched() && followed != Followed::Configuration {
+            self.rest(followed, began_ms).await;
+        }
+    }
+
+    /// Applies what a feed has brought, and passes it on while this host has the duty.
+    fn take_changes(&self, followed: Followed, after: u64, mut changes: Rows) {
+        let applied = self.freshness.applied(followed);
+        if followed == Followed::Servers && self.duty.term() > 0 {
+            self.pass_servers_on(after, &changes);
+        }
+        // Another host may have passed some of them on meanwhile, and later ones.
+        changes.rows.retain(|row| row.version > applied);
+        self.apply(followed, changes.rows);
+        self.freshness.note_applied(followed, changes.version);
+    }
+
+    /// Rests before the next call of a feed.
+    async fn rest(&self, followed: Followed, began_ms: u64) {
+        let mut behind_ms = 0;
         let is_holder = self.duty.term() > 0;
         let vouched = self.freshness.is_vouched();
         let rest = followed.rest(self.peers.hosts(), is_holder, vouched);
@@ -186,7 +246,21 @@
                 () = sleep_until(look_ms) => {}
                 () = self.view.reading_wanted(followed) => return,
             }
-            if self.must_hurry(followed, after) {
+            let after = self.freshness.applied(followed);
+            let other_rest =
+                (self.duty.term() > 0) != is_holder || vouched && !self.freshness.is_vouched();
+            if other_rest || self.must_hurry(followed, after) {
+                return;
+            }
+            // What the holder passed on did not arrive.
+            let is_behind =
+                followed == Followed::Servers && self.freshness.is_behind(followed, after);
+            behind_ms = if is_behind {
+                behind_ms + REST_LOOK_MS
+            } else {
+                0
+            };
+            if behind_ms > LAG_GRACE_MS {
                 return;
             }
         }
@@ -198,7 +272,9 @@
         match followed {
             Followed::Configuration => false,
             Followed::Servers => {
-                self.freshness.has_left_since(after) || !self.freshness.is_vouched()
+                // It finds out for all feeds when the store is back.
+                let store_lost = *self.view.store_lost().borrow();
+                store_lost || self.freshness.has_left_since(after) || !self.freshness.is_vouched()
             }
             Followed::Own => {
                 let lacks = self.view.lacks_holdings();
@@ -238,18 +314,19 @@
         }
     }
 
-    async fn read_whole(&self, followed: Followed) -> Option<u64> {
+    async fn read_whole(&self, followed: Followed) -> bool {
         let read: platform::Result<Rows> = self.store.table(followed.table()).await;
         match read {
             Ok(rows) => {
                 self.heard_store(clock::now_ms());
                 let version = rows.version;
                 self.apply_whole(followed, rows.rows);
-                Some(version)
+                self.freshness.note_applied(followed, version);
+                true
             }
             Err(error) => {
                 log::debug!("{} cannot be read: {error}", followed.table());
-                None
+                false
             }
         }
     }
@@ -292,25 +369,24 @@
     }
 
     fn apply_servers(&self, rows: &[Row]) {
-        if rows.is_empty() && !self.view.registry().has_overdue() {
+        let changes = decode_servers(rows);
+        if changes.is_empty() && !self.view.registry().has_overdue() {
             return;
         }
+        self.change_servers(changes);
+    }
+
+    /// Takes changes of servers' entries into the view.
+    pub(super) fn change_servers(&self, changes: Vec<ServerChange>) {
         let returned_ms = self.view.store_returned_ms();
         self.view.update_registry(|registry| {
-            for row in rows {
-                if row.removed {
-                    self.freshness.note_left(row.version);
-                    registry.remove(&row.key, returned_ms);
-                    continue;
+            for change in changes {
+                if change.is_end() {
+                    self.freshness.note_left(change.version);
                 }
-                match servers::decode(&row.key, &row.value) {
-                    Ok(entry) => {
-                        if entry.leaving {
-                            self.freshness.note_left(row.version);
-                        }
-                        registry.put(entry);
-                    }
-                    Err(error) => bad_row(servers::TABLE, &row.key, &error),
+                match change.what {
+                    ServerNews::Entry(entry) => registry.put(entry),
+                    ServerNews::Removed(id) => registry.remove(&id, returned_ms),
                 }
             }
             registry.drop_overdue();
@@ -378,6 +454,27 @@
     }
 }
 
+/// Rows of servers' entries; those that cannot be read are passed over.
+pub(super) fn decode_servers(rows: &[Row]) -> Vec<ServerChange> {
+    let mut changes = Vec::with_capacity(rows.len());
+    for row in rows {
+        let what = if row.removed {
+            ServerNews::Removed(row.key.as_str().into())
+        } else {
+            match servers::decode(&row.key, &row.value) {
+                Ok(entry) => ServerNews::Entry(entry),
+                Err(error) => {
+                    bad_row(servers::TABLE, &row.key, &error);
+                    continue;
+                }
+            }
+        };
+        let version = row.version;
+        changes.push(ServerChange { version, what });
+    }
+    changes
+}
+
 fn bad_row(table: &str, key: &str, error: &Error) {
     Event::BadRow {
         row: format!("{table}/{key}"),
--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -11,9 +11,10 @@
 };
 
 use self::platform_standin::{
+    caller::{Ask, ask_once},
     hosts::Host,
     server::Server,
-    site::{Site, eventually},
+    site::{ORDERS, Site, eventually},
     store::Faults,
 };
 
@@ -107,3 +108,41 @@
         assert_eq!(site.record.violations(), Vec::<String>::new());
     }
 }
+
+#[tokio::test]
+async fn changes_of_servers_reach_all_hosts_with_few_calls() {
+    let site = Site::start(6, 2).await;
+    time::sleep(Duration::from_millis(3_000)).await;
+    let before = site.store.calls();
+    let mut joined = Vec::new();
+    for _ in 0..5 {
+        joined.push(Server::start(&site.store, &site.record, ORDERS).await);
+        time::sleep(Duration::from_millis(1_200)).await;
+    }
+    let leaving = &joined[0];
+    leaving.declare(&site.store, "draining");
+    time::sleep(Duration::from_millis(1_000)).await;
+    // The holder confirms its duty 12 times in 7 s and asks for each of the six changes, once more
+    // when its feeds end. The five others would ask for each change as well.
+    let calls = site.store.calls() - before;
+    assert!(calls <= 12 + 10 + 6, "{calls} calls");
+    for host in &site.hosts {
+        let seen = host.events("server");
+        for server in &joined {
+            assert!(seen.iter().any(|line| line.contains(&server.id)));
+        }
+        let served = leaving.served();
+        for number in 0..30 {
+            let id = format!("{}-{number}", host.callers);
+            let ask = Ask {
+                method: "POST",
+                path: "/orders/new",
+                id: &id,
+                key: None,
+                deadline_ms: 800,
+            };
+            ask_once(host.callers, ask).await;
+        }
+        assert_eq!(leaving.served(), served, "{}", host.callers);
+    }
+}
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -19,6 +19,7 @@
         model::{CallerLimits, Configuration, Part, Route, ServerEntry},
         peers::{Rhythm, message::Message, outbox::Outbox},
         registry::Registry,
+        relay::{ServerChange, ServerChanges, ServerNews},
         seal::{Seal, SecretRow},
         server::Server,
         settings::{Bounds, Settings},
@@ -699,6 +700,61 @@
     }
 }
 
+#[test]
+fn changes_of_servers_are_taken_only_in_order() {
+    let change = |version| ServerChange {
+        version,
+        what: ServerNews::Entry(
+            server(&format!("i-{version:010}"), "oslo-a", false)
+                .entry
+                .clone(),
+        ),
+    };
+    let passed = ServerChanges {
+        after: 100,
+        up_to: 190,
+        changes: (101..=160).map(change).collect(),
+    };
+    struct Case {
+        applied: u64,
+        new: Option<usize>,
+    }
+    let cases = [
+        Case {
+            applied: 99,
+            new: None,
+        },
+        Case {
+            applied: 100,
+            new: Some(60),
+        },
+        Case {
+            applied: 150,
+            new: Some(10),
+        },
+        Case {
+            applied: 500,
+            new: Some(0),
+        },
+    ];
+    for case in cases {
+        let new = passed.clone().new_after(case.applied);
+        assert_eq!(new.map(|changes| changes.len()), case.new);
+    }
+    let parts = passed.clone().split();
+    assert_eq!(parts.len(), 3);
+    let mut applied = 100;
+    let mut taken = Vec::new();
+    for part in parts {
+        let bytes = postcard::to_stdvec(&part).expect("a message").len();
+        assert!(bytes < 1_400, "{bytes} bytes");
+        let up_to = part.up_to;
+        taken.extend(part.new_after(applied).expect("the next part"));
+        applied = up_to;
+    }
+    assert_eq!((applied, taken), (190, passed.changes));
+}
+
 #[test]
 fn an_entry_at_the_address_of_another_ends_nobody() {
     let entry = |id: &str, port| ServerEntry {
