A hot key gets the fastest server for itself; the others are balanced all the same

Change: load beyond what a hot key's server can serve does not count; the key moves to the fastest server if that is faster by a quarter, the other keys leave it, and the balance goes on with the next server.

--- a/src/entry/decide/plan.rs
+++ b/src/entry/decide/plan.rs
@@ -47,12 +47,16 @@
     pub moving: &'a [KeyRange],
     /// Most moves for balance.
     pub balance_moves_max: usize,
+    /// Keys that get more requests than their server can serve.
+    pub hot: &'a [u16],
     /// Thresholds.
     pub policy: &'a Policy,
 }
 
 struct Plan<'a> {
     question: Question<'a>,
+    /// Hot keys, each with the server that holds it.
+    hot: Vec<(u16, Arc<str>)>,
     /// Load by server, over its capacity.
     used: HashMap<Arc<str>, f64>,
     holdings: Vec<Holding>,
@@ -124,6 +128,7 @@
     }
     let mut plan = Plan::new(question);
     plan.place_gaps();
+    plan.place_hot();
     plan.employ_idle();
     plan.balance();
     plan.moves
@@ -143,12 +148,96 @@
                 *used += load;
             }
         }
-        Self {
+        let mut plan = Self {
             question,
+            hot: Vec::new(),
             used,
             holdings,
             moves: Vec::new(),
+        };
+        plan.note_hot();
+        plan
+    }
+
+    /// Counts hot keys with what their servers can serve: the rest of their requests is refused
+    /// wherever they are.
+    fn note_hot(&mut self) {
+        if !self.question.policy.hot_alone {
+            return;
         }
+        for key in self.question.hot {
+            let Some(holding) = self.question.assignment.holding(*key) else {
+                continue;
+            };
+            let server = holding.server.clone();
+            let hot = (*key, server.clone());
+            let excess = self.hot_excess(&hot);
+            if let Some(used) = self.used.get_mut(&server) {
+                *used -= excess;
+                self.hot.push(hot);
+            }
+        }
+    }
+
+    /// Load of a hot key beyond what its server can serve.
+    fn hot_excess(&self, (key, server): &(u16, Arc<str>)) -> f64 {
+        (self.question.loads.key(*key) - self.capacity(server)).max(0.0)
+    }
+
+    /// Load of the hot keys at a server, as far as it can serve them.
+    fn hot_load(&self, server: &str) -> f64 {
+        let keys = self.hot.iter().filter(|(_, holder)| **holder == *server);
+        let load: f64 = keys.map(|(key, _)| self.question.loads.key(*key)).sum();
+        load.min(self.capacity(server))
+    }
+
+    /// Gives each hot key to the fastest server, if that is much faster than its own.
+    fn place_hot(&mut self) {
+        for (key, from) in self.hot.clone() {
+            let range = KeyRange {
+                first: key,
+                last: key,
+            };
+            let Some(to) = self.fastest() else { return };
+            let faster = self.capacity(&to) / self.capacity(&from);
+            if faster < self.question.policy.hot_faster || self.is_moving(range) {
+                continue;
+            }
+            let load = self.hot_load(&from);
+            if let Some(used) = self.used.get_mut(&from) {
+                *used -= load;
+            }
+            let capacity = self.capacity(&to);
+            if let Some(used) = self.used.get_mut(&to) {
+                *used += capacity;
+            }
+            self.hot.retain(|(other, _)| *other != key);
+            self.hot.push((key, to.clone()));
+            self.clear(range);
+            let cause = "hot key";
+            self.moves.push(Move { range, to, cause });
+        }
+    }
+
+    /// The server with the largest capacity that holds no hot key.
+    fn fastest(&self) -> Option<Arc<str>> {
+        let is_free =
+            |server: &&PlanServer| !self.hot.iter().any(|(_, holder)| *holder == server.id);
+        let servers = self.question.servers.iter().filter(is_free);
+        let fastest = servers.max_by(|a, b| a.capacity_per_s.total_cmp(&b.capacity_per_s))?;
+        Some(fastest.id.clone())
+    }
+
+    /// Parts of a range between hot keys.
+    fn without_hot(&self, range: KeyRange) -> Vec<KeyRange> {
+        let mut parts = vec![range];
+        for (key, _) in &self.hot {
+            parts = parts
+                .into_iter()
+                .flat_map(|part| part.without(*key))
+                .collect();
+        }
+        parts
     }
 
     fn capacity(&self, id: &str) -> f64 {
@@ -163,7 +252,9 @@
 
     fn mean_share(&self) -> f64 {
         let capacity: f64 = self.question.servers.iter().map(|s| s.capacity_per_s).sum();
-        let load = self.question.loads.of(KeyRange::ALL);
+        // Without what no server can serve.
+        let excess: f64 = self.hot.iter().map(|hot| self.hot_excess(hot)).sum();
+        let load = self.question.loads.of(KeyRange::ALL) - excess;
         load / capacity.max(0.1)
     }
 
@@ -241,7 +332,9 @@
             .map(|server| server.id.clone())
             .collect();
         for to in idle.into_iter().take(self.question.balance_moves_max) {
-            let Some(from) = self.most_used() else { return };
+            let Some(from) = self.most_used(&[]) else {
+                return;
+            };
             let Some(range) = self.carve(&from, self.used[&from] / 2.0) else {
                 return;
             };
@@ -249,8 +342,10 @@
         }
     }
 
-    fn most_used(&self) -> Option<Arc<str>> {
+    /// The server with the largest load over its capacity, but for some.
+    fn most_used(&self, but: &[Arc<str>]) -> Option<Arc<str>> {
         let servers = self.question.servers.iter();
+        let servers = servers.filter(|server| !but.contains(&server.id));
         let most = servers.max_by(|a, b| self.used_share(a).total_cmp(&self.used_share(b)))?;
         Some(most.id.clone())
     }
@@ -266,8 +361,11 @@
             .max(mean * (policy.balance_excess + chance));
         let goal = policy.balance_goal_share.max(mean);
         let moves_left = self.question.balance_moves_max;
+        let mut settled: Vec<Arc<str>> = Vec::new();
         for _ in 0..moves_left.saturating_sub(self.moves.len()) {
-            let Some(from) = self.most_used() else { return };
+            let Some(from) = self.most_used(&settled) else {
+                return;
+            };
             let share = self.used[&from] / self.capacity(&from);
             if share < busy {
                 return;
@@ -276,13 +374,22 @@
             if from == to {
                 return;
             }
-            let over = self.used[&from] - goal * self.capacity(&from);
+            let hot_load = self.hot_load(&from);
+            let kept = hot_load.max(goal * self.capacity(&from));
+            let over = self.used[&from] - kept;
             let room = goal * self.capacity(&to) - self.used[&to];
             let wanted = over.min(room.max(over / 2.0));
-            if wanted < LOAD_MOVED_MIN {
-                return;
-            }
-            let Some(range) = self.carve(&from, wanted) else {
+            let carved = if wanted < LOAD_MOVED_MIN {
+                None
+            } else {
+                self.carve(&from, wanted)
+            };
+            let Some(range) = carved else {
+                if hot_load > 0.0 {
+                    // It has only its hot key left; the others are balanced all the same.
+                    settled.push(from);
+                    continue;
+                }
                 return;
             };
             let load = self.question.loads.of(range);
@@ -322,7 +429,8 @@
             if *holding.server != *from || self.is_moving(holding.range) {
                 continue;
             }
-            for candidate in self.ends(holding.range, wanted) {
+            let parts = self.without_hot(holding.range).into_iter();
+            for candidate in parts.flat_map(|part| self.ends(part, wanted)) {
                 let load = self.question.loads.of(candidate);
                 if load <= 0.0 || load > wanted * 1.5 {
                     continue;
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -47,6 +47,9 @@
     pub hot_admitted: f64,
     /// True if a hot key gets the fastest server for itself.
     pub hot_alone: bool,
+    /// Capacity of the fastest server over that of a hot key's server from which the key moves: a
+    /// move costs some requests, and capacities are estimates.
+    pub hot_faster: f64,
     /// Least time after which a caller should come back. Nothing changes sooner.
     pub return_min_ms: u64,
     /// Time after which a caller should come back whose request was shed by a server with free
@@ -83,7 +86,8 @@
             hold_share: 0.25,
             hot_factor: 1.1,
             hot_admitted: 1.15,
-            hot_alone: false,
+            hot_alone: true,
+            hot_faster: 1.25,
             return_min_ms: 100,
             return_shed_ms: 100,
             balance_excess: 1.1,
--- a/src/entry/duty/takeover.rs
+++ b/src/entry/duty/takeover.rs
@@ -21,15 +21,17 @@
 
 /// Interval at which a host without the duty looks whether it must act.
 const LOOK_EVERY_MS: u64 = 100;
-/// Time from a host's start until it looks after the duty: hosts that start together must know each
-/// other, or all of them would.
+/// Time from a host's start until it looks after the duty.
 const START_PATIENCE_MS: u64 = 600;
+/// The same while it knows no other host: hosts that start together must know each other, or all of
+/// them would watch. They read each other's rows 1.3 s after their start.
+const START_ALONE_MS: u64 = 1_800;
 /// Interval at which the row is read while its holder is silent.
 const READ_EVERY_MS: u64 = 300;
 /// Longest random delay before the duty is taken, so that not all hosts try at once.
 const TAKE_SPREAD_MS: u64 = 120;
 /// Hosts that watch the row of a silent holder together. Reads are priced, so that not all do.
-const WATCHERS: u64 = 4;
+const WATCHERS: u64 = 2;
 /// Time after which the next ones watch it too.
 const WATCHERS_EVERY_MS: u64 = 500;
 
@@ -81,7 +83,9 @@
     /// should be watched.
     fn holder_is_silent(&self, started_ms: u64) -> bool {
         let heard_ms = self.peers.holder_heard_ms();
-        let silent_after_ms = if heard_ms == 0 {
+        let silent_after_ms = if heard_ms == 0 && self.peers.hosts() == 1 {
+            started_ms + START_ALONE_MS
+        } else if heard_ms == 0 {
             started_ms + START_PATIENCE_MS
         } else {
             heard_ms + self.settings.leases.takeover_ms / 2
--- a/src/entry/keys.rs
+++ b/src/entry/keys.rs
@@ -15,6 +15,22 @@
 }
 
 impl KeyRange {
+    /// What is left of the range without a key: up to two ranges.
+    pub fn without(&self, key: u16) -> Vec<Self> {
+        if !self.contains(key) {
+            return vec![*self];
+        }
+        let before = (key > self.first).then(|| Self {
+            first: self.first,
+            last: key - 1,
+        });
+        let after = (key < self.last).then(|| Self {
+            first: key + 1,
+            last: self.last,
+        });
+        before.into_iter().chain(after).collect()
+    }
+
     /// All keys.
     pub const ALL: Self = Self {
         first: 0,
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -275,6 +275,7 @@
             let tag = tag_of(service);
             let policy = &self.entry.settings.policy;
             let hot = hot_keys::find(tag, &held.assignment, &servers, &loads, policy);
+            let hot_keys: Vec<u16> = hot.iter().map(|hot| hot.key).collect();
             self.entry.hot_keys.note_found(tag, hot);
             plan::plan(Question {
                 assignment: &held.assignment,
@@ -282,6 +283,7 @@
                 loads: &loads,
                 moving: &moving,
                 balance_moves_max: if balance { room } else { 0 },
+                hot: &hot_keys,
                 policy,
             })
         };
--- a/tests/entry_load.rs
+++ b/tests/entry_load.rs
@@ -1,9 +1,16 @@
 //! What callers get from the decisions under load; no sockets and no clock.
 
-use ashroad::entry::decide::{
-    Candidate, Policy, TimeLeft, admission,
-    behaviour::Behaviour,
-    hold::{self, Hold, MoveRest, MoveWait},
+use std::{collections::HashMap, sync::Arc};
+
+use ashroad::entry::{
+    decide::{
+        Candidate, Policy, TimeLeft, admission,
+        behaviour::Behaviour,
+        hold::{self, Hold, MoveRest, MoveWait},
+        key_loads::KeyLoads,
+        plan::{self, PlanServer, Question},
+    },
+    keys::{Assignment, Holding, KeyRange},
 };
 
 /// A warm server with free slots of which nothing is known.
@@ -137,3 +144,111 @@
         assert_eq!(result, case.result, "{rest:?} held for {}", case.held_ms);
     }
 }
+
+/// Servers of a service, some faster than the others, with equal parts of the keys.
+fn uneven_servers(capacities_per_s: &[f64]) -> (Vec<PlanServer>, Assignment) {
+    let servers: Vec<PlanServer> = capacities_per_s
+        .iter()
+        .enumerate()
+        .map(|(number, capacity_per_s)| PlanServer {
+            id: format!("s{number}").into(),
+            capacity_per_s: *capacity_per_s,
+        })
+        .collect();
+    let mut assignment = Assignment::default();
+    let keys = (1usize << 16) / servers.len();
+    for (number, server) in servers.iter().enumerate() {
+        let last = if number + 1 == servers.len() {
+            usize::from(u16::MAX)
+        } else {
+            (number + 1) * keys - 1
+        };
+        assignment.put(Holding {
+            range: KeyRange {
+                first: (number * keys) as u16,
+                last: last as u16,
+            },
+            server: server.id.clone(),
+            fence: 1,
+            from: None,
+        });
+    }
+    (servers, assignment)
+}
+
+/// Plans until nothing moves any more, and gives the load by server.
+fn settle(
+    servers: &[PlanServer],
+    assignment: &mut Assignment,
+    loads: &KeyLoads,
+    hot: &[u16],
+) -> HashMap<Arc<str>, f64> {
+    let policy = Policy::default();
+    for round in 0.. {
+        assert!(round < 12, "the plan does not settle");
+        let moves = plan::plan(Question {
+            assignment,
+            servers,
+            loads,
+            moving: &[],
+            balance_moves_max: 8,
+            hot,
+            policy: &policy,
+        });
+        if moves.is_empty() {
+            break;
+        }
+        for planned in moves {
+            let fence = assignment.next_fence(1);
+            assignment.put(Holding {
+                range: planned.range,
+                server: planned.to,
+                fence,
+                from: None,
+            });
+        }
+    }
+    let mut used: HashMap<Arc<str>, f64> = HashMap::new();
+    for holding in &assignment.holdings {
+        *used.entry(holding.server.clone()).or_default() += loads.of(holding.range);
+    }
+    used
+}
+
+#[test]
+fn a_hot_key_has_the_fastest_server_and_the_others_stay_balanced() {
+    // Eight servers of which the last is the fastest; one key of the first gets five times what any
+    // of them can serve, and the neighbours of another server are busy.
+    let (servers, mut assignment) =
+        uneven_servers(&[50.0, 50.0, 45.0, 50.0, 55.0, 50.0, 50.0, 70.0]);
+    let mut loads = KeyLoads::default();
+    for key in (0..=u16::MAX).step_by(64) {
+        loads.add(key, 0.2);
+    }
+    for key in 20_000..20_100 {
+        loads.add(key, 0.5);
+    }
+    let hot = 1_000;
+    loads.add(hot, 250.0);
+    let used = settle(&servers, &mut assignment, &loads, &[hot]);
+    let holder = assignment.holding(hot).expect("a holder");
+    assert_eq!(&*holder.server, "s7");
+    let beside = used["s7"] - loads.key(hot);
+    assert!(
+        beside < 3.0,
+        "{beside} requests a second beside the hot key"
+    );
+    for server in &servers[..7] {
+        let share = used[&server.id] / server.capacity_per_s;
+        assert!(share < 0.85, "{} is used by {share}", server.id);
+    }
+}
+
+#[test]
+fn a_hot_key_stays_where_no_server_is_much_faster() {
+    let (servers, mut assignment) = uneven_servers(&[50.0, 50.0, 55.0, 60.0]);
+    let mut loads = KeyLoads::default();
+    loads.add(1_000, 250.0);
+    settle(&servers, &mut assignment, &loads, &[1_000]);
+    assert_eq!(&*assignment.holding(1_000).expect("a holder").server, "s0");
+}
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -173,6 +173,7 @@
             loads: &key_loads,
             moving: &[],
             balance_moves_max: 4,
+            hot: &[],
             policy: &Policy::default(),
         });
         for (number, planned) in moves.iter().enumerate() {
@@ -233,6 +234,7 @@
             loads: &loads,
             moving: &[],
             balance_moves_max: 8,
+            hot: &[],
             policy: &Policy::default(),
         });
         if moves.is_empty() {
@@ -277,6 +279,7 @@
             loads: &loads,
             moving: &[],
             balance_moves_max: 8,
+            hot: &[],
             policy: &Policy::default(),
         });
         apply(&mut assignment, &moves);
@@ -351,6 +354,7 @@
             loads: &counts.loads(&assignment.holdings, 10.0),
             moving: &[],
             balance_moves_max: 30,
+            hot: &[],
             policy: &Policy::default(),
         });
         let number = moves.len();
