ashroad losses: lost requests by second, route and reason; inferred elapsed time removed

ashroad losses counts refused, failed and repeated requests from the logs of several hosts, with servers, load and wait (test losses_are_counted_by_time_route_and_reason).

--- a/src/bin/ashroad/app.rs
+++ b/src/bin/ashroad/app.rs
@@ -30,6 +30,8 @@
     Entry(ServeArgs),
     /// Tell what happened to a request, from the logs of entry hosts.
     Explain(ExplainArgs),
+    /// Count lost requests by second, route and reason, from the logs of entry hosts.
+    Losses(LossesArgs),
     /// Check settings, templates and workspaces; print every problem.
     Check(CheckArgs),
     /// Submit, withdraw and show templates.
@@ -76,6 +78,17 @@
     pub logs: Vec<PathBuf>,
 }
 
+/// Flags of `losses`.
+#[derive(Debug, Args)]
+pub struct LossesArgs {
+    /// Seconds that are counted together.
+    #[arg(long, default_value_t = 2)]
+    pub step_s: u64,
+    /// Logs of the hosts.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Flags of `check`.
 #[derive(Debug, Args)]
 pub struct CheckArgs {
--- /dev/null
+++ b/src/bin/ashroad/losses.rs
@@ -0,0 +1,54 @@
+//! `ashroad losses`
+
+use std::fs;
+
+use ashroad::entry::{
+    explain::Source,
+    losses::{Loss, losses},
+};
+use snafu::ResultExt;
+
+use crate::{
+    app::LossesArgs,
+    error::{ReadSnafu, Result},
+    output,
+};
+
+/// Prints what was lost, by second, route and reason.
+pub fn run(args: &LossesArgs, json: bool) -> Result<()> {
+    let mut logs = Vec::new();
+    for path in &args.logs {
+        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
+        logs.push((path.display().to_string(), text));
+    }
+    let sources: Vec<Source<'_>> = logs
+        .iter()
+        .map(|(name, text)| Source { name, text })
+        .collect();
+    let found = losses(&sources, args.step_s);
+    if json {
+        output::json(&found);
+        return Ok(());
+    }
+    output::line("second      requests  servers  load  after ms  route, decision, reason");
+    found.losses.iter().for_each(print_loss);
+    if found.dropped_lines > 0 {
+        let lines = found.dropped_lines;
+        output::line(&format!("{lines} log lines were dropped by the hosts"));
+    }
+    Ok(())
+}
+
+fn print_loss(loss: &Loss) {
+    output::line(&format!(
+        "{:<11} {:>8}  {:>7}  {:>4.1}  {:>8.0}  {}, {}, {}",
+        loss.at_unix_s,
+        loss.requests,
+        loss.servers,
+        loss.load_mean,
+        loss.after_mean_ms,
+        loss.route,
+        loss.decision,
+        loss.reason
+    ));
+}
--- a/src/bin/ashroad/main.rs
+++ b/src/bin/ashroad/main.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod keys;
 mod load;
+mod losses;
 mod output;
 mod query;
 mod serve;
@@ -47,6 +48,7 @@
         Command::Serve(args) => block_on(serve::run(args)),
         Command::Entry(args) => entry::run(&args),
         Command::Explain(args) => explain::run(&args, json),
+        Command::Losses(args) => losses::run(&args, json),
         Command::Standin(args) => block_on(standin::run(args)),
         Command::Template(args) => block_on(declaration::run_template(args, json)),
         Command::Workspace(args) => block_on(declaration::run_workspace(args, json)),
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -12,7 +12,6 @@
 //! | [`choice`] | requests that any server of a service may run |
 //! | [`hot_keys`] | one key with more requests than any server can run |
 //! | [`hold`] | requests for keys that are on their way between servers |
-//! | [`elapsed`] | callers that come back after a refusal |
 //! | [`return_time`] | when refused callers should come back |
 //! | [`budget`] | repeats that would feed an overload |
 //! | [`key_loads`], [`plan`] | uneven load by key, servers that join and leave |
@@ -23,7 +22,6 @@
 pub mod behaviour;
 pub mod budget;
 pub mod choice;
-pub mod elapsed;
 pub mod hold;
 pub mod hot_keys;
 pub mod key_loads;
@@ -57,7 +55,7 @@
 /// Time that a request has left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TimeLeft {
-    /// Until the latency objective, counted from the caller's first attempt; 0 once it has passed.
+    /// Until the latency objective; 0 once it has passed.
     pub objective_ms: u64,
     /// Until the deadline.
     pub deadline_ms: u64,
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -32,8 +32,6 @@
     /// True if a server with a free slot gets a request whatever its run time is expected to be, as
     /// long as that ends before the deadline.
     pub free_slot_admits: bool,
-    /// True if the time since a caller's first attempt is inferred from its deadline.
-    pub infer_elapsed: bool,
     /// Time for which a request is held while its key is on its way. Most moves between servers
     /// whose requests run for 100 ms end within it.
     pub hold_ms: u64,
@@ -81,7 +79,6 @@
             queue_share: 1.0,
             late_may_queue: true,
             free_slot_admits: true,
-            infer_elapsed: false,
             hold_ms: 400,
             hold_share: 0.25,
             hot_factor: 1.1,
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -62,7 +62,8 @@
     story
 }
 
-fn read<'a>(source: &'a Source<'a>) -> impl Iterator<Item = StoryLine> + 'a {
+/// Events of a log, in its order.
+pub(super) fn read<'a>(source: &'a Source<'a>) -> impl Iterator<Item = StoryLine> + 'a {
     source.text.lines().filter_map(move |line| {
         // A log collector may put its own words before the event.
         let start = line.find('{')?;
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -79,13 +79,9 @@
         }
     };
     let repeatable = route.repeatable;
-    let elapsed_ms = match asked_ms {
-        Some(asked_ms) if policy.infer_elapsed => entry.elapsed_ms(&route.name, asked_ms),
-        _ => 0,
-    };
     let times = Times {
         arrived_ms,
-        objective_ms: (arrived_ms + route.aim_ms).saturating_sub(elapsed_ms),
+        objective_ms: arrived_ms + route.aim_ms,
         deadline_ms,
     };
     let passing = async move { pass(&entry, &configuration, &route, &head, payload, times).await };
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -49,7 +49,7 @@
 pub struct Times {
     /// Its arrival.
     pub arrived_ms: u64,
-    /// End of its latency objective, counted from the caller's first attempt.
+    /// End of its latency objective.
     pub objective_ms: u64,
     /// Its deadline.
     pub deadline_ms: u64,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -11,6 +11,7 @@
 pub mod keys;
 mod leases;
 pub mod log_writer;
+pub mod losses;
 pub mod metrics;
 pub mod model;
 pub mod peers;
@@ -30,18 +31,15 @@
     settings::Settings,
 };
 
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use rand::Rng;
 
 use self::{
-    decide::{budget::RetryBudget, elapsed::Deadlines, hot_keys::HotKeys},
+    decide::{budget::RetryBudget, hot_keys::HotKeys},
     duty::Duty,
     freshness::Freshness,
     metrics::Metrics,
@@ -74,8 +72,6 @@
     pub duty: Duty,
     /// Budget of repeated requests.
     pub retries: RetryBudget,
-    /// Deadlines of callers by route.
-    deadlines: Mutex<HashMap<Arc<str>, Deadlines>>,
     /// Counters and histograms.
     pub metrics: Metrics,
     stopping: AtomicBool,
@@ -103,7 +99,6 @@
             peers: Peers::default(),
             duty: Duty::default(),
             retries: RetryBudget::new(&settings.bounds),
-            deadlines: Mutex::default(),
             metrics: Metrics::default(),
             stopping: AtomicBool::new(false),
             ends_ms: AtomicU64::new(u64::MAX),
@@ -134,15 +129,6 @@
         number.is_multiple_of(ANSWER_SAMPLE)
     }
 
-    /// Time since the first attempt of a caller that names a deadline.
-    fn elapsed_ms(&self, route: &Arc<str>, deadline_ms: u64) -> u64 {
-        let deadlines = self.deadlines.lock();
-        let mut deadlines = deadlines.unwrap_or_else(PoisonError::into_inner);
-        let deadlines = deadlines.entry(route.clone()).or_default();
-        deadlines.note(deadline_ms);
-        deadlines.elapsed_ms(deadline_ms)
-    }
-
     fn enter(self: &Arc<Self>) -> Present {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
         Present(self.clone())
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -15,7 +15,9 @@
             key_loads::{KeyCounts, KeyLoads},
             plan::{self, FirstWait, Move, PlanServer, Question},
         },
+        explain::Source,
         keys::{Assignment, Holding, KeyRange},
+        losses::{Loss, losses},
         model::{CallerLimits, Configuration, Part, Route, ServerEntry},
         peers::{Rhythm, message::Message, outbox::Outbox},
         registry::Registry,
@@ -1051,3 +1053,45 @@
         }
     }
 }
+
+#[test]
+fn losses_are_counted_by_time_route_and_reason() {
+    let line = |at_ms: u64, decision: &str, reason: &str, server: &str, load: u32| {
+        format!(
+            "1.5 host-1 {{\"at_unix_ms\":{at_ms},\"event\":\"request\",\"route\":\"r\",\"decision\":\
+             \"{decision}\",\"reason\":\"{reason}\",\"server\":\"{server}\",\"load\":{load},\"after_ms\":10}}"
+        )
+    };
+    let text = [
+        line(100_000, "refused", "full: 4.5 for each served", "a", 6),
+        line(101_999, "refused", "full: 12.25 for each served", "b", 8),
+        line(102_000, "refused", "full: 1 for each served", "a", 9),
+        line(100_100, "answered", "status 200 OK", "a", 1),
+        line(100_200, "failed", "no answer", "a", 1),
+        "1.6 host-1 {\"at_unix_ms\":100000,\"event\":\"dropped\",\"lines\":7}".to_owned(),
+        "no event".to_owned(),
+    ]
+    .join("\n");
+    let source = Source {
+        name: "host-1",
+        text: &text,
+    };
+    let found = losses(&[source], 2);
+    assert_eq!(found.dropped_lines, 7);
+    let loss = |at_unix_s, decision: &str, reason: &str, requests, servers, load_mean| Loss {
+        at_unix_s,
+        route: "r".to_owned(),
+        decision: decision.to_owned(),
+        reason: reason.to_owned(),
+        requests,
+        servers,
+        load_mean,
+        after_mean_ms: 10.0,
+    };
+    let expected = [
+        loss(100, "failed", "no answer", 1, 1, 1.0),
+        loss(100, "refused", "full: N for each served", 2, 2, 7.0),
+        loss(102, "refused", "full: N for each served", 1, 1, 9.0),
+    ];
+    assert_eq!(found.losses, expected);
+}
