Hosts wait longer for the holder's word at their start

Cause: on the first start the secret of the hosts is there after about 2 s; feeds that waited for 1.3 s asked the store before.

--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -67,6 +67,16 @@
         }
     }
 
+    /// Time for which a host that has just read the table waits to hear the holder of the duty before
+    /// it asks for changes: hosts that start together would all ask for each other's rows. The first
+    /// holder is there after 2 s, and a host owes nobody a bound in its first 3 s.
+    pub fn start_rest_ms(self) -> u64 {
+        match self {
+            Self::Own => 1_300,
+            Self::Configuration | Self::Servers => 2_600,
+        }
+    }
+
     /// How long a feed rests between two answers. Rests grow with the number of hosts, since each
     /// change wakes all of them, as far as changes still take effect in time.
     pub fn rest(self, hosts: usize, is_holder: bool, vouched: bool) -> Rest {
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -47,9 +47,6 @@
 /// Longer pause while the holder of the duty tells that nothing has changed in the store, which may
 /// turn away this host only.
 const TOLD_PAUSE_MS: u64 = 1_500;
-/// Time for which a host that has just read a table waits to hear the holder of the duty before it
-/// asks for changes: hosts that start together would all ask for each other's rows.
-const START_REST_MS: u64 = 1_300;
 /// Missed heartbeats after which the platform removes a server's entry.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -213,7 +210,8 @@
     /// Waits for the holder of the duty to be heard, and rests if it is.
     async fn rest_at_start(&self, followed: Followed) {
         let began_ms = clock::now_ms();
-        while !self.freshness.is_vouched() && clock::now_ms() < began_ms + START_REST_MS {
+        while !self.freshness.is_vouched() && clock::now_ms() < began_ms + followed.start_rest_ms()
+        {
             time::sleep(Duration::from_millis(REST_LOOK_MS)).await;
         }
         if self.freshness.is_vouched() && followed != Followed::Configuration {
