--- a/src/entry/decide/admission.rs
+++ b/src/entry/decide/admission.rs
@@ -23,26 +23,21 @@
     sum / f64::from(known)
 }
 
-/// Run time that is expected of a server.
-fn run_ms(server: &Candidate, typical_ms: f64, policy: &Policy) -> f64 {
-    let run_ms = if server.run_ms > 0.0 {
+/// Run time that is expected of a server: one of which nothing is known is like the others.
+fn run_ms(server: &Candidate, typical_ms: f64) -> f64 {
+    if server.run_ms > 0.0 {
         server.run_ms
     } else {
         typical_ms
-    };
-    if server.is_cold {
-        run_ms * policy.cold_factor
-    } else {
-        run_ms
     }
 }
 
 /// Expected time until a server has answered a further request.
-pub fn expected_ms(server: &Candidate, typical_ms: f64, policy: &Policy) -> f64 {
+pub fn expected_ms(server: &Candidate, typical_ms: f64) -> f64 {
     let ahead = f64::from(server.load + 1);
     let slots = f64::from(server.slots);
     let waiting = (ahead - slots).max(0.0) / slots;
-    run_ms(server, typical_ms, policy) * (1.0 + waiting)
+    run_ms(server, typical_ms) * (1.0 + waiting)
 }
 
 /// True if a server has room for a request with so much time left.
@@ -50,7 +45,7 @@
     if server.load >= server.slots * policy.load_max_factor {
         return false;
     }
-    let expected_ms = expected_ms(server, typical_ms, policy);
+    let expected_ms = expected_ms(server, typical_ms);
     if policy.free_slot_admits && server.load < server.slots {
         return expected_ms < left.deadline_ms as f64;
     }
@@ -64,17 +59,9 @@
 /// Requests a second that a server can serve. One of which nothing is known counts as typical, and
 /// what is known counts within the bounds in which servers of a service differ: quick answers may
 /// be failures, and slow ones have waited.
-pub fn capacity_per_s(server: &Candidate, typical_ms: f64, policy: &Policy) -> f64 {
-    let run_ms = if server.run_ms > 0.0 {
-        server.run_ms
-    } else {
-        typical_ms
-    };
-    let run_ms = run_ms.clamp(typical_ms * RUN_LEAST, typical_ms * RUN_MOST);
-    let warm = f64::from(server.slots) * 1000.0 / run_ms;
-    if server.is_cold {
-        warm / policy.cold_factor
-    } else {
-        warm
-    }
+pub fn capacity_per_s(server: &Candidate, typical_ms: f64) -> f64 {
+    let least_ms = typical_ms * RUN_LEAST;
+    let most_ms = typical_ms * RUN_MOST;
+    let run_ms = run_ms(server, typical_ms).clamp(least_ms, most_ms);
+    f64::from(server.slots) * 1000.0 / run_ms
 }
--- a/src/entry/decide/choice.rs
+++ b/src/entry/decide/choice.rs
@@ -80,5 +80,5 @@
     let unknown = added(server.run_ms == 0.0, policy.unknown_bonus);
     let failures = policy.failure_cost * server.failures;
     let factor = 1.0 + zone + connect + policy.jitter * random - unknown + failures;
-    admission::expected_ms(server, typical_ms, policy) * factor
+    admission::expected_ms(server, typical_ms) * factor
 }
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -42,8 +42,6 @@
     pub run_ms: f64,
     /// Share of the latest attempts that failed.
     pub failures: f64,
-    /// True while it is slow after its start.
-    pub is_cold: bool,
     /// True while connections to it fail.
     pub is_paused: bool,
     /// True if it is in the host's own availability zone.
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -19,8 +19,6 @@
     pub unknown_bonus: f64,
     /// Random part of a cost, so that hosts with the same view do not all choose the same server.
     pub jitter: f64,
-    /// Run time of a cold server over that of a warm one. Servers that start are about half as fast.
-    pub cold_factor: f64,
     /// Requests at a server, as a multiple of its slots, above which it gets no more. Servers queue
     /// about four times their slots and reset or shed beyond.
     pub load_max_factor: u32,
@@ -74,7 +72,6 @@
             failure_cost: 8.0,
             unknown_bonus: 0.8,
             jitter: 0.1,
-            cold_factor: 2.0,
             load_max_factor: 4,
             queue_share: 1.0,
             late_may_queue: true,
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -26,8 +26,7 @@
     },
     duty::Change,
     keys::{Holding, KeyRange},
-    server::tag_of,
-    settings::Settings,
+    server::{Server, tag_of},
     watch::store_age_ms,
 };
 use crate::clock;
@@ -225,20 +224,12 @@
             !server.leaving() && !silent
         });
         let typical_ms = registry.typical_run_ms(service);
-        let Settings {
-            availability_zone,
-            policy,
-            ..
-        } = &self.entry.settings;
-        let mut servers: Vec<PlanServer> = usable
-            .map(|server| PlanServer {
-                id: server.entry.id.clone(),
-                capacity_per_s: {
-                    let seen = server.candidate(availability_zone);
-                    admission::capacity_per_s(&seen, typical_ms, policy)
-                },
-            })
-            .collect();
+        let zone = &self.entry.settings.availability_zone;
+        let plan_server = |server: &Arc<Server>| PlanServer {
+            id: server.entry.id.clone(),
+            capacity_per_s: admission::capacity_per_s(&server.candidate(zone), typical_ms),
+        };
+        let mut servers: Vec<PlanServer> = usable.map(plan_server).collect();
         servers.sort_by(|a, b| a.id.cmp(&b.id));
         servers
     }
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -25,7 +25,6 @@
     pub pool: Pool,
     /// Connection for orders.
     pub orders: Link,
-    cold_until_ms: u64,
     leaving: AtomicBool,
     own: AtomicU32,
     others: AtomicU32,
@@ -45,7 +44,6 @@
             tag: tag_of(&entry.id),
             pool: Pool::new(entry.address),
             orders: Link::new(entry.address),
-            cold_until_ms: clock::now_ms() + entry.cold_ms,
             leaving: AtomicBool::new(entry.leaving),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
@@ -113,7 +111,6 @@
             load: self.load(),
             run_ms: self.run_ms(),
             failures: behaviour.failures(now_ms),
-            is_cold: now_ms < self.cold_until_ms,
             is_paused: behaviour.is_paused(now_ms),
             is_near: *self.entry.availability_zone == *availability_zone,
             has_idle_connection: self.pool.has_idle(),
--- a/tests/entry_load.rs
+++ b/tests/entry_load.rs
@@ -19,7 +19,6 @@
     load: 0,
     run_ms: 0.0,
     failures: 0.0,
-    is_cold: false,
     is_paused: false,
     is_near: true,
     has_idle_connection: true,
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -790,7 +790,6 @@
     load: 0,
     run_ms: 50.0,
     failures: 0.0,
-    is_cold: false,
     is_paused: false,
     is_near: true,
     has_idle_connection: false,
@@ -913,7 +912,7 @@
             run_ms: case.run_ms,
             ..GOOD
         };
-        let capacity = admission::capacity_per_s(&server, 100.0, &Policy::default());
+        let capacity = admission::capacity_per_s(&server, 100.0);
         assert!((capacity - case.capacity_per_s).abs() < 0.1, "{capacity}");
     }
 }
