--- a/src/bin/ashroad/explain.rs
+++ b/src/bin/ashroad/explain.rs
@@ -1,28 +1,19 @@
 //! `ashroad explain`
 
-use std::fs;
-
 use ashroad::entry::explain::{self, Source, StoryLine};
-use snafu::ResultExt;
 
 use crate::{
     app::ExplainArgs,
-    error::{ReadSnafu, Result},
+    error::Result,
+    logs::{self, Log},
     output,
 };
 
 /// Prints the story of one request. An unknown request has an empty story, which is no failure:
 /// requests that were served without event are only sampled.
 pub fn run(args: &ExplainArgs, json: bool) -> Result<()> {
-    let mut logs = Vec::new();
-    for path in &args.logs {
-        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        logs.push((path.display().to_string(), text));
-    }
-    let sources: Vec<Source<'_>> = logs
-        .iter()
-        .map(|(name, text)| Source { name, text })
-        .collect();
+    let logs = logs::read(&args.logs)?;
+    let sources: Vec<Source<'_>> = logs.iter().map(Log::source).collect();
     let story = explain::explain(&args.request_id, &sources);
     if json {
         output::json(&story);
--- a/src/bin/ashroad/losses.rs
+++ b/src/bin/ashroad/losses.rs
@@ -1,30 +1,21 @@
 //! `ashroad losses`
 
-use std::fs;
-
 use ashroad::entry::{
     explain::Source,
     losses::{Loss, losses},
 };
-use snafu::ResultExt;
 
 use crate::{
     app::LossesArgs,
-    error::{ReadSnafu, Result},
+    error::Result,
+    logs::{self, Log},
     output,
 };
 
 /// Prints what was lost, by second, route and reason.
 pub fn run(args: &LossesArgs, json: bool) -> Result<()> {
-    let mut logs = Vec::new();
-    for path in &args.logs {
-        let text = fs::read_to_string(path).context(ReadSnafu { path })?;
-        logs.push((path.display().to_string(), text));
-    }
-    let sources: Vec<Source<'_>> = logs
-        .iter()
-        .map(|(name, text)| Source { name, text })
-        .collect();
+    let logs = logs::read(&args.logs)?;
+    let sources: Vec<Source<'_>> = logs.iter().map(Log::source).collect();
     let found = losses(&sources, args.step_s);
     if json {
         output::json(&found);
--- a/src/bin/ashroad/main.rs
+++ b/src/bin/ashroad/main.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod keys;
 mod load;
+mod logs;
 mod losses;
 mod output;
 mod query;
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -20,7 +20,7 @@
 /// Number of followed tables.
 const TABLES: usize = Followed::ALL.len();
 /// Age up to which the store's last answer to the holder shows that the store is there. The holder
-/// confirms its duty every 0.6 s, and an answer takes up to half a second on slow days.
+/// confirms its duty every 0.7 s, and an answer takes up to half a second on slow days.
 const VOUCHED_MS: u64 = 2_000;
 /// Time for which a feed may be behind the holder's: an answer may be on its way.
 pub const LAG_GRACE_MS: u64 = 400;
