--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -14,6 +14,7 @@
 //! | [`hold`] | requests for keys that are on their way between servers |
 //! | [`return_time`] | when refused callers should come back |
 //! | [`budget`] | repeats that would feed an overload |
+//! | [`first`] | keys that nobody holds yet, servers that start one after the other |
 //! | [`key_loads`], [`plan`] | uneven load by key, servers that join and leave |
 //!
 //! The thresholds stand in [`Policy`], each with its unit and reason.
@@ -22,6 +23,7 @@
 pub mod behaviour;
 pub mod budget;
 pub mod choice;
+pub mod first;
 pub mod hold;
 pub mod hot_keys;
 pub mod key_loads;
--- /dev/null
+++ b/src/entry/forward/choose.rs
@@ -0,0 +1,160 @@
+//! The server that a request goes to: any of a service, or the one that holds its key.
+
+use std::{sync::Arc, time::Duration};
+
+use http::Response;
+use tokio::time;
+
+use super::passage::{ATTEMPT_MS_MIN, HOLD_PAUSE_MS, Passage};
+use crate::{
+    clock,
+    entry::{
+        Entry,
+        decide::{
+            admission,
+            choice::{self, Question},
+            hold::{self, Hold, MoveRest, MoveWait},
+            return_time::Refused,
+        },
+        followed::Followed,
+        peers::message::Message,
+        server::{Server, tag_of},
+        view::Owner,
+    },
+    transport::AnswerBody,
+};
+
+impl Passage<'_> {
+    /// The server that the request goes to, or why it is refused.
+    pub(super) async fn choose(&mut self, entry: &Entry) -> Result<Arc<Server>, Refused> {
+        if self.left_ms() < ATTEMPT_MS_MIN {
+            let policy = &entry.settings.policy;
+            return Err(Refused::soon("the deadline is too near", policy));
+        }
+        match self.key {
+            Some(key) => self.owner(entry, key).await,
+            None => self.any_server(entry),
+        }
+    }
+
+    /// A server of a service whose servers all may run the request.
+    fn any_server(&self, entry: &Entry) -> Result<Arc<Server>, Refused> {
+        let policy = &entry.settings.policy;
+        let registry = entry.view.registry();
+        let usable = registry.usable(&self.service, &self.tried);
+        if usable.is_empty() {
+            return Err(Refused::soon("no server may get work", policy));
+        }
+        let seen = usable.iter().map(|server| Self::candidate(entry, server));
+        let question = Question {
+            servers: &seen.collect::<Vec<_>>(),
+            typical_ms: registry.typical_run_ms(&self.service),
+            left: self.time_left(),
+            hosts: entry.peers.host_count(),
+        };
+        match choice::pick(question, policy, &mut rand::rng()) {
+            Some(place) => Ok(usable[place].clone()),
+            None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
+        }
+    }
+
+    /// The server that holds the key; waits a little while the key is on its way.
+    async fn owner(&mut self, entry: &Entry, key: u16) -> Result<Arc<Server>, Refused> {
+        let policy = &entry.settings.policy;
+        let mut changes = entry.view.changes();
+        loop {
+            match entry.view.owner(&self.service, key) {
+                Owner::Nobody => return Err(Refused::soon("no server holds the key", policy)),
+                Owner::Server(id, fence) => {
+                    let server = self.holder(entry, &id)?;
+                    self.fences = (fence, self.fences.0);
+                    return Ok(server);
+                }
+                Owner::Moving(rest) => {
+                    let room_ms = self.hold(entry, rest)?;
+                    let wait = Duration::from_millis(HOLD_PAUSE_MS.min(room_ms));
+                    // Either way the view is asked again.
+                    if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
+                        log::debug!("the view has ended: {closed}");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Time for which the request may wait here for its key.
+    fn hold(&self, entry: &Entry, rest: MoveRest) -> Result<u64, Refused> {
+        let policy = &entry.settings.policy;
+        let aim_ms = self.route.aim_ms;
+        match hold::decide(rest, self.held_ms(), self.left_ms(), aim_ms, policy) {
+            Hold::For(room_ms) => Ok(room_ms),
+            Hold::Refuse if rest.wait == MoveWait::Lease => {
+                let reason = "the key waits for the lease of a lost server to end";
+                Err(Refused::after(reason, rest.rest_ms, policy))
+            }
+            Hold::Refuse => {
+                let reason = "the key is on its way to another server";
+                Err(self.refused_for_a_run(entry, reason))
+            }
+        }
+    }
+
+    /// The server with an id, if it may get the request.
+    fn holder(&mut self, entry: &Entry, id: &str) -> Result<Arc<Server>, Refused> {
+        let policy = &entry.settings.policy;
+        let registry = entry.view.registry();
+        let Some(server) = registry.server(id) else {
+            if registry.former_address(id).is_none() {
+                entry.view.want_reading(Followed::Servers);
+            }
+            return Err(Refused::soon("the key's server is gone", policy));
+        };
+        self.last = Some(server.clone());
+        if server.leaving() {
+            return Err(Refused::soon("the key's server is leaving", policy));
+        }
+        let typical_ms = registry.typical_run_ms(&self.service);
+        let seen = Self::candidate(entry, server);
+        if !admission::has_room(&seen, typical_ms, self.time_left(), policy) {
+            return Err(self.refused_for_a_run(entry, "the key's server is overloaded"));
+        }
+        Ok(server.clone())
+    }
+
+    /// Refuses a request for a hot key, but for the share that its server can serve.
+    pub(super) fn refuse_hot(&self, entry: &Entry) -> Option<Response<AnswerBody>> {
+        let policy = &entry.settings.policy;
+        let tag = tag_of(&self.service);
+        let hot = entry.hot_keys.get(tag, self.key?, clock::now_ms())?;
+        if rand::random::<f64>() < hot.admitted(policy) {
+            return None;
+        }
+        let typical_ms = entry.view.registry().typical_run_ms(&self.service);
+        let refused = Refused::hot_key(hot, typical_ms, policy);
+        let logged = format!("{}: {:.1} for each served", refused.reason, hot.excess());
+        Some(self.refuse(entry, logged, &refused))
+    }
+
+    /// After a server said that it does not hold the key: waits for a change, but not for long.
+    pub(super) async fn await_move(&self, entry: &Entry) {
+        let mut changes = entry.view.changes();
+        self.ask_who_holds(entry);
+        let wait = Duration::from_millis(HOLD_PAUSE_MS.min(self.left_ms()));
+        if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
+            log::debug!("the view has ended: {closed}");
+        }
+    }
+
+    /// Asks the holder of the duty who holds the key; the store only if no holder is heard.
+    fn ask_who_holds(&self, entry: &Entry) {
+        let Some(key) = self.key else { return };
+        let question = Message::WhoHolds {
+            service_tag: tag_of(&self.service),
+            key,
+        };
+        let asked = entry.freshness.is_vouched() && entry.peers.send_to_holder(&question);
+        if !asked {
+            entry.view.want_reading(Followed::Own);
+        }
+    }
+}
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Passes callers' requests on to backend servers and their answers back.
 
 mod body;
+mod choose;
 mod head;
 mod passage;
 
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -20,9 +20,11 @@
 use super::{
     Entry,
     decide::{
-        admission, hot_keys,
+        admission,
+        first::{self, FirstWait},
+        hot_keys,
         key_loads::KeyCounts,
-        plan::{self, FirstWait, PlanServer, Question},
+        plan::{self, PlanServer, Question},
     },
     duty::Change,
     keys::{Holding, KeyRange},
@@ -321,7 +323,7 @@
         let term = self.clone();
         let service = service.clone();
         tasks.spawn(async move {
-            let ranges = plan::first_assignment(&servers);
+            let ranges = first::first_assignment(&servers);
             let change = Change::Distribute(ranges);
             if let Err(failure) = term.entry.record(&service, &change).await {
                 log::warn!("the first holdings of {service} are not recorded: {failure:?}");
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod pool;
 pub mod registry;
 pub mod relay;
+mod rows;
 mod run;
 pub mod seal;
 mod secret;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Entry, followed::Followed, model::ServerEntry, peers::message::Message, watch::decode_servers,
+    Entry, followed::Followed, model::ServerEntry, peers::message::Message, rows::decode_servers,
 };
 use crate::platform::store::Rows;
 
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -1,7 +1,6 @@
 //! Keeps the view up to date by the store's change feeds.
 
 use std::{
-    collections::HashSet,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -9,7 +8,6 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use tokio::time;
 
 use super::{
@@ -17,15 +15,13 @@
     events::Event,
     followed::{Followed, HISTORY_MS},
     freshness::{Doubt, LAG_GRACE_MS},
-    keys::Assignment,
-    relay::{ServerChange, ServerNews},
-    secret::SECRET_KEY,
+    rows::HostRow,
 };
 use crate::{
     clock,
     platform::{
-        self, Error, config, servers,
-        store::{Feed, Put, Row, Rows, Transaction},
+        self, Error,
+        store::{Feed, Put, Rows, Transaction},
     },
 };
 
@@ -33,7 +29,7 @@
 pub const TABLE: &str = "ashroad";
 /// Beginning of the keys of holdings; the service's name follows.
 pub const HOLDINGS_PREFIX: &str = "keys/";
-const HOST_PREFIX: &str = "host/";
+pub const HOST_PREFIX: &str = "host/";
 /// Wait of a feed that shows whether the store answers: a silent store swallows calls, so the next
 /// one must follow soon after its return.
 const PROBE_WAIT_MS: u64 = 0;
@@ -50,14 +46,6 @@
 /// Missed heartbeats after which the platform removes a server's entry.
 const MISSED_HEARTBEATS: u64 = 3;
 
-/// Row by which hosts find each other.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct HostRow {
-    incarnation: u64,
-    #[serde(default)]
-    availability_zone: String,
-}
-
 /// How far a feed can be trusted to tell of changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trust {
@@ -328,157 +316,6 @@
             }
         }
     }
-
-    /// Applies a whole table: what is not in it is gone.
-    fn apply_whole(&self, followed: Followed, rows: Vec<Row>) {
-        if followed == Followed::Servers {
-            let present: HashSet<Arc<str>> =
-                rows.iter().map(|row| row.key.as_str().into()).collect();
-            let returned_ms = self.view.store_returned_ms();
-            self.view
-                .update_registry(|registry| registry.retain(&present, returned_ms));
-        }
-        self.apply(followed, rows);
-        if followed == Followed::Own {
-            self.view.set_hosts_known();
-        }
-    }
-
-    fn apply(&self, followed: Followed, rows: Vec<Row>) {
-        for row in &rows {
-            self.freshness.note_change(followed, row.version);
-        }
-        match followed {
-            Followed::Configuration => self.apply_configuration(&rows),
-            Followed::Servers => self.apply_servers(&rows),
-            Followed::Own => self.apply_own(&rows),
-        }
-    }
-
-    fn apply_configuration(&self, rows: &[Row]) {
-        let current = |row: &&Row| row.key == config::KEY && !row.removed;
-        let Some(row) = rows.iter().rfind(current) else {
-            return;
-        };
-        match config::decode(&row.value) {
-            Ok(configuration) => self.view.configure(configuration),
-            Err(error) => bad_row(config::TABLE, &row.key, &error),
-        }
-    }
-
-    fn apply_servers(&self, rows: &[Row]) {
-        let changes = decode_servers(rows);
-        if changes.is_empty() && !self.view.registry().has_overdue() {
-            return;
-        }
-        self.change_servers(changes);
-    }
-
-    /// Takes changes of servers' entries into the view.
-    pub(super) fn change_servers(&self, changes: Vec<ServerChange>) {
-        let returned_ms = self.view.store_returned_ms();
-        self.view.update_registry(|registry| {
-            for change in changes {
-                if change.is_end() {
-                    self.freshness.note_left(change.version);
-                }
-                match change.what {
-                    ServerNews::Entry(entry) => registry.put(entry),
-                    ServerNews::Removed(id) => registry.remove(&id, returned_ms),
-                }
-            }
-            registry.drop_overdue();
-        });
-    }
-
-    /// Removes servers whose entries have not come back in time.
-    pub(super) async fn drop_overdue_servers(self: Arc<Self>) {
-        loop {
-            let missing = self.view.registry().has_missing();
-            let look_every_ms = if missing { 20 } else { 100 };
-            time::sleep(Duration::from_millis(look_every_ms)).await;
-            if self.view.registry().has_overdue() {
-                self.view
-                    .update_registry(|registry| registry.drop_overdue());
-            }
-        }
-    }
-
-    pub(super) fn apply_own(&self, rows: &[Row]) {
-        for row in rows {
-            if let Some(address) = row.key.strip_prefix(HOST_PREFIX) {
-                self.apply_host(address, row);
-            } else if let Some(service) = row.key.strip_prefix(HOLDINGS_PREFIX) {
-                self.apply_holdings(service, row);
-            } else if row.key == SECRET_KEY {
-                self.apply_secret(row);
-            }
-        }
-    }
-
-    fn apply_host(&self, address: &str, row: &Row) {
-        let Ok(address) = address.parse() else {
-            log::warn!("host row {address} has no address");
-            return;
-        };
-        let own = address == self.settings.listen.peers;
-        if row.removed {
-            self.peers.remove(address);
-            return;
-        }
-        match serde_json::from_slice::<HostRow>(&row.value) {
-            Ok(host) if own && host.incarnation == self.incarnation => {}
-            Ok(_) if own => self.view.note_former_process(),
-            Ok(host) => {
-                let is_near = host.availability_zone == self.settings.availability_zone;
-                self.peers.add(address, host.incarnation, is_near);
-                self.duty.note_process(address, host.incarnation);
-            }
-            Err(error) => log::warn!("host row {address} cannot be read: {error}"),
-        }
-    }
-
-    fn apply_holdings(&self, service: &str, row: &Row) {
-        if row.removed {
-            return;
-        }
-        match Assignment::decode(&row.value) {
-            Ok(assignment) => {
-                self.view
-                    .hold(&service.into(), Arc::new(assignment), row.version);
-            }
-            Err(error) => log::warn!("holdings of {service} cannot be read: {error}"),
-        }
-    }
-}
-
-/// Rows of servers' entries; those that cannot be read are passed over.
-pub(super) fn decode_servers(rows: &[Row]) -> Vec<ServerChange> {
-    let mut changes = Vec::with_capacity(rows.len());
-    for row in rows {
-        let what = if row.removed {
-            ServerNews::Removed(row.key.as_str().into())
-        } else {
-            match servers::decode(&row.key, &row.value) {
-                Ok(entry) => ServerNews::Entry(entry),
-                Err(error) => {
-                    bad_row(servers::TABLE, &row.key, &error);
-                    continue;
-                }
-            }
-        };
-        let version = row.version;
-        changes.push(ServerChange { version, what });
-    }
-    changes
-}
-
-fn bad_row(table: &str, key: &str, error: &Error) {
-    Event::BadRow {
-        row: format!("{table}/{key}"),
-        problem: error.to_string(),
-    }
-    .log();
 }
 
 async fn sleep_until(at_ms: u64) {
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -10,10 +10,11 @@
             behaviour::Behaviour,
             budget::RetryBudget,
             choice::{self, HostCount},
+            first::{self, FirstWait},
             hold::{MoveRest, MoveWait},
             hot_keys::{self, HotKey, HotKeys},
             key_loads::{KeyCounts, KeyLoads},
-            plan::{self, FirstWait, Move, PlanServer, Question},
+            plan::{self, Move, PlanServer, Question},
         },
         explain::Source,
         keys::{Assignment, Holding, KeyRange},
@@ -215,7 +216,7 @@
     let ids: Vec<String> = (0..11).map(|n| format!("s{n:02}")).collect();
     let servers = servers(&ids);
     let mut assignment = Assignment::default();
-    for (range, server) in plan::first_assignment(&servers) {
+    for (range, server) in first::first_assignment(&servers) {
         let fence = assignment.next_fence(1);
         assignment.put(holding(range.first, range.last, &server, fence));
     }
@@ -258,7 +259,7 @@
 /// Holdings of all keys in equal parts.
 fn equal_parts(servers: &[PlanServer]) -> Assignment {
     let mut assignment = Assignment::default();
-    for (range, server) in plan::first_assignment(servers) {
+    for (range, server) in first::first_assignment(servers) {
         let fence = assignment.next_fence(1);
         assignment.put(holding(range.first, range.last, &server, fence));
     }
