--- a/src/entry/duty/takeover.rs
+++ b/src/entry/duty/takeover.rs
@@ -15,6 +15,7 @@
         Entry,
         events::Event,
         keys::Assignment,
+        server::tag_of,
         watch::{HOLDINGS_PREFIX, TABLE, pause},
     },
 };
@@ -23,9 +24,17 @@
 const LOOK_EVERY_MS: u64 = 100;
 /// Time from a host's start until it looks after the duty.
 const START_PATIENCE_MS: u64 = 600;
-/// The same while it knows no other host: hosts that start together must know each other, or all of
-/// them would watch. They read each other's rows 1.3 s after their start.
-const START_ALONE_MS: u64 = 1_800;
+/// The same at the first start of a deployment, when there is no secret for datagrams yet: hosts that
+/// start together must know each other, or all of them would watch. They read each other's rows
+/// 2.5 s after their start.
+const START_FIRST_MS: u64 = 3_200;
+/// One in so many hosts looks after the duty early all the same, so that the first holder's secret
+/// is there when the rows are read: 295 hosts that all looked made 1,180 calls to the store.
+const EARLY_ONE_IN: u32 = 32;
+/// Share of a processor from which a host is one of them.
+const EARLY_PROCESSOR_SHARE: f32 = 0.5;
+/// Longest time by which stronger ones look before weaker ones.
+const WEAKNESS_DELAY_MS: f32 = 800.0;
 /// Interval at which the row is read while its holder is silent.
 const READ_EVERY_MS: u64 = 300;
 /// Longest random delay before the duty is taken, so that not all hosts try at once.
@@ -48,7 +57,8 @@
         let started_ms = clock::now_ms();
         loop {
             if self.duty.term() > 0 {
-                time::sleep(Duration::from_millis(leases.confirm_every_ms)).await;
+                let every_ms = self.limits.confirm_every_ms(leases.confirm_every_ms);
+                time::sleep(Duration::from_millis(every_ms)).await;
                 if self.duty.term() > 0 {
                     self.confirm_duty_through_outages().await;
                 }
@@ -83,9 +93,10 @@
     /// should be watched.
     fn holder_is_silent(&self, started_ms: u64) -> bool {
         let heard_ms = self.peers.holder_heard_ms();
-        let silent_after_ms = if heard_ms == 0 && self.peers.hosts() == 1 {
-            started_ms + START_ALONE_MS
-        } else if heard_ms == 0 {
+        if heard_ms == 0 && !self.peers.seal.is_known() {
+            return clock::now_ms() > started_ms + self.first_start_ms();
+        }
+        let silent_after_ms = if heard_ms == 0 {
             started_ms + START_PATIENCE_MS
         } else {
             heard_ms + self.settings.leases.takeover_ms / 2
@@ -93,9 +104,24 @@
         clock::now_ms() > silent_after_ms + self.watch_delay_ms()
     }
 
+    /// Time from the first start of a deployment until this host looks after the duty.
+    fn first_start_ms(&self) -> u64 {
+        let share = self.settings.processor_share.clamp(0.0, 1.0);
+        let tag = tag_of(&self.settings.listen.peers.to_string());
+        if share >= EARLY_PROCESSOR_SHARE || tag.is_multiple_of(EARLY_ONE_IN) {
+            START_PATIENCE_MS + (WEAKNESS_DELAY_MS * (1.0 - share)) as u64
+        } else {
+            START_FIRST_MS
+        }
+    }
+
     /// Time for which other hosts watch the row of a silent holder before this one does.
     fn watch_delay_ms(&self) -> u64 {
-        let rank = self.peers.takeover_rank(self.settings.listen.peers);
+        let rank = {
+            let settings = &self.settings;
+            self.peers
+                .takeover_rank(settings.listen.peers, settings.processor_share)
+        };
         rank as u64 / WATCHERS * WATCHERS_EVERY_MS
     }
 
--- a/src/entry/followed.rs
+++ b/src/entry/followed.rs
@@ -1,6 +1,6 @@
 //! The tables of the store that a host follows, and how often it asks for what has changed.
 
-use super::watch::TABLE;
+use super::{limits::TimeLimits, watch::TABLE};
 use crate::platform::{config, servers};
 
 /// Longest wait of the servers' feed at the store while no other host vouches for the store. A
@@ -12,10 +12,10 @@
 const FEED_WAIT_MS: u64 = 25_000;
 /// Longest rest of a feed while the holder of the duty passes all changes on. A host that has
 /// missed one notices by the holder's news, or when it meets a host or a secret that it does not
-/// know.
-const TOLD_REST_MS: u64 = 120_000;
-/// The same for the product's own rows: announced grants count for 40 s.
-const OWN_TOLD_REST_MS: u64 = 30_000;
+/// know, or a server that no longer holds a key.
+pub const TOLD_REST_MS: u64 = 120_000;
+/// Time after its start until a host reads the product's own rows again, if it hears no holder.
+const OWN_START_REST_MS: u64 = 2_500;
 /// Least rest of the feed of the product's own rows.
 const OWN_REST_MS: u64 = 300;
 /// Time without a call after which a table is read as a whole: the store keeps the history of
@@ -58,46 +58,51 @@
 
     /// Time for which a feed may wait at the store. The holder of the duty has nobody who tells it
     /// that its connections have fallen silent, and nor has a host that does not hear one.
-    pub fn wait_ms(self, vouched: bool, is_holder: bool) -> u64 {
+    pub fn wait_ms(self, vouched: bool, is_holder: bool, limits: &TimeLimits) -> u64 {
         let told_of_silence = vouched && !is_holder;
         match self {
             Self::Own => FEED_WAIT_MS,
             _ if told_of_silence => FEED_WAIT_MS,
+            _ if is_holder => limits.holder_wait_ms,
             _ => CANARY_WAIT_MS,
         }
     }
 
     /// Time for which a host that has just read the table waits to hear the holder of the duty before
-    /// it asks for changes: hosts that start together would all ask for each other's rows. The first
-    /// holder is there after 2 s, and a host owes nobody a bound in its first 3 s.
-    pub fn start_rest_ms(self) -> u64 {
+    /// it asks for changes: hosts that start together would all ask for each other's rows, which are
+    /// there after 2 s, as is the first holder. Meanwhile a host owes nobody a bound.
+    pub fn start_rest_ms(self, limits: &TimeLimits) -> u64 {
         match self {
-            Self::Own => 1_300,
-            Self::Configuration | Self::Servers => 2_600,
+            Self::Own => OWN_START_REST_MS,
+            Self::Configuration | Self::Servers => limits.start_rest_ms,
         }
     }
 
     /// How long a feed rests between two answers. Rests grow with the number of hosts, since each
     /// change wakes all of them, as far as changes still take effect in time.
-    pub fn rest(self, hosts: usize, is_holder: bool, vouched: bool) -> Rest {
+    pub fn rest(self, hosts: usize, is_holder: bool, vouched: bool, limits: &TimeLimits) -> Rest {
         let scaled = |few_hosts_ms: u64, many_hosts_ms: u64| {
             let scaled_ms = few_hosts_ms * hosts as u64 / FEW_HOSTS;
-            scaled_ms.clamp(few_hosts_ms, many_hosts_ms)
+            scaled_ms.clamp(few_hosts_ms.min(many_hosts_ms), many_hosts_ms)
         };
         match self {
-            // It has two seconds to take effect.
-            Self::Configuration => Rest::fixed(scaled(150, 500)),
+            Self::Configuration if is_holder => Rest::fixed(limits.holder_rest_ms),
+            Self::Configuration if vouched => Rest {
+                least_ms: limits.configuration_rest_ms,
+                most_ms: TOLD_REST_MS,
+            },
+            Self::Configuration => Rest::fixed(scaled(150, limits.configuration_rest_ms)),
             // The others learn from the holder what changes.
-            Self::Servers if is_holder => Rest::fixed(SERVERS_REST_MS),
+            Self::Servers if is_holder => Rest::fixed(limits.holder_rest_ms),
             Self::Servers if vouched => Rest {
                 least_ms: scaled(SERVERS_REST_MS, 1_000),
                 most_ms: TOLD_REST_MS,
             },
-            Self::Servers => Rest::fixed(scaled(SERVERS_REST_MS, 1_500)),
+            Self::Servers => Rest::fixed(scaled(SERVERS_REST_MS, limits.servers_rest_ms)),
             // Holdings also come by datagram, once the holder knows this host.
             Self::Own if vouched => Rest {
                 least_ms: OWN_REST_MS,
-                most_ms: OWN_TOLD_REST_MS,
+                most_ms: TOLD_REST_MS,
             },
             Self::Own => Rest {
                 least_ms: OWN_REST_MS,
--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -14,35 +14,52 @@
 use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use super::followed::Followed;
+use super::{
+    followed::Followed,
+    limits::{LOOK_EVERY_MS, TimeLimits},
+};
 use crate::clock;
 
 /// Number of followed tables.
 const TABLES: usize = Followed::ALL.len();
-/// Age up to which the store's last answer to the holder shows that the store is there. The holder
-/// confirms its duty every 0.7 s, and an answer takes up to half a second on slow days.
-const VOUCHED_MS: u64 = 2_000;
-/// Time for which a feed may be behind the holder's: an answer may be on its way.
-pub const LAG_GRACE_MS: u64 = 400;
-/// Interval at which a waiting feed is compared with what the holder has seen.
-const LOOK_EVERY_MS: u64 = 100;
+/// Word of what the store said that is not to be relied on.
+const TOO_OLD_MS: u32 = u32::MAX;
 
 /// What the holder of the duty tells of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreNews {
-    /// Time since the store's last answer.
+    /// Time since the store's last answer, or since the servers' entries or the configuration were
+    /// last followed if that is longer ago: all changes up to then are known.
     pub age_ms: u32,
     /// Version of the latest change that was seen, by table.
     pub changed: [u64; TABLES],
     /// Version of the latest change by which a server was to get no new work.
     pub left: u64,
-    /// Version up to which the holder has the servers' entries, changed or not.
-    pub servers_up_to: u64,
+    /// Version up to which the holder has each table, changed or not.
+    pub up_to: [u64; TABLES],
+}
+
+impl StoreNews {
+    /// The same after some time on its way.
+    pub fn aged_by(self, way_ms: u64) -> Self {
+        let way_ms = u32::try_from(way_ms).unwrap_or(TOO_OLD_MS);
+        Self {
+            age_ms: self.age_ms.saturating_add(way_ms),
+            ..self
+        }
+    }
 }
 
 /// What this host has heard of the store, and what the holder told.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Freshness {
+    /// Age up to which what the holder tells is relied on.
+    trust_ms: u64,
+    /// Time for which a feed may be behind the holder's.
+    lag_grace_ms: u64,
+    /// Until when this host has followed each table; `u64::MAX` while a call waits at the store, 0
+    /// before the first.
+    followed_ms: [AtomicU64; TABLES],
     /// Version up to which this host has each table.
     applied: [AtomicU64; TABLES],
     changed: [AtomicU64; TABLES],
@@ -67,6 +84,26 @@
 }
 
 impl Freshness {
+    /// Nothing is heard yet.
+    pub fn new(limits: &TimeLimits) -> Self {
+        Self {
+            trust_ms: limits.trust_ms,
+            lag_grace_ms: limits.lag_grace_ms,
+            followed_ms: Default::default(),
+            applied: Default::default(),
+            changed: Default::default(),
+            left: AtomicU64::new(0),
+            told: Mutex::default(),
+        }
+    }
+
+    /// Notes that a call waits at the store for changes of a table; until the result is dropped.
+    pub fn follow(&self, followed: Followed) -> Following<'_> {
+        let followed_ms = &self.followed_ms[followed.index()];
+        followed_ms.store(u64::MAX, Ordering::Relaxed);
+        Following(followed_ms)
+    }
+
     /// Notes that this host has all changes of a table up to a version.
     pub fn note_applied(&self, followed: Followed, version: u64) {
         self.applied[followed.index()].fetch_max(version, Ordering::Relaxed);
@@ -90,12 +127,19 @@
     /// What this host tells the others while it has the duty; `heard_ms` is when the store answered
     /// last.
     pub fn news(&self, heard_ms: u64) -> StoreNews {
-        let age_ms = clock::now_ms().saturating_sub(heard_ms);
+        let followed_ms = |followed: Followed| {
+            let followed_ms = &self.followed_ms[followed.index()];
+            followed_ms.load(Ordering::Relaxed)
+        };
+        let known_ms = heard_ms
+            .min(followed_ms(Followed::Servers))
+            .min(followed_ms(Followed::Configuration));
+        let age_ms = clock::now_ms().saturating_sub(known_ms);
         StoreNews {
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            age_ms: u32::try_from(age_ms).unwrap_or(TOO_OLD_MS),
             changed: std::array::from_fn(|table| self.changed[table].load(Ordering::Relaxed)),
             left: self.left.load(Ordering::Relaxed),
-            servers_up_to: self.applied(Followed::Servers),
+            up_to: std::array::from_fn(|table| self.applied[table].load(Ordering::Relaxed)),
         }
     }
 
@@ -103,10 +147,12 @@
     pub fn note_told(&self, news: StoreNews) -> u64 {
         let answered_ms = clock::now_ms().saturating_sub(u64::from(news.age_ms));
         *self.told() = Some(Told { answered_ms, news });
-        let servers = Followed::Servers;
-        if self.applied(servers) > 0 && self.applied(servers) >= news.changed[servers.index()] {
-            // Nothing has changed since, so that the store's history is not needed that far back.
-            self.note_applied(servers, news.servers_up_to);
+        for followed in [Followed::Servers, Followed::Configuration] {
+            let applied = self.applied(followed);
+            if applied > 0 && applied >= news.changed[followed.index()] {
+                // Nothing has changed since, so that the store's history is not needed that far back.
+                self.note_applied(followed, news.up_to[followed.index()]);
+            }
         }
         answered_ms
     }
@@ -114,7 +160,7 @@
     /// True if the holder says that the store has answered it lately.
     pub fn is_vouched(&self) -> bool {
         let told = *self.told();
-        told.is_some_and(|told| clock::now_ms() < told.answered_ms + VOUCHED_MS)
+        told.is_some_and(|told| clock::now_ms() < told.answered_ms + self.trust_ms)
     }
 
     /// True if the holder has seen a later change of a table than a feed has asked for.
@@ -152,7 +198,7 @@
             } else {
                 behind_ms = 0;
             }
-            if behind_ms > LAG_GRACE_MS {
+            if behind_ms > self.lag_grace_ms {
                 return Doubt::Behind;
             }
         }
@@ -162,3 +208,14 @@
         self.told.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// A call that waits at the store for changes of a table.
+#[derive(Debug)]
+pub struct Following<'a>(&'a AtomicU64);
+
+impl Drop for Following<'_> {
+    fn drop(&mut self) {
+        let now_ms = clock::now_ms();
+        self.0.store(now_ms, Ordering::Relaxed);
+    }
+}
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -284,6 +284,17 @@
         self.settle(service, tasks);
     }
 
+    /// Tells all hosts the first holdings, so that they do not all read the record.
+    fn announce_all(&self, service: &Arc<str>) {
+        let Some(held) = self.entry.view.held(service) else {
+            return;
+        };
+        for holding in &held.assignment.holdings {
+            let outbox = &self.entry.peers.outbox;
+            outbox.announce_holding(tag_of(service), holding);
+        }
+    }
+
     /// Lets silent servers hold keys again once their entries are fresh and they answer requests.
     fn revive_silent(&self, service: &str) {
         let registry = self.entry.view.registry();
@@ -325,8 +336,11 @@
         tasks.spawn(async move {
             let ranges = first::first_assignment(&servers);
             let change = Change::Distribute(ranges);
-            if let Err(failure) = term.entry.record(&service, &change).await {
-                log::warn!("the first holdings of {service} are not recorded: {failure:?}");
+            match term.entry.record(&service, &change).await {
+                Ok(_) => term.announce_all(&service),
+                Err(failure) => {
+                    log::warn!("the first holdings of {service} are not recorded: {failure:?}");
+                }
             }
             term.end_move(&service, KeyRange::ALL);
         });
--- /dev/null
+++ b/src/entry/limits.rs
@@ -0,0 +1,168 @@
+//! Time limits that follow from the bounds which the users set.
+//!
+//! Whatever lies on the way of a promise (a resting feed, word of the holder that is relied on, a
+//! call of this host's own) has its share here, and the sum of each way stays under the bound.
+
+use std::fmt;
+
+use super::settings::Bounds;
+use crate::platform::store::FEED_SLACK_MS;
+
+/// Time for a call to the store after a wait: a connection, one lost packet, and the answer.
+const CALL_MS: u64 = 350;
+/// Timers that fire late, and the way of a request that was sent just before.
+const LATE_MS: u64 = 150;
+/// Interval at which a resting or waiting feed looks whether it must hurry.
+pub const LOOK_EVERY_MS: u64 = 100;
+/// Least time that must be left for relying on the holder of the duty. With less, its word would
+/// be too old whenever it arrives.
+const TRUST_MIN_MS: u64 = 200;
+/// Longest time for which the holder is relied on. More would save no calls: it confirms its duty
+/// and speaks several times in it.
+const TRUST_MAX_MS: u64 = 2_000;
+/// Longest interval at which the holder speaks.
+const WORD_EVERY_MAX_MS: u64 = 300;
+/// Longest time for which a host may be behind what the holder tells.
+const LAG_GRACE_MAX_MS: u64 = 400;
+/// Longest rest of the holder's feed of servers' entries, so that changes that come together cost
+/// one call.
+const HOLDER_REST_MAX_MS: u64 = 250;
+/// Longest wait of the holder's feeds. Calls are priced, and the holder makes them all the time.
+const HOLDER_WAIT_MAX_MS: u64 = 3_000;
+/// Longest rest of the feeds of a host that hears no holder, and of the configuration's feed.
+const SERVERS_REST_MAX_MS: u64 = 1_500;
+const CONFIGURATION_REST_MAX_MS: u64 = 500;
+
+/// Time limits of one host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TimeLimits {
+    /// Age of what the holder of the duty tells up to which it is relied on: a holder may be lost
+    /// just after it spoke, and just before it could pass on that a server leaves.
+    pub trust_ms: u64,
+    /// Interval at which the holder speaks; several fit into the time for which it is relied on.
+    pub word_every_ms: u64,
+    /// Rest of the holder's feed of servers' entries.
+    pub holder_rest_ms: u64,
+    /// Longest wait of the holder's feed at the store: it has nobody who tells it that its
+    /// connection has fallen silent.
+    pub holder_wait_ms: u64,
+    /// Longest rest of the feed of servers' entries while no holder is heard.
+    pub servers_rest_ms: u64,
+    /// Longest rest of the configuration's feed.
+    pub configuration_rest_ms: u64,
+    /// Time for which a host may be behind what the holder tells before it asks the store: an answer
+    /// or what the holder passes on may be on its way.
+    pub lag_grace_ms: u64,
+    /// Time after its start for which a host waits to hear a holder.
+    pub start_rest_ms: u64,
+}
+
+/// One way on which a promise is kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Way {
+    /// What happens.
+    pub name: &'static str,
+    /// The bound's name in the settings.
+    pub bound: &'static str,
+    /// Longest time that it takes.
+    pub worst_ms: u64,
+    /// Time that the users allow.
+    pub bound_ms: u64,
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            name,
+            bound,
+            worst_ms,
+            bound_ms,
+        } = self;
+        write!(
+            formatter,
+            "bounds.{bound} of {bound_ms} ms cannot be kept when {name}: that takes {worst_ms} ms"
+        )
+    }
+}
+
+impl Way {
+    /// True if the promise is kept on this way.
+    pub fn is_kept(&self) -> bool {
+        self.worst_ms <= self.bound_ms
+    }
+}
+
+impl TimeLimits {
+    /// The limits for bounds; [`Self::ways`] tells whether they keep them.
+    pub fn new(bounds: &Bounds) -> Self {
+        let after_wait_ms = LOOK_EVERY_MS + CALL_MS + LATE_MS;
+        let room = |bound_ms: u64| bound_ms.saturating_sub(after_wait_ms).max(TRUST_MIN_MS);
+        let drain_room_ms = room(bounds.drain_ms);
+        let configuration_room_ms = room(bounds.configuration_ms);
+        let trust_ms = drain_room_ms.min(configuration_room_ms).min(TRUST_MAX_MS);
+        Self {
+            trust_ms,
+            word_every_ms: (trust_ms / 4).min(WORD_EVERY_MAX_MS),
+            holder_rest_ms: (trust_ms / 4).min(HOLDER_REST_MAX_MS),
+            holder_wait_ms: (bounds.contact_ms + drain_room_ms.min(configuration_room_ms))
+                .saturating_sub(FEED_SLACK_MS)
+                .clamp(TRUST_MIN_MS, HOLDER_WAIT_MAX_MS),
+            servers_rest_ms: drain_room_ms.min(SERVERS_REST_MAX_MS),
+            configuration_rest_ms: configuration_room_ms.min(CONFIGURATION_REST_MAX_MS),
+            lag_grace_ms: (trust_ms / 2).min(LAG_GRACE_MAX_MS),
+            start_rest_ms: bounds.contact_ms.saturating_sub(CALL_MS),
+        }
+    }
+
+    /// Interval of the holder's confirmations: the store's last answer to it must be young enough
+    /// to be relied on until the next but one word.
+    pub fn confirm_every_ms(&self, wanted_ms: u64) -> u64 {
+        wanted_ms.min(self.trust_ms / 2)
+    }
+
+    /// All ways on which hosts learn of leaving servers and of configurations.
+    pub fn ways(&self, bounds: &Bounds) -> [Way; 7] {
+        let drain = |name, wait_ms| Way {
+            name,
+            bound: "drain",
+            worst_ms: wait_ms + CALL_MS + LATE_MS,
+            bound_ms: bounds.drain_ms,
+        };
+        let configuration = |name, wait_ms| Way {
+            name,
+            bound: "configuration",
+            worst_ms: wait_ms + CALL_MS + LATE_MS,
+            bound_ms: bounds.configuration_ms,
+        };
+        let next_word_ms = self.holder_rest_ms + 2 * self.word_every_ms + LOOK_EVERY_MS;
+        [
+            drain(
+                "the holder is lost before it passes on that a server leaves",
+                self.trust_ms + LOOK_EVERY_MS,
+            ),
+            drain(
+                "the word that a server leaves is lost, and the holder's next one tells of it",
+                next_word_ms,
+            ),
+            Way {
+                name: "the holder's connection to the store has fallen silent",
+                bound: "contact",
+                worst_ms: self.holder_wait_ms + FEED_SLACK_MS + CALL_MS + LATE_MS,
+                bound_ms: bounds.contact_ms + bounds.drain_ms.min(bounds.configuration_ms),
+            },
+            drain("no holder is heard", self.servers_rest_ms),
+            configuration(
+                "the holder is lost before it passes the configuration on",
+                self.trust_ms + LOOK_EVERY_MS,
+            ),
+            configuration(
+                "a piece of the configuration is lost, and the holder's next word tells of it",
+                self.holder_rest_ms + self.word_every_ms + self.lag_grace_ms + LOOK_EVERY_MS,
+            ),
+            configuration(
+                "the configuration changes while its feed rests",
+                self.configuration_rest_ms,
+            ),
+        ]
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! An entry host on the users' platform: it passes requests on to backend servers, and one host
 //! at a time has the duty of saying which server holds which keys.
 
+pub mod configuration_relay;
 pub mod decide;
 mod duty;
 mod events;
@@ -10,6 +11,7 @@
 pub mod freshness;
 pub mod keys;
 mod leases;
+pub mod limits;
 pub mod log_writer;
 pub mod losses;
 pub mod metrics;
@@ -43,6 +45,7 @@
     decide::{budget::RetryBudget, hot_keys::HotKeys},
     duty::Duty,
     freshness::Freshness,
+    limits::TimeLimits,
     metrics::Metrics,
     peers::Peers,
     relay::Relay,
@@ -61,6 +64,8 @@
     pub store: Store,
     /// Configuration, servers and keys.
     pub view: View,
+    /// Time limits that follow from the users' bounds.
+    pub limits: TimeLimits,
     /// What is heard of the store.
     pub freshness: Freshness,
     /// Whether changes that the holder of the duty passes on can be taken.
@@ -90,11 +95,13 @@
     pub fn new(settings: Settings) -> Self {
         // JSON readers may hold numbers as doubles, so only 53 bits are used.
         let incarnation = (rand::rng().random::<u64>() >> 11).max(1);
+        let limits = TimeLimits::new(&settings.bounds);
         Self {
             incarnation,
             store: Store::new(settings.store.address),
             view: View::default(),
-            freshness: Freshness::default(),
+            limits,
+            freshness: Freshness::new(&limits),
             relay: Relay::default(),
             hot_keys: HotKeys::default(),
             peers: Peers::default(),
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -1,10 +1,12 @@
 //! Messages between hosts.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{
-    decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding, relay::ServerChanges,
-    view::Announcement,
+    configuration_relay::Piece, decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding,
+    relay::ServerChanges, view::Announcement,
 };
 
 /// Most servers and keys in one datagram; it stays under the usual packet size.
@@ -12,7 +14,7 @@
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-pub const VERSION: u8 = 8;
+pub const VERSION: u8 = 9;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,13 +45,35 @@
     pub requests: u16,
 }
 
+/// What a host tells of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Short name of its availability zone.
+    pub zone_tag: u32,
+    /// Share of a processor that it has.
+    pub processor_share: f32,
+}
+
 /// Messages between hosts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
+    /// Word for the receiver, and for the hosts of its zone, to which it passes it on.
+    PassOn(Box<Message>),
+    /// Word of another host.
+    Passed {
+        /// That host.
+        origin: SocketAddr,
+        /// Its word.
+        message: Box<Message>,
+    },
+    /// The sender passes word on.
+    PassesOn,
     /// The sender has the duty.
     Holder {
         /// Number of its term.
         term: u64,
+        /// When this was sent, by its clock.
+        sent_ms: u64,
         /// What it knows of the store.
         news: StoreNews,
         /// Keys that get too many requests.
@@ -57,6 +81,8 @@
     },
     /// What the sender knows of servers.
     Report {
+        /// What it is, for hosts that have not read its row yet.
+        sender: Sender,
         /// Its requests there.
         servers: Vec<ServerLoad>,
         /// Their run times; empty if they have not changed much since the last report that had
@@ -74,6 +100,8 @@
     },
     /// Changes of servers' entries that the sender, which has the duty, was told by the store.
     Servers(ServerChanges),
+    /// Piece of a configuration that the sender, which has the duty, was told by the store.
+    Configuration(Piece),
     /// Asks the holder of the duty who holds a key.
     WhoHolds {
         /// Service.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -7,6 +7,7 @@
 pub mod outbox;
 mod receive;
 mod report;
+pub mod spread;
 
 pub use self::{message::KeyCount, report::Rhythm};
 
@@ -24,6 +25,7 @@
 use self::{
     message::{Message, RunTime, ServerLoad, VERSION},
     outbox::Outbox,
+    spread::{HostView, RELAY_SILENT_MS, Spread, WayTime},
 };
 use super::{decide::choice::HostCount, seal::Seal, server::tag_of};
 use crate::clock;
@@ -36,10 +38,24 @@
     reporters: f64,
 }
 
-#[derive(Debug, Default)]
+/// What a host's row tells of it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HostFacts {
+    /// Process that runs there, if its row was read.
+    pub incarnation: Option<u64>,
+    /// Short name of its availability zone.
+    pub zone_tag: u32,
+    /// True if that is the own zone.
+    pub is_near: bool,
+    /// Share of a processor that it has.
+    pub processor_share: f32,
+}
+
+#[derive(Debug)]
 struct Peer {
-    incarnation: u64,
-    is_near: bool,
+    facts: HostFacts,
+    /// When it was first given word to pass on since it was last heard; 0 if it was not.
+    asked_ms: u64,
     heard_ms: u64,
     loads: Vec<ServerLoad>,
     run_times: Vec<RunTime>,
@@ -61,22 +77,37 @@
     holder: Mutex<Option<SocketAddr>>,
     holder_term: AtomicU64,
     holder_heard_ms: AtomicU64,
+    way_time: Mutex<WayTime>,
 }
 
 impl Peers {
-    /// Notes a host; it is near if it is in the own availability zone.
-    pub fn add(&self, address: SocketAddr, incarnation: u64, is_near: bool) {
+    /// Notes a host.
+    pub fn add(&self, address: SocketAddr, facts: HostFacts) {
         let mut peers = self.peers();
-        let peer = peers.entry(address).or_default();
-        peer.incarnation = incarnation;
-        peer.is_near = is_near;
+        let peer = peers.entry(address).or_insert_with(|| Peer {
+            facts,
+            asked_ms: 0,
+            heard_ms: 0,
+            loads: Vec::new(),
+            run_times: Vec::new(),
+        });
+        peer.facts = facts;
+    }
+
+    /// Notes that a host was heard.
+    fn note_heard(&self, address: SocketAddr) {
+        if let Some(peer) = self.peers().get_mut(&address) {
+            peer.asked_ms = 0;
+        }
     }
 
     /// Processes of the other hosts.
     pub fn processes(&self) -> Vec<(SocketAddr, u64)> {
         let peers = self.peers();
-        let processes = peers.iter().map(|(address, p)| (*address, p.incarnation));
-        processes.collect()
+        let processes = peers.iter();
+        processes
+            .filter_map(|(address, peer)| Some((*address, peer.facts.incarnation?)))
+            .collect()
     }
 
     /// True if a host at this address is known.
@@ -98,20 +129,27 @@
     pub fn host_count(&self) -> HostCount {
         let peers = self.peers();
         HostCount {
-            near: peers.values().filter(|peer| peer.is_near).count() + 1,
+            near: peers.values().filter(|peer| peer.facts.is_near).count() + 1,
             all: peers.len() + 1,
         }
     }
 
     /// Number of hosts that come before the one at `own` in the order in which they look after the
-    /// duty. The order is another one for each term, so that hosts that are gone do not always come
-    /// first.
-    pub fn takeover_rank(&self, own: SocketAddr) -> usize {
+    /// duty: those with a larger share of a processor first, since the holder has word for all and
+    /// orders for all servers with keys. Among equals the order is another one for each term, so that
+    /// hosts that are gone do not always come first.
+    pub fn takeover_rank(&self, own: SocketAddr, processor_share: f32) -> usize {
         let term = self.holder_term.load(Ordering::Relaxed);
         let place = |address: &SocketAddr| tag_of(&format!("{address} {term}"));
         let own = place(&own);
+        let is_before = |address: &SocketAddr, share: f32| {
+            share > processor_share || share == processor_share && place(address) < own
+        };
         let peers = self.peers();
-        peers.keys().filter(|address| place(address) < own).count()
+        let others = peers.iter();
+        others
+            .filter(|(address, peer)| is_before(address, peer.facts.processor_share))
+            .count()
     }
 
     /// Intervals of reports at the present number of hosts.
@@ -160,7 +198,7 @@
 
     fn near_addresses(&self) -> Vec<SocketAddr> {
         let peers = self.peers();
-        let near = peers.iter().filter(|(_, peer)| peer.is_near);
+        let near = peers.iter().filter(|(_, peer)| peer.facts.is_near);
         near.map(|(address, _)| *address).collect()
     }
 
@@ -172,9 +210,49 @@
         self.holder.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a message to all other hosts.
-    pub(in crate::entry) fn send_to_all(&self, message: &Message) {
-        self.send(message, &self.addresses());
+    /// Sends a message to all other hosts: to each of them, or by those that pass it on.
+    pub(in crate::entry) fn send_to_all(&self, message: Message) {
+        let Spread { direct, relays } = self.spread();
+        if !direct.is_empty() {
+            self.send(&message, &direct);
+        }
+        if !relays.is_empty() {
+            self.send(&Message::PassOn(Box::new(message)), &relays);
+        }
+    }
+
+    /// The ways to all hosts; notes who is asked to pass word on.
+    fn spread(&self) -> Spread {
+        let now_ms = clock::now_ms();
+        let term = self.holder_term.load(Ordering::Relaxed);
+        let mut peers = self.peers();
+        let views = peers.iter().map(|(address, peer)| HostView {
+            address: *address,
+            zone_tag: peer.facts.zone_tag,
+            processor_share: peer.facts.processor_share,
+            is_silent: peer.asked_ms > 0 && now_ms > peer.asked_ms + RELAY_SILENT_MS,
+        });
+        let spread = spread::spread(&views.collect::<Vec<_>>(), term);
+        for address in &spread.relays {
+            if let Some(peer) = peers.get_mut(address).filter(|peer| peer.asked_ms == 0) {
+                peer.asked_ms = now_ms;
+            }
+        }
+        spread
+    }
+
+    /// Passes word of another host on in the own zone.
+    fn pass_on(&self, origin: SocketAddr, message: Message) {
+        let mut to = self.near_addresses();
+        to.retain(|address| *address != origin);
+        let message = Box::new(message);
+        self.send(&Message::Passed { origin, message }, &to);
+    }
+
+    /// Time that word of the holder was on its way beyond the least.
+    fn way_ms(&self, term: u64, sent_ms: u64) -> u64 {
+        let mut way_time = self.way_time.lock().unwrap_or_else(PoisonError::into_inner);
+        way_time.delay_ms(term, sent_ms, clock::now_ms())
     }
 
     /// Sends a message to the holder of the duty; false if none is known.
@@ -238,7 +316,7 @@
         let rhythm = self.rhythm();
         let mut sums: HashMap<u16, ReportedLoad> = HashMap::new();
         for peer in self.peers().values() {
-            if now_ms > peer.heard_ms + rhythm.age_max_ms(peer.is_near) {
+            if now_ms > peer.heard_ms + rhythm.age_max_ms(peer.facts.is_near) {
                 continue;
             }
             for load in &peer.loads {
--- a/src/entry/peers/outbox.rs
+++ b/src/entry/peers/outbox.rs
@@ -117,7 +117,7 @@
             };
             time::sleep(Duration::from_millis(every_ms)).await;
             for message in self.peers.outbox.take_due(clock::now_ms()) {
-                self.peers.send(&message, &self.peers.addresses());
+                self.peers.send_to_all(message);
             }
         }
     }
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -4,7 +4,10 @@
 
 use tokio::{net::UdpSocket, time};
 
-use super::message::{DATAGRAM_BYTES_MAX, Message, VERSION};
+use super::{
+    HostFacts,
+    message::{DATAGRAM_BYTES_MAX, Message, VERSION},
+};
 use crate::{
     clock,
     entry::{
@@ -51,34 +54,87 @@
             }
             return;
         };
+        let Some((&VERSION, body)) = message.split_first() else {
+            return;
+        };
+        self.peers.note_heard(from);
+        let decoded = postcard::from_bytes(body);
         if !self.peers.knows(from) {
-            self.view.want_reading(Followed::Own);
+            self.meet(from, decoded.as_ref().ok());
         }
-        let Some((&VERSION, body)) = message.split_first() else {
+        match decoded {
+            Ok(Message::PassOn(message)) => {
+                self.peers.pass_on(from, (*message).clone());
+                if matches!(*message, Message::Holder { .. }) {
+                    self.peers.send(&Message::PassesOn, &[from]);
+                }
+                self.take(*message, from);
+            }
+            Ok(Message::Passed { origin, message }) => {
+                if origin != self.settings.listen.peers {
+                    self.take(*message, origin);
+                }
+            }
+            Ok(message) => self.take(message, from),
+            Err(error) => log::debug!("datagram of {from} cannot be read: {error}"),
+        }
+    }
+
+    /// Takes up a host whose row was not read yet. Its report tells what it is: 294 hosts that read
+    /// the rows for each new one are 294 calls to the store.
+    fn meet(&self, from: SocketAddr, message: Option<&Message>) {
+        let Some(Message::Report { sender, .. }) = message else {
+            self.view.want_reading(Followed::Own);
             return;
         };
-        match postcard::from_bytes(body) {
-            Ok(Message::Holder { term, news, hot }) => self.note_holder(from, term, news, hot),
-            Ok(Message::Report { servers, run_times }) => {
+        let facts = HostFacts {
+            // Only its row proves which process runs there.
+            incarnation: None,
+            zone_tag: sender.zone_tag,
+            is_near: sender.zone_tag == tag_of(&self.settings.availability_zone),
+            processor_share: sender.processor_share,
+        };
+        self.peers.add(from, facts);
+    }
+
+    /// Takes in word of the host at `from`, whichever way it came.
+    fn take(&self, message: Message, from: SocketAddr) {
+        match message {
+            Message::Holder {
+                term,
+                sent_ms,
+                news,
+                hot,
+            } => {
+                let news = news.aged_by(self.peers.way_ms(term, sent_ms));
+                self.note_holder(from, term, news, hot);
+            }
+            Message::Report {
+                servers, run_times, ..
+            } => {
                 self.peers.note_report(from, servers, run_times);
             }
-            Ok(Message::Servers(changes)) => self.take_servers(changes),
-            Ok(Message::WhoHolds { service_tag, key }) => self.tell_holder(from, service_tag, key),
-            Ok(Message::Stopped { term }) => self.duty.note_stopped(from, term),
-            Ok(Message::Keys(keys)) => {
+            Message::Servers(changes) => self.take_servers(changes),
+            Message::Configuration(piece) => self.take_configuration(piece),
+            Message::WhoHolds { service_tag, key } => self.tell_holder(from, service_tag, key),
+            Message::Stopped { term } => self.duty.note_stopped(from, term),
+            Message::Keys(keys) => {
                 if self.duty.term() > 0 {
                     self.peers.add_reported(&keys);
                 }
             }
-            Ok(Message::Held {
+            Message::Held {
                 service_tag,
                 holdings,
-            }) => self.note_held(service_tag, holdings),
-            Ok(Message::Moving {
+            } => self.note_held(service_tag, holdings),
+            Message::Moving {
                 service_tag,
                 announcements,
-            }) => self.note_moves(service_tag, &announcements),
-            Err(error) => log::debug!("datagram of {from} cannot be read: {error}"),
+            } => self.note_moves(service_tag, &announcements),
+            Message::PassesOn => {}
+            Message::PassOn(_) | Message::Passed { .. } => {
+                log::debug!("word of {from} that was passed on twice");
+            }
         }
     }
 
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -5,8 +5,11 @@
 
 use tokio::time;
 
-use super::message::{ENTRIES_MAX, KeyCount, Message, RunTime, ServerLoad};
-use crate::{clock, entry::Entry};
+use super::message::{ENTRIES_MAX, KeyCount, Message, RunTime, Sender, ServerLoad};
+use crate::{
+    clock,
+    entry::{Entry, server::tag_of},
+};
 
 /// Interval of reports among up to [`REPORT_HOSTS`] hosts; it grows in proportion to their number,
 /// so that a host's datagrams do not.
@@ -19,8 +22,6 @@
 const FAR_FACTOR: u64 = 4;
 /// Interval of counts by key to the duty's holder.
 const KEYS_EVERY_MS: u64 = 150;
-/// Interval at which the duty's holder shows the others that it lives.
-const HOLDER_EVERY_MS: u64 = 300;
 /// Every so many intervals a report has the run times too and is sent even without news, to show
 /// that the host lives.
 const FULL_REPORT_EVERY: u64 = 8;
@@ -89,7 +90,15 @@
         };
         let servers = servers.to_vec();
         self.last.clone_from(&servers);
-        let report = Message::Report { servers, run_times };
+        let sender = Sender {
+            zone_tag: tag_of(&entry.settings.availability_zone),
+            processor_share: entry.settings.processor_share,
+        };
+        let report = Message::Report {
+            sender,
+            servers,
+            run_times,
+        };
         entry.peers.send(&report, to);
     }
 }
@@ -131,14 +140,15 @@
     /// must look whether to take it.
     pub(in crate::entry) async fn keep_showing_duty(self: Arc<Self>) {
         loop {
-            time::sleep(Duration::from_millis(HOLDER_EVERY_MS)).await;
+            time::sleep(Duration::from_millis(self.limits.word_every_ms)).await;
             if self.duty.is_confirmed() {
                 let message = Message::Holder {
                     term: self.duty.term(),
+                    sent_ms: clock::now_ms(),
                     news: self.freshness.news(self.view.store_heard_ms()),
                     hot: self.hot_keys.tell(clock::now_ms()),
                 };
-                self.peers.send(&message, &self.peers.addresses());
+                self.peers.send_to_all(message);
             }
         }
     }
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -7,7 +7,10 @@
 };
 
 use super::{decide::admission, events::Event, model::ServerEntry, server::Server};
-use crate::clock;
+use crate::{
+    clock,
+    platform::store::{Row, Rows},
+};
 
 /// Time after the store's return was noticed in which entries that lapsed meanwhile may come back.
 /// The platform promises about two seconds after the return. It may also be this host that was cut
@@ -92,6 +95,25 @@
         self.drop_server(id);
     }
 
+    /// Changes between what this registry has, up to a version, and a whole table.
+    pub fn difference(&self, whole: &Rows, after: u64) -> Rows {
+        let present: HashSet<&str> = whole.rows.iter().map(|row| row.key.as_str()).collect();
+        let gone = self.by_id.keys().filter(|id| !present.contains(&***id));
+        let removed = gone.map(|id| Row {
+            key: id.to_string(),
+            value: Vec::new(),
+            version: whole.version,
+            removed: true,
+        });
+        let newer = whole.rows.iter().filter(|row| row.version > after);
+        let mut rows: Vec<Row> = newer.cloned().chain(removed).collect();
+        rows.sort_by_key(|row| row.version);
+        Rows {
+            rows,
+            version: whole.version,
+        }
+    }
+
     /// Removes every server that is not in `present`.
     pub fn retain(&mut self, present: &HashSet<Arc<str>>, store_returned_ms: u64) {
         let absent: Vec<Arc<str>> = self
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -1,24 +1,32 @@
-//! Changes of servers' entries that the holder of the duty passes on to the other hosts, so that not
-//! every host asks the store for them: calls are priced. The holder also tells how far it has read
+//! Changes of servers' entries and configurations that the holder of the duty passes on to the other
+//! hosts, so that not every host asks the store for them: calls are priced. The holder also tells how far it has read
 //! each table, so a host that has missed a change notices and asks the store.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Entry, followed::Followed, model::ServerEntry, peers::message::Message, rows::decode_servers,
+    Entry,
+    configuration_relay::{Assembly, Piece, cut},
+    followed::Followed,
+    model::ServerEntry,
+    peers::message::Message,
+    rows::decode_servers,
+};
+use crate::platform::{
+    config,
+    store::{Row, Rows},
 };
-use crate::platform::store::Rows;
 
 /// Most changes in one datagram, of about 50 bytes each.
 const CHANGES_MAX: usize = 24;
-/// Most changes that are passed on at a time. The start of a whole deployment would fill the link
-/// of a small host; the others read that by themselves.
-const PASSED_MAX: usize = 144;
+/// Most changes that are passed on at a time, 30 KB. More would fill the links of small hosts; the
+/// others read that by themselves.
+const PASSED_MAX: usize = 600;
 
 /// What happened to a server's entry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -97,6 +105,8 @@
 pub struct Relay {
     /// False while the table is being read as a whole, whose result would undo later changes.
     servers_read: AtomicBool,
+    /// Pieces of the latest configuration.
+    configuration: Mutex<Assembly>,
 }
 
 impl Relay {
@@ -131,10 +141,63 @@
             changes: decode_servers(&rows.rows),
         };
         for part in changes.split() {
-            self.peers.send_to_all(&Message::Servers(part));
+            self.peers.send_to_all(Message::Servers(part));
+        }
+    }
+
+    /// Passes on what has changed since this host, which has the duty, followed a table that it has
+    /// read as a whole because the store had dropped its history. Otherwise 295 hosts would read it.
+    pub(super) fn pass_difference_on(&self, followed: Followed, rows: &Rows) {
+        let after = self.freshness.applied(followed);
+        if after == 0 {
+            return;
+        }
+        match followed {
+            Followed::Servers => {
+                let changes = self.view.registry().difference(rows, after);
+                self.pass_servers_on(after, &changes);
+            }
+            Followed::Configuration => self.pass_configuration_on(rows),
+            Followed::Own => {}
+        }
+    }
+
+    /// Passes a configuration on that the store told this host, which has the duty.
+    pub(super) fn pass_configuration_on(&self, rows: &Rows) {
+        let current = |row: &&Row| row.key == config::KEY && !row.removed;
+        let Some(row) = rows.rows.iter().rfind(current) else {
+            return;
+        };
+        for piece in cut(row.version, &row.value) {
+            self.peers.send_to_all(Message::Configuration(piece));
         }
     }
 
+    /// Takes a piece of a configuration that the holder of the duty has passed on.
+    pub(super) fn take_configuration(&self, piece: Piece) {
+        let version = piece.version;
+        if version <= self.freshness.applied(Followed::Configuration) {
+            return;
+        }
+        let assembly = &self.relay.configuration;
+        let whole = assembly
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take(piece);
+        let Some(value) = whole else {
+            return;
+        };
+        let row = Row {
+            key: config::KEY.to_owned(),
+            value,
+            version,
+            removed: false,
+        };
+        self.apply(Followed::Configuration, vec![row]);
+        self.freshness
+            .note_applied(Followed::Configuration, version);
+    }
+
     /// Takes changes of servers' entries that the holder of the duty has passed on.
     pub(super) fn take_servers(&self, passed: ServerChanges) {
         if !self.relay.can_take() {
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -10,8 +10,11 @@
     events::Event,
     followed::Followed,
     keys::Assignment,
+    peers::HostFacts,
     relay::{ServerChange, ServerNews},
     secret::SECRET_KEY,
+    server::tag_of,
+    settings::default_processor_share,
     watch::{HOLDINGS_PREFIX, HOST_PREFIX},
 };
 use crate::platform::{Error, config, servers, store::Row};
@@ -24,6 +27,9 @@
     /// Availability zone.
     #[serde(default)]
     pub availability_zone: String,
+    /// Share of a processor that it has.
+    #[serde(default = "default_processor_share")]
+    pub processor_share: f32,
 }
 
 impl Entry {
@@ -128,8 +134,13 @@
             Ok(host) if own && host.incarnation == self.incarnation => {}
             Ok(_) if own => self.view.note_former_process(),
             Ok(host) => {
-                let is_near = host.availability_zone == self.settings.availability_zone;
-                self.peers.add(address, host.incarnation, is_near);
+                let facts = HostFacts {
+                    incarnation: Some(host.incarnation),
+                    zone_tag: tag_of(&host.availability_zone),
+                    is_near: host.availability_zone == self.settings.availability_zone,
+                    processor_share: host.processor_share,
+                };
+                self.peers.add(address, facts);
                 self.duty.note_process(address, host.incarnation);
             }
             Err(error) => log::warn!("host row {address} cannot be read: {error}"),
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Deserializer, de::Error as _};
 use snafu::{ResultExt, ensure};
 
-use super::decide::Policy;
+use super::{decide::Policy, limits::TimeLimits};
 use crate::{
     configuration::template::read_document,
     platform::parse_ms,
@@ -21,6 +21,9 @@
     pub name: String,
     /// Availability zone.
     pub availability_zone: String,
+    /// Share of a processor that the host has. Hosts with more do more for the others.
+    #[serde(default = "default_processor_share")]
+    pub processor_share: f32,
     /// Listeners.
     pub listen: Listen,
     /// The platform's store.
@@ -73,6 +76,27 @@
     /// Longest lease that a server takes.
     #[serde(rename = "lease_max", deserialize_with = "duration")]
     pub lease_max_ms: u64,
+    /// Time after which a server that has said that it leaves gets no more work.
+    #[serde(
+        rename = "drain",
+        default = "default_bound_ms",
+        deserialize_with = "duration"
+    )]
+    pub drain_ms: u64,
+    /// Time within which a configuration is in force.
+    #[serde(
+        rename = "configuration",
+        default = "default_bound_ms",
+        deserialize_with = "duration"
+    )]
+    pub configuration_ms: u64,
+    /// Time after a disturbance in which a host owes nobody a bound.
+    #[serde(
+        rename = "contact",
+        default = "default_contact_ms",
+        deserialize_with = "duration"
+    )]
+    pub contact_ms: u64,
     /// Window over which repeated requests are counted.
     #[serde(rename = "retry_window", deserialize_with = "duration")]
     pub retry_window_ms: u64,
@@ -151,12 +175,38 @@
                 self.bounds.stop_grace_ms >= 1_000,
                 "bounds.stop_grace must be at least 1s",
             ),
+            (
+                self.processor_share > 0.0,
+                "processor_share must be more than 0",
+            ),
+            (
+                self.bounds.contact_ms > 0,
+                "bounds.contact must be more than 0",
+            ),
         ];
         let failed = checks.iter().filter(|(good, _)| !good);
-        failed.map(|(_, message)| (*message).to_owned()).collect()
+        let failed = failed.map(|(_, message)| (*message).to_owned());
+        let ways = TimeLimits::new(&self.bounds).ways(&self.bounds);
+        let broken = ways.into_iter().filter(|way| !way.is_kept());
+        failed.chain(broken.map(|way| way.to_string())).collect()
     }
 }
 
+/// Share of a processor where the settings name none.
+pub(super) fn default_processor_share() -> f32 {
+    1.0
+}
+
+/// Bound of drains and configurations where the users name none: the tightest of the known sites.
+fn default_bound_ms() -> u64 {
+    2_000
+}
+
+/// Contact time where the users name none: the shortest of the known sites.
+fn default_contact_ms() -> u64 {
+    3_000
+}
+
 fn default_level() -> LevelFilter {
     LevelFilter::Info
 }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -18,7 +18,7 @@
         key_loads::KEYS,
     },
     events::Event,
-    followed::Followed,
+    followed::{Followed, TOLD_REST_MS},
     keys::{Assignment, Holding, KeyRange},
     model::Configuration,
     registry::Registry,
@@ -31,7 +31,7 @@
 /// Time for which no request goes to a server that did not hold the key.
 const NOT_HELD_MS: u64 = 250;
 /// Time for which an announced grant counts; the record has been read by then.
-const GRANTED_KEPT_MS: u64 = 40_000;
+const GRANTED_KEPT_MS: u64 = TOLD_REST_MS + 30_000;
 
 /// Holdings of one service at one version of their row.
 #[derive(Clone, Debug)]
@@ -244,7 +244,10 @@
             !same || holding.fence <= m.above_fence
         });
         let mut granted = self.granted();
-        granted.retain(|g| now_ms < g.until_ms);
+        granted.retain(|g| {
+            let same = g.service == *service && holding.range.covers(&g.holding.range);
+            now_ms < g.until_ms && !(same && g.holding.fence <= holding.fence)
+        });
         granted.push(Granted {
             service: service.clone(),
             holding,
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -14,7 +14,8 @@
     Entry,
     events::Event,
     followed::{Followed, HISTORY_MS},
-    freshness::{Doubt, LAG_GRACE_MS},
+    freshness::Doubt,
+    limits::LOOK_EVERY_MS,
     rows::HostRow,
 };
 use crate::{
@@ -33,8 +34,12 @@
 /// Wait of a feed that shows whether the store answers: a silent store swallows calls, so the next
 /// one must follow soon after its return.
 const PROBE_WAIT_MS: u64 = 0;
-/// Interval at which a resting feed looks whether it must hurry.
-const REST_LOOK_MS: u64 = 100;
+/// Time over which hosts that are new spread their registration. The store takes 150 writes a second
+/// to our rows: 295 hosts that started together made 640 calls of it.
+const REGISTER_SPREAD_MS: u64 = 2_000;
+/// Pauses after a registration that the store did not take, doubled each time.
+const REGISTER_PAUSE_MS: u64 = 300;
+const REGISTER_PAUSE_MAX_MS: u64 = 2_400;
 /// Pause after a failed call, with half of it at random on top.
 const RETRY_PAUSE_MS: u64 = 150;
 /// Longest pause of a feed whose calls go on failing. Calls are priced, also refused ones; the
@@ -82,6 +87,7 @@
         let row = HostRow {
             incarnation: self.incarnation,
             availability_zone: self.settings.availability_zone.clone(),
+            processor_share: self.settings.processor_share,
         };
         let Ok(value) = serde_json::to_vec(&row) else {
             return;
@@ -94,9 +100,17 @@
             }],
             ..Transaction::default()
         };
+        if !self.view.had_former_process() {
+            time::sleep(Duration::from_millis(rand::random_range(
+                0..REGISTER_SPREAD_MS,
+            )))
+            .await;
+        }
+        let mut pause_ms = REGISTER_PAUSE_MS;
         while let Err(error) = self.store.transact(&transaction).await {
             log::debug!("this host is not registered yet: {error}");
-            pause().await;
+            pause_for(pause_ms).await;
+            pause_ms = (pause_ms * 2).min(REGISTER_PAUSE_MAX_MS);
         }
     }
 
@@ -165,12 +179,13 @@
         }
         let begun = AtomicBool::new(false);
         let table = followed.table();
+        let _following = self.freshness.follow(followed);
         if trust != Trust::Full || *store_lost.borrow() {
             return Ok(self.store.feed(table, after, PROBE_WAIT_MS, &begun).await);
         }
         let vouched = self.freshness.is_vouched();
-        let wait_ms = followed.wait_ms(vouched, self.duty.term() > 0);
-        let relies = vouched && followed == Followed::Servers;
+        let wait_ms = followed.wait_ms(vouched, self.duty.term() > 0, &self.limits);
+        let relies = vouched && followed != Followed::Own;
         let is_silent = || !begun.load(Ordering::Relaxed);
         tokio::select! {
             feed = self.store.feed(table, after, wait_ms, &begun) => Ok(feed),
@@ -191,18 +206,20 @@
             if is_behind(Followed::Configuration) || is_behind(Followed::Servers) {
                 return;
             }
-            time::sleep(Duration::from_millis(REST_LOOK_MS)).await;
+            time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
         }
     }
 
     /// Waits for the holder of the duty to be heard, and rests if it is.
     async fn rest_at_start(&self, followed: Followed) {
         let began_ms = clock::now_ms();
-        while !self.freshness.is_vouched() && clock::now_ms() < began_ms + followed.start_rest_ms()
-        {
-            time::sleep(Duration::from_millis(REST_LOOK_MS)).await;
+        let until_ms = began_ms + followed.start_rest_ms(&self.limits);
+        // The others rely on what the holder of the duty follows.
+        let is_holder = || self.duty.term() > 0;
+        while !is_holder() && !self.freshness.is_vouched() && clock::now_ms() < until_ms {
+            time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
         }
-        if self.freshness.is_vouched() && followed != Followed::Configuration {
+        if !is_holder() && self.freshness.is_vouched() {
             self.rest(followed, began_ms).await;
         }
     }
@@ -210,8 +227,12 @@
     /// Applies what a feed has brought, and passes it on while this host has the duty.
     fn take_changes(&self, followed: Followed, after: u64, mut changes: Rows) {
         let applied = self.freshness.applied(followed);
-        if followed == Followed::Servers && self.duty.term() > 0 {
-            self.pass_servers_on(after, &changes);
+        if self.duty.term() > 0 {
+            match followed {
+                Followed::Servers => self.pass_servers_on(after, &changes),
+                Followed::Configuration => self.pass_configuration_on(&changes),
+                Followed::Own => {}
+            }
         }
         // Another host may have passed some of them on meanwhile, and later ones.
         changes.rows.retain(|row| row.version > applied);
@@ -224,10 +245,10 @@
         let mut behind_ms = 0;
         let is_holder = self.duty.term() > 0;
         let vouched = self.freshness.is_vouched();
-        let rest = followed.rest(self.peers.hosts(), is_holder, vouched);
+        let rest = followed.rest(self.peers.hosts(), is_holder, vouched, &self.limits);
         sleep_until(began_ms + rest.least_ms).await;
         while clock::now_ms() < began_ms + rest.most_ms {
-            let look_ms = began_ms + rest.most_ms.min(clock::now_ms() - began_ms + REST_LOOK_MS);
+            let look_ms = began_ms + rest.most_ms.min(clock::now_ms() - began_ms + LOOK_EVERY_MS);
             tokio::select! {
                 () = sleep_until(look_ms) => {}
                 () = self.view.reading_wanted(followed) => return,
@@ -239,14 +260,13 @@
                 return;
             }
             // What the holder passed on did not arrive.
-            let is_behind =
-                followed == Followed::Servers && self.freshness.is_behind(followed, after);
+            let is_behind = followed != Followed::Own && self.freshness.is_behind(followed, after);
             behind_ms = if is_behind {
-                behind_ms + REST_LOOK_MS
+                behind_ms + LOOK_EVERY_MS
             } else {
                 0
             };
-            if behind_ms > LAG_GRACE_MS {
+            if behind_ms > self.limits.lag_grace_ms {
                 return;
             }
         }
@@ -256,7 +276,7 @@
     /// store, and for the first holdings of a service.
     fn must_hurry(&self, followed: Followed, after: u64) -> bool {
         match followed {
-            Followed::Configuration => false,
+            Followed::Configuration => !self.freshness.is_vouched(),
             Followed::Servers => {
                 // It finds out for all feeds when the store is back.
                 let store_lost = *self.view.store_lost().borrow();
@@ -306,6 +326,9 @@
             Ok(rows) => {
                 self.heard_store(clock::now_ms());
                 let version = rows.version;
+                if self.duty.term() > 0 {
+                    self.pass_difference_on(followed, &rows);
+                }
                 self.apply_whole(followed, rows.rows);
                 self.freshness.note_applied(followed, version);
                 true
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -23,7 +23,7 @@
 /// Time for a read of a page, which takes half of that.
 const READ_TIMEOUT_MS: u64 = 1_000;
 /// Allowance on top of the time that a feed waits at the store.
-const FEED_SLACK_MS: u64 = 1_000;
+pub const FEED_SLACK_MS: u64 = 1_000;
 /// Allowance for a feed that does not wait: it shows whether the store is back, and must not hang
 /// on a connection that a cut has swallowed.
 const PROBE_SLACK_MS: u64 = 500;
--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -146,3 +146,107 @@
         assert_eq!(leaving.served(), served, "{}", host.callers);
     }
 }
+
+#[tokio::test]
+async fn a_server_that_leaves_as_the_holder_is_lost_gets_no_work_past_the_bound() {
+    struct Case {
+        /// The holder is restarted and has the duty again before the server leaves.
+        restarted: bool,
+        /// From the holder's resumption or the start of the test until the server leaves.
+        phase_ms: u64,
+        /// From then until the holder is lost.
+        lost_after_ms: u64,
+        signal: &'static str,
+    }
+    let mut cases = Vec::new();
+    for phase_ms in [300, 390, 480, 570] {
+        cases.push(Case {
+            restarted: true,
+            phase_ms,
+            lost_after_ms: 650,
+            signal: "KILL",
+        });
+        cases.push(Case {
+            restarted: false,
+            phase_ms,
+            lost_after_ms: phase_ms / 10 - 20,
+            signal: if phase_ms % 20 == 0 { "KILL" } else { "STOP" },
+        });
+    }
+    let mut sites = JoinSet::new();
+    let local = LocalSet::new();
+    for case in cases {
+        sites.spawn_local_on(
+            async move {
+                let late = served_after_the_bound(
+                    case.restarted,
+                    case.phase_ms,
+                    case.lost_after_ms,
+                    case.signal,
+                );
+                (late.await, case)
+            },
+            &local,
+        );
+    }
+    for (late, case) in local.run_until(sites.join_all()).await {
+        let Case {
+            restarted,
+            phase_ms,
+            lost_after_ms,
+            signal,
+        } = case;
+        let named = format!("restarted {restarted}, {phase_ms} ms, {signal} at {lost_after_ms} ms");
+        assert_eq!(late, 0, "{named}");
+    }
+}
+
+/// Requests that reach a server later than the bound after it said that it leaves.
+async fn served_after_the_bound(
+    restarted: bool,
+    phase_ms: u64,
+    lost_after_ms: u64,
+    signal: &str,
+) -> u64 {
+    const DRAIN_MS: u64 = 2_000;
+    let mut site = Site::start(3, 2).await;
+    let holder = holder(&site);
+    if restarted {
+        site.hosts[holder].restart();
+        eventually("the holder has the duty again", 3_000, async || {
+            taken(&site.hosts[holder]) == 2
+        })
+        .await;
+    }
+    time::sleep(Duration::from_millis(phase_ms)).await;
+    let leaving = &site.orders[0];
+    leaving.declare(&site.store, "draining");
+    let declared = Instant::now();
+    let since_ms = || declared.elapsed().as_millis() as u64;
+    time::sleep(Duration::from_millis(lost_after_ms)).await;
+    site.hosts[holder].signal(signal);
+    let mut within = 0;
+    let mut number = 0;
+    while since_ms() < DRAIN_MS + 1_500 {
+        if since_ms() < DRAIN_MS {
+            within = leaving.served();
+        }
+        for (index, host) in site.hosts.iter().enumerate() {
+            if index == holder {
+                continue;
+            }
+            number += 1;
+            let id = format!("late-{phase_ms}-{number}");
+            let ask = Ask {
+                method: "POST",
+                path: "/orders/new",
+                id: &id,
+                key: None,
+                deadline_ms: 300,
+            };
+            ask_once(host.callers, ask).await;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    leaving.served() - within
+}
--- /dev/null
+++ b/tests/entry_limits.rs
@@ -0,0 +1,121 @@
+//! Time limits that follow from the users' bounds.
+
+use ashroad::entry::{
+    limits::TimeLimits,
+    settings::{Bounds, Settings},
+};
+use quickcheck::quickcheck;
+
+fn bounds(drain_ms: u64, configuration_ms: u64) -> Bounds {
+    Bounds {
+        drain_ms,
+        configuration_ms,
+        contact_ms: 3_000,
+        stop_grace_ms: 6_000,
+        lease_max_ms: 10_000,
+        retry_window_ms: 10_000,
+        retry_ratio: 0.2,
+        retry_allowance: 60.0,
+    }
+}
+
+/// Bounds from the tightest that can be kept.
+fn drawn(drain: u16, configuration: u16) -> Bounds {
+    bounds(
+        800 + u64::from(drain) / 4,
+        800 + u64::from(configuration) / 4,
+    )
+}
+
+quickcheck! {
+    fn every_way_keeps_its_bound(drain: u16, configuration: u16) -> bool {
+        let bounds = drawn(drain, configuration);
+        let limits = TimeLimits::new(&bounds);
+        limits.ways(&bounds).iter().all(|way| way.is_kept())
+    }
+
+    fn the_holder_is_heard_three_times_while_it_is_relied_on(drain: u16) -> bool {
+        let limits = TimeLimits::new(&drawn(drain, 0));
+        let confirm_every_ms = limits.confirm_every_ms(700);
+        let two_words_ms = confirm_every_ms + 2 * limits.word_every_ms;
+        two_words_ms <= limits.trust_ms
+    }
+}
+
+#[test]
+fn a_limit_that_is_raised_past_its_bound_breaks_a_way() {
+    let bounds = bounds(1_900, 900);
+    let limits = TimeLimits::new(&bounds);
+    struct Case {
+        name: &'static str,
+        raise: fn(&mut TimeLimits),
+    }
+    let case = |name, raise| Case { name, raise };
+    let cases = [
+        case("trust_ms", |limits| limits.trust_ms += 1),
+        case("servers_rest_ms", |limits| limits.servers_rest_ms += 101),
+        case("configuration_rest_ms", |limits| {
+            limits.configuration_rest_ms += 101;
+        }),
+        case("holder_rest_ms", |limits| limits.holder_rest_ms += 1_000),
+        case("word_every_ms", |limits| limits.word_every_ms += 500),
+    ];
+    for Case { name, raise } in cases {
+        let mut limits = limits;
+        raise(&mut limits);
+        let broken = limits.ways(&bounds).iter().any(|way| !way.is_kept());
+        assert!(broken, "{name}");
+    }
+}
+
+#[test]
+fn bounds_that_cannot_be_kept_are_refused_with_a_sentence() {
+    struct Case {
+        drain: &'static str,
+        configuration: &'static str,
+        problems: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            drain: "800ms",
+            configuration: "800ms",
+            problems: &[],
+        },
+        Case {
+            drain: "2s",
+            configuration: "600ms",
+            problems: &[
+                "bounds.configuration of 600 ms cannot be kept when the configuration changes \
+                 while its feed rests: that takes 700 ms",
+            ],
+        },
+        Case {
+            drain: "790ms",
+            configuration: "2s",
+            problems: &[
+                "bounds.drain of 790 ms cannot be kept when the holder is lost before it passes \
+                 on that a server leaves: that takes 800 ms",
+            ],
+        },
+    ];
+    let example = include_str!("../examples/mittelland/entry.yaml");
+    for (index, case) in cases.into_iter().enumerate() {
+        let text = example
+            .replace("drain: 2s", &format!("drain: {}", case.drain))
+            .replace(
+                "configuration: 2s",
+                &format!("configuration: {}", case.configuration),
+            );
+        let path = std::env::temp_dir().join(format!("limits-{}-{index}", std::process::id()));
+        std::fs::write(&path, text).expect("settings");
+        let told = match Settings::read(&path) {
+            Ok(settings) => settings.problems(),
+            Err(error) => vec![error.to_string()],
+        };
+        std::fs::remove_file(&path).expect("settings");
+        assert_eq!(told.is_empty(), case.problems.is_empty(), "{told:?}");
+        for problem in case.problems {
+            assert!(told.iter().any(|told| told.contains(problem)), "{told:?}");
+        }
+    }
+}
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -974,6 +974,9 @@
 #[test]
 fn all_hosts_together_stay_within_the_budget_of_repeats() {
     let bounds = Bounds {
+        drain_ms: 2_000,
+        configuration_ms: 2_000,
+        contact_ms: 3_000,
         stop_grace_ms: 6_000,
         lease_max_ms: 10_000,
         retry_window_ms: 10_000,
--- /dev/null
+++ b/tests/entry_word.rs
@@ -0,0 +1,168 @@
+//! Word between many hosts: who passes it on, how old it is, and configurations in pieces.
+
+use std::net::SocketAddr;
+
+use ashroad::entry::{
+    configuration_relay::{Assembly, Piece, cut},
+    peers::spread::{DIRECT_HOSTS_MAX, HostView, WayTime, spread},
+};
+use quickcheck::quickcheck;
+
+fn host(zone_tag: u32, number: usize) -> HostView {
+    let address = format!("10.{zone_tag}.{}.{}:7620", number / 250, number % 250);
+    HostView {
+        address: address.parse().expect("address"),
+        zone_tag,
+        processor_share: 0.1,
+        is_silent: false,
+    }
+}
+
+fn hosts(zones: u32, of_each: usize) -> Vec<HostView> {
+    let zone = |zone_tag| (0..of_each).map(move |number| host(zone_tag, number));
+    (0..zones).flat_map(zone).collect()
+}
+
+fn zone_of(hosts: &[HostView], address: SocketAddr) -> u32 {
+    let found = hosts.iter().find(|host| host.address == address);
+    found.expect("a known host").zone_tag
+}
+
+#[test]
+fn word_goes_by_two_hosts_of_each_zone_among_many_only() {
+    struct Case {
+        zones: u32,
+        of_each: usize,
+        direct: usize,
+        relays: usize,
+    }
+    let cases = [
+        Case {
+            zones: 3,
+            of_each: 4,
+            direct: 12,
+            relays: 0,
+        },
+        Case {
+            zones: 5,
+            of_each: 59,
+            direct: 0,
+            relays: 10,
+        },
+        // What a host sends does not grow with the number of hosts.
+        Case {
+            zones: 5,
+            of_each: 880,
+            direct: 0,
+            relays: 10,
+        },
+        Case {
+            zones: 1,
+            of_each: DIRECT_HOSTS_MAX,
+            direct: 0,
+            relays: 2,
+        },
+    ];
+    for case in cases {
+        let hosts = hosts(case.zones, case.of_each);
+        let spread = spread(&hosts, 1);
+        assert_eq!(spread.direct.len(), case.direct);
+        assert_eq!(spread.relays.len(), case.relays);
+        let mut zones: Vec<u32> = spread.relays.iter().map(|r| zone_of(&hosts, *r)).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        assert_eq!(zones.len() * 2, case.relays);
+    }
+}
+
+#[test]
+fn strong_hosts_that_are_heard_pass_word_on() {
+    let mut hosts = hosts(2, 30);
+    hosts[7].processor_share = 0.5;
+    hosts[11].processor_share = 0.5;
+    hosts[13].processor_share = 0.4;
+    let chosen = |hosts: &[HostView]| {
+        let mut relays = spread(hosts, 3).relays;
+        relays.retain(|relay| zone_of(hosts, *relay) == 0);
+        relays.sort_unstable();
+        relays
+    };
+    assert_eq!(chosen(&hosts), [hosts[7].address, hosts[11].address]);
+    // One that was given word and fell silent is replaced at once.
+    hosts[7].is_silent = true;
+    assert_eq!(chosen(&hosts), [hosts[11].address, hosts[13].address]);
+    // Where nobody is heard, word is still sent.
+    for host in &mut hosts {
+        host.is_silent = true;
+    }
+    assert_eq!(chosen(&hosts), [hosts[7].address, hosts[11].address]);
+}
+
+#[test]
+fn terms_choose_among_equal_hosts_in_turn() {
+    let hosts = hosts(1, 60);
+    let choices: std::collections::HashSet<Vec<SocketAddr>> =
+        (1..20).map(|term| spread(&hosts, term).relays).collect();
+    assert!(choices.len() > 10, "{} choices", choices.len());
+}
+
+#[test]
+fn word_that_a_relay_held_back_counts_as_old() {
+    let mut way_time = WayTime::default();
+    // The clocks of the two hosts have nothing to do with each other.
+    assert_eq!(way_time.delay_ms(4, 9_000_000, 1_000_003), 0);
+    assert_eq!(way_time.delay_ms(4, 9_000_300, 1_000_301), 0);
+    // One that was frozen for 6 s passes on what it got before, after younger word of the other.
+    assert_eq!(way_time.delay_ms(4, 9_006_300, 1_006_301), 0);
+    assert_eq!(way_time.delay_ms(4, 9_000_600, 1_006_600), 5_999);
+    // Clocks may drift apart by a millisecond in a second.
+    assert_eq!(way_time.delay_ms(4, 9_600_300, 1_600_600), 0);
+    // A later holder has another clock.
+    assert_eq!(way_time.delay_ms(5, 100, 1_600_900), 0);
+    assert_eq!(way_time.delay_ms(5, 400, 1_601_250), 50);
+}
+
+quickcheck! {
+    fn a_configuration_arrives_whole_in_any_order_and_twice(
+        content: Vec<u8>, order: Vec<u16>
+    ) -> bool {
+        let content = content.repeat(40);
+        let mut pieces = cut(7, &content);
+        if pieces.is_empty() {
+            return content.is_empty() || content.len() > 12 * 1_200;
+        }
+        for (place, key) in order.iter().enumerate() {
+            let count = pieces.len();
+            pieces.swap(place % count, usize::from(*key) % count);
+        }
+        let mut assembly = Assembly::default();
+        let last = pieces.len() - 1;
+        for piece in &pieces[..last] {
+            // A relay repeats what the other one has sent.
+            if assembly.take(piece.clone()).is_some() || assembly.take(piece.clone()).is_some() {
+                return false;
+            }
+        }
+        assembly.take(pieces[last].clone()) == Some(content)
+    }
+}
+
+#[test]
+fn pieces_of_two_configurations_are_not_mixed() {
+    let piece = |version, index, bytes: &str| Piece {
+        version,
+        index,
+        count: 2,
+        bytes: bytes.as_bytes().to_vec(),
+    };
+    let mut assembly = Assembly::default();
+    assert_eq!(assembly.take(piece(5, 0, "old ")), None);
+    assert_eq!(assembly.take(piece(6, 1, "end")), None);
+    assert_eq!(assembly.take(piece(5, 1, "one")), None);
+    assert_eq!(
+        assembly.take(piece(6, 0, "new ")),
+        Some(b"new end".to_vec())
+    );
+    // A piece that claims another place than there are is no part of it.
+    assert_eq!(assembly.take(piece(6, 9, "x")), None);
+}
