Loads of servers by zone: one host of each sums up and tells the others

Hypothesis: at 295 hosts each knew of the others' requests in other zones what they were four seconds ago, at the price of 17,000 datagrams a second between zones, and sent to servers that were full. Change: a host of each zone sums up the reports of its zone every 0.4 s and tells the others by hosts that pass it on.

--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -25,6 +25,17 @@
     pub in_flight: u8,
 }
 
+/// What the hosts of a zone know of a server together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerStanding {
+    /// Server.
+    pub server_tag: u16,
+    /// Their requests that are there.
+    pub in_flight: u16,
+    /// Its average run time by their evidence; 0 if they have none.
+    pub run_ms: u16,
+}
+
 /// Average run time of one server by one host's evidence.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunTime {
@@ -89,6 +100,13 @@
         /// them.
         run_times: Vec<RunTime>,
     },
+    /// What the hosts of a zone know of servers together.
+    ZoneLoads {
+        /// Short name of the zone.
+        zone_tag: u32,
+        /// Servers.
+        standings: Vec<ServerStanding>,
+    },
     /// Requests by key, for the holder of the duty.
     Keys(Vec<KeyCount>),
     /// Keys are on their way to other servers.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -8,6 +8,7 @@
 mod receive;
 mod report;
 pub mod spread;
+pub mod zone_loads;
 
 pub use self::{message::KeyCount, report::Rhythm};
 
@@ -23,9 +24,10 @@
 use tokio::net::UdpSocket;
 
 use self::{
-    message::{Message, RunTime, ServerLoad, VERSION},
+    message::{Message, RunTime, ServerLoad, ServerStanding, VERSION},
     outbox::Outbox,
     spread::{HostView, RELAY_SILENT_MS, Spread, WayTime},
+    zone_loads::ZoneLoads,
 };
 use super::{decide::choice::HostCount, seal::Seal, server::tag_of};
 use crate::clock;
@@ -61,6 +63,32 @@
     run_times: Vec<RunTime>,
 }
 
+impl Peer {
+    fn view(&self, address: SocketAddr, now_ms: u64) -> HostView {
+        HostView {
+            address,
+            zone_tag: self.facts.zone_tag,
+            processor_share: self.facts.processor_share,
+            is_silent: self.asked_ms > 0 && now_ms > self.asked_ms + RELAY_SILENT_MS,
+        }
+    }
+
+    fn add_to(&self, sums: &mut HashMap<u16, ReportedLoad>) {
+        add_report(sums, &self.loads, &self.run_times);
+    }
+}
+
+fn add_report(sums: &mut HashMap<u16, ReportedLoad>, loads: &[ServerLoad], run_times: &[RunTime]) {
+    for load in loads {
+        sums.entry(load.server_tag).or_default().in_flight += u32::from(load.in_flight);
+    }
+    for run_time in run_times {
+        let sum = sums.entry(run_time.server_tag).or_default();
+        sum.run_ms_sum += f64::from(run_time.run_ms);
+        sum.reporters += 1.0;
+    }
+}
+
 /// The other hosts.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -78,6 +106,7 @@
     holder_term: AtomicU64,
     holder_heard_ms: AtomicU64,
     way_time: Mutex<WayTime>,
+    zone_loads: Mutex<ZoneLoads>,
 }
 
 impl Peers {
@@ -221,24 +250,84 @@
         }
     }
 
+    /// Tells the other zones what the hosts of the own one know of servers together, if this host is
+    /// the one that does so.
+    fn tell_zones(&self, own: HostView, own_loads: &[ServerLoad], own_run_times: &[RunTime]) {
+        let now_ms = clock::now_ms();
+        let rhythm = self.rhythm();
+        let mut sums: HashMap<u16, ReportedLoad> = HashMap::new();
+        let mut relays = Vec::new();
+        {
+            let peers = self.peers();
+            let is_heard = |peer: &Peer| now_ms <= peer.heard_ms + rhythm.age_max_ms(true);
+            let near = peers.iter().filter(|(_, peer)| peer.facts.is_near);
+            let heard = near.filter(|(_, peer)| is_heard(peer));
+            let mut zone = vec![own];
+            for (address, peer) in heard {
+                zone.push(peer.view(*address, now_ms));
+                peer.add_to(&mut sums);
+            }
+            if spread::first_of_zone(&zone) != Some(own.address) {
+                return;
+            }
+            let mut others: Vec<HostView> = peers
+                .iter()
+                .filter(|(_, peer)| !peer.facts.is_near)
+                .map(|(address, peer)| peer.view(*address, now_ms))
+                .collect();
+            relays.extend(spread::firsts_of_zones(&mut others));
+        }
+        self.note_asked(&relays);
+        add_report(&mut sums, own_loads, own_run_times);
+        let mut standings: Vec<ServerStanding> = sums
+            .iter()
+            .map(|(server_tag, sum)| ServerStanding {
+                server_tag: *server_tag,
+                in_flight: sum.in_flight.min(u32::from(u16::MAX)) as u16,
+                run_ms: (sum.run_ms_sum / sum.reporters.max(1.0)) as u16,
+            })
+            .collect();
+        standings.sort_unstable_by_key(|standing| standing.server_tag);
+        for standings in zone_loads::parts(&standings) {
+            let zone_tag = own.zone_tag;
+            let message = Message::ZoneLoads {
+                zone_tag,
+                standings,
+            };
+            self.send(&Message::PassOn(Box::new(message)), &relays);
+        }
+    }
+
+    fn note_zone(&self, zone_tag: u32, standings: Vec<ServerStanding>) {
+        let mut loads = self
+            .zone_loads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        loads.note(zone_tag, standings, clock::now_ms());
+    }
+
     /// The ways to all hosts; notes who is asked to pass word on.
     fn spread(&self) -> Spread {
         let now_ms = clock::now_ms();
         let term = self.holder_term.load(Ordering::Relaxed);
-        let mut peers = self.peers();
-        let views = peers.iter().map(|(address, peer)| HostView {
-            address: *address,
-            zone_tag: peer.facts.zone_tag,
-            processor_share: peer.facts.processor_share,
-            is_silent: peer.asked_ms > 0 && now_ms > peer.asked_ms + RELAY_SILENT_MS,
-        });
+        let peers = self.peers();
+        let views = peers.iter();
+        let views = views.map(|(address, peer)| peer.view(*address, now_ms));
         let spread = spread::spread(&views.collect::<Vec<_>>(), term);
-        for address in &spread.relays {
+        drop(peers);
+        self.note_asked(&spread.relays);
+        spread
+    }
+
+    /// Notes that hosts are given word to pass on; each of them tells that it does.
+    fn note_asked(&self, relays: &[SocketAddr]) {
+        let now_ms = clock::now_ms();
+        let mut peers = self.peers();
+        for address in relays {
             if let Some(peer) = peers.get_mut(address).filter(|peer| peer.asked_ms == 0) {
                 peer.asked_ms = now_ms;
             }
         }
-        spread
     }
 
     /// Passes word of another host on in the own zone.
@@ -319,12 +408,17 @@
             if now_ms > peer.heard_ms + rhythm.age_max_ms(peer.facts.is_near) {
                 continue;
             }
-            for load in &peer.loads {
-                sums.entry(load.server_tag).or_default().in_flight += u32::from(load.in_flight);
-            }
-            for run_time in &peer.run_times {
-                let sum = sums.entry(run_time.server_tag).or_default();
-                sum.run_ms_sum += f64::from(run_time.run_ms);
+            peer.add_to(&mut sums);
+        }
+        let zones = self
+            .zone_loads
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for standing in zones.latest(now_ms) {
+            let sum = sums.entry(standing.server_tag).or_default();
+            sum.in_flight += u32::from(standing.in_flight);
+            if standing.run_ms > 0 {
+                sum.run_ms_sum += f64::from(standing.run_ms);
                 sum.reporters += 1.0;
             }
         }
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -65,7 +65,7 @@
         match decoded {
             Ok(Message::PassOn(message)) => {
                 self.peers.pass_on(from, (*message).clone());
-                if matches!(*message, Message::Holder { .. }) {
+                if matches!(*message, Message::Holder { .. } | Message::ZoneLoads { .. }) {
                     self.peers.send(&Message::PassesOn, &[from]);
                 }
                 self.take(*message, from);
@@ -114,6 +114,10 @@
             } => {
                 self.peers.note_report(from, servers, run_times);
             }
+            Message::ZoneLoads {
+                zone_tag,
+                standings,
+            } => self.peers.note_zone(zone_tag, standings),
             Message::Servers(changes) => self.take_servers(changes),
             Message::Configuration(piece) => self.take_configuration(piece),
             Message::WhoHolds { service_tag, key } => self.tell_holder(from, service_tag, key),
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -5,7 +5,11 @@
 
 use tokio::time;
 
-use super::message::{ENTRIES_MAX, KeyCount, Message, RunTime, Sender, ServerLoad};
+use super::{
+    message::{ENTRIES_MAX, KeyCount, Message, RunTime, Sender, ServerLoad},
+    spread::{DIRECT_HOSTS_MAX, HostView},
+    zone_loads::SUM_EVERY_MS,
+};
 use crate::{
     clock,
     entry::{Entry, server::tag_of},
@@ -119,7 +123,26 @@
             }
             let to = self.peers.near_addresses();
             near.report(&self, &servers, rhythm.near_ms, &to);
-            far.report(&self, &servers, rhythm.far_ms, &self.peers.addresses());
+            if self.peers.hosts() <= DIRECT_HOSTS_MAX {
+                far.report(&self, &servers, rhythm.far_ms, &self.peers.addresses());
+            }
+        }
+    }
+
+    /// Tells the other zones what the hosts of the own one report.
+    pub(in crate::entry) async fn keep_telling_zones(self: Arc<Self>) {
+        loop {
+            time::sleep(Duration::from_millis(SUM_EVERY_MS)).await;
+            if self.peers.hosts() > DIRECT_HOSTS_MAX {
+                let own = HostView {
+                    address: self.settings.listen.peers,
+                    zone_tag: tag_of(&self.settings.availability_zone),
+                    processor_share: self.settings.processor_share,
+                    is_silent: false,
+                };
+                let run_times = self.own_run_times();
+                self.peers.tell_zones(own, &self.own_loads(), &run_times);
+            }
         }
     }
 
--- a/src/entry/peers/spread.rs
+++ b/src/entry/peers/spread.rs
@@ -46,13 +46,8 @@
             relays: Vec::new(),
         };
     }
-    let place = |host: &HostView| tag_of(&format!("{} {term}", host.address));
     let mut ranked: Vec<HostView> = hosts.to_vec();
-    ranked.sort_by_cached_key(|host| {
-        let share_milli = (host.processor_share * 1_000.0) as u32;
-        let weakness = u32::MAX - share_milli;
-        (host.zone_tag, host.is_silent, weakness, place(host))
-    });
+    ranked.sort_by_cached_key(|host| (host.zone_tag, order(host, term)));
     let mut spread = Spread::default();
     for zone in ranked.chunk_by(|one, other| one.zone_tag == other.zone_tag) {
         let chosen = zone.iter().take(RELAYS);
@@ -61,6 +56,27 @@
     spread
 }
 
+/// Order in which the hosts of a zone are chosen: those that are heard, strong ones first.
+fn order(host: &HostView, term: u64) -> (bool, u32, u32) {
+    let share_milli = (host.processor_share * 1_000.0) as u32;
+    let place = tag_of(&format!("{} {term}", host.address));
+    (host.is_silent, u32::MAX - share_milli, place)
+}
+
+/// The host of a zone that speaks for it: the strongest that is heard. Where hosts disagree for a
+/// moment, two speak.
+pub fn first_of_zone(zone: &[HostView]) -> Option<SocketAddr> {
+    let first = zone.iter().min_by_key(|host| order(host, 0));
+    first.map(|host| host.address)
+}
+
+/// The first host of each zone, which passes word on there.
+pub fn firsts_of_zones(hosts: &mut [HostView]) -> Vec<SocketAddr> {
+    hosts.sort_unstable_by_key(|host| host.zone_tag);
+    let zones = hosts.chunk_by(|one, other| one.zone_tag == other.zone_tag);
+    zones.filter_map(first_of_zone).collect()
+}
+
 /// When a host has sent word, by its own clock. The way of each word is measured by the quickest
 /// one before it, so that old word that a relay held back does not count as new.
 #[derive(Clone, Copy, Debug, Default)]
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -4,7 +4,11 @@
 
 use ashroad::entry::{
     configuration_relay::{Assembly, Piece, cut},
-    peers::spread::{DIRECT_HOSTS_MAX, HostView, WayTime, spread},
+    peers::{
+        message::ServerStanding,
+        spread::{DIRECT_HOSTS_MAX, HostView, WayTime, first_of_zone, firsts_of_zones, spread},
+        zone_loads::ZoneLoads,
+    },
 };
 use quickcheck::quickcheck;
 
@@ -166,3 +170,47 @@
     // A piece that claims another place than there are is no part of it.
     assert_eq!(assembly.take(piece(6, 9, "x")), None);
 }
+
+fn standing(server_tag: u16, in_flight: u16) -> ServerStanding {
+    ServerStanding {
+        server_tag,
+        in_flight,
+        run_ms: 100,
+    }
+}
+
+#[test]
+fn sums_of_zones_replace_each_other_and_are_forgotten() {
+    let mut loads = ZoneLoads::default();
+    let total = |loads: &ZoneLoads, now_ms: u64| -> u16 {
+        loads
+            .latest(now_ms)
+            .map(|standing| standing.in_flight)
+            .sum()
+    };
+    loads.note(1, vec![standing(7, 3), standing(8, 1)], 1_000);
+    loads.note(2, vec![standing(7, 5)], 1_100);
+    assert_eq!(total(&loads, 1_200), 9);
+    // Of two hosts that speak for a zone the last one counts, not both.
+    loads.note(1, vec![standing(7, 2)], 1_400);
+    loads.note(1, vec![standing(7, 2)], 1_410);
+    assert_eq!(total(&loads, 1_500), 8);
+    // A part that was lost leaves the others; a zone that is silent counts no more.
+    assert_eq!(total(&loads, 2_800), 2);
+    assert_eq!(total(&loads, 3_100), 0);
+}
+
+#[test]
+fn one_host_speaks_for_a_zone_and_one_passes_word_on_in_each_other() {
+    let mut hosts = hosts(4, 50);
+    hosts[20].processor_share = 0.5;
+    hosts[70].processor_share = 0.5;
+    assert_eq!(first_of_zone(&hosts[..50]), Some(hosts[20].address));
+    let mut others = hosts[50..].to_vec();
+    let relays = firsts_of_zones(&mut others);
+    assert_eq!(relays.len(), 3);
+    assert!(relays.contains(&hosts[70].address));
+    hosts[70].is_silent = true;
+    let relays = firsts_of_zones(&mut hosts[50..].to_vec());
+    assert!(!relays.contains(&hosts[70].address));
+}
