--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Everything here is pure: what a host knows, the time and random numbers come in as arguments, and
 //! a verdict comes out. Nothing reads a clock, opens a socket or waits. `forward` and `leases` ask
-//! and carry out; `bench::decisions` plays load on the same code in virtual time.
+//! and carry out; `tests/entry_load.rs` plays load on the same code in virtual time.
 //!
 //! | module | load that it answers |
 //! |---|---|
--- a/tests/entry_load.rs
+++ b/tests/entry_load.rs
@@ -6,12 +6,14 @@
     decide::{
         Candidate, Policy, TimeLeft, admission,
         behaviour::Behaviour,
+        choice::{self, HostCount},
         hold::{self, Hold, MoveRest, MoveWait},
         key_loads::KeyLoads,
         plan::{self, PlanServer, Question},
     },
     keys::{Assignment, Holding, KeyRange},
 };
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// A warm server with free slots of which nothing is known.
 const SERVER: Candidate = Candidate {
@@ -251,3 +253,103 @@
     settle(&servers, &mut assignment, &loads, &[1_000]);
     assert_eq!(&*assignment.holding(1_000).expect("a holder").server, "s0");
 }
+
+/// What becomes of requests whose hosts hear of each other's requests late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcome {
+    asked: u32,
+    /// Answered within the objective.
+    in_time: u32,
+    /// Sent to a server that had no room, which resets the connection: an unrepeatable request is
+    /// lost then.
+    reset: u32,
+    refused: u32,
+}
+
+/// Plays 12 s of requests of 59 hosts for the 46 servers of their zone at 92% of its capacity. What
+/// a host knows of the others' requests is up to `word_age_ms` old.
+fn play_late_word(word_age_ms: u64) -> Outcome {
+    const HOSTS: usize = 59;
+    const SERVERS: usize = 46;
+    const SLOTS: usize = 4;
+    const QUEUE: usize = 16;
+    const MEAN_RUN_MS: f64 = 470.0;
+    const OBJECTIVE_MS: u64 = 1_200;
+    let mut rng = StdRng::seed_from_u64(7);
+    let policy = Policy::default();
+    // When each request at a server began or will begin to run, and ends; its host.
+    let mut ends: Vec<Vec<(u64, usize)>> = vec![Vec::new(); SERVERS];
+    let mut told = vec![vec![0u32; SERVERS]; HOSTS];
+    let mut outcome = Outcome::default();
+    let every_ms = MEAN_RUN_MS / (SERVERS * SLOTS) as f64 / 0.92;
+    let mut due_ms = 0.0;
+    for now_ms in 0u64..12_000 {
+        for server in &mut ends {
+            server.retain(|(end_ms, _)| *end_ms > now_ms);
+        }
+        if now_ms.is_multiple_of(word_age_ms) {
+            for (host, told) in told.iter_mut().enumerate() {
+                for (server, load) in told.iter_mut().enumerate() {
+                    let others = ends[server].iter().filter(|(_, by)| *by != host);
+                    *load = others.count() as u32;
+                }
+            }
+        }
+        while due_ms < now_ms as f64 {
+            due_ms += every_ms;
+            let host = rng.random_range(0..HOSTS);
+            let seen: Vec<Candidate> = (0..SERVERS)
+                .map(|server| {
+                    let own = ends[server].iter().filter(|(_, by)| *by == host);
+                    Candidate {
+                        slots: SLOTS as u32,
+                        load: own.count() as u32 + told[host][server],
+                        run_ms: MEAN_RUN_MS,
+                        ..SERVER
+                    }
+                })
+                .collect();
+            let question = choice::Question {
+                servers: &seen,
+                typical_ms: MEAN_RUN_MS,
+                left: TimeLeft {
+                    objective_ms: OBJECTIVE_MS,
+                    deadline_ms: 3_000,
+                },
+                hosts: HostCount {
+                    near: HOSTS,
+                    all: HOSTS,
+                },
+            };
+            outcome.asked += 1;
+            let Some(server) = choice::pick(question, &policy, &mut rng) else {
+                outcome.refused += 1;
+                continue;
+            };
+            if ends[server].len() >= SLOTS + QUEUE {
+                outcome.reset += 1;
+                continue;
+            }
+            let mut at_work: Vec<u64> = ends[server].iter().map(|(end_ms, _)| *end_ms).collect();
+            at_work.sort_unstable();
+            let waits_for = at_work.len().checked_sub(SLOTS);
+            let begin_ms = waits_for.map_or(now_ms, |place| at_work[place]);
+            let run_ms = MEAN_RUN_MS * rng.random_range(0.5..1.5);
+            let end_ms = begin_ms + run_ms as u64;
+            ends[server].push((end_ms, host));
+            outcome.in_time += u32::from(end_ms - now_ms <= OBJECTIVE_MS);
+        }
+    }
+    outcome
+}
+
+#[test]
+fn fresh_word_of_loads_serves_more_in_time_than_old_word() {
+    // Sums of a zone are up to 0.25 s old, reports to other zones were up to 4 s old.
+    let fresh = play_late_word(250);
+    let old = play_late_word(4_000);
+    let share = |outcome: Outcome| f64::from(outcome.in_time) / f64::from(outcome.asked);
+    assert!(share(fresh) > 0.95, "{fresh:?}");
+    assert!(share(old) < share(fresh) - 0.05, "{old:?}, {fresh:?}");
+    assert_eq!(fresh.reset, 0, "{fresh:?}");
+}
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -28,6 +28,7 @@
         settings::{Bounds, Settings},
         view::Announcement,
     },
+    platform::store::{Row, Rows},
 };
 use quickcheck::quickcheck;
 
@@ -762,6 +763,33 @@
     assert_eq!((applied, taken), (190, passed.changes));
 }
 
+#[test]
+fn a_whole_table_tells_what_has_changed_since() {
+    let row = |id: &str, version| Row {
+        key: id.to_owned(),
+        value: Vec::new(),
+        version,
+        removed: false,
+    };
+    let mut registry = Registry::default();
+    for id in ["a", "b", "c"] {
+        registry.put(server(id, "z", false).entry.clone());
+    }
+    // Known up to version 10; then "b" was removed, "c" changed and "d" came.
+    let whole = Rows {
+        rows: vec![row("a", 4), row("c", 12), row("d", 11)],
+        version: 15,
+    };
+    let changes = registry.difference(&whole, 10);
+    let told: Vec<(&str, u64, bool)> = changes
+        .rows
+        .iter()
+        .map(|row| (row.key.as_str(), row.version, row.removed))
+        .collect();
+    assert_eq!(told, [("d", 11, false), ("c", 12, false), ("b", 15, true)]);
+    assert_eq!(changes.version, 15);
+}
+
 #[test]
 fn an_entry_at_the_address_of_another_ends_nobody() {
     let entry = |id: &str, port| ServerEntry {
