--- a/src/entry/freshness.rs
+++ b/src/entry/freshness.rs
@@ -41,10 +41,10 @@
 
 impl StoreNews {
     /// The same after some time on its way.
-    pub fn aged_by(self, way_ms: u64) -> Self {
-        let way_ms = u32::try_from(way_ms).unwrap_or(TOO_OLD_MS);
+    pub fn aged_by(self, excess_delay_ms: u64) -> Self {
+        let excess_delay_ms = u32::try_from(excess_delay_ms).unwrap_or(TOO_OLD_MS);
         Self {
-            age_ms: self.age_ms.saturating_add(way_ms),
+            age_ms: self.age_ms.saturating_add(excess_delay_ms),
             ..self
         }
     }
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -1,7 +1,7 @@
 //! Time limits that follow from the bounds which the users set.
 //!
-//! Whatever lies on the way of a promise (a resting feed, word of the holder that is relied on, a
-//! call of this host's own) has its share here, and the sum of each way stays under the bound.
+//! Whatever lies on the path of a promise (a resting feed, a heartbeat of the holder that is relied on, a
+//! call of this host's own) has its share here, and the sum of each path stays under the bound.
 
 use std::fmt;
 
@@ -10,18 +10,18 @@
 
 /// Time for a call to the store after a wait: a connection, one lost packet, and the answer.
 const CALL_MS: u64 = 350;
-/// Timers that fire late, and the way of a request that was sent just before.
+/// Timers that fire late, and the path of a request that was sent just before.
 const LATE_MS: u64 = 150;
 /// Interval at which a resting or waiting feed looks whether it must hurry.
 pub const LOOK_EVERY_MS: u64 = 100;
-/// Least time that must be left for relying on the holder of the duty. With less, its word would
+/// Least time that must be left for relying on the holder of the duty. With less, its heartbeat would
 /// be too old whenever it arrives.
 const TRUST_MIN_MS: u64 = 200;
 /// Longest time for which the holder is relied on. More would save no calls: it confirms its duty
 /// and speaks several times in it.
 const TRUST_MAX_MS: u64 = 2_000;
 /// Longest interval at which the holder speaks.
-const WORD_EVERY_MAX_MS: u64 = 300;
+const HOLDER_HEARTBEAT_MAX_MS: u64 = 300;
 /// Longest time for which a host may be behind what the holder tells.
 const LAG_GRACE_MAX_MS: u64 = 400;
 /// Longest rest of the holder's feed of servers' entries, so that changes that come together cost
@@ -40,7 +40,7 @@
     /// just after it spoke, and just before it could pass on that a server leaves.
     pub trust_ms: u64,
     /// Interval at which the holder speaks; several fit into the time for which it is relied on.
-    pub word_every_ms: u64,
+    pub holder_heartbeat_ms: u64,
     /// Rest of the holder's feed of servers' entries.
     pub holder_rest_ms: u64,
     /// Longest wait of the holder's feed at the store: it has nobody who tells it that its
@@ -57,9 +57,9 @@
     pub start_rest_ms: u64,
 }
 
-/// One way on which a promise is kept.
+/// One path on which a promise is kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Way {
+pub struct TimingPath {
     /// What happens.
     pub name: &'static str,
     /// The bound's name in the settings.
@@ -70,7 +70,7 @@
     pub bound_ms: u64,
 }
 
-impl fmt::Display for Way {
+impl fmt::Display for TimingPath {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
             name,
@@ -85,15 +85,15 @@
     }
 }
 
-impl Way {
-    /// True if the promise is kept on this way.
-    pub fn is_kept(&self) -> bool {
+impl TimingPath {
+    /// True if the promise is kept on this path.
+    pub fn is_met(&self) -> bool {
         self.worst_ms <= self.bound_ms
     }
 }
 
 impl TimeLimits {
-    /// The limits for bounds; [`Self::ways`] tells whether they keep them.
+    /// The limits for bounds; [`Self::paths`] tells whether they keep them.
     pub fn new(bounds: &Bounds) -> Self {
         let after_wait_ms = LOOK_EVERY_MS + CALL_MS + LATE_MS;
         let room = |bound_ms: u64| bound_ms.saturating_sub(after_wait_ms).max(TRUST_MIN_MS);
@@ -102,7 +102,7 @@
         let trust_ms = drain_room_ms.min(configuration_room_ms).min(TRUST_MAX_MS);
         Self {
             trust_ms,
-            word_every_ms: (trust_ms / 4).min(WORD_EVERY_MAX_MS),
+            holder_heartbeat_ms: (trust_ms / 4).min(HOLDER_HEARTBEAT_MAX_MS),
             holder_rest_ms: (trust_ms / 4).min(HOLDER_REST_MAX_MS),
             holder_wait_ms: (bounds.contact_ms + drain_room_ms.min(configuration_room_ms))
                 .saturating_sub(FEED_SLACK_MS)
@@ -115,36 +115,36 @@
     }
 
     /// Interval of the holder's confirmations: the store's last answer to it must be young enough
-    /// to be relied on until the next but one word.
+    /// to be relied on until the next heartbeat but one.
     pub fn confirm_every_ms(&self, wanted_ms: u64) -> u64 {
         wanted_ms.min(self.trust_ms / 2)
     }
 
-    /// All ways on which hosts learn of leaving servers and of configurations.
-    pub fn ways(&self, bounds: &Bounds) -> [Way; 7] {
-        let drain = |name, wait_ms| Way {
+    /// All paths on which hosts learn of leaving servers and of configurations.
+    pub fn paths(&self, bounds: &Bounds) -> [TimingPath; 7] {
+        let drain = |name, wait_ms| TimingPath {
             name,
             bound: "drain",
             worst_ms: wait_ms + CALL_MS + LATE_MS,
             bound_ms: bounds.drain_ms,
         };
-        let configuration = |name, wait_ms| Way {
+        let configuration = |name, wait_ms| TimingPath {
             name,
             bound: "configuration",
             worst_ms: wait_ms + CALL_MS + LATE_MS,
             bound_ms: bounds.configuration_ms,
         };
-        let next_word_ms = self.holder_rest_ms + 2 * self.word_every_ms + LOOK_EVERY_MS;
+        let next_heartbeat_ms = self.holder_rest_ms + 2 * self.holder_heartbeat_ms + LOOK_EVERY_MS;
         [
             drain(
                 "the holder is lost before it passes on that a server leaves",
                 self.trust_ms + LOOK_EVERY_MS,
             ),
             drain(
-                "the word that a server leaves is lost, and the holder's next one tells of it",
-                next_word_ms,
+                "the message that a server leaves is lost, and the holder's next heartbeat shows it",
+                next_heartbeat_ms,
             ),
-            Way {
+            TimingPath {
                 name: "the holder's connection to the store has fallen silent",
                 bound: "contact",
                 worst_ms: self.holder_wait_ms + FEED_SLACK_MS + CALL_MS + LATE_MS,
@@ -156,8 +156,8 @@
                 self.trust_ms + LOOK_EVERY_MS,
             ),
             configuration(
-                "a piece of the configuration is lost, and the holder's next word tells of it",
-                self.holder_rest_ms + self.word_every_ms + self.lag_grace_ms + LOOK_EVERY_MS,
+                "a piece of the configuration is lost, and the holder's next heartbeat shows it",
+                self.holder_rest_ms + self.holder_heartbeat_ms + self.lag_grace_ms + LOOK_EVERY_MS,
             ),
             configuration(
                 "the configuration changes while its feed rests",
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -27,7 +27,7 @@
 
 /// What the hosts of a zone know of a server together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ServerStanding {
+pub struct ServerSummary {
     /// Server.
     pub server_tag: u16,
     /// Their requests that are there.
@@ -68,17 +68,17 @@
 /// Messages between hosts.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Message {
-    /// Word for the receiver, and for the hosts of its zone, to which it passes it on.
-    PassOn(Box<Message>),
-    /// Word of another host.
-    Passed {
-        /// That host.
+    /// For the receiver and the other hosts of its zone, to which it forwards it.
+    Relay(Box<Message>),
+    /// Forwarded by a relay.
+    Relayed {
+        /// Host that it is from.
         origin: SocketAddr,
-        /// Its word.
+        /// What that host sent.
         message: Box<Message>,
     },
-    /// The sender passes word on.
-    PassesOn,
+    /// The sender relays what it is sent.
+    RelayAck,
     /// The sender has the duty.
     Holder {
         /// Number of its term.
@@ -105,7 +105,7 @@
         /// Short name of the zone.
         zone_tag: u32,
         /// Servers.
-        standings: Vec<ServerStanding>,
+        summaries: Vec<ServerSummary>,
     },
     /// Requests by key, for the holder of the duty.
     Keys(Vec<KeyCount>),
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -3,11 +3,11 @@
 //! message does more: an earlier holder's word that it gives no more leases ends a wait that keeps
 //! ownership single. All are sealed with a secret that the hosts share.
 
+pub mod fanout;
 pub mod message;
 pub mod outbox;
 mod receive;
 mod report;
-pub mod spread;
 pub mod zone_loads;
 
 pub use self::{message::KeyCount, report::report_every_ms};
@@ -24,10 +24,10 @@
 use tokio::net::UdpSocket;
 
 use self::{
-    message::{Message, RunTime, ServerLoad, ServerStanding, VERSION},
+    fanout::{DIRECT_HOSTS_MAX, Fanout, OneWayDelay, RELAY_SILENT_MS, RelayCandidate},
+    message::{Message, RunTime, ServerLoad, ServerSummary, VERSION},
     outbox::Outbox,
     report::report_age_max_ms,
-    spread::{DIRECT_HOSTS_MAX, HostView, RELAY_SILENT_MS, Spread, WayTime},
     zone_loads::ZoneLoads,
 };
 use super::{decide::choice::HostCount, seal::Seal, server::tag_of};
@@ -57,7 +57,7 @@
 #[derive(Debug)]
 struct Peer {
     facts: HostFacts,
-    /// When it was first given word to pass on since it was last heard; 0 if it was not.
+    /// When it was first given a message to relay since it was last heard; 0 if it was not.
     asked_ms: u64,
     heard_ms: u64,
     loads: Vec<ServerLoad>,
@@ -65,8 +65,8 @@
 }
 
 impl Peer {
-    fn view(&self, address: SocketAddr, now_ms: u64) -> HostView {
-        HostView {
+    fn view(&self, address: SocketAddr, now_ms: u64) -> RelayCandidate {
+        RelayCandidate {
             address,
             zone_tag: self.facts.zone_tag,
             processor_share: self.facts.processor_share,
@@ -106,7 +106,7 @@
     holder: Mutex<Option<SocketAddr>>,
     holder_term: AtomicU64,
     holder_heard_ms: AtomicU64,
-    way_time: Mutex<WayTime>,
+    one_way_delay: Mutex<OneWayDelay>,
     zone_loads: Mutex<ZoneLoads>,
 }
 
@@ -165,7 +165,7 @@
     }
 
     /// Number of hosts that come before the one at `own` in the order in which they look after the
-    /// duty: those with a larger share of a processor first, since the holder has word for all and
+    /// duty: those with a larger share of a processor first, since the holder has messages for all and
     /// orders for all servers with keys. Among equals the order is another one for each term, so that
     /// hosts that are gone do not always come first.
     pub fn takeover_rank(&self, own: SocketAddr, processor_share: f32) -> usize {
@@ -182,7 +182,7 @@
             .count()
     }
 
-    /// True if word goes by hosts that pass it on.
+    /// True if messages for all hosts go by relays.
     fn are_many(&self) -> bool {
         self.hosts() > DIRECT_HOSTS_MAX
     }
@@ -249,20 +249,25 @@
         self.holder.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a message to all other hosts: to each of them, or by those that pass it on.
+    /// Sends a message to all other hosts, by relays if they are many.
     pub(in crate::entry) fn send_to_all(&self, message: Message) {
-        let Spread { direct, relays } = self.spread();
+        let Fanout { direct, relays } = self.fanout();
         if !direct.is_empty() {
             self.send(&message, &direct);
         }
         if !relays.is_empty() {
-            self.send(&Message::PassOn(Box::new(message)), &relays);
+            self.send(&Message::Relay(Box::new(message)), &relays);
         }
     }
 
-    /// Tells the other zones what the hosts of the own one know of servers together, if this host is
-    /// the one that does so.
-    fn tell_zones(&self, own: HostView, own_loads: &[ServerLoad], own_run_times: &[RunTime]) {
+    /// Sends the loads of servers by the hosts of the own zone to the other zones, if this host is its
+    /// aggregator.
+    fn send_zone_loads(
+        &self,
+        own: RelayCandidate,
+        own_loads: &[ServerLoad],
+        own_run_times: &[RunTime],
+    ) {
         let now_ms = clock::now_ms();
         let age_max_ms = report_age_max_ms(self.reporting_hosts());
         let mut sums: HashMap<u16, ReportedLoad> = HashMap::new();
@@ -277,59 +282,59 @@
                 zone.push(peer.view(*address, now_ms));
                 peer.add_to(&mut sums);
             }
-            if spread::first_of_zone(&zone) != Some(own.address) {
+            if fanout::zone_aggregator(&zone) != Some(own.address) {
                 return;
             }
-            let mut others: Vec<HostView> = peers
+            let mut others: Vec<RelayCandidate> = peers
                 .iter()
                 .filter(|(_, peer)| !peer.facts.is_near)
                 .map(|(address, peer)| peer.view(*address, now_ms))
                 .collect();
-            relays.extend(spread::firsts_of_zones(&mut others));
+            relays.extend(fanout::zone_relays(&mut others));
         }
         self.note_asked(&relays);
         add_report(&mut sums, own_loads, own_run_times);
-        let mut standings: Vec<ServerStanding> = sums
+        let mut summaries: Vec<ServerSummary> = sums
             .iter()
-            .map(|(server_tag, sum)| ServerStanding {
+            .map(|(server_tag, sum)| ServerSummary {
                 server_tag: *server_tag,
                 in_flight: sum.in_flight.min(u32::from(u16::MAX)) as u16,
                 run_ms: (sum.run_ms_sum / sum.reporters.max(1.0)) as u16,
             })
             .collect();
-        standings.sort_unstable_by_key(|standing| standing.server_tag);
-        for standings in zone_loads::parts(&standings) {
+        summaries.sort_unstable_by_key(|summary| summary.server_tag);
+        for summaries in zone_loads::parts(&summaries) {
             let zone_tag = own.zone_tag;
             let message = Message::ZoneLoads {
                 zone_tag,
-                standings,
+                summaries,
             };
-            self.send(&Message::PassOn(Box::new(message)), &relays);
+            self.send(&Message::Relay(Box::new(message)), &relays);
         }
     }
 
-    fn note_zone(&self, zone_tag: u32, standings: Vec<ServerStanding>) {
+    fn note_zone_loads(&self, zone_tag: u32, summaries: Vec<ServerSummary>) {
         let mut loads = self
             .zone_loads
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        loads.note(zone_tag, standings, clock::now_ms());
+        loads.note(zone_tag, summaries, clock::now_ms());
     }
 
-    /// The ways to all hosts; notes who is asked to pass word on.
-    fn spread(&self) -> Spread {
+    /// The fan-out to all hosts; its relays must acknowledge.
+    fn fanout(&self) -> Fanout {
         let now_ms = clock::now_ms();
         let term = self.holder_term.load(Ordering::Relaxed);
         let peers = self.peers();
         let views = peers.iter();
         let views = views.map(|(address, peer)| peer.view(*address, now_ms));
-        let spread = spread::spread(&views.collect::<Vec<_>>(), term);
+        let fanout = fanout::fanout(&views.collect::<Vec<_>>(), term);
         drop(peers);
-        self.note_asked(&spread.relays);
-        spread
+        self.note_asked(&fanout.relays);
+        fanout
     }
 
-    /// Notes that hosts are given word to pass on; each of them tells that it does.
+    /// Notes that relays owe an acknowledgement.
     fn note_asked(&self, relays: &[SocketAddr]) {
         let now_ms = clock::now_ms();
         let mut peers = self.peers();
@@ -340,18 +345,21 @@
         }
     }
 
-    /// Passes word of another host on in the own zone.
-    fn pass_on(&self, origin: SocketAddr, message: Message) {
+    /// Forwards a message of another host to the own zone.
+    fn forward(&self, origin: SocketAddr, message: Message) {
         let mut to = self.near_addresses();
         to.retain(|address| *address != origin);
         let message = Box::new(message);
-        self.send(&Message::Passed { origin, message }, &to);
+        self.send(&Message::Relayed { origin, message }, &to);
     }
 
-    /// Time that word of the holder was on its way beyond the least.
-    fn way_ms(&self, term: u64, sent_ms: u64) -> u64 {
-        let mut way_time = self.way_time.lock().unwrap_or_else(PoisonError::into_inner);
-        way_time.delay_ms(term, sent_ms, clock::now_ms())
+    /// Delay of a heartbeat of the holder beyond the shortest one.
+    fn excess_delay_ms(&self, term: u64, sent_ms: u64) -> u64 {
+        let mut one_way_delay = self
+            .one_way_delay
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        one_way_delay.delay_ms(term, sent_ms, clock::now_ms())
     }
 
     /// Sends a message to the holder of the duty; false if none is known.
@@ -424,11 +432,11 @@
             .zone_loads
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        for standing in zones.latest(now_ms) {
-            let sum = sums.entry(standing.server_tag).or_default();
-            sum.in_flight += u32::from(standing.in_flight);
-            if standing.run_ms > 0 {
-                sum.run_ms_sum += f64::from(standing.run_ms);
+        for summary in zones.latest(now_ms) {
+            let sum = sums.entry(summary.server_tag).or_default();
+            sum.in_flight += u32::from(summary.in_flight);
+            if summary.run_ms > 0 {
+                sum.run_ms_sum += f64::from(summary.run_ms);
                 sum.reporters += 1.0;
             }
         }
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -60,17 +60,17 @@
         self.peers.note_heard(from);
         let decoded = postcard::from_bytes(body);
         if !self.peers.knows(from) {
-            self.meet(from, decoded.as_ref().ok());
+            self.learn_sender(from, decoded.as_ref().ok());
         }
         match decoded {
-            Ok(Message::PassOn(message)) => {
-                self.peers.pass_on(from, (*message).clone());
+            Ok(Message::Relay(message)) => {
+                self.peers.forward(from, (*message).clone());
                 if matches!(*message, Message::Holder { .. } | Message::ZoneLoads { .. }) {
-                    self.peers.send(&Message::PassesOn, &[from]);
+                    self.peers.send(&Message::RelayAck, &[from]);
                 }
                 self.take(*message, from);
             }
-            Ok(Message::Passed { origin, message }) => {
+            Ok(Message::Relayed { origin, message }) => {
                 if origin != self.settings.listen.peers {
                     self.take(*message, origin);
                 }
@@ -82,7 +82,7 @@
 
     /// Takes up a host whose row was not read yet. Its report tells what it is: 294 hosts that read
     /// the rows for each new one are 294 calls to the store.
-    fn meet(&self, from: SocketAddr, message: Option<&Message>) {
+    fn learn_sender(&self, from: SocketAddr, message: Option<&Message>) {
         let Some(Message::Report { sender, .. }) = message else {
             self.view.want_reading(Followed::Own);
             return;
@@ -97,7 +97,7 @@
         self.peers.add(from, facts);
     }
 
-    /// Takes in word of the host at `from`, whichever way it came.
+    /// Takes in a message of the host at `from`, sent by it or by a relay.
     fn take(&self, message: Message, from: SocketAddr) {
         match message {
             Message::Holder {
@@ -106,7 +106,7 @@
                 news,
                 hot,
             } => {
-                let news = news.aged_by(self.peers.way_ms(term, sent_ms));
+                let news = news.aged_by(self.peers.excess_delay_ms(term, sent_ms));
                 self.note_holder(from, term, news, hot);
             }
             Message::Report {
@@ -116,8 +116,8 @@
             }
             Message::ZoneLoads {
                 zone_tag,
-                standings,
-            } => self.peers.note_zone(zone_tag, standings),
+                summaries,
+            } => self.peers.note_zone_loads(zone_tag, summaries),
             Message::Servers(changes) => self.take_servers(changes),
             Message::Configuration(piece) => self.take_configuration(piece),
             Message::WhoHolds { service_tag, key } => self.tell_holder(from, service_tag, key),
@@ -135,9 +135,9 @@
                 service_tag,
                 announcements,
             } => self.note_moves(service_tag, &announcements),
-            Message::PassesOn => {}
-            Message::PassOn(_) | Message::Passed { .. } => {
-                log::debug!("word of {from} that was passed on twice");
+            Message::RelayAck => {}
+            Message::Relay(_) | Message::Relayed { .. } => {
+                log::debug!("message of {from} that was relayed twice");
             }
         }
     }
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -6,8 +6,8 @@
 use tokio::time;
 
 use super::{
+    fanout::RelayCandidate,
     message::{ENTRIES_MAX, KeyCount, Message, RunTime, Sender, ServerLoad},
-    spread::HostView,
     zone_loads::SUM_EVERY_MS,
 };
 use crate::{
@@ -94,18 +94,19 @@
     }
 
     /// Tells the other zones what the hosts of the own one report.
-    pub(in crate::entry) async fn keep_telling_zones(self: Arc<Self>) {
+    pub(in crate::entry) async fn keep_sending_zone_loads(self: Arc<Self>) {
         loop {
             time::sleep(Duration::from_millis(SUM_EVERY_MS)).await;
             if self.peers.are_many() {
-                let own = HostView {
+                let own = RelayCandidate {
                     address: self.settings.listen.peers,
                     zone_tag: tag_of(&self.settings.availability_zone),
                     processor_share: self.settings.processor_share,
                     is_silent: false,
                 };
                 let run_times = self.own_run_times();
-                self.peers.tell_zones(own, &self.own_loads(), &run_times);
+                self.peers
+                    .send_zone_loads(own, &self.own_loads(), &run_times);
             }
         }
     }
@@ -127,7 +128,7 @@
     /// must look whether to take it.
     pub(in crate::entry) async fn keep_showing_duty(self: Arc<Self>) {
         loop {
-            time::sleep(Duration::from_millis(self.limits.word_every_ms)).await;
+            time::sleep(Duration::from_millis(self.limits.holder_heartbeat_ms)).await;
             if self.duty.is_confirmed() {
                 let message = Message::Holder {
                     term: self.duty.term(),
--- a/src/entry/peers/zone_loads.rs
+++ b/src/entry/peers/zone_loads.rs
@@ -4,14 +4,14 @@
 
 use std::collections::HashMap;
 
-use super::message::ServerStanding;
+use super::message::ServerSummary;
 
 /// Interval of the sums.
 pub const SUM_EVERY_MS: u64 = 250;
 /// Age after which a zone's sums no longer count: some of them may be lost.
 const SUMS_KEPT_MS: u64 = 1_600;
 /// Servers in one datagram, of at most 6 bytes each.
-const STANDINGS_MAX: usize = 220;
+const SUMMARIES_MAX: usize = 220;
 
 /// Sums that were heard of the other zones.
 #[derive(Debug, Default)]
@@ -21,34 +21,34 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Heard {
-    standing: ServerStanding,
+    summary: ServerSummary,
     at_ms: u64,
 }
 
 impl ZoneLoads {
     /// Notes sums of a zone.
-    pub fn note(&mut self, zone_tag: u32, standings: Vec<ServerStanding>, now_ms: u64) {
+    pub fn note(&mut self, zone_tag: u32, summaries: Vec<ServerSummary>, now_ms: u64) {
         let zone = self.zones.entry(zone_tag).or_default();
         zone.retain(|_, heard| now_ms < heard.at_ms + SUMS_KEPT_MS);
-        for standing in standings {
+        for summary in summaries {
             let heard = Heard {
-                standing,
+                summary,
                 at_ms: now_ms,
             };
-            zone.insert(standing.server_tag, heard);
+            zone.insert(summary.server_tag, heard);
         }
     }
 
     /// Latest sums of all zones.
-    pub fn latest(&self, now_ms: u64) -> impl Iterator<Item = ServerStanding> {
+    pub fn latest(&self, now_ms: u64) -> impl Iterator<Item = ServerSummary> {
         let heard = self.zones.values().flat_map(HashMap::values);
         heard
             .filter(move |heard| now_ms < heard.at_ms + SUMS_KEPT_MS)
-            .map(|heard| heard.standing)
+            .map(|heard| heard.summary)
     }
 }
 
 /// Sums in parts that fit a datagram each.
-pub fn parts(standings: &[ServerStanding]) -> impl Iterator<Item = Vec<ServerStanding>> {
-    standings.chunks(STANDINGS_MAX).map(<[_]>::to_vec)
+pub fn parts(summaries: &[ServerSummary]) -> impl Iterator<Item = Vec<ServerSummary>> {
+    summaries.chunks(SUMMARIES_MAX).map(<[_]>::to_vec)
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -186,9 +186,9 @@
         ];
         let failed = checks.iter().filter(|(good, _)| !good);
         let failed = failed.map(|(_, message)| (*message).to_owned());
-        let ways = TimeLimits::new(&self.bounds).ways(&self.bounds);
-        let broken = ways.into_iter().filter(|way| !way.is_kept());
-        failed.chain(broken.map(|way| way.to_string())).collect()
+        let paths = TimeLimits::new(&self.bounds).paths(&self.bounds);
+        let broken = paths.into_iter().filter(|path| !path.is_met());
+        failed.chain(broken.map(|path| path.to_string())).collect()
     }
 }
 
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -31,13 +31,13 @@
     fn every_way_keeps_its_bound(drain: u16, configuration: u16) -> bool {
         let bounds = drawn(drain, configuration);
         let limits = TimeLimits::new(&bounds);
-        limits.ways(&bounds).iter().all(|way| way.is_kept())
+        limits.paths(&bounds).iter().all(|path| path.is_met())
     }
 
     fn the_holder_is_heard_three_times_while_it_is_relied_on(drain: u16) -> bool {
         let limits = TimeLimits::new(&drawn(drain, 0));
         let confirm_every_ms = limits.confirm_every_ms(700);
-        let two_words_ms = confirm_every_ms + 2 * limits.word_every_ms;
+        let two_words_ms = confirm_every_ms + 2 * limits.holder_heartbeat_ms;
         two_words_ms <= limits.trust_ms
     }
 }
@@ -58,12 +58,14 @@
             limits.configuration_rest_ms += 101;
         }),
         case("holder_rest_ms", |limits| limits.holder_rest_ms += 1_000),
-        case("word_every_ms", |limits| limits.word_every_ms += 500),
+        case("holder_heartbeat_ms", |limits| {
+            limits.holder_heartbeat_ms += 500
+        }),
     ];
     for Case { name, raise } in cases {
         let mut limits = limits;
         raise(&mut limits);
-        let broken = limits.ways(&bounds).iter().any(|way| !way.is_kept());
+        let broken = limits.paths(&bounds).iter().any(|path| !path.is_met());
         assert!(broken, "{name}");
     }
 }
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -5,16 +5,18 @@
 use ashroad::entry::{
     configuration_relay::{Assembly, Piece, cut},
     peers::{
-        message::ServerStanding,
-        spread::{DIRECT_HOSTS_MAX, HostView, WayTime, first_of_zone, firsts_of_zones, spread},
+        fanout::{
+            DIRECT_HOSTS_MAX, OneWayDelay, RelayCandidate, fanout, zone_aggregator, zone_relays,
+        },
+        message::ServerSummary,
         zone_loads::ZoneLoads,
     },
 };
 use quickcheck::quickcheck;
 
-fn host(zone_tag: u32, number: usize) -> HostView {
+fn host(zone_tag: u32, number: usize) -> RelayCandidate {
     let address = format!("10.{zone_tag}.{}.{}:7620", number / 250, number % 250);
-    HostView {
+    RelayCandidate {
         address: address.parse().expect("address"),
         zone_tag,
         processor_share: 0.1,
@@ -22,12 +24,12 @@
     }
 }
 
-fn hosts(zones: u32, of_each: usize) -> Vec<HostView> {
+fn hosts(zones: u32, of_each: usize) -> Vec<RelayCandidate> {
     let zone = |zone_tag| (0..of_each).map(move |number| host(zone_tag, number));
     (0..zones).flat_map(zone).collect()
 }
 
-fn zone_of(hosts: &[HostView], address: SocketAddr) -> u32 {
+fn zone_of(hosts: &[RelayCandidate], address: SocketAddr) -> u32 {
     let found = hosts.iter().find(|host| host.address == address);
     found.expect("a known host").zone_tag
 }
@@ -69,10 +71,10 @@
     ];
     for case in cases {
         let hosts = hosts(case.zones, case.of_each);
-        let spread = spread(&hosts, 1);
-        assert_eq!(spread.direct.len(), case.direct);
-        assert_eq!(spread.relays.len(), case.relays);
-        let mut zones: Vec<u32> = spread.relays.iter().map(|r| zone_of(&hosts, *r)).collect();
+        let fanout = fanout(&hosts, 1);
+        assert_eq!(fanout.direct.len(), case.direct);
+        assert_eq!(fanout.relays.len(), case.relays);
+        let mut zones: Vec<u32> = fanout.relays.iter().map(|r| zone_of(&hosts, *r)).collect();
         zones.sort_unstable();
         zones.dedup();
         assert_eq!(zones.len() * 2, case.relays);
@@ -85,8 +87,8 @@
     hosts[7].processor_share = 0.5;
     hosts[11].processor_share = 0.5;
     hosts[13].processor_share = 0.4;
-    let chosen = |hosts: &[HostView]| {
-        let mut relays = spread(hosts, 3).relays;
+    let chosen = |hosts: &[RelayCandidate]| {
+        let mut relays = fanout(hosts, 3).relays;
         relays.retain(|relay| zone_of(hosts, *relay) == 0);
         relays.sort_unstable();
         relays
@@ -106,24 +108,24 @@
 fn terms_choose_among_equal_hosts_in_turn() {
     let hosts = hosts(1, 60);
     let choices: std::collections::HashSet<Vec<SocketAddr>> =
-        (1..20).map(|term| spread(&hosts, term).relays).collect();
+        (1..20).map(|term| fanout(&hosts, term).relays).collect();
     assert!(choices.len() > 10, "{} choices", choices.len());
 }
 
 #[test]
 fn word_that_a_relay_held_back_counts_as_old() {
-    let mut way_time = WayTime::default();
+    let mut one_way_delay = OneWayDelay::default();
     // The clocks of the two hosts have nothing to do with each other.
-    assert_eq!(way_time.delay_ms(4, 9_000_000, 1_000_003), 0);
-    assert_eq!(way_time.delay_ms(4, 9_000_300, 1_000_301), 0);
+    assert_eq!(one_way_delay.delay_ms(4, 9_000_000, 1_000_003), 0);
+    assert_eq!(one_way_delay.delay_ms(4, 9_000_300, 1_000_301), 0);
     // One that was frozen for 6 s passes on what it got before, after younger word of the other.
-    assert_eq!(way_time.delay_ms(4, 9_006_300, 1_006_301), 0);
-    assert_eq!(way_time.delay_ms(4, 9_000_600, 1_006_600), 5_999);
+    assert_eq!(one_way_delay.delay_ms(4, 9_006_300, 1_006_301), 0);
+    assert_eq!(one_way_delay.delay_ms(4, 9_000_600, 1_006_600), 5_999);
     // Clocks may drift apart by a millisecond in a second.
-    assert_eq!(way_time.delay_ms(4, 9_600_300, 1_600_600), 0);
+    assert_eq!(one_way_delay.delay_ms(4, 9_600_300, 1_600_600), 0);
     // A later holder has another clock.
-    assert_eq!(way_time.delay_ms(5, 100, 1_600_900), 0);
-    assert_eq!(way_time.delay_ms(5, 400, 1_601_250), 50);
+    assert_eq!(one_way_delay.delay_ms(5, 100, 1_600_900), 0);
+    assert_eq!(one_way_delay.delay_ms(5, 400, 1_601_250), 50);
 }
 
 quickcheck! {
@@ -171,8 +173,8 @@
     assert_eq!(assembly.take(piece(6, 9, "x")), None);
 }
 
-fn standing(server_tag: u16, in_flight: u16) -> ServerStanding {
-    ServerStanding {
+fn summary(server_tag: u16, in_flight: u16) -> ServerSummary {
+    ServerSummary {
         server_tag,
         in_flight,
         run_ms: 100,
@@ -183,17 +185,14 @@
 fn sums_of_zones_replace_each_other_and_are_forgotten() {
     let mut loads = ZoneLoads::default();
     let total = |loads: &ZoneLoads, now_ms: u64| -> u16 {
-        loads
-            .latest(now_ms)
-            .map(|standing| standing.in_flight)
-            .sum()
+        loads.latest(now_ms).map(|summary| summary.in_flight).sum()
     };
-    loads.note(1, vec![standing(7, 3), standing(8, 1)], 1_000);
-    loads.note(2, vec![standing(7, 5)], 1_100);
+    loads.note(1, vec![summary(7, 3), summary(8, 1)], 1_000);
+    loads.note(2, vec![summary(7, 5)], 1_100);
     assert_eq!(total(&loads, 1_200), 9);
     // Of two hosts that speak for a zone the last one counts, not both.
-    loads.note(1, vec![standing(7, 2)], 1_400);
-    loads.note(1, vec![standing(7, 2)], 1_410);
+    loads.note(1, vec![summary(7, 2)], 1_400);
+    loads.note(1, vec![summary(7, 2)], 1_410);
     assert_eq!(total(&loads, 1_500), 8);
     // A part that was lost leaves the others; a zone that is silent counts no more.
     assert_eq!(total(&loads, 2_800), 2);
@@ -205,12 +204,12 @@
     let mut hosts = hosts(4, 50);
     hosts[20].processor_share = 0.5;
     hosts[70].processor_share = 0.5;
-    assert_eq!(first_of_zone(&hosts[..50]), Some(hosts[20].address));
+    assert_eq!(zone_aggregator(&hosts[..50]), Some(hosts[20].address));
     let mut others = hosts[50..].to_vec();
-    let relays = firsts_of_zones(&mut others);
+    let relays = zone_relays(&mut others);
     assert_eq!(relays.len(), 3);
     assert!(relays.contains(&hosts[70].address));
     hosts[70].is_silent = true;
-    let relays = firsts_of_zones(&mut hosts[50..].to_vec());
+    let relays = zone_relays(&mut hosts[50..].to_vec());
     assert!(!relays.contains(&hosts[70].address));
 }
