--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -250,3 +250,46 @@
     }
     leaving.served() - within
 }
+
+#[tokio::test]
+async fn many_hosts_learn_of_changes_by_relays_also_while_most_of_them_are_stopped() {
+    const HOSTS: usize = 24;
+    let site = Site::start(HOSTS, 2).await;
+    let holder = holder(&site);
+    time::sleep(Duration::from_millis(4_000)).await;
+    let before = site.store.calls();
+    let mut joined = Vec::new();
+    for _ in 0..3 {
+        joined.push(Server::start(&site.store, &site.record, ORDERS).await);
+        time::sleep(Duration::from_millis(1_000)).await;
+    }
+    let calls = site.store.calls() - before;
+    // The holder's own; 23 hosts would call for each of the three changes.
+    assert!(calls <= 20, "{calls} calls");
+    for host in &site.hosts {
+        let seen = host.events("server");
+        for server in &joined {
+            assert!(seen.iter().any(|line| line.contains(&server.id)));
+        }
+    }
+    // The relays are among those that are stopped, with a chance of 96 in 100.
+    let others = || (0..HOSTS).filter(|number| *number != holder);
+    let stopped: Vec<usize> = others().take(18).collect();
+    for number in &stopped {
+        site.hosts[*number].signal("STOP");
+    }
+    let leaving = &joined[0];
+    leaving.declare(&site.store, "draining");
+    time::sleep(Duration::from_millis(2_000)).await;
+    let running = others().filter(|number| !stopped.contains(number));
+    for number in running {
+        let host = &site.hosts[number];
+        let told = host.events("server");
+        let is_end =
+            |line: &&String| line.contains(&leaving.id) && line.contains("\"leaving\":true");
+        assert!(told.iter().any(|line| is_end(&line)), "host {number}");
+    }
+    for number in &stopped {
+        site.hosts[*number].signal("CONT");
+    }
+}
