Late heartbeats of an earlier holder do not reset the shortest delay of the later one

Found by reading: a late datagram of the earlier term made the next delayed one of the later term count as fresh. Test first in tests/entry_word.rs (fails without).

--- a/src/entry/peers/fanout.rs
+++ b/src/entry/peers/fanout.rs
@@ -99,7 +99,11 @@
     /// shortest one.
     pub fn delay_ms(&mut self, term: u64, sent_ms: u64, now_ms: u64) -> u64 {
         let offset_ms = now_ms as i64 - sent_ms as i64;
-        if term != self.term {
+        if term < self.term {
+            // Nobody relies on an earlier holder, and the later one's shortest delay is kept.
+            return u64::MAX;
+        }
+        if term > self.term {
             *self = Self {
                 term,
                 least_offset_ms: offset_ms,
