--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -126,6 +126,9 @@
     // A later holder has another clock.
     assert_eq!(one_way_delay.delay_ms(5, 100, 1_600_900), 0);
     assert_eq!(one_way_delay.delay_ms(5, 400, 1_601_250), 50);
+    // A late message of the earlier one changes nothing.
+    assert_eq!(one_way_delay.delay_ms(4, 9_600_400, 1_601_300), u64::MAX);
+    assert_eq!(one_way_delay.delay_ms(5, 700, 1_601_550), 50);
 }
 
 quickcheck! {
