Comments: what tight bounds mean for a silent relay; timeouts by the field's name

Cause: read once more, the comment of RELAY_SILENT_MS claimed for all bounds what holds from 2 s on. The promise is kept on tighter ones, by calls to the store.

--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -1,4 +1,4 @@
-//! Time limits that follow from the bounds which the users set.
+//! Timeouts and rests that follow from the bounds which the users set.
 //!
 //! Whatever lies on the path of a promise (a resting feed, a heartbeat of the holder that is relied on, a
 //! call of this host's own) has its share here, and the sum of each path stays under the bound.
@@ -33,7 +33,7 @@
 const SERVERS_REST_MAX_MS: u64 = 1_500;
 const CONFIGURATION_REST_MAX_MS: u64 = 500;
 
-/// Time limits of one host.
+/// Timeouts and rests of one host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TimeLimits {
     /// Age of what the holder of the duty tells up to which it is relied on: a holder may be lost
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -64,7 +64,7 @@
     pub store: Store,
     /// Configuration, servers and keys.
     pub view: View,
-    /// Time limits that follow from the users' bounds.
+    /// Timeouts and rests that follow from the users' bounds.
     pub limits: TimeLimits,
     /// What is heard of the store.
     pub freshness: Freshness,
--- a/src/entry/peers/fanout.rs
+++ b/src/entry/peers/fanout.rs
@@ -18,7 +18,8 @@
 /// Relays of a zone, so that the loss of one costs nothing.
 const RELAYS: usize = 2;
 /// Time without an acknowledgement after which another host takes a relay's place. Three heartbeats
-/// of the holder fall into it, and it ends before the hosts of the zone stop relying on the holder.
+/// of the holder fall into it. With bounds of 2 s it ends before the hosts of the zone stop relying on
+/// the holder; with tighter ones they ask the store meanwhile.
 pub const RELAY_SILENT_MS: u64 = 900;
 
 /// What the choice of relays depends on.
