--- a/src/entry/configuration_relay.rs
+++ b/src/entry/configuration_relay.rs
@@ -15,6 +15,8 @@
 pub struct Piece {
     /// Version of the row.
     pub version: u64,
+    /// Version of the latest evacuation that the sender knows.
+    pub evacuations: u64,
     /// Place of this piece.
     pub index: u16,
     /// Number of pieces.
@@ -24,7 +26,7 @@
 }
 
 /// Pieces of a configuration; none if it is too large to be passed on.
-pub fn cut(version: u64, content: &[u8]) -> Vec<Piece> {
+pub fn cut(version: u64, evacuations: u64, content: &[u8]) -> Vec<Piece> {
     let pieces = content.chunks(PIECE_BYTES);
     let count = pieces.len();
     if count > PIECES_MAX {
@@ -32,6 +34,7 @@
     }
     let piece = |(index, bytes): (usize, &[u8])| Piece {
         version,
+        evacuations,
         index: index as u16,
         count: count as u16,
         bytes: bytes.to_vec(),
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -14,6 +14,7 @@
 //! | [`hold`] | requests for keys that are on their way between servers |
 //! | [`return_time`] | when refused callers should come back |
 //! | [`budget`] | repeats that would feed an overload |
+//! | [`warmup`] | servers that have just started and bear little |
 //! | [`first`] | keys that nobody holds yet, servers that start one after the other |
 //! | [`key_loads`], [`plan`] | uneven load by key, servers that join and leave |
 //!
@@ -30,6 +31,7 @@
 pub mod plan;
 mod policy;
 pub mod return_time;
+pub mod warmup;
 
 pub use self::policy::Policy;
 
@@ -44,7 +46,7 @@
     pub run_ms: f64,
     /// Share of the latest attempts that failed.
     pub failures: f64,
-    /// True while connections to it fail.
+    /// True while connections to it fail, or while it is cold and gets no request of this host.
     pub is_paused: bool,
     /// True if it is in the host's own availability zone.
     pub is_near: bool,
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -42,6 +42,15 @@
         /// The version before.
         before: u64,
     },
+    /// A zone is evacuated, or taken back.
+    Evacuation {
+        /// Zone.
+        availability_zone: Arc<str>,
+        /// True if its servers get no new work.
+        evacuated: bool,
+        /// Version of the operators' table.
+        version: u64,
+    },
     /// A row could not be read and is passed over.
     BadRow {
         /// Table and key.
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -45,7 +45,7 @@
         if usable.is_empty() {
             return Err(Refused::soon("no server may get work", policy));
         }
-        let seen = usable.iter().map(|server| Self::candidate(entry, server));
+        let seen = usable.iter().map(|server| self.candidate(entry, server));
         let question = Question {
             servers: &seen.collect::<Vec<_>>(),
             typical_ms: registry.typical_run_ms(&self.service),
@@ -53,7 +53,10 @@
             hosts: entry.peers.host_count(),
         };
         match choice::pick(question, policy, &mut rand::rng()) {
-            Some(place) => Ok(usable[place].clone()),
+            Some(place) => {
+                usable[place].take_turn(self.cold_rule);
+                Ok(usable[place].clone())
+            }
             None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
         }
     }
@@ -104,20 +107,25 @@
         let policy = &entry.settings.policy;
         let registry = entry.view.registry();
         let Some(server) = registry.server(id) else {
-            if registry.former_address(id).is_none() {
+            if registry.former(id).is_none() {
                 entry.view.want_reading(Followed::Servers);
             }
             return Err(Refused::soon("the key's server is gone", policy));
         };
         self.last = Some(server.clone());
-        if server.leaving() {
+        if !server.serves_held_keys(entry.limits.evacuation_hold_ms) {
             return Err(Refused::soon("the key's server is leaving", policy));
         }
+        if server.is_barred(self.cold_rule) {
+            let reason = "the key's server is cold";
+            return Err(Refused::after(reason, server.cold_rest_ms(), policy));
+        }
         let typical_ms = registry.typical_run_ms(&self.service);
-        let seen = Self::candidate(entry, server);
+        let seen = self.candidate(entry, server);
         if !admission::has_room(&seen, typical_ms, self.time_left(), policy) {
             return Err(self.refused_for_a_run(entry, "the key's server is overloaded"));
         }
+        server.take_turn(self.cold_rule);
         Ok(server.clone())
     }
 
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -113,9 +113,9 @@
         return refusal(&Refused::soon("the route has no service", policy));
     };
     let service = part.service.clone();
-    let divided = configuration
-        .service(&service)
-        .is_some_and(|service| service.divided_by_key);
+    let declared = configuration.service(&service);
+    let divided = declared.is_some_and(|service| service.divided_by_key);
+    let warmup = declared.and_then(|service| service.warmup);
     let key = if divided {
         let key = header_number(&head.headers, headers::KEY.as_str());
         match key.and_then(|key| u16::try_from(key).ok()) {
@@ -136,6 +136,7 @@
         route,
         service,
         key,
+        cold_rule: warmup.map(|warmup| entry.cold_rule(warmup)),
         head,
         request_id,
         times,
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -21,7 +21,7 @@
         events::Event,
         model::{Configuration, Route},
         pool::Connection,
-        server::Server,
+        server::{ColdRule, Server},
     },
     platform::headers,
     transport::{AnswerBody, header_text},
@@ -53,6 +53,8 @@
     pub(super) route: &'a Arc<Route>,
     pub(super) service: Arc<str>,
     pub(super) key: Option<u16>,
+    /// What cold servers of the service bear; `None` if nobody bounds that.
+    pub(super) cold_rule: Option<ColdRule>,
     pub(super) head: &'a request::Parts,
     pub(super) request_id: &'a str,
     pub(super) times: Times,
@@ -152,8 +154,8 @@
         Refused::after(reason, run_ms, &entry.settings.policy)
     }
 
-    pub(super) fn candidate(entry: &Entry, server: &Server) -> Candidate {
-        server.candidate(&entry.settings.availability_zone)
+    pub(super) fn candidate(&self, entry: &Entry, server: &Server) -> Candidate {
+        server.candidate(&entry.settings.availability_zone, self.cold_rule)
     }
 
     /// After a connection that did not come up: another server, or the same one for a key.
@@ -197,7 +199,7 @@
         let logged = format!("the server answered {status}, not run");
         if !self.may_repeat(entry, payload) {
             let typical_ms = entry.view.registry().typical_run_ms(&self.service);
-            let seen = Self::candidate(entry, server);
+            let seen = self.candidate(entry, server);
             let refused = Refused::not_run(&seen, typical_ms, &entry.settings.policy);
             return Some(self.refuse(entry, logged, &refused));
         }
@@ -348,8 +350,8 @@
             headers.remove(header::CONTENT_LENGTH);
         }
         headers.insert(headers::DEADLINE_MS, HeaderValue::from(self.left_ms()));
-        let id = HeaderValue::from_str(&server.entry.id).ok()?;
-        headers.insert(headers::EXPECTED_SERVER, id);
+        let name = HeaderValue::from_str(&server.entry.name).ok()?;
+        headers.insert(headers::EXPECTED_SERVER, name);
         Some(request)
     }
 
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -37,10 +37,12 @@
 const ROUND_MS: u64 = 100;
 /// Rounds between plans for balance. Hosts report their counts about as often.
 const BALANCE_EVERY_ROUNDS: u64 = 2;
-/// Time for a server to answer a grant; it answers within a few ms as a rule.
-const GRANT_TIMEOUT_MS: u64 = 500;
-/// Failed orders in a row after which a server counts as silent.
-const FAILURES_SILENT: u32 = 2;
+/// Time for a server to answer a grant; it answers within a few ms as a rule, and one lost packet is
+/// sent again in it. Nine grants fit into what a lease lasts beyond the interval of renewals: where
+/// half of the answers are lost, two leases of a thousand end.
+const GRANT_TIMEOUT_MS: u64 = 300;
+/// Failed orders in a row after which it is asked whether a server lives.
+const FAILURES_DOUBT: u32 = 2;
 /// Moves under way at a time: this many, and more with many servers.
 const MOVES_MIN: usize = 8;
 /// Servers of a service for each move under way.
@@ -60,10 +62,18 @@
     granted_ms: u64,
     /// Grants that are on their way.
     under_way: u32,
-    /// When renewals were last begun.
-    renewed_ms: u64,
     /// Failed orders in a row.
     failures: u32,
+    /// It answers neither orders nor anything else.
+    is_silent: bool,
+}
+
+/// Renewals of one holding.
+#[derive(Clone, Copy, Debug, Default)]
+struct Renewal {
+    /// When the last one that succeeded was sent.
+    renewed_ms: u64,
+    is_under_way: bool,
 }
 
 impl LeaseRecord {
@@ -90,6 +100,8 @@
 #[derive(Debug, Default)]
 struct Work {
     servers: HashMap<Arc<str>, LeaseRecord>,
+    /// By service and fence.
+    renewals: HashMap<(Arc<str>, u64), Renewal>,
     moving: Vec<Moving>,
     counts: HashMap<Arc<str>, KeyCounts>,
     first_waits: HashMap<Arc<str>, FirstWait>,
@@ -215,27 +227,42 @@
         true
     }
 
-    /// Servers that may hold keys of a service.
+    /// Servers that may hold keys of a service. Cold ones bear too little, as long as there are others.
     fn usable(&self, service: &str) -> Vec<PlanServer> {
         let registry = self.entry.view.registry();
         let work = self.work();
         let servers = registry.of_service(service).iter();
-        let usable = servers.filter(|server| {
-            let record = work.servers.get(&server.entry.id);
-            let silent = record.is_some_and(|r| r.failures >= FAILURES_SILENT);
-            !server.leaving() && !silent
-        });
+        let mut usable: Vec<&Arc<Server>> = servers
+            .filter(|server| {
+                let record = work.servers.get(&server.entry.id);
+                let silent = record.is_some_and(|r| r.is_silent);
+                server.takes_new_work() && !silent
+            })
+            .collect();
+        let is_warm = |server: &&Arc<Server>| server.cold_rest_ms() == 0;
+        if self.bounds_cold_servers(service) && usable.iter().any(is_warm) {
+            usable.retain(is_warm);
+        }
         let typical_ms = registry.typical_run_ms(service);
         let zone = &self.entry.settings.availability_zone;
         let plan_server = |server: &Arc<Server>| PlanServer {
             id: server.entry.id.clone(),
-            capacity_per_s: admission::capacity_per_s(&server.candidate(zone), typical_ms),
+            capacity_per_s: admission::capacity_per_s(&server.candidate(zone, None), typical_ms),
         };
-        let mut servers: Vec<PlanServer> = usable.map(plan_server).collect();
+        let mut servers: Vec<PlanServer> = usable.into_iter().map(plan_server).collect();
         servers.sort_by(|a, b| a.id.cmp(&b.id));
         servers
     }
 
+    /// True if the servers of a service bear a bounded number of requests while they are cold.
+    fn bounds_cold_servers(&self, service: &str) -> bool {
+        let Some(configuration) = self.entry.view.configuration() else {
+            return false;
+        };
+        let declared = configuration.service(service);
+        declared.is_some_and(|service| service.warmup.is_some())
+    }
+
     fn plan(self: &Arc<Self>, service: &Arc<str>, round: u64, tasks: &mut JoinSet<()>) {
         self.revive_silent(service);
         let servers = self.usable(service);
@@ -306,10 +333,9 @@
                 continue;
             };
             // After its lease has run out and its keys have gone, it may try anew.
-            if record.failures >= FAILURES_SILENT
-                && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms
-            {
+            if record.is_silent && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms {
                 record.failures = 0;
+                record.is_silent = false;
             }
         }
     }
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -4,7 +4,7 @@
 
 use tokio::{task::JoinSet, time};
 
-use super::{FAILURES_SILENT, LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term};
+use super::{LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term, renewal::LeaseOrder};
 use crate::{
     clock,
     entry::{
@@ -19,8 +19,8 @@
         view::Announcement,
     },
     platform::{
-        Link,
-        orders::{self, Released},
+        self, Link,
+        orders::{self, Release, Released},
     },
 };
 
@@ -30,6 +30,12 @@
 const RELEASE_TIMEOUT_MIN_MS: u64 = 300;
 /// Time for a server to end its work on released keys.
 const RELEASE_TIMEOUT_MS: u64 = 2_500;
+/// Time after which a release is sent once more beside the first: its answer may be lost, and the keys
+/// have no server until it comes. Most work on keys ends within it.
+const RELEASE_REPEAT_MS: u64 = 600;
+/// Times that one release is sent. Of a hundred servers that lose half of the answers, six do not
+/// answer four releases.
+const RELEASES_MAX: usize = 4;
 
 impl Term {
     /// Finishes moves that an earlier holder of the duty recorded.
@@ -160,7 +166,7 @@
         let is_silent = {
             let work = self.work();
             let record = work.servers.get(from);
-            record.is_some_and(|record| record.failures >= FAILURES_SILENT)
+            record.is_some_and(|record| record.is_silent)
         };
         let answers = registry.server(from).is_some() && !is_silent;
         let rest = if answers {
@@ -220,8 +226,13 @@
         }
         let server = self.entry.view.registry().server(&holding.server).cloned();
         if let Some(server) = server {
-            self.grant(&server, range, holding.fence, handover.as_deref())
-                .await;
+            let order = LeaseOrder {
+                service,
+                range,
+                fence: holding.fence,
+                handover: handover.as_deref(),
+            };
+            self.grant(&server, order).await;
             self.entry.view.note_granted(service, holding.clone());
             let outbox = &self.entry.peers.outbox;
             outbox.announce_holding(tag_of(service), holding);
@@ -256,13 +267,17 @@
         id: &Arc<str>,
     ) -> Option<Option<String>> {
         let Holding { range, fence, .. } = *holding;
-        let server = self.entry.view.registry().server(id).cloned();
-        // A server whose entry is gone may still serve: it is asked by a connection of its own.
-        let known = self.known_address(id);
-        let link = server
-            .as_ref()
-            .map(|server| &server.orders)
-            .or(known.as_ref());
+        let registry = self.entry.view.registry();
+        let server = registry.server(id).cloned();
+        // A server whose entry is gone may still serve: it is asked by a connection of its own. A later
+        // incarnation of its name at its address answers for it.
+        let former = registry.former(id).cloned();
+        let former_link = former.as_ref().map(|former| Link::new(former.address));
+        let link = match (&server, &former, &former_link) {
+            (Some(server), _, _) => Some((&server.orders, &server.entry.name)),
+            (None, Some(former), Some(link)) => Some((link, &former.name)),
+            _ => None,
+        };
         let mut asked = server.is_none();
         loop {
             if !self.lasts() {
@@ -274,14 +289,19 @@
             if now_ms >= free_ms && std::mem::replace(&mut asked, true) {
                 return Some(None);
             }
-            let Some(link) = link else {
+            let Some((link, name)) = link else {
                 self.note_waiting(range);
                 time::sleep(Duration::from_millis(free_ms.saturating_sub(now_ms))).await;
                 continue;
             };
             let left_ms = free_ms.saturating_sub(now_ms);
             let timeout_ms = left_ms.clamp(RELEASE_TIMEOUT_MIN_MS, RELEASE_TIMEOUT_MS);
-            match orders::release(link, id, range, fence, timeout_ms).await {
+            let order = Release {
+                server: name,
+                range,
+                fence,
+            };
+            match release(link, order, timeout_ms).await {
                 Ok(Released::Ended { handover }) => {
                     self.entry.metrics.order("release", "ended");
                     return Some(handover);
@@ -304,11 +324,6 @@
         }
     }
 
-    fn known_address(&self, id: &Arc<str>) -> Option<Link> {
-        let address = self.entry.view.registry().former_address(id)?;
-        Some(Link::new(address))
-    }
-
     /// Time at which the last lease that any holder may have given a server has run out.
     fn lease_end_ms(&self, id: &Arc<str>) -> u64 {
         let now_ms = clock::now_ms();
@@ -322,3 +337,43 @@
         own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
     }
 }
+
+/// Sends a release, and again beside it while no answer comes: a release may be repeated, and the
+/// first answer counts.
+async fn release(link: &Link, order: Release<'_>, timeout_ms: u64) -> platform::Result<Released> {
+    let began_ms = clock::now_ms();
+    let Release { range, fence, .. } = order;
+    let first = orders::release(link, order, timeout_ms);
+    tokio::pin!(first);
+    let mut failed = None;
+    let mut repeats = JoinSet::new();
+    let mut sent = 1;
+    loop {
+        tokio::select! {
+            answer = &mut first, if failed.is_none() => match answer {
+                Ok(released) => return Ok(released),
+                Err(error) => failed = Some(error),
+            },
+            Some(joined) = repeats.join_next() => {
+                if let Ok(Ok(released)) = joined {
+                    return Ok(released);
+                }
+            }
+            () = time::sleep(Duration::from_millis(RELEASE_REPEAT_MS)),
+                if sent < RELEASES_MAX && failed.is_none() =>
+            {
+                let server = order.server.to_owned();
+                let link = Link::new(link.address());
+                let left_ms = timeout_ms.saturating_sub(clock::now_ms() - began_ms).max(1);
+                repeats.spawn(async move {
+                    let order = Release { server: &server, range, fence };
+                    orders::release(&link, order, left_ms).await
+                });
+                sent += 1;
+            }
+        }
+        if let Some(error) = failed.take_if(|_| repeats.is_empty()) {
+            return Err(error);
+        }
+    }
+}
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -1,20 +1,24 @@
 //! Renews leases, and gives them anew where a server has seen a higher fence.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use tokio::task::JoinSet;
 
-use super::{FAILURES_SILENT, GRANT_TIMEOUT_MS, Term};
+use super::{FAILURES_DOUBT, GRANT_TIMEOUT_MS, Term};
 use crate::{
     clock,
     entry::{
         duty::Change,
         events::Event,
         keys::{Assignment, Holding, KeyRange},
+        model::ServerEntry,
         server::Server,
     },
     platform::{
-        Error,
+        self, Error,
         orders::{self, Grant, Granted},
     },
 };
@@ -22,56 +26,100 @@
 /// Distance of a raised fence from the last one, above what an earlier holder may have used
 /// without recording it.
 const FENCE_STEP: u64 = 16;
+
+/// Keys that a server is to hold.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LeaseOrder<'a> {
+    pub service: &'a Arc<str>,
+    pub range: KeyRange,
+    pub fence: u64,
+    /// Token of the last owner.
+    pub handover: Option<&'a str>,
+}
+
+/// Time for a server to answer the question whether it lives. It may have to wait for a slot.
+const ALIVE_TIMEOUT_MS: u64 = 400;
+/// Age of a server's last answer to a request up to which it lives without being asked.
+const ANSWERED_LATELY_MS: u64 = 1_000;
+
 impl Term {
     /// Starts the renewals that are due.
     pub(super) fn renew(self: &Arc<Self>, service: &Arc<str>, tasks: &mut JoinSet<()>) {
         let Some(held) = self.entry.view.held(service) else {
             return;
         };
-        let now_ms = clock::now_ms();
         let registry = self.entry.view.registry();
-        let mut due: HashMap<Arc<str>, Vec<Holding>> = HashMap::new();
-        {
-            let mut work = self.work();
-            let mut resting: Assignment = (*held.assignment).clone();
-            resting.holdings.retain(|h| !work.is_unfinished(service, h));
-            for holding in resting.holdings {
-                let record = work.servers.entry(holding.server.clone()).or_default();
-                let due_ms = record.renewed_ms + self.entry.settings.leases.renew_every_ms;
-                if record.failures < FAILURES_SILENT && now_ms >= due_ms {
-                    due.entry(holding.server.clone()).or_default().push(holding);
+        for (id, holdings) in self.due_renewals(service, &held.assignment) {
+            // A server without an entry gets nothing more; its lease runs out.
+            let server = registry.server(&id).cloned();
+            let term = self.clone();
+            let service = service.clone();
+            tasks.spawn(async move {
+                if let Some(server) = server {
+                    term.renew_server(&service, &server, &holdings).await;
                 }
+                term.end_renewals(&service, &holdings);
+            });
+        }
+    }
+
+    /// Holdings whose renewal is due, by server; they count as under way. Each is renewed for itself: of
+    /// five ranges of a server that loses half of the answers, all are renewed in a row only once in 32
+    /// tries.
+    fn due_renewals(
+        &self,
+        service: &Arc<str>,
+        assignment: &Assignment,
+    ) -> HashMap<Arc<str>, Vec<Holding>> {
+        let now_ms = clock::now_ms();
+        let every_ms = self.entry.settings.leases.renew_every_ms;
+        let mut due: HashMap<Arc<str>, Vec<Holding>> = HashMap::new();
+        let mut work = self.work();
+        let fences: HashSet<u64> = assignment.holdings.iter().map(|h| h.fence).collect();
+        work.renewals
+            .retain(|(of, fence), _| of != service || fences.contains(fence));
+        for holding in &assignment.holdings {
+            let record = work.servers.get(&holding.server);
+            let is_silent = record.is_some_and(|record| record.is_silent);
+            if is_silent || work.is_unfinished(service, holding) {
+                continue;
             }
-            for id in due.keys() {
-                if let Some(record) = work.servers.get_mut(id) {
-                    record.renewed_ms = now_ms;
-                }
+            let key = (service.clone(), holding.fence);
+            let renewal = work.renewals.entry(key).or_default();
+            if renewal.is_under_way || now_ms < renewal.renewed_ms + every_ms {
+                continue;
             }
+            renewal.is_under_way = true;
+            let holdings = due.entry(holding.server.clone()).or_default();
+            holdings.push(holding.clone());
         }
-        for (id, holdings) in due {
-            // A server without an entry gets nothing more; its lease runs out.
-            let Some(server) = registry.server(&id).cloned() else {
-                continue;
-            };
-            let term = self.clone();
-            let service = service.clone();
-            tasks.spawn(async move { term.renew_server(&service, &server, holdings).await });
+        due
+    }
+
+    fn end_renewals(&self, service: &Arc<str>, holdings: &[Holding]) {
+        let mut work = self.work();
+        for holding in holdings {
+            let key = (service.clone(), holding.fence);
+            if let Some(renewal) = work.renewals.get_mut(&key) {
+                renewal.is_under_way = false;
+            }
         }
     }
 
-    async fn renew_server(&self, service: &Arc<str>, server: &Arc<Server>, holdings: Vec<Holding>) {
+    async fn renew_server(&self, service: &Arc<str>, server: &Arc<Server>, holdings: &[Holding]) {
         for holding in holdings {
-            match self.grant(server, holding.range, holding.fence, None).await {
+            let order = LeaseOrder {
+                service,
+                range: holding.range,
+                fence: holding.fence,
+                handover: None,
+            };
+            match self.grant(server, order).await {
                 Some(Granted::Held) => {}
-                Some(Granted::Superseded) => self.raise_fence(service, server, &holding).await,
+                Some(Granted::Superseded) => self.raise_fence(service, server, holding).await,
                 Some(Granted::OtherServer) => return,
-                None => {
-                    // Tried again in the next round rather than after a whole interval.
-                    if let Some(record) = self.work().servers.get_mut(&server.entry.id) {
-                        record.renewed_ms = 0;
-                    }
-                    return;
-                }
+                // Due again in the next round; meanwhile the others.
+                None => {}
             }
         }
     }
@@ -80,9 +128,7 @@
     pub(super) async fn grant(
         &self,
         server: &Arc<Server>,
-        range: KeyRange,
-        fence: u64,
-        handover: Option<&str>,
+        order: LeaseOrder<'_>,
     ) -> Option<Granted> {
         if !self.lasts() {
             return None;
@@ -92,19 +138,44 @@
         {
             let mut work = self.work();
             let record = work.servers.entry(id.clone()).or_default();
-            if record.failures >= FAILURES_SILENT {
+            if record.is_silent {
                 return None;
             }
             record.under_way += 1;
         }
-        let order = Grant {
-            server: id,
-            range,
-            fence,
+        let grant = Grant {
+            server: &server.entry.name,
+            range: order.range,
+            fence: order.fence,
             lease_ms: self.entry.settings.leases.lease_ms,
-            handover,
+            handover: order.handover,
         };
-        let answer = orders::grant(&server.orders, order, GRANT_TIMEOUT_MS).await;
+        let answer = orders::grant(&server.orders, grant, GRANT_TIMEOUT_MS).await;
+        let is_in_doubt = self.note_grant(id, order, sent_ms, &answer);
+        let error = match answer {
+            Ok(granted) => {
+                let held = granted == Granted::Held;
+                let outcome = if held { "held" } else { "refused" };
+                self.entry.metrics.order("grant", outcome);
+                return Some(granted);
+            }
+            Err(error) => error,
+        };
+        self.order_failed(server, "grant", error.to_string());
+        if is_in_doubt {
+            self.resolve_doubt(order.service, server).await;
+        }
+        None
+    }
+
+    /// Notes what came of a grant; true if the server may be gone.
+    fn note_grant(
+        &self,
+        id: &Arc<str>,
+        order: LeaseOrder<'_>,
+        sent_ms: u64,
+        answer: &platform::Result<Granted>,
+    ) -> bool {
         let mut work = self.work();
         let record = work.servers.entry(id.clone()).or_default();
         record.under_way -= 1;
@@ -113,20 +184,51 @@
         if sent {
             record.granted_ms = record.granted_ms.max(sent_ms);
         }
-        match answer {
-            Ok(granted) => {
-                record.failures = 0;
-                drop(work);
-                let held = granted == Granted::Held;
-                let outcome = if held { "held" } else { "refused" };
-                self.entry.metrics.order("grant", outcome);
-                Some(granted)
-            }
+        let Ok(granted) = answer else {
+            record.failures += 1;
+            return record.failures >= FAILURES_DOUBT && !record.is_silent;
+        };
+        record.failures = 0;
+        record.is_silent = false;
+        if *granted == Granted::Held {
+            let key = (order.service.clone(), order.fence);
+            work.renewals.entry(key).or_default().renewed_ms = sent_ms;
+        }
+        false
+    }
+
+    /// Finds out whether a server that does not answer grants is gone, or lives and only its answers
+    /// are lost. Keys of a live server stay there: while half of the orders went unanswered, live
+    /// servers were taken for lost and all keys of a service changed hands three to five times a
+    /// minute.
+    async fn resolve_doubt(&self, service: &str, server: &Server) {
+        let lives = self.is_alive(service, server).await;
+        let mut work = self.work();
+        let record = work.servers.entry(server.entry.id.clone()).or_default();
+        if lives {
+            record.failures = 0;
+        } else {
+            record.is_silent = true;
+        }
+    }
+
+    async fn is_alive(&self, service: &str, server: &Server) -> bool {
+        if clock::now_ms() < server.answered_ms() + ANSWERED_LATELY_MS {
+            return true;
+        }
+        let Some(configuration) = self.entry.view.configuration() else {
+            return false;
+        };
+        let Some(service) = configuration.service(service) else {
+            return false;
+        };
+        let ServerEntry { id, name, .. } = &server.entry;
+        let path = &service.health_path;
+        match orders::is_alive(&server.orders, path, name, ALIVE_TIMEOUT_MS).await {
+            Ok(lives) => lives,
             Err(error) => {
-                record.failures += 1;
-                drop(work);
-                self.order_failed(server, "grant", error.to_string());
-                None
+                log::debug!("{id} does not answer: {error}");
+                false
             }
         }
     }
@@ -155,7 +257,13 @@
         match self.entry.record(service, &change).await {
             Ok(raised) => {
                 for raised in raised {
-                    self.grant(server, raised.range, raised.fence, None).await;
+                    let order = LeaseOrder {
+                        service,
+                        range: raised.range,
+                        fence: raised.fence,
+                        handover: None,
+                    };
+                    self.grant(server, order).await;
                 }
             }
             Err(failure) => log::warn!("a raised fence of {service} is not recorded: {failure:?}"),
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -33,6 +33,9 @@
 const SERVERS_REST_MAX_MS: u64 = 1_500;
 const CONFIGURATION_REST_MAX_MS: u64 = 500;
 
+/// Longest time for which keys are served in an evacuated zone. Moves end within a few work times.
+const EVACUATION_HOLD_MAX_MS: u64 = 2_500;
+
 /// Timeouts and rests of one host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TimeLimits {
@@ -55,6 +58,9 @@
     pub lag_grace_ms: u64,
     /// Time after its start for which a host waits to hear a holder.
     pub start_rest_ms: u64,
+    /// Time for which keys of an evacuated zone are served there, after a host has learned of the
+    /// evacuation: they go to other servers meanwhile.
+    pub evacuation_hold_ms: u64,
 }
 
 /// One path on which a promise is kept.
@@ -99,7 +105,11 @@
         let room = |bound_ms: u64| bound_ms.saturating_sub(after_wait_ms).max(TRUST_MIN_MS);
         let drain_room_ms = room(bounds.drain_ms);
         let configuration_room_ms = room(bounds.configuration_ms);
-        let trust_ms = drain_room_ms.min(configuration_room_ms).min(TRUST_MAX_MS);
+        let trust_ms = drain_room_ms
+            .min(configuration_room_ms)
+            .min(room(bounds.evacuation_ms))
+            .min(TRUST_MAX_MS);
+        let evacuation_known_ms = trust_ms + after_wait_ms;
         Self {
             trust_ms,
             holder_heartbeat_ms: (trust_ms / 4).min(HOLDER_HEARTBEAT_MAX_MS),
@@ -111,6 +121,10 @@
             configuration_rest_ms: configuration_room_ms.min(CONFIGURATION_REST_MAX_MS),
             lag_grace_ms: (trust_ms / 2).min(LAG_GRACE_MAX_MS),
             start_rest_ms: bounds.contact_ms.saturating_sub(CALL_MS),
+            evacuation_hold_ms: bounds
+                .evacuation_ms
+                .saturating_sub(evacuation_known_ms + LATE_MS)
+                .min(EVACUATION_HOLD_MAX_MS),
         }
     }
 
@@ -121,7 +135,7 @@
     }
 
     /// All paths on which hosts learn of leaving servers and of configurations.
-    pub fn paths(&self, bounds: &Bounds) -> [TimingPath; 7] {
+    pub fn paths(&self, bounds: &Bounds) -> [TimingPath; 10] {
         let drain = |name, wait_ms| TimingPath {
             name,
             bound: "drain",
@@ -134,6 +148,12 @@
             worst_ms: wait_ms + CALL_MS + LATE_MS,
             bound_ms: bounds.configuration_ms,
         };
+        let evacuation = |name, wait_ms| TimingPath {
+            name,
+            bound: "evacuation",
+            worst_ms: wait_ms + self.evacuation_hold_ms + CALL_MS + 2 * LATE_MS,
+            bound_ms: bounds.evacuation_ms,
+        };
         let next_heartbeat_ms = self.holder_rest_ms + 2 * self.holder_heartbeat_ms + LOOK_EVERY_MS;
         [
             drain(
@@ -159,6 +179,24 @@
                 "a piece of the configuration is lost, and the holder's next heartbeat shows it",
                 self.holder_rest_ms + self.holder_heartbeat_ms + self.lag_grace_ms + LOOK_EVERY_MS,
             ),
+            evacuation(
+                "the holder is lost before it passes on that a zone is evacuated",
+                self.trust_ms + LOOK_EVERY_MS,
+            ),
+            evacuation(
+                "no holder is heard as a zone is evacuated",
+                self.configuration_rest_ms,
+            ),
+            TimingPath {
+                name: "a zone is evacuated while the holder's connection to the store is silent",
+                bound: "evacuation",
+                worst_ms: self.holder_wait_ms
+                    + FEED_SLACK_MS
+                    + self.evacuation_hold_ms
+                    + CALL_MS
+                    + 2 * LATE_MS,
+                bound_ms: bounds.contact_ms + bounds.evacuation_ms,
+            },
             configuration(
                 "the configuration changes while its feed rests",
                 self.configuration_rest_ms,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -4,6 +4,7 @@
 pub mod configuration_relay;
 pub mod decide;
 mod duty;
+pub mod evacuation;
 mod events;
 pub mod explain;
 pub mod followed;
@@ -47,8 +48,10 @@
     freshness::Freshness,
     limits::TimeLimits,
     metrics::Metrics,
+    model::Warmup,
     peers::Peers,
     relay::Relay,
+    server::ColdRule,
     view::View,
 };
 use crate::platform::store::Store;
@@ -87,6 +90,8 @@
     answered: AtomicU64,
 }
 
+/// Number of hosts that is assumed while none are known: twice the most that we build for.
+const HOSTS_UNKNOWN: usize = 10_000;
 /// Of so many answered requests one is logged; the others are only counted.
 const ANSWER_SAMPLE: u64 = 100;
 
@@ -116,6 +121,17 @@
         }
     }
 
+    /// The rule for cold servers of a service. Until the other hosts are read from the store this host
+    /// does not know how many share what a cold server bears.
+    fn cold_rule(&self, warmup: Warmup) -> ColdRule {
+        let hosts = if self.view.are_hosts_known() {
+            self.peers.hosts()
+        } else {
+            HOSTS_UNKNOWN
+        };
+        ColdRule::new(warmup, hosts)
+    }
+
     /// True if the balancer should send callers here.
     pub fn ready(&self) -> bool {
         !self.stopping() && self.view.configuration().is_some() && self.view.servers_known()
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -28,6 +28,17 @@
     pub connections_max: u32,
     /// True if each key is served only by the server that holds it.
     pub divided_by_key: bool,
+    /// What its servers bear while they are cold; `None` if nobody bounds that.
+    pub warmup: Option<Warmup>,
+}
+
+/// What a server of a service bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Warmup {
+    /// Time that a server is cold after it has turned so.
+    pub time_ms: u64,
+    /// Requests a second, from all hosts together.
+    pub per_s: f64,
 }
 
 /// One of the services that a route's requests go to.
@@ -117,9 +128,14 @@
 
 /// What a backend server says of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "PackedEntry", into = "PackedEntry")]
 pub struct ServerEntry {
-    /// Incarnation: each start has another one.
+    /// Incarnation: each start has another one, also under the same name.
     pub id: Arc<str>,
+    /// Name that it has in the platform. A server may start again under the name that it had.
+    pub name: Arc<str>,
+    /// When it started, by its own clock; 0 if it does not tell.
+    pub started_ms: u64,
     /// Service.
     pub service: Arc<str>,
     /// Address.
@@ -130,6 +146,58 @@
     pub slots: u32,
     /// True if it is about to end and must get no new work.
     pub leaving: bool,
-    /// Time that it remains slow after its start.
+    /// Time that it remains cold.
     pub cold_ms: u64,
 }
+
+/// An entry as hosts tell it to each other: the identifier follows from name and start.
+#[derive(Serialize, Deserialize)]
+struct PackedEntry {
+    name: Arc<str>,
+    started_ms: u64,
+    service: Arc<str>,
+    address: SocketAddr,
+    availability_zone: Arc<str>,
+    slots: u32,
+    leaving: bool,
+    cold_ms: u64,
+}
+
+impl From<PackedEntry> for ServerEntry {
+    fn from(packed: PackedEntry) -> Self {
+        Self {
+            id: incarnation_id(&packed.name, packed.started_ms),
+            name: packed.name,
+            started_ms: packed.started_ms,
+            service: packed.service,
+            address: packed.address,
+            availability_zone: packed.availability_zone,
+            slots: packed.slots,
+            leaving: packed.leaving,
+            cold_ms: packed.cold_ms,
+        }
+    }
+}
+
+impl From<ServerEntry> for PackedEntry {
+    fn from(entry: ServerEntry) -> Self {
+        Self {
+            name: entry.name,
+            started_ms: entry.started_ms,
+            service: entry.service,
+            address: entry.address,
+            availability_zone: entry.availability_zone,
+            slots: entry.slots,
+            leaving: entry.leaving,
+            cold_ms: entry.cold_ms,
+        }
+    }
+}
+
+/// Identifier of the incarnation of a server that started at a time; its name if that is not known.
+pub fn incarnation_id(name: &str, started_ms: u64) -> Arc<str> {
+    if started_ms == 0 {
+        return name.into();
+    }
+    format!("{name}@{started_ms:x}").into()
+}
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -5,8 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{
-    configuration_relay::Piece, decide::hot_keys::HotKey, freshness::StoreNews, keys::Holding,
-    relay::ServerChanges, view::Announcement,
+    configuration_relay::Piece, decide::hot_keys::HotKey, evacuation::Evacuations,
+    freshness::StoreNews, keys::Holding, relay::ServerChanges, view::Announcement,
 };
 
 /// Most servers and keys in one datagram; it stays under the usual packet size.
@@ -14,7 +14,7 @@
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-pub const VERSION: u8 = 9;
+pub const VERSION: u8 = 10;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -89,6 +89,8 @@
         news: StoreNews,
         /// Keys that get too many requests.
         hot: Vec<HotKey>,
+        /// Zones that are evacuated.
+        evacuations: Evacuations,
     },
     /// What the sender knows of servers.
     Report {
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -105,7 +105,10 @@
                 sent_ms,
                 news,
                 hot,
+                evacuations,
             } => {
+                // A later state counts, however it came here.
+                self.view.evacuate(evacuations);
                 let news = news.aged_by(self.peers.excess_delay_ms(term, sent_ms));
                 self.note_holder(from, term, news, hot);
             }
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -129,18 +129,25 @@
     pub(in crate::entry) async fn keep_showing_duty(self: Arc<Self>) {
         loop {
             time::sleep(Duration::from_millis(self.limits.holder_heartbeat_ms)).await;
-            if self.duty.is_confirmed() {
-                let message = Message::Holder {
-                    term: self.duty.term(),
-                    sent_ms: clock::now_ms(),
-                    news: self.freshness.news(self.view.store_heard_ms()),
-                    hot: self.hot_keys.tell(clock::now_ms()),
-                };
-                self.peers.send_to_all(message);
-            }
+            self.show_duty();
         }
     }
 
+    /// Sends one heartbeat of the holder, if this host is it.
+    pub(in crate::entry) fn show_duty(&self) {
+        if !self.duty.is_confirmed() {
+            return;
+        }
+        let message = Message::Holder {
+            term: self.duty.term(),
+            sent_ms: clock::now_ms(),
+            news: self.freshness.news(self.view.store_heard_ms()),
+            hot: self.hot_keys.tell(clock::now_ms()),
+            evacuations: self.view.evacuations(),
+        };
+        self.peers.send_to_all(message);
+    }
+
     fn own_loads(&self) -> Vec<ServerLoad> {
         let registry = self.view.registry();
         let mut loads: Vec<ServerLoad> = registry
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -6,7 +6,9 @@
     sync::Arc,
 };
 
-use super::{decide::admission, events::Event, model::ServerEntry, server::Server};
+use super::{
+    decide::admission, evacuation::Evacuations, events::Event, model::ServerEntry, server::Server,
+};
 use crate::{
     clock,
     platform::store::{Row, Rows},
@@ -20,19 +22,34 @@
 /// Servers that are gone whose addresses are remembered.
 const FORMER_MAX: usize = 500;
 
-/// All servers, by id and by service.
+/// A server that is gone. It may still hold keys.
+#[derive(Clone, Debug)]
+pub struct Former {
+    /// Incarnation.
+    pub id: Arc<str>,
+    /// Name that it had in the platform.
+    pub name: Arc<str>,
+    /// Address.
+    pub address: SocketAddr,
+}
+
+/// All servers, by incarnation and by service.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     by_id: HashMap<Arc<str>, Arc<Server>>,
     by_service: HashMap<Arc<str>, Vec<Arc<Server>>>,
-    /// Servers whose entries are missing, and until when they count as present all the same.
+    /// Incarnation by name: the latest one whose entry was seen.
+    incarnations: HashMap<Arc<str>, Arc<str>>,
+    /// Names of servers whose entries are missing, and until when they count as present all the same.
     missing: HashMap<Arc<str>, u64>,
-    /// Addresses of servers that are gone, the latest last: they may still hold keys.
-    former: Vec<(Arc<str>, SocketAddr)>,
+    /// Servers that are gone, the latest last.
+    former: Vec<Former>,
+    /// Zones that are evacuated, and since when this host knows.
+    evacuated: HashMap<Arc<str>, u64>,
 }
 
 impl Registry {
-    /// A server by its id.
+    /// A server by its incarnation.
     pub fn server(&self, id: &str) -> Option<&Arc<Server>> {
         self.by_id.get(id)
     }
@@ -45,7 +62,7 @@
     /// Servers of a service that may get a request which was at the `tried` ones before.
     pub fn usable(&self, service: &str, tried: &[Arc<str>]) -> Vec<&Arc<Server>> {
         let servers = self.of_service(service).iter();
-        let usable = servers.filter(|s| !s.leaving() && !tried.contains(&s.entry.id));
+        let usable = servers.filter(|s| s.takes_new_work() && !tried.contains(&s.entry.id));
         usable.collect()
     }
 
@@ -60,47 +77,75 @@
         self.by_id.values()
     }
 
-    /// Address of a server that is gone.
-    pub fn former_address(&self, id: &str) -> Option<SocketAddr> {
-        let found = self.former.iter().rfind(|(former, _)| **former == *id);
-        found.map(|(_, address)| *address)
+    /// A server that is gone, by its incarnation.
+    pub fn former(&self, id: &str) -> Option<&Former> {
+        self.former.iter().rfind(|former| *former.id == *id)
     }
 
     /// Notes an entry. Another entry with the same address proves nothing: the store may take in a
-    /// late heartbeat of an earlier life after the first one of a later life.
+    /// late heartbeat of an earlier incarnation after the first one of a later incarnation. For the
+    /// same reason an entry of an earlier start under the same name changes nothing.
     pub fn put(&mut self, entry: ServerEntry) {
-        self.missing.remove(&entry.id);
-        if let Some(known) = self.by_id.get(&entry.id) {
-            if known.leaving() != entry.leaving {
-                known.set_leaving(entry.leaving);
-                Event::server(&known.entry, known.leaving()).log();
+        if let Some(known) = self.named(&entry.name) {
+            if entry.started_ms < known.entry.started_ms {
+                return;
             }
-            return;
+            if known.is_described_by(&entry) {
+                known.renew(&entry);
+                self.missing.remove(&entry.name);
+                return;
+            }
+            self.drop_server(&entry.name);
         }
+        self.missing.remove(&entry.name);
         Event::server(&entry, entry.leaving).log();
         let server = Arc::new(Server::new(entry));
+        let zone = &server.entry.availability_zone;
+        server.set_evacuated(self.evacuated.get(zone).copied());
+        let (id, name) = (server.entry.id.clone(), server.entry.name.clone());
         let service = server.entry.service.clone();
-        self.by_id.insert(server.entry.id.clone(), server.clone());
+        self.incarnations.insert(name, id.clone());
+        self.by_id.insert(id, server.clone());
         self.by_service.entry(service).or_default().push(server);
     }
 
-    /// Notes that an entry is gone: at once, or, if the store has just come back, after the time
-    /// in which live servers write theirs again.
-    pub fn remove(&mut self, id: &str, store_returned_ms: u64) {
+    /// Notes that the entry of a name is gone: at once, or, if the store has just come back, after the
+    /// time in which live servers write theirs again.
+    pub fn remove(&mut self, name: &str, store_returned_ms: u64) {
         let until_ms = store_returned_ms + RETURN_GRACE_MS;
-        if clock::now_ms() < until_ms && self.by_id.contains_key(id) {
-            self.missing.entry(id.into()).or_insert(until_ms);
+        if clock::now_ms() < until_ms && self.incarnations.contains_key(name) {
+            self.missing.entry(name.into()).or_insert(until_ms);
             return;
         }
-        self.drop_server(id);
+        self.drop_server(name);
+    }
+
+    /// Notes which zones are evacuated. Servers of a zone that is taken back may have turned cold, and
+    /// count as cold for as long as their service says.
+    pub fn set_evacuations(&mut self, zones: &Evacuations, warmup_ms: impl Fn(&str) -> u64) {
+        let now_ms = clock::now_ms();
+        let known = std::mem::take(&mut self.evacuated);
+        for zone in &zones.zones {
+            let since_ms = known.get(zone).copied().unwrap_or(now_ms);
+            self.evacuated.insert(zone.clone(), since_ms);
+        }
+        for server in self.by_id.values() {
+            let zone = &server.entry.availability_zone;
+            let since_ms = self.evacuated.get(zone).copied();
+            server.set_evacuated(since_ms);
+            if known.contains_key(zone) && since_ms.is_none() {
+                server.set_cold_for(warmup_ms(&server.entry.service));
+            }
+        }
     }
 
     /// Changes between what this registry has, up to a version, and a whole table.
     pub fn difference(&self, whole: &Rows, after: u64) -> Rows {
         let present: HashSet<&str> = whole.rows.iter().map(|row| row.key.as_str()).collect();
-        let gone = self.by_id.keys().filter(|id| !present.contains(&***id));
-        let removed = gone.map(|id| Row {
-            key: id.to_string(),
+        let names = self.incarnations.keys();
+        let gone = names.filter(|name| !present.contains(&***name));
+        let removed = gone.map(|name| Row {
+            key: name.to_string(),
             value: Vec::new(),
             version: whole.version,
             removed: true,
@@ -114,16 +159,13 @@
         }
     }
 
-    /// Removes every server that is not in `present`.
+    /// Removes every server whose name is not in `present`.
     pub fn retain(&mut self, present: &HashSet<Arc<str>>, store_returned_ms: u64) {
-        let absent: Vec<Arc<str>> = self
-            .by_id
-            .keys()
-            .filter(|id| !present.contains(*id))
-            .cloned()
-            .collect();
-        for id in absent {
-            self.remove(&id, store_returned_ms);
+        let names = self.incarnations.keys();
+        let absent = names.filter(|name| !present.contains(*name));
+        let absent: Vec<Arc<str>> = absent.cloned().collect();
+        for name in absent {
+            self.remove(&name, store_returned_ms);
         }
     }
 
@@ -145,16 +187,25 @@
             .missing
             .iter()
             .filter(|(_, until_ms)| **until_ms <= now_ms)
-            .map(|(id, _)| id.clone())
+            .map(|(name, _)| name.clone())
             .collect();
-        for id in overdue {
-            self.drop_server(&id);
+        for name in overdue {
+            self.drop_server(&name);
         }
     }
 
-    fn drop_server(&mut self, id: &str) {
-        self.missing.remove(id);
-        let Some(server) = self.by_id.remove(id) else {
+    /// The latest incarnation of a name.
+    fn named(&self, name: &str) -> Option<&Arc<Server>> {
+        self.by_id.get(self.incarnations.get(name)?)
+    }
+
+    /// Removes the server of a name at once: it has ended, or nobody can read what it is.
+    pub fn drop_server(&mut self, name: &str) {
+        self.missing.remove(name);
+        let Some(id) = self.incarnations.remove(name) else {
+            return;
+        };
+        let Some(server) = self.by_id.remove(&id) else {
             return;
         };
         // Requests that are about to choose it see this.
@@ -163,8 +214,11 @@
         if self.former.len() >= FORMER_MAX {
             self.former.remove(0);
         }
-        self.former
-            .push((server.entry.id.clone(), server.entry.address));
+        self.former.push(Former {
+            id: id.clone(),
+            name: name.into(),
+            address: server.entry.address,
+        });
         if let Some(servers) = self.by_service.get_mut(&server.entry.service) {
             servers.retain(|other| *other.entry.id != *id);
         }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -22,7 +22,7 @@
     store::{Row, Rows},
 };
 
-/// Most changes in one datagram, of about 50 bytes each.
+/// Most changes in one datagram, of about 60 bytes each.
 const CHANGES_MAX: usize = 24;
 /// Most changes that are passed on at a time, 30 KB. More would fill the links of small hosts; the
 /// others read that by themselves.
@@ -33,8 +33,10 @@
 pub enum ServerNews {
     /// It was written.
     Entry(ServerEntry),
-    /// That of the server with this id was removed.
+    /// That of this name was removed.
     Removed(Arc<str>),
+    /// That of this name cannot be read: no server is to be used under it.
+    Unreadable(Arc<str>),
 }
 
 /// A change of a server's entry.
@@ -51,7 +53,7 @@
     pub fn is_end(&self) -> bool {
         match &self.what {
             ServerNews::Entry(entry) => entry.leaving,
-            ServerNews::Removed(_) => true,
+            ServerNews::Removed(_) | ServerNews::Unreadable(_) => true,
         }
     }
 }
@@ -168,7 +170,8 @@
         let Some(row) = rows.rows.iter().rfind(current) else {
             return;
         };
-        for piece in cut(row.version, &row.value) {
+        let evacuations = self.view.evacuations().version;
+        for piece in cut(row.version, evacuations, &row.value) {
             self.peers.send_to_all(Message::Configuration(piece));
         }
     }
@@ -179,6 +182,7 @@
         if version <= self.freshness.applied(Followed::Configuration) {
             return;
         }
+        let evacuations = piece.evacuations;
         let assembly = &self.relay.configuration;
         let whole = assembly
             .lock()
@@ -194,8 +198,11 @@
             removed: false,
         };
         self.apply(Followed::Configuration, vec![row]);
-        self.freshness
-            .note_applied(Followed::Configuration, version);
+        // An evacuation of an earlier version whose news is still on its way must not be skipped.
+        if self.view.evacuations().version >= evacuations {
+            self.freshness
+                .note_applied(Followed::Configuration, version);
+        }
     }
 
     /// Takes changes of servers' entries that the holder of the duty has passed on.
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Entry,
+    evacuation::Evacuations,
     events::Event,
     followed::Followed,
     keys::Assignment,
@@ -17,7 +18,10 @@
     settings::default_processor_share,
     watch::{HOLDINGS_PREFIX, HOST_PREFIX},
 };
-use crate::platform::{Error, config, servers, store::Row};
+use crate::platform::{
+    Error, config, servers,
+    store::{Row, Rows},
+};
 
 /// Row by which hosts find each other.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -34,7 +38,10 @@
 
 impl Entry {
     /// Applies a whole table: what is not in it is gone.
-    pub(super) fn apply_whole(&self, followed: Followed, rows: Vec<Row>) {
+    pub(super) fn apply_whole(&self, followed: Followed, Rows { rows, version }: Rows) {
+        if followed == Followed::Configuration {
+            self.view.evacuate(whole_evacuations(&rows, version));
+        }
         if followed == Followed::Servers {
             let present: HashSet<Arc<str>> =
                 rows.iter().map(|row| row.key.as_str().into()).collect();
@@ -43,17 +50,23 @@
                 .update_registry(|registry| registry.retain(&present, returned_ms));
         }
         self.apply(followed, rows);
+        if followed == Followed::Servers {
+            self.view.set_servers_known();
+        }
         if followed == Followed::Own {
             self.view.set_hosts_known();
         }
     }
 
     pub(super) fn apply(&self, followed: Followed, rows: Vec<Row>) {
-        for row in &rows {
+        for row in rows.iter().filter(|row| !is_evacuation(followed, row)) {
             self.freshness.note_change(followed, row.version);
         }
         match followed {
-            Followed::Configuration => self.apply_configuration(&rows),
+            Followed::Configuration => {
+                self.apply_configuration(&rows);
+                self.apply_evacuations(&rows);
+            }
             Followed::Servers => self.apply_servers(&rows),
             Followed::Own => self.apply_own(&rows),
         }
@@ -70,6 +83,16 @@
         }
     }
 
+    fn apply_evacuations(&self, rows: &[Row]) {
+        let mut evacuations = self.view.evacuations();
+        for row in rows {
+            if let Some(zone) = config::evacuated_zone(&row.key) {
+                evacuations.change(row.version, zone, !row.removed);
+            }
+        }
+        self.view.evacuate(evacuations);
+    }
+
     fn apply_servers(&self, rows: &[Row]) {
         let changes = decode_servers(rows);
         if changes.is_empty() && !self.view.registry().has_overdue() {
@@ -88,7 +111,8 @@
                 }
                 match change.what {
                     ServerNews::Entry(entry) => registry.put(entry),
-                    ServerNews::Removed(id) => registry.remove(&id, returned_ms),
+                    ServerNews::Removed(name) => registry.remove(&name, returned_ms),
+                    ServerNews::Unreadable(name) => registry.drop_server(&name),
                 }
             }
             registry.drop_overdue();
@@ -161,7 +185,22 @@
     }
 }
 
-/// Rows of servers' entries; those that cannot be read are passed over.
+/// True for a row whose news the holder tells in each heartbeat, so that no host asks for it.
+fn is_evacuation(followed: Followed, row: &Row) -> bool {
+    followed == Followed::Configuration && config::evacuated_zone(&row.key).is_some()
+}
+
+/// Zones that are evacuated by a whole table.
+fn whole_evacuations(rows: &[Row], version: u64) -> Evacuations {
+    let present = rows.iter().filter(|row| !row.removed);
+    let zones = present.filter_map(|row| config::evacuated_zone(&row.key));
+    let mut zones: Vec<Arc<str>> = zones.map(Arc::from).collect();
+    zones.sort_unstable();
+    Evacuations { version, zones }
+}
+
+/// Rows of servers' entries. One that cannot be read names no server to use, also if an earlier one
+/// did.
 pub(super) fn decode_servers(rows: &[Row]) -> Vec<ServerChange> {
     let mut changes = Vec::with_capacity(rows.len());
     for row in rows {
@@ -172,7 +211,7 @@
                 Ok(entry) => ServerNews::Entry(entry),
                 Err(error) => {
                     bad_row(servers::TABLE, &row.key, &error);
-                    continue;
+                    ServerNews::Unreadable(row.key.as_str().into())
                 }
             }
         };
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -1,4 +1,4 @@
-//! A backend server as one host sees it: its entry, its load and its recent behaviour.
+//! A backend server as one host sees it: its entry, its standing, its load and its recent behaviour.
 
 use std::sync::{
     Mutex, MutexGuard, PoisonError,
@@ -8,8 +8,13 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    decide::{Candidate, behaviour::Behaviour},
-    model::ServerEntry,
+    decide::{
+        Candidate,
+        behaviour::Behaviour,
+        warmup::{self, Turns},
+    },
+    events::Event,
+    model::{ServerEntry, Warmup},
     pool::Pool,
 };
 use crate::{clock, platform::Link};
@@ -26,12 +31,34 @@
     /// Connection for orders.
     pub orders: Link,
     leaving: AtomicBool,
+    /// When its zone was seen to be evacuated; 0 if it is not.
+    evacuated_ms: AtomicU64,
+    cold_until_ms: AtomicU64,
+    /// Time that it remains cold, as its entry told last.
+    told_cold_ms: AtomicU64,
+    turns: Mutex<Turns>,
     own: AtomicU32,
     others: AtomicU32,
     shared_run_us: AtomicU64,
+    answered_ms: AtomicU64,
     behaviour: Mutex<Behaviour>,
 }
 
+/// What the servers of a service bear while they are cold, and how many hosts share that.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdRule {
+    turn_every_ms: u64,
+}
+
+impl ColdRule {
+    /// The rule for a host that knows so many hosts, itself included.
+    pub fn new(warmup: Warmup, hosts: usize) -> Self {
+        Self {
+            turn_every_ms: warmup::turn_every_ms(warmup.per_s, hosts),
+        }
+    }
+}
+
 /// Short name of a server or service in messages between hosts.
 pub fn tag_of(name: &str) -> u32 {
     xxh3_64(name.as_bytes()) as u32
@@ -40,16 +67,102 @@
 impl Server {
     /// A server whose entry was just seen.
     pub fn new(entry: ServerEntry) -> Self {
-        Self {
+        let server = Self {
             tag: tag_of(&entry.id),
             pool: Pool::new(entry.address),
             orders: Link::new(entry.address),
             leaving: AtomicBool::new(entry.leaving),
+            evacuated_ms: AtomicU64::new(0),
+            cold_until_ms: AtomicU64::new(0),
+            told_cold_ms: AtomicU64::new(entry.cold_ms),
+            turns: Mutex::default(),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
             shared_run_us: AtomicU64::new(0),
+            answered_ms: AtomicU64::new(0),
             behaviour: Mutex::default(),
             entry,
+        };
+        server.set_cold_for(server.entry.cold_ms);
+        server
+    }
+
+    /// True if an entry is about this incarnation and says the same of what stays while it lives.
+    /// Another writer may have put a known name to another service or address.
+    pub fn is_described_by(&self, entry: &ServerEntry) -> bool {
+        let known = &self.entry;
+        let same = |entry: &ServerEntry| {
+            (
+                entry.id.clone(),
+                entry.service.clone(),
+                entry.address,
+                entry.availability_zone.clone(),
+                entry.slots,
+            )
+        };
+        same(known) == same(entry)
+    }
+
+    /// Takes in a later entry of this incarnation.
+    pub fn renew(&self, entry: &ServerEntry) {
+        if self.leaving() != entry.leaving {
+            self.set_leaving(entry.leaving);
+            Event::server(&self.entry, entry.leaving).log();
+        }
+        let told_ms = self.told_cold_ms.swap(entry.cold_ms, Ordering::Relaxed);
+        if told_ms != entry.cold_ms {
+            self.set_cold_for(entry.cold_ms);
+        }
+    }
+
+    /// True if it may get work that any server of its service could do, and keys.
+    pub fn takes_new_work(&self) -> bool {
+        !self.leaving() && self.evacuated_ms.load(Ordering::Relaxed) == 0
+    }
+
+    /// Notes since when its zone is evacuated; `None` if it is not.
+    pub fn set_evacuated(&self, since_ms: Option<u64>) {
+        let since_ms = since_ms.unwrap_or(0);
+        self.evacuated_ms.store(since_ms, Ordering::Relaxed);
+    }
+
+    /// True if it still gets requests for keys that it holds: for a while after its zone was
+    /// evacuated, until they have gone to others.
+    pub fn serves_held_keys(&self, evacuation_hold_ms: u64) -> bool {
+        let since_ms = self.evacuated_ms.load(Ordering::Relaxed);
+        let held = since_ms == 0 || clock::now_ms() < since_ms + evacuation_hold_ms;
+        held && !self.leaving()
+    }
+
+    /// Notes that it is cold from now on for a time.
+    pub fn set_cold_for(&self, cold_ms: u64) {
+        let until_ms = if cold_ms > 0 {
+            clock::now_ms() + cold_ms
+        } else {
+            0
+        };
+        self.cold_until_ms.store(until_ms, Ordering::Relaxed);
+    }
+
+    /// Time for which it remains cold.
+    pub fn cold_rest_ms(&self) -> u64 {
+        let until_ms = self.cold_until_ms.load(Ordering::Relaxed);
+        until_ms.saturating_sub(clock::now_ms())
+    }
+
+    /// True if it is cold and this host has no turn at it.
+    pub fn is_barred(&self, rule: Option<ColdRule>) -> bool {
+        let Some(rule) = rule.filter(|_| self.cold_rest_ms() > 0) else {
+            return false;
+        };
+        let mut turns = self.turns();
+        !turns.is_open(rule.turn_every_ms, rand::random(), clock::now_ms())
+    }
+
+    /// Notes that a request is about to be sent, which uses a turn if it is cold.
+    pub fn take_turn(&self, rule: Option<ColdRule>) {
+        if let Some(rule) = rule.filter(|_| self.cold_rest_ms() > 0) {
+            self.turns().take(rule.turn_every_ms);
         }
     }
 
@@ -103,7 +216,7 @@
     }
 
     /// The server as decisions of a host in `availability_zone` see it now.
-    pub fn candidate(&self, availability_zone: &str) -> Candidate {
+    pub fn candidate(&self, availability_zone: &str, rule: Option<ColdRule>) -> Candidate {
         let now_ms = clock::now_ms();
         let behaviour = *self.behaviour();
         Candidate {
@@ -111,7 +224,7 @@
             load: self.load(),
             run_ms: self.run_ms(),
             failures: behaviour.failures(now_ms),
-            is_paused: behaviour.is_paused(now_ms),
+            is_paused: behaviour.is_paused(now_ms) || self.is_barred(rule),
             is_near: *self.entry.availability_zone == *availability_zone,
             has_idle_connection: self.pool.has_idle(),
         }
@@ -120,9 +233,15 @@
     /// Notes an answer; `found_free_slot` if it did not have to queue.
     pub fn answered(&self, run_ms: f64, found_free_slot: bool) {
         let now_ms = clock::now_ms();
+        self.answered_ms.store(now_ms, Ordering::Relaxed);
         self.behaviour().answered(run_ms, found_free_slot, now_ms);
     }
 
+    /// When it last answered a request of this host.
+    pub fn answered_ms(&self) -> u64 {
+        self.answered_ms.load(Ordering::Relaxed)
+    }
+
     /// Notes an attempt that was shed, broke off or timed out.
     pub fn failed(&self) {
         self.behaviour().failed(clock::now_ms());
@@ -133,6 +252,10 @@
         self.behaviour().not_connected(clock::now_ms());
     }
 
+    fn turns(&self) -> MutexGuard<'_, Turns> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn behaviour(&self) -> MutexGuard<'_, Behaviour> {
         self.behaviour
             .lock()
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -90,6 +90,13 @@
         deserialize_with = "duration"
     )]
     pub configuration_ms: u64,
+    /// Time after which the servers of a zone that is evacuated get no more work.
+    #[serde(
+        rename = "evacuation",
+        default = "default_evacuation_ms",
+        deserialize_with = "duration"
+    )]
+    pub evacuation_ms: u64,
     /// Time after a disturbance in which a host owes nobody a bound.
     #[serde(
         rename = "contact",
@@ -202,6 +209,11 @@
     2_000
 }
 
+/// Bound of evacuations where the users name none: that of the one site that has them.
+fn default_evacuation_ms() -> u64 {
+    5_000
+}
+
 /// Contact time where the users name none: the shortest of the known sites.
 fn default_contact_ms() -> u64 {
     3_000
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -17,6 +17,7 @@
         hold::{MoveRest, MoveWait},
         key_loads::KEYS,
     },
+    evacuation::Evacuations,
     events::Event,
     followed::{Followed, TOLD_REST_MS},
     keys::{Assignment, Holding, KeyRange},
@@ -103,12 +104,25 @@
     }
 }
 
+fn log_evacuations(before: &Evacuations, after: &Evacuations) {
+    let zones = before.zones.iter().chain(&after.zones);
+    for zone in zones.filter(|zone| before.contains(zone) != after.contains(zone)) {
+        Event::Evacuation {
+            availability_zone: zone.clone(),
+            evacuated: after.contains(zone),
+            version: after.version,
+        }
+        .log();
+    }
+}
+
 /// What a host believes.
 #[derive(Debug)]
 pub struct View {
     configuration: ArcSwapOption<Configuration>,
     registry: ArcSwap<Registry>,
     servers_known: AtomicBool,
+    evacuations: Mutex<Evacuations>,
     held: Mutex<HashMap<Arc<str>, Held>>,
     moving: Mutex<Vec<Moving>>,
     granted: Mutex<Vec<Granted>>,
@@ -128,6 +142,7 @@
             configuration: ArcSwapOption::empty(),
             registry: ArcSwap::default(),
             servers_known: AtomicBool::new(false),
+            evacuations: Mutex::default(),
             held: Mutex::default(),
             moving: Mutex::default(),
             granted: Mutex::default(),
@@ -171,15 +186,48 @@
         self.servers_known.load(Ordering::Relaxed)
     }
 
-    /// Changes the registry. Only the task that watches the servers calls this.
+    /// Zones that are evacuated.
+    pub fn evacuations(&self) -> Evacuations {
+        self.evacuations_lock().clone()
+    }
+
+    /// Notes which zones are evacuated, unless something later is known.
+    pub fn evacuate(&self, evacuations: Evacuations) {
+        {
+            let mut known = self.evacuations_lock();
+            if evacuations.version <= known.version {
+                return;
+            }
+            let before = std::mem::replace(&mut *known, evacuations.clone());
+            if before.zones == evacuations.zones {
+                return;
+            }
+            log_evacuations(&before, &evacuations);
+        }
+        let configuration = self.configuration();
+        let warmup_ms = |service: &str| {
+            let service = configuration.as_ref()?.service(service)?;
+            Some(service.warmup?.time_ms)
+        };
+        self.update_registry(|registry| {
+            registry.set_evacuations(&evacuations, |service| warmup_ms(service).unwrap_or(0));
+        });
+    }
+
+    /// Changes the registry. Nothing waits in between, so that changes do not undo each other on the
+    /// one thread of a host.
     pub fn update_registry(&self, change: impl FnOnce(&mut Registry)) {
         let mut registry = Registry::clone(&self.registry.load());
         change(&mut registry);
         self.registry.store(Arc::new(registry));
-        self.servers_known.store(true, Ordering::Relaxed);
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Notes that the servers' entries were read.
+    pub fn set_servers_known(&self) {
+        self.servers_known.store(true, Ordering::Relaxed);
+    }
+
     /// Holdings of a service.
     pub fn held(&self, service: &str) -> Option<Held> {
         self.held_map().get(service).cloned()
@@ -272,6 +320,11 @@
         self.hosts_known.send_replace(true);
     }
 
+    /// True once the other hosts were read from the store.
+    pub fn are_hosts_known(&self) -> bool {
+        *self.hosts_known.borrow()
+    }
+
     /// Notes that another process has run on this host before this one.
     pub fn note_former_process(&self) {
         self.former_process.store(true, Ordering::Relaxed);
@@ -429,6 +482,12 @@
         self.store_returned_ms.load(Ordering::Relaxed)
     }
 
+    fn evacuations_lock(&self) -> MutexGuard<'_, Evacuations> {
+        self.evacuations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn held_map(&self) -> MutexGuard<'_, HashMap<Arc<str>, Held>> {
         self.held.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -234,10 +234,14 @@
                 Followed::Own => {}
             }
         }
+        let evacuated = self.view.evacuations().version;
         // Another host may have passed some of them on meanwhile, and later ones.
         changes.rows.retain(|row| row.version > applied);
         self.apply(followed, changes.rows);
         self.freshness.note_applied(followed, changes.version);
+        if self.view.evacuations().version != evacuated {
+            self.show_duty();
+        }
     }
 
     /// Rests before the next call of a feed.
@@ -329,7 +333,7 @@
                 if self.duty.term() > 0 {
                     self.pass_difference_on(followed, &rows);
                 }
-                self.apply_whole(followed, rows.rows);
+                self.apply_whole(followed, rows);
                 self.freshness.note_applied(followed, version);
                 true
             }
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -4,13 +4,22 @@
     error::{Error, Result},
     wire::{WireConfig, WireRoute},
 };
-use crate::entry::model::{CallerLimits, Configuration, Part, Route, Service};
+use crate::entry::model::{CallerLimits, Configuration, Part, Route, Service, Warmup};
 
 /// Table that holds what operators write.
 pub const TABLE: &str = "op";
 /// Key of the configuration document.
 pub const KEY: &str = "config";
 
+/// Beginning of the keys of rows that are there while an availability zone is evacuated; its name
+/// follows. Their content says nothing.
+const EVACUATION_PREFIX: &str = "evacuate/";
+
+/// The availability zone that a row of the table evacuates.
+pub fn evacuated_zone(key: &str) -> Option<&str> {
+    key.strip_prefix(EVACUATION_PREFIX)
+}
+
 /// Decodes the document.
 pub fn decode(value: &[u8]) -> Result<Configuration> {
     let bad = |message: String| Error::Document {
@@ -31,6 +40,10 @@
         health_path: service.health_path,
         connections_max: service.max_conns,
         divided_by_key: service.sharded,
+        warmup: service.warmup_per_s.map(|per_s| Warmup {
+            time_ms: service.warmup.unwrap_or(0),
+            per_s,
+        }),
     });
     let mut configuration = Configuration::new(version, limits, services.collect());
     for host in wire.hosts {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -6,8 +6,10 @@
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
 /// Milliseconds that the caller still waits.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
-/// Incarnation of the only server that may run the request.
+/// Name of the only server that may run the request.
 pub const EXPECTED_SERVER: HeaderName = HeaderName::from_static("expect-instance");
+/// Name of the server that answers.
+pub const SERVER_NAME: HeaderName = HeaderName::from_static("instance-id");
 /// Present if the server did not run the request.
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
 /// Key of a request to a service divided by key: a number from 0 to 65535.
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -7,7 +7,7 @@
 
 use super::{
     error::{DecodeSnafu, Result, StatusSnafu},
-    headers::{EXPECTED_SERVER, HANDOVER},
+    headers::{EXPECTED_SERVER, HANDOVER, SERVER_NAME},
     link::{Answer, Link},
     wire::{WireGrant, WireRelease},
 };
@@ -30,7 +30,7 @@
 /// Keys to be held by one server.
 #[derive(Clone, Copy, Debug)]
 pub struct Grant<'a> {
-    /// Incarnation of the server that is meant.
+    /// Name of the server that is meant.
     pub server: &'a str,
     /// Keys.
     pub range: KeyRange,
@@ -42,6 +42,17 @@
     pub handover: Option<&'a str>,
 }
 
+/// Keys to be given back by one server.
+#[derive(Clone, Copy, Debug)]
+pub struct Release<'a> {
+    /// Name of the server that is meant.
+    pub server: &'a str,
+    /// Keys.
+    pub range: KeyRange,
+    /// Fence, above that of the grant.
+    pub fence: u64,
+}
+
 /// What a server said to a release.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Released {
@@ -77,19 +88,13 @@
 }
 
 /// Takes keys back; the answer comes when work on them has ended.
-pub async fn release(
-    link: &Link,
-    server: &str,
-    range: KeyRange,
-    fence: u64,
-    timeout_ms: u64,
-) -> Result<Released> {
+pub async fn release(link: &Link, release: Release<'_>, timeout_ms: u64) -> Result<Released> {
     let body = WireRelease {
-        from: range.first,
-        to: range.last,
-        fence,
+        from: release.range.first,
+        to: release.range.last,
+        fence: release.fence,
     };
-    let answer = order(link, RELEASE_PATH, server, &body, timeout_ms).await?;
+    let answer = order(link, RELEASE_PATH, release.server, &body, timeout_ms).await?;
     match answer.status {
         StatusCode::OK => {
             let token = answer.headers.get(HANDOVER);
@@ -107,6 +112,31 @@
     }
 }
 
+/// Asks a server for its health. The result is true if it is the one that is meant, however it feels:
+/// a server that is too busy for the question answers as well.
+pub async fn is_alive(
+    link: &Link,
+    health_path: &str,
+    server: &str,
+    timeout_ms: u64,
+) -> Result<bool> {
+    let address = link.address();
+    let request = Request::builder()
+        .uri(health_path)
+        .header(header::HOST, address.to_string())
+        .body(Full::default())
+        .map_err(|error| {
+            DecodeSnafu {
+                address,
+                message: error.to_string(),
+            }
+            .build()
+        })?;
+    let answer = link.call(request, timeout_ms).await?;
+    let told = answer.headers.get(SERVER_NAME);
+    Ok(told.is_none_or(|name| name.as_bytes() == server.as_bytes()))
+}
+
 async fn order<B: Serialize>(
     link: &Link,
     path: &str,
--- a/src/platform/wire.rs
+++ b/src/platform/wire.rs
@@ -75,10 +75,14 @@
     pub ver: u64,
 }
 
-/// Entry of a backend server.
+/// Entry of a backend server. All fields but `born` and `warmupLeft` must be there: another writer
+/// may have left out or garbled any of them.
 #[derive(Clone, Debug, Deserialize)]
 pub struct WireServer {
     pub addr: SocketAddr,
+    /// Unix time of its start in milliseconds. Servers of older platforms do not tell it.
+    #[serde(default)]
+    pub born: Option<u64>,
     pub info: WireServerInfo,
     pub status: WireServerStatus,
 }
@@ -88,6 +92,9 @@
 pub struct WireServerInfo {
     pub service: String,
     pub zone: String,
+    /// Of its software.
+    #[serde(rename = "version")]
+    pub _version: String,
     pub slots: u32,
 }
 
@@ -95,12 +102,22 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct WireServerStatus {
-    /// `ready` or `draining`.
-    pub state: String,
+    pub state: WireServerState,
+    /// Number of the heartbeat.
+    #[serde(rename = "seq")]
+    pub _seq: u64,
     #[serde(default, deserialize_with = "deserialize_optional_ms")]
     pub warmup_left: Option<u64>,
 }
 
+/// What a server says of its readiness. Any other word makes the entry unreadable.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WireServerState {
+    Ready,
+    Draining,
+}
+
 /// Configuration document.
 #[derive(Clone, Debug, Deserialize)]
 pub struct WireConfig {
@@ -120,6 +137,12 @@
     pub max_conns: u32,
     #[serde(default)]
     pub sharded: bool,
+    /// Time for which a server is cold after it has turned so.
+    #[serde(default, deserialize_with = "deserialize_optional_ms")]
+    pub warmup: Option<u64>,
+    /// Requests a second that a cold server bears.
+    #[serde(default)]
+    pub warmup_per_s: Option<f64>,
 }
 
 /// Limits of callers.
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -11,6 +11,7 @@
         drain_ms,
         configuration_ms,
         contact_ms: 3_000,
+        evacuation_ms: 5_000,
         stop_grace_ms: 6_000,
         lease_max_ms: 10_000,
         retry_window_ms: 10_000,
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -668,6 +668,8 @@
 fn server(id: &str, availability_zone: &str, leaving: bool) -> Arc<Server> {
     Arc::new(Server::new(ServerEntry {
         id: id.into(),
+        name: id.into(),
+        started_ms: 0,
         service: "s".into(),
         address: ([127, 0, 0, 1], 1).into(),
         availability_zone: availability_zone.into(),
@@ -793,6 +795,8 @@
 #[test]
 fn an_entry_at_the_address_of_another_ends_nobody() {
     let entry = |id: &str, port| ServerEntry {
+        id: id.into(),
+        name: id.into(),
         address: ([127, 0, 0, 1], port).into(),
         ..server(id, "z", false).entry.clone()
     };
@@ -808,7 +812,7 @@
         }
         for id in ["a", "b"] {
             assert!(registry.server(id).is_some(), "{id} of {puts:?}");
-            assert_eq!(registry.former_address(id), None);
+            assert!(registry.former(id).is_none());
         }
     }
 }
@@ -994,6 +998,7 @@
         drain_ms: 2_000,
         configuration_ms: 2_000,
         contact_ms: 3_000,
+        evacuation_ms: 5_000,
         stop_grace_ms: 6_000,
         lease_max_ms: 10_000,
         retry_window_ms: 10_000,
--- /dev/null
+++ b/tests/entry_servers.rs
@@ -0,0 +1,386 @@
+//! What a host believes of servers: their lives, rows of other writers, evacuated zones, and cold
+//! servers. No processes.
+
+use std::{collections::HashSet, sync::Arc};
+
+use ashroad::{
+    entry::{
+        configuration_relay::{Assembly, cut},
+        decide::warmup::{Turns, turn_every_ms},
+        evacuation::Evacuations,
+        model::{ServerEntry, Warmup, incarnation_id},
+        registry::Registry,
+        server::ColdRule,
+        view::View,
+    },
+    platform::{config, servers},
+};
+use quickcheck::quickcheck;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+const ENTRY: &str = r#"{"addr":"10.128.0.9:8080","born":1791000000123,
+    "info":{"service":"pegel1","version":"v1","zone":"bern-ost","slots":4},
+    "status":{"state":"ready","seq":4,"warmupLeft":"1200ms"}}"#;
+
+fn entry(name: &str, started_ms: u64) -> ServerEntry {
+    ServerEntry {
+        id: incarnation_id(name, started_ms),
+        name: name.into(),
+        started_ms,
+        service: "s".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        availability_zone: "z".into(),
+        slots: 4,
+        leaving: false,
+        cold_ms: 0,
+    }
+}
+
+#[test]
+fn entries_of_other_writers_name_no_server() {
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+    }
+    let case = |from, to| Case { from, to };
+    let cases = [
+        case(r#""addr":"10.128.0.9:8080","#, ""),
+        case(r#""10.128.0.9:8080""#, "808"),
+        case(r#""10.128.0.9:8080""#, r#""somewhere""#),
+        case("1791000000123", "1791000000123.5"),
+        case("1791000000123", r#""1791000000123""#),
+        case("1791000000123", "-1"),
+        case(r#""service":"pegel1","#, ""),
+        case(r#""pegel1""#, "7"),
+        case(r#""version":"v1","#, ""),
+        case(r#""zone":"bern-ost","#, ""),
+        case(r#","slots":4"#, ""),
+        case("4}", r#""4"}"#),
+        case("4}", "-4}"),
+        case(r#""state":"ready","#, ""),
+        case(r#""ready""#, r#""resting""#),
+        case(r#""ready""#, "true"),
+        case(r#""seq":4,"#, ""),
+        case(r#""seq":4"#, r#""seq":"four""#),
+        case(r#""1200ms""#, "1200"),
+        case(r#""1200ms""#, r#""soon""#),
+        case(r#""status":{"#, r#""status":[{"#),
+        case(ENTRY, ""),
+        case(ENTRY, "\u{0}\u{1}"),
+        case(ENTRY, "[]"),
+    ];
+    let whole = servers::decode("i-1", ENTRY.as_bytes()).expect("an entry");
+    assert_eq!(
+        (whole.started_ms, whole.cold_ms),
+        (1_791_000_000_123, 1_200)
+    );
+    for Case { from, to } in cases {
+        let text = ENTRY.replacen(from, to, 1);
+        assert_ne!(text, ENTRY, "{from}");
+        assert!(servers::decode("i-1", text.as_bytes()).is_err(), "{text}");
+    }
+    // Fields that nobody named, and platforms that do not tell the start.
+    for (from, to) in [
+        (r#""seq":4"#, r#""seq":4,"mood":"good""#),
+        (r#""born":1791000000123,"#, ""),
+    ] {
+        let text = ENTRY.replacen(from, to, 1);
+        assert!(servers::decode("i-1", text.as_bytes()).is_ok(), "{text}");
+    }
+}
+
+quickcheck! {
+    fn any_bytes_are_decoded_or_refused(bytes: Vec<u8>, place: usize, byte: u8) -> bool {
+        // None may panic: drawn bytes, and an entry with one byte changed or cut off there.
+        let mut changed = ENTRY.as_bytes().to_vec();
+        let place = place % changed.len();
+        let cut_off = servers::decode("i-1", &changed[..place]);
+        changed[place] = byte;
+        let decoded = [
+            servers::decode("i-1", &bytes).is_ok(),
+            servers::decode("i-1", &changed).is_ok(),
+            config::decode(&bytes).is_ok(),
+        ];
+        cut_off.is_err() && decoded.len() == 3
+    }
+}
+
+#[test]
+fn a_later_start_under_the_same_name_is_another_server() {
+    let mut registry = Registry::default();
+    registry.put(entry("a", 1_000));
+    let first = registry.server("a@3e8").expect("the first").clone();
+    let in_flight = first.enter();
+    registry.put(entry("a", 2_000));
+    let second = registry.server("a@7d0").expect("the second").clone();
+    // It knows nothing of before, and what would still be sent to the first is not.
+    assert!(registry.server("a@3e8").is_none());
+    assert!(first.leaving());
+    assert_eq!((second.own_load(), second.run_ms()), (0, 0.0));
+    assert_ne!(first.tag, second.tag);
+    let former = registry.former("a@3e8").expect("known as gone");
+    assert_eq!(&*former.name, "a");
+    assert_eq!(registry.of_service("s").len(), 1);
+    // A late heartbeat of the first changes nothing.
+    registry.put(ServerEntry {
+        leaving: true,
+        ..entry("a", 1_000)
+    });
+    assert!(!registry.server("a@7d0").expect("the second").leaving());
+    assert_eq!(registry.of_service("s").len(), 1);
+    // The row's removal is about the latest.
+    registry.remove("a", 0);
+    assert!(registry.server("a@7d0").is_none());
+    drop(in_flight);
+}
+
+#[test]
+fn an_entry_that_names_another_service_or_address_replaces_the_server() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut ServerEntry),
+        replaced: bool,
+    }
+    let cases = [
+        Case {
+            name: "service",
+            change: |entry| entry.service = "other".into(),
+            replaced: true,
+        },
+        Case {
+            name: "address",
+            change: |entry| entry.address = ([127, 0, 0, 2], 1).into(),
+            replaced: true,
+        },
+        Case {
+            name: "zone",
+            change: |entry| entry.availability_zone = "y".into(),
+            replaced: true,
+        },
+        Case {
+            name: "leaving",
+            change: |entry| entry.leaving = true,
+            replaced: false,
+        },
+    ];
+    for Case {
+        name,
+        change,
+        replaced,
+    } in cases
+    {
+        let mut registry = Registry::default();
+        registry.put(entry("a", 1));
+        let known = registry.server("a@1").expect("a server").clone();
+        let mut later = entry("a", 1);
+        change(&mut later);
+        let service = later.service.clone();
+        registry.put(later);
+        let now = registry.server("a@1").expect("a server");
+        assert_eq!(Arc::ptr_eq(&known, now), !replaced, "{name}");
+        assert_eq!(registry.of_service(&service).len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn a_row_that_turns_unreadable_names_no_server_from_then_on() {
+    let mut registry = Registry::default();
+    registry.put(entry("a", 1));
+    registry.put(entry("b", 1));
+    // Also while entries may come back after an outage of the store.
+    registry.drop_server("a");
+    assert!(registry.server("a@1").is_none());
+    assert_eq!(registry.usable("s", &[]).len(), 1);
+    assert!(registry.former("a@1").is_some());
+    let present: HashSet<Arc<str>> = ["a".into(), "b".into()].into();
+    registry.retain(&present, 0);
+    registry.put(entry("a", 1));
+    assert_eq!(registry.usable("s", &[]).len(), 2);
+}
+
+fn evacuations(version: u64, zones: &[&str]) -> Evacuations {
+    Evacuations {
+        version,
+        zones: zones.iter().map(|zone| Arc::from(*zone)).collect(),
+    }
+}
+
+#[test]
+fn servers_of_an_evacuated_zone_get_nothing_until_it_is_taken_back() {
+    let view = View::default();
+    view.update_registry(|registry| {
+        registry.put(entry("a", 1));
+        registry.put(ServerEntry {
+            availability_zone: "y".into(),
+            ..entry("b", 1)
+        });
+    });
+    let usable = || -> Vec<String> {
+        let registry = view.registry();
+        let names = registry.usable("s", &[]).into_iter();
+        names.map(|server| server.entry.name.to_string()).collect()
+    };
+    struct Case {
+        evacuations: Evacuations,
+        usable: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            evacuations: evacuations(5, &["z"]),
+            usable: &["b"],
+        },
+        // A later holder that does not know of it yet.
+        Case {
+            evacuations: evacuations(0, &[]),
+            usable: &["b"],
+        },
+        Case {
+            evacuations: evacuations(6, &["y", "z"]),
+            usable: &[],
+        },
+        Case {
+            evacuations: evacuations(7, &["y"]),
+            usable: &["a"],
+        },
+        // Late news.
+        Case {
+            evacuations: evacuations(6, &["y", "z"]),
+            usable: &["a"],
+        },
+        Case {
+            evacuations: evacuations(9, &[]),
+            usable: &["a", "b"],
+        },
+    ];
+    for case in cases {
+        let told = format!("{:?}", case.evacuations);
+        view.evacuate(case.evacuations);
+        assert_eq!(usable(), case.usable, "{told}");
+    }
+    // Also a server that joins meanwhile.
+    view.evacuate(evacuations(10, &["z"]));
+    view.update_registry(|registry| registry.put(entry("c", 1)));
+    assert_eq!(usable(), ["b"]);
+    // Keys that it holds are served for a while.
+    let registry = view.registry();
+    let evacuated = registry.server("a@1").expect("a server");
+    assert!(evacuated.serves_held_keys(60_000));
+    assert!(!evacuated.serves_held_keys(0));
+}
+
+#[test]
+fn servers_of_a_zone_that_is_taken_back_count_as_cold() {
+    let warmup_ms = |service: &str| if service == "s" { 3_000 } else { 0 };
+    let mut registry = Registry::default();
+    registry.put(entry("a", 1));
+    registry.set_evacuations(&evacuations(1, &["z"]), warmup_ms);
+    registry.set_evacuations(&evacuations(2, &[]), warmup_ms);
+    let rest_ms = registry.server("a@1").expect("a server").cold_rest_ms();
+    assert!((2_900..=3_000).contains(&rest_ms), "{rest_ms}");
+    // A row that is read again says nothing new; one that tells a change does.
+    registry.put(entry("a", 1));
+    assert!(registry.server("a@1").expect("a server").cold_rest_ms() > 0);
+    for cold_ms in [800, 0] {
+        registry.put(ServerEntry {
+            cold_ms,
+            ..entry("a", 1)
+        });
+        let rest_ms = registry.server("a@1").expect("a server").cold_rest_ms();
+        assert!(rest_ms <= cold_ms && rest_ms + 100 > cold_ms, "{rest_ms}");
+    }
+}
+
+#[test]
+fn a_configuration_that_was_passed_on_does_not_hide_an_earlier_evacuation() {
+    let pieces = cut(7, 6, b"content");
+    assert!(pieces.iter().all(|piece| piece.evacuations == 6));
+    let mut assembly = Assembly::default();
+    let whole = pieces.into_iter().find_map(|piece| assembly.take(piece));
+    assert_eq!(whole.expect("the content"), b"content");
+}
+
+#[test]
+fn changes_of_zones_count_in_their_order() {
+    let mut known = Evacuations::default();
+    known.change(3, "z", true);
+    known.change(2, "z", false);
+    known.change(4, "y", true);
+    assert_eq!(known, evacuations(4, &["y", "z"]));
+    known.change(5, "z", false);
+    assert_eq!(known, evacuations(5, &["y"]));
+}
+
+/// Most requests that a cold server gets in any second of ten, from hosts that each think that there
+/// are about as many hosts as there are.
+fn most_in_a_second(hosts: usize, per_s: f64, asked_per_s: f64, rng: &mut StdRng) -> usize {
+    const LENGTH_MS: f64 = 10_000.0;
+    let mut turns: Vec<(Turns, u64)> = (0..hosts)
+        .map(|_| {
+            let known = (hosts as f64 * rng.random_range(0.8..1.1)).ceil() as usize;
+            (Turns::default(), turn_every_ms(per_s, known))
+        })
+        .collect();
+    for (turns, every_ms) in &mut turns {
+        turns.is_open(*every_ms, rng.random(), 0);
+    }
+    let mut sent_ms = Vec::new();
+    // The demand begins at some moment, when turns may have gone unused.
+    let mut at_ms = rng.random_range(0.0..4_000.0);
+    while at_ms < LENGTH_MS {
+        at_ms += 2.0 * rng.random::<f64>() * 1_000.0 / asked_per_s;
+        let now_ms = at_ms as u64;
+        // Half of the requests come to one host.
+        let host = if rng.random() {
+            0
+        } else {
+            rng.random_range(0..hosts)
+        };
+        let (turns, every_ms) = &mut turns[host];
+        if turns.is_open(*every_ms, 0.0, now_ms) {
+            turns.take(*every_ms);
+            sent_ms.push(now_ms);
+        }
+    }
+    let within = |first: u64| {
+        let second = first..first + 1_000;
+        sent_ms.iter().filter(|at| second.contains(at)).count()
+    };
+    sent_ms
+        .iter()
+        .map(|first| within(*first))
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn all_hosts_together_spare_a_cold_server() {
+    let mut rng = StdRng::seed_from_u64(5);
+    let per_s = 5.8;
+    for _ in 0..400 {
+        let hosts = rng.random_range(2..400);
+        let asked_per_s = rng.random_range(5.0..400.0);
+        let most = most_in_a_second(hosts, per_s, asked_per_s, &mut rng);
+        assert!(most <= 16, "{most} of {hosts} hosts, {asked_per_s} asked");
+    }
+    // What it bears is used as well, where demand is high.
+    let sent = most_in_a_second(74, per_s, 2_000.0, &mut rng);
+    assert!(sent >= 4, "{sent}");
+}
+
+#[test]
+fn a_host_that_knows_no_hosts_yet_sends_nothing_to_cold_servers() {
+    let mut registry = Registry::default();
+    registry.put(ServerEntry {
+        cold_ms: 3_000,
+        ..entry("a", 1)
+    });
+    let server = registry.server("a@1").expect("a server");
+    let warmup = Warmup {
+        time_ms: 3_000,
+        per_s: 5.8,
+    };
+    let barred = (0..1_000).filter(|_| server.is_barred(Some(ColdRule::new(warmup, 10_000))));
+    assert_eq!(barred.count(), 1_000);
+    // Where nobody bounds it a cold server is like any other.
+    assert!(!server.is_barred(None));
+}
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -136,7 +136,7 @@
         content: Vec<u8>, order: Vec<u16>
     ) -> bool {
         let content = content.repeat(40);
-        let mut pieces = cut(7, &content);
+        let mut pieces = cut(7, 3, &content);
         if pieces.is_empty() {
             return content.is_empty() || content.len() > 12 * 1_200;
         }
@@ -159,6 +159,7 @@
 #[test]
 fn pieces_of_two_configurations_are_not_mixed() {
     let piece = |version, index, bytes: &str| Piece {
+        evacuations: 0,
         version,
         index,
         count: 2,
