Tests of evacuations, cold servers and late orders with real hosts; stand-in servers in zones

Three hosts or four against the stand-ins: an evacuated zone gets nothing past its bound, also when the holder is lost in the middle; a cold server gets at most 16 requests in any second; keys stay with servers that leave half of their orders unanswered.

--- /dev/null
+++ b/tests/entry_zones.rs
@@ -0,0 +1,169 @@
+//! Evacuated zones, cold servers and orders that go unanswered: real entry hosts against stand-ins.
+
+mod platform_standin;
+
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use tokio::time;
+
+use self::platform_standin::{
+    caller::{Ask, ask_once},
+    hosts::Host,
+    server::{Kind, Server},
+    site::{KEYED, ORDERS, Site, configuration, eventually, get},
+};
+
+/// Time in which nothing more reaches a zone that is evacuated.
+const EVACUATION_MS: u64 = 5_000;
+
+async fn send_order(host: &Host, number: usize) {
+    let id = format!("{}-{number}", host.callers);
+    let ask = Ask {
+        method: "POST",
+        path: "/orders/new",
+        id: &id,
+        key: None,
+        deadline_ms: 800,
+    };
+    ask_once(host.callers, ask).await;
+}
+
+/// Servers of both services in a second zone.
+async fn start_second_zone(site: &Site) -> [Server; 2] {
+    let keyed = Kind { zone: "b", ..KEYED };
+    let orders = Kind {
+        zone: "b",
+        ..ORDERS
+    };
+    [
+        Server::start(&site.store, &site.record, keyed).await,
+        Server::start(&site.store, &site.record, orders).await,
+    ]
+}
+
+#[tokio::test]
+async fn an_evacuated_zone_gets_nothing_past_its_bound_also_when_the_holder_is_lost() {
+    for holder_is_lost in [false, true] {
+        let mut site = Site::start(3, 2).await;
+        let second = start_second_zone(&site).await;
+        eventually("the second zone holds keys", 6_000, async || {
+            second[0].keys_held() > 0
+        })
+        .await;
+        let evacuated = Instant::now();
+        site.store.put("op", "evacuate/a", &json!({}));
+        if holder_is_lost {
+            time::sleep(Duration::from_millis(300)).await;
+            let is_holder = |host: &Host| !host.events("duty_taken").is_empty();
+            let holder = site.hosts.iter().position(is_holder).expect("a holder");
+            site.hosts[holder].kill();
+            site.hosts.remove(holder);
+        }
+        let since = |began: Instant| began.elapsed().as_millis() as u64;
+        let mut number = 0;
+        let mut served_late = (0, 0);
+        while since(evacuated) < EVACUATION_MS + 2_000 {
+            for host in &site.hosts {
+                number += 1;
+                send_order(host, number).await;
+                let answer = get(host, (number * 7_919 % 65_536) as u16).await;
+                if since(evacuated) > EVACUATION_MS {
+                    served_late.0 += 1;
+                    served_late.1 += u32::from(answer.is_some_and(|status| status.is_success()));
+                }
+            }
+            time::sleep(Duration::from_millis(10)).await;
+        }
+        let bound = evacuated + Duration::from_millis(EVACUATION_MS);
+        for server in site.keyed.iter().chain(&site.orders) {
+            let late = server.last_arrival().is_some_and(|at| at > bound);
+            assert!(
+                !late,
+                "{} got a request, holder lost: {holder_is_lost}",
+                server.id
+            );
+        }
+        // All keys are served by the other zone.
+        let (asked, served) = served_late;
+        assert!(served * 100 >= asked * 95, "{served} of {asked}");
+        assert_eq!(second[0].keys_held(), 1 << 16);
+        site.store.remove("op", "evacuate/a");
+        let before = site.orders[0].served() + site.orders[1].served();
+        eventually("the zone serves again", 6_000, async || {
+            for host in &site.hosts {
+                number += 1;
+                send_order(host, number).await;
+                get(host, (number * 7_919 % 65_536) as u16).await;
+            }
+            let orders = site.orders[0].served() + site.orders[1].served();
+            orders > before && site.keyed.iter().any(|server| server.keys_held() > 0)
+        })
+        .await;
+        assert_eq!(site.record.violations(), Vec::<String>::new());
+    }
+}
+
+#[tokio::test]
+async fn a_cold_server_gets_no_more_than_it_bears_from_all_hosts_together() {
+    const COLD_MS: u64 = 4_000;
+    let site = Site::start(4, 1).await;
+    let mut bounded = configuration(2, &[]);
+    bounded["services"][1]["warmup"] = json!("4s");
+    bounded["services"][1]["warmupPerS"] = json!(5.8);
+    site.store.put("op", "config", &bounded);
+    time::sleep(Duration::from_millis(1_500)).await;
+    let joining = Server::start(&site.store, &site.record, ORDERS).await;
+    joining.declare_cold(&site.store, COLD_MS);
+    // As long as hosts cannot know that it is cold.
+    time::sleep(Duration::from_millis(600)).await;
+    let since = Instant::now();
+    let mut number = 0;
+    while since.elapsed() < Duration::from_millis(COLD_MS - 800) {
+        for host in &site.hosts {
+            number += 1;
+            send_order(host, number).await;
+        }
+        time::sleep(Duration::from_millis(10)).await;
+    }
+    let most = joining.most_in_a_second(since);
+    assert!(most <= 16, "{most} in a second of {number}");
+    assert!(most > 0, "it gets what it bears");
+    joining.declare_cold(&site.store, 0);
+    time::sleep(Duration::from_millis(600)).await;
+    let before = joining.served();
+    for round in 0..40 {
+        for host in &site.hosts {
+            send_order(host, 1_000_000 + round).await;
+        }
+    }
+    assert!(joining.served() > before + 16, "warm servers are used");
+}
+
+#[tokio::test]
+async fn keys_stay_with_servers_that_leave_half_of_their_orders_unanswered() {
+    let site = Site::start(3, 3).await;
+    let moved = || -> usize {
+        let hosts = site.hosts.iter();
+        let events = hosts.flat_map(|host| host.events("moved"));
+        let lost = events.filter(|line| line.contains("no server"));
+        lost.count()
+    };
+    let before = moved();
+    for server in &site.keyed {
+        server.answer_orders_late(2);
+    }
+    let began = Instant::now();
+    let (mut asked, mut served) = (0, 0);
+    while began.elapsed() < Duration::from_millis(8_000) {
+        for host in &site.hosts {
+            asked += 1;
+            let answer = get(host, (asked * 7_919 % 65_536) as u16).await;
+            served += u32::from(answer.is_some_and(|status| status.is_success()));
+        }
+        time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(served * 100 >= asked * 97, "{served} of {asked}");
+    assert_eq!(moved(), before, "moves from servers that live");
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -29,6 +29,8 @@
 use super::{fresh_address, store::Store};
 
 const KEYS: usize = 1 << 16;
+/// Time after which an order is carried out that was not answered.
+const LATE_ORDER_MS: u64 = 2_000;
 
 /// What ran where, over all servers of a test.
 #[derive(Debug, Default)]
@@ -149,6 +151,7 @@
 struct State {
     holdings: Arc<Holdings>,
     record: Arc<Record>,
+    zone: String,
     divided: bool,
     slots: Semaphore,
     work_ms: AtomicU64,
@@ -157,6 +160,10 @@
     silent: AtomicBool,
     /// Each n-th answer of a run is lost; 0 for none.
     lose_answer_every: AtomicU64,
+    /// Each n-th order is carried out late, without an answer; 0 for none.
+    late_order_every: AtomicU64,
+    orders: AtomicU64,
+    arrivals: Mutex<Vec<Instant>>,
     served: AtomicU64,
 }
 
@@ -165,6 +172,8 @@
 pub struct Kind<'a> {
     /// Service.
     pub service: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
     /// True if it runs only requests for keys that it holds.
     pub divided: bool,
     /// Time that a request runs.
@@ -187,12 +196,16 @@
         let state = Arc::new(State {
             holdings,
             record: record.clone(),
+            zone: kind.zone.to_owned(),
             divided: kind.divided,
             slots: Semaphore::new(4),
             work_ms: AtomicU64::new(kind.work_ms),
             running: AtomicU64::new(0),
             silent: AtomicBool::new(false),
             lose_answer_every: AtomicU64::new(0),
+            late_order_every: AtomicU64::new(0),
+            orders: AtomicU64::new(0),
+            arrivals: Mutex::default(),
             served: AtomicU64::new(0),
         });
         let (stop, stopped) = watch::channel(false);
@@ -219,12 +232,50 @@
     pub fn declare(&self, store: &Store, state: &str) {
         let entry = json!({
             "addr": self.address.to_string(),
-            "info": {"service": self.state.holdings.service, "version": "v1", "zone": "a", "slots": 4},
+            "info": {"service": self.state.holdings.service, "version": "v1",
+                "zone": self.state.zone, "slots": 4},
             "status": {"state": state, "seq": 1, "warmupLeft": "0ms"},
         });
         store.put("servers", &self.id, &entry);
     }
 
+    /// Writes the entry of a cold server.
+    pub fn declare_cold(&self, store: &Store, cold_ms: u64) {
+        let entry = json!({
+            "addr": self.address.to_string(),
+            "born": 1_791_000_000_000u64,
+            "info": {"service": self.state.holdings.service, "version": "v1",
+                "zone": self.state.zone, "slots": 4},
+            "status": {"state": "ready", "seq": 2, "warmupLeft": format!("{cold_ms}ms")},
+        });
+        store.put("servers", &self.id, &entry);
+    }
+
+    /// Of so many orders one is not answered, and carried out two seconds later; 0 for none.
+    pub fn answer_orders_late(&self, every: u64) {
+        self.state.late_order_every.store(every, Ordering::Relaxed);
+    }
+
+    /// Most requests that arrived within a second, of those after a moment.
+    pub fn most_in_a_second(&self, since: Instant) -> usize {
+        let arrivals = lock(&self.state.arrivals);
+        let later: Vec<Instant> = arrivals
+            .iter()
+            .filter(|at| **at >= since)
+            .copied()
+            .collect();
+        let within = |first: Instant| {
+            let end = first + Duration::from_secs(1);
+            later.iter().filter(|at| (first..end).contains(*at)).count()
+        };
+        later.iter().map(|first| within(*first)).max().unwrap_or(0)
+    }
+
+    /// When the last request arrived.
+    pub fn last_arrival(&self) -> Option<Instant> {
+        lock(&self.state.arrivals).last().copied()
+    }
+
     /// Ends the server as a crash would, and removes its entry.
     pub fn crash(&self, store: &Store) {
         self.state.holdings.up.store(false, Ordering::Relaxed);
@@ -291,16 +342,37 @@
             return self.not_run(StatusCode::MISDIRECTED_REQUEST, "");
         }
         match request.uri().path() {
-            "/grant" => self.grant(request).await,
-            "/release" => self.release(request).await,
+            "/grant" | "/release" => self.order(request).await,
             _ => self.run(request).await,
         }
     }
 
-    async fn grant(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn order(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = Instant::now();
+        let is_grant = request.uri().path() == "/grant";
         let order = read(request).await;
-        let (first, last, fence) = range_of(&order);
+        let number = self.orders.fetch_add(1, Ordering::Relaxed) + 1;
+        let every = self.late_order_every.load(Ordering::Relaxed);
+        if every > 0 && number.is_multiple_of(every) {
+            tokio::spawn(async move {
+                time::sleep(Duration::from_millis(LATE_ORDER_MS)).await;
+                if is_grant {
+                    self.grant(&order, arrived);
+                } else {
+                    self.release(&order).await;
+                }
+            });
+            return std::future::pending().await;
+        }
+        if is_grant {
+            self.grant(&order, arrived)
+        } else {
+            self.release(&order).await
+        }
+    }
+
+    fn grant(&self, order: &Value, arrived: Instant) -> Response<AnswerBody> {
+        let (first, last, fence) = range_of(order);
         let hold = parse_ms(order["hold_time"].as_str().unwrap_or_default()).expect("hold time");
         let until = arrived + Duration::from_millis(hold);
         let mut taken = Vec::new();
@@ -328,9 +400,8 @@
         transport::json(StatusCode::OK, &json!({}))
     }
 
-    async fn release(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let order = read(request).await;
-        let (first, last, fence) = range_of(&order);
+    async fn release(&self, order: &Value) -> Response<AnswerBody> {
+        let (first, last, fence) = range_of(order);
         {
             let mut keys = lock(&self.holdings.keys);
             for state in &mut keys[first..=last] {
@@ -351,6 +422,7 @@
     async fn run(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let id = header_text(request.headers(), "request-id").unwrap_or_default();
         let id = id.to_owned();
+        lock(&self.arrivals).push(Instant::now());
         let key = header_text(request.headers(), "shard-key").and_then(|key| key.parse().ok());
         let Ok(permit) = self.slots.acquire().await else {
             return std::future::pending().await;
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -19,12 +19,14 @@
 /// Service that is divided by key; its route is `/keyed/`, of repeatable requests.
 pub const KEYED: Kind<'static> = Kind {
     service: "keyed",
+    zone: "a",
     divided: true,
     work_ms: 5,
 };
 /// Service without keys; its route is `/orders/`, of unrepeatable requests.
 pub const ORDERS: Kind<'static> = Kind {
     service: "orders",
+    zone: "a",
     divided: false,
     work_ms: 5,
 };
