--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -18,8 +18,12 @@
 
 /// Interval of counts by key to the duty's holder.
 const KEYS_EVERY_MS: u64 = 150;
-/// Interval at which reports of the other hosts are taken into the servers' loads.
+/// Interval at which reports of the other hosts are taken into the loads of up to [`TAKE_IN_SERVERS`]
+/// servers; it grows in proportion to their number, so that a host's work does not.
 const TAKE_IN_EVERY_MS: u64 = 25;
+const TAKE_IN_SERVERS: u64 = 220;
+/// Longest such interval.
+const TAKE_IN_EVERY_MAX_MS: u64 = 150;
 /// Sends reports.
 #[derive(Debug, Default)]
 struct Reporter {
@@ -78,7 +82,10 @@
     /// Takes in what the other hosts report, soon after it comes.
     pub(in crate::entry) async fn keep_taking_in_reports(self: Arc<Self>) {
         loop {
-            time::sleep(Duration::from_millis(TAKE_IN_EVERY_MS)).await;
+            let servers = self.view.registry().servers().count() as u64;
+            let every_ms = TAKE_IN_EVERY_MS * servers / TAKE_IN_SERVERS;
+            let every_ms = every_ms.clamp(TAKE_IN_EVERY_MS, TAKE_IN_EVERY_MAX_MS);
+            time::sleep(Duration::from_millis(every_ms)).await;
             self.take_in_reports();
         }
     }
