Sight: hosts log what servers say in their answers of leaving and rest

Change: the adapter decodes the two headers into a notice, a server's notices are kept by the host that was told (also if the answer was for another request), and a server_notice line is written once for each server that leaves and as each rest begins; lines of requests that were turned away name the rest. Nothing decides by it yet.

--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -9,6 +9,7 @@
 //! |---|---|
 //! | [`pace`] | servers that run slower for a moment |
 //! | [`behaviour`] | servers that are slow, fail or cannot be reached |
+//! | [`notices`] | servers that say in their answers that they leave, or want a rest |
 //! | [`kinds`] | services that serve short and long requests |
 //! | [`admission`] | more requests for a server than it can answer in time |
 //! | [`choice`] | requests that any server of a service may run |
@@ -33,6 +34,7 @@
 pub mod hot_keys;
 pub mod key_loads;
 pub mod kinds;
+pub mod notices;
 pub mod pace;
 pub mod plan;
 mod policy;
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -83,6 +83,20 @@
         /// Time for which it remains cold.
         cold_ms: u64,
     },
+    /// A server has told this host in an answer that it leaves, or that it wants a rest. Written once for
+    /// each server that leaves, and as each rest begins.
+    ServerNotice {
+        /// Server.
+        server: Arc<str>,
+        /// Service.
+        service: Arc<str>,
+        /// True if it has said that it leaves.
+        leaves: bool,
+        /// Time for which it wants no requests of this host.
+        rest_ms: u64,
+        /// True if its entry in the store says that it leaves.
+        leaves_by_entry: bool,
+    },
     /// A server's entry is gone.
     ServerGone {
         /// Server.
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -233,7 +233,10 @@
             // Twice in a row is more than a matter of milliseconds.
             entry.view.note_not_held(&self.service, self.fences.0);
         }
-        let logged = format!("the server answered {status}, not run");
+        let logged = format!(
+            "the server answered {status}, not run, and wants {} ms of rest",
+            server.rest_ms()
+        );
         if !self.may_repeat(entry, payload) {
             let typical_ms = entry.view.registry().typical_run_ms(&self.service);
             let seen = self.candidate(entry, server);
@@ -326,7 +329,7 @@
         let in_flight = server.enter(self.digests);
         let sent = Instant::now();
         let limit = Duration::from_millis(self.left_ms() + DEADLINE_SLACK_MS);
-        let exchange = self.exchange(&mut connection, request);
+        let exchange = self.exchange(server, &mut connection, request);
         let (head, body) = match time::timeout(limit, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(attempt)) => {
@@ -373,12 +376,15 @@
     /// Sends the request and reads the answer as far as it is held in memory.
     async fn exchange(
         &self,
+        server: &Server,
         connection: &mut Connection,
         request: Request<AnswerBody>,
     ) -> Result<(response::Parts, Received), Attempt> {
         let broke_off = |error: hyper::Error| Attempt::BrokeOff(error.to_string());
         let response = connection.send(request).await.map_err(broke_off)?;
         let (head, body) = response.into_parts();
+        // Also if the answer is for another request: it is about the server.
+        server.note_notice(headers::notice(head.status, &head.headers));
         let id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
         if id != self.request_id {
             return Err(Attempt::Unknown("the answer has another id".to_owned()));
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -174,6 +174,15 @@
     pub pace: f64,
 }
 
+/// What a server says in an answer of its wish for further requests of the host that asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// True if it is about to end.
+    pub leaves: bool,
+    /// Time for which it wants nothing from the host, if it turned the request away with that wish.
+    pub rest_ms: Option<u64>,
+}
+
 /// An entry as hosts tell it to each other: the identifier follows from name and start.
 #[derive(Serialize, Deserialize)]
 struct PackedEntry {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -11,12 +11,13 @@
     decide::{
         Candidate, Policy,
         behaviour::Behaviour,
+        notices::Notices,
         pace::Pace,
         warmup::{self, Turns},
     },
     digest::{RequestDigest, RequestDigests},
     events::Event,
-    model::{ServerEntry, Warmup},
+    model::{Notice, ServerEntry, Warmup},
     pool::Pool,
     runs::Runs,
 };
@@ -39,6 +40,7 @@
     cold_until_ms: AtomicU64,
     /// Time that it remains cold, as its entry told last.
     told_cold_ms: AtomicU64,
+    notices: Mutex<Notices>,
     turns: Mutex<Turns>,
     own: AtomicU32,
     others: AtomicU32,
@@ -101,6 +103,7 @@
             evacuated_ms: AtomicU64::new(0),
             cold_until_ms: AtomicU64::new(0),
             told_cold_ms: AtomicU64::new(entry.cold_ms),
+            notices: Mutex::default(),
             turns: Mutex::default(),
             own: AtomicU32::new(0),
             others: AtomicU32::new(0),
@@ -205,6 +208,29 @@
         self.leaving.store(leaving, Ordering::Relaxed);
     }
 
+    /// Takes in what an answer said of the wish for further requests.
+    pub fn note_notice(&self, notice: Notice) {
+        if notice == Notice::default() {
+            return;
+        }
+        let learned = self.notices().note(notice, clock::now_ms());
+        if learned.leaves || learned.rests {
+            Event::ServerNotice {
+                server: self.entry.id.clone(),
+                service: self.entry.service.clone(),
+                leaves: notice.leaves,
+                rest_ms: notice.rest_ms.unwrap_or(0),
+                leaves_by_entry: self.leaving(),
+            }
+            .log();
+        }
+    }
+
+    /// Time for which it wants no requests of this host; 0 if it takes them.
+    pub fn rest_ms(&self) -> u64 {
+        self.notices().rest_ms(clock::now_ms())
+    }
+
     /// Requests of this host that are at the server.
     pub fn own_load(&self) -> u32 {
         self.own.load(Ordering::Relaxed)
@@ -353,6 +379,10 @@
         self.paces.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn turns(&self) -> MutexGuard<'_, Turns> {
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,8 +1,8 @@
 //! Header names of the platform's protocol.
 
-use http::{HeaderMap, HeaderName, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode, header};
 
-use crate::entry::model::ToldLoad;
+use crate::entry::model::{Notice, ToldLoad};
 
 /// Identifier of one attempt of a caller; returned in the answer.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -21,6 +21,8 @@
 /// Load of the server that answers: requests running, requests waiting, slots and, where servers share
 /// machines, the present pace in hundredths.
 const LOAD: HeaderName = HeaderName::from_static("server-load");
+/// Present in every answer of a server that leaves.
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Token by which a server's next owner of keys starts warm.
 pub const HANDOVER: HeaderName = HeaderName::from_static("handover");
 
@@ -43,3 +45,26 @@
 pub fn says_not_run(status: StatusCode, headers: &HeaderMap) -> bool {
     headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST
 }
+
+/// What an answer says of its server's wish for further requests of this host.
+pub fn notice(status: StatusCode, headers: &HeaderMap) -> Notice {
+    Notice {
+        leaves: headers.get(LEAVING).is_some_and(|value| value != "0"),
+        rest_ms: rest_ms(status, headers),
+    }
+}
+
+/// Rest that a server asks for as it turns a request away: seconds, fractions included. A date, which HTTP
+/// allows here, is none that the platform's servers send.
+fn rest_ms(status: StatusCode, headers: &HeaderMap) -> Option<u64> {
+    let turned_away = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    if !turned_away.contains(&status) {
+        return None;
+    }
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    (seconds.is_finite() && seconds > 0.0).then_some((seconds * 1000.0).ceil() as u64)
+}
