--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod server;
 pub mod site;
 pub mod store;
+pub mod traffic;
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -202,11 +202,27 @@
     late_order_every: AtomicU64,
     orders: AtomicU64,
     arrivals: Mutex<Vec<Instant>>,
+    /// All answers say that it leaves.
+    leaving: AtomicBool,
+    /// Rest that it asks for as it turns every request away; 0 if it takes them.
+    rest_ms: AtomicU64,
+    visits: Mutex<Vec<Visit>>,
     served: AtomicU64,
     /// What a mortal server runs on: its end closes all of its sockets at once, as that of a process.
     runtime: Mutex<Option<Runtime>>,
 }
 
+/// A request that reached a server.
+#[derive(Clone, Debug)]
+pub struct Visit {
+    /// Identifier of the request.
+    pub id: String,
+    /// When it arrived.
+    pub at: Instant,
+    /// Rest that the server asked for as it turned the request away.
+    pub rest: Option<Duration>,
+}
+
 /// What a server is like.
 #[derive(Clone, Copy, Debug)]
 pub struct Kind<'a> {
@@ -273,6 +289,9 @@
             late_order_every: AtomicU64::new(0),
             orders: AtomicU64::new(0),
             arrivals: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            rest_ms: AtomicU64::new(0),
+            visits: Mutex::default(),
             served: AtomicU64::new(0),
             runtime: Mutex::new(None),
         });
@@ -319,6 +338,26 @@
         store.put("servers", &self.id, &entry);
     }
 
+    /// Lets all answers say from now on that the server leaves. Its entry does not.
+    pub fn say_leaving(&self) {
+        self.state.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Turns every request away with a wish to rest for so long; 0 takes them again.
+    pub fn turn_away(&self, rest_ms: u64) {
+        self.state.rest_ms.store(rest_ms, Ordering::Relaxed);
+    }
+
+    /// Requests that reached it.
+    pub fn visits(&self) -> Vec<Visit> {
+        lock(&self.state.visits).clone()
+    }
+
+    /// Removes the entry, as the platform does when it hears no heartbeat.
+    pub fn lapse(&self, store: &Store) {
+        store.remove("servers", &self.id);
+    }
+
     /// Of so many orders one is not answered, and carried out two seconds later; 0 for none.
     pub fn answer_orders_late(&self, every: u64) {
         self.state.late_order_every.store(every, Ordering::Relaxed);
@@ -415,6 +454,16 @@
 
 impl State {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let leaves = self.leaving.load(Ordering::Relaxed);
+        let mut response = self.respond(request).await;
+        if leaves {
+            let value = HeaderValue::from_static("1");
+            response.headers_mut().insert("server-leaving", value);
+        }
+        response
+    }
+
+    async fn respond(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         if self.silent.load(Ordering::Relaxed) {
             return std::future::pending().await;
         }
@@ -504,6 +553,10 @@
         let id = header_text(request.headers(), "request-id").unwrap_or_default();
         let id = id.to_owned();
         lock(&self.arrivals).push(Instant::now());
+        let rest = self.note_visit(&id);
+        if let Some(rest) = rest {
+            return self.turned_away(&id, rest);
+        }
         let key = header_text(request.headers(), "shard-key").and_then(|key| key.parse().ok());
         let Ok(permit) = self.slots.acquire().await else {
             return std::future::pending().await;
@@ -550,6 +603,26 @@
         runtime.shutdown_background();
     }
 
+    /// Notes a request; the rest that is asked for if it is turned away.
+    fn note_visit(&self, id: &str) -> Option<Duration> {
+        let rest_ms = self.rest_ms.load(Ordering::Relaxed);
+        let rest = (rest_ms > 0).then(|| Duration::from_millis(rest_ms));
+        lock(&self.visits).push(Visit {
+            id: id.to_owned(),
+            at: Instant::now(),
+            rest,
+        });
+        rest
+    }
+
+    fn turned_away(&self, id: &str, rest: Duration) -> Response<AnswerBody> {
+        let mut response = self.not_run(StatusCode::SERVICE_UNAVAILABLE, id);
+        let seconds = format!("{}", rest.as_secs_f64());
+        let value = HeaderValue::from_str(&seconds).expect("a number");
+        response.headers_mut().insert("retry-after", value);
+        response
+    }
+
     fn not_run(&self, status: StatusCode, id: &str) -> Response<AnswerBody> {
         let mut response = transport::json(status, &json!({}));
         let headers = response.headers_mut();
--- /dev/null
+++ b/tests/platform_standin/traffic.rs
@@ -0,0 +1,140 @@
+//! Steady traffic of callers at all hosts of a test, and what came of each request.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use tokio::time;
+
+use super::caller::{Ask, Caller};
+
+/// Pause between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(15);
+/// Deadline of the requests.
+const DEADLINE_MS: u64 = 800;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Asked {
+    /// Keys of the divided service, drawn at random.
+    Keys,
+    /// The service without keys.
+    Orders,
+}
+
+/// A request of a caller.
+#[derive(Clone, Debug)]
+pub struct Sent {
+    /// Place of the host that it was sent to.
+    pub host: usize,
+    /// When it was sent.
+    pub at: Instant,
+    /// Status of the answer, if one came.
+    pub status: Option<StatusCode>,
+    /// When the answer came, or the connection ended.
+    pub answered: Instant,
+    /// True if the answer says that its server leaves.
+    pub says_leaving: bool,
+}
+
+/// Callers that send until this is dropped.
+#[derive(Debug)]
+pub struct Traffic {
+    sent: Arc<Mutex<HashMap<String, Sent>>>,
+    stopped: Arc<AtomicBool>,
+    asked: Asked,
+}
+
+impl Traffic {
+    /// Traffic without a caller.
+    pub fn new(asked: Asked) -> Self {
+        Self {
+            sent: Arc::default(),
+            stopped: Arc::default(),
+            asked,
+        }
+    }
+
+    /// Adds a caller of one host.
+    pub fn add(&self, host: usize, address: SocketAddr) {
+        let (sent, stopped) = (self.sent.clone(), self.stopped.clone());
+        let asked = self.asked;
+        tokio::spawn(async move {
+            let mut caller = None;
+            while !stopped.load(Ordering::Relaxed) {
+                time::sleep(PAUSE).await;
+                if caller.is_none() {
+                    caller = Caller::connect(address).await;
+                }
+                let Some(connected) = &mut caller else {
+                    continue;
+                };
+                let (id, outcome) = send(connected, host, asked).await;
+                if outcome.status.is_none() {
+                    caller = None;
+                }
+                lock(&sent).insert(id, outcome);
+            }
+        });
+    }
+
+    /// All requests whose outcome is known, by identifier.
+    pub fn sent(&self) -> HashMap<String, Sent> {
+        lock(&self.sent).clone()
+    }
+
+    /// Share of the requests sent from one moment to another that were answered with success.
+    pub fn served(&self, from: Instant, until: Instant) -> f64 {
+        let sent = lock(&self.sent);
+        let within = |sent: &&Sent| (from..until).contains(&sent.at);
+        let all = sent.values().filter(within).count();
+        let is_served = |sent: &&Sent| sent.status == Some(StatusCode::OK);
+        let served = sent.values().filter(within).filter(is_served).count();
+        served as f64 / all.max(1) as f64
+    }
+}
+
+impl Drop for Traffic {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+}
+
+async fn send(caller: &mut Caller, host: usize, asked: Asked) -> (String, Sent) {
+    let id = format!("{:016x}", rand::random::<u64>());
+    let (method, path, key) = match asked {
+        Asked::Keys => ("GET", "/keyed/level", Some(rand::random())),
+        Asked::Orders => ("POST", "/orders/new", None),
+    };
+    let at = Instant::now();
+    let answer = caller
+        .ask(Ask {
+            method,
+            path,
+            id: &id,
+            key,
+            deadline_ms: DEADLINE_MS,
+        })
+        .await;
+    let says_leaving =
+        |answer: &super::caller::Answer| answer.headers.contains_key("server-leaving");
+    let sent = Sent {
+        host,
+        at,
+        status: answer.as_ref().map(|answer| answer.status),
+        answered: Instant::now(),
+        says_leaving: answer.as_ref().is_some_and(says_leaving),
+    };
+    (id, sent)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
