BUDGET: a server that wants a rest gets none of this host's requests in it

Cause: the status of an answer decided alone. A key's requests went to its server whatever that asked for, about half of them a second time 25 ms later. Class: what the other side says with a refusal was read as a yes or no. Change: each host keeps the end of the rest that a server asked it for. Requests of any server go to others; if all rest, and for keys, they are refused at once with the time that the rest lasts. The look is taken again once a new connection is up. A keyed request that was turned away is not sent to the same server again.

--- a/src/entry/decide/return_time.rs
+++ b/src/entry/decide/return_time.rs
@@ -40,6 +40,12 @@
         }
     }
 
+    /// The key's server wants nothing of this host for a time.
+    pub fn resting(rest_ms: u64, policy: &Policy) -> Self {
+        let reason = "the key's server wants a rest";
+        Self::after(reason, rest_ms, policy)
+    }
+
     /// The host has just started.
     pub fn starting(reason: &'static str) -> Self {
         Self {
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -18,6 +18,7 @@
         },
         news::followed::Followed,
         peers::message::Message,
+        registry::Registry,
         server::{Server, tag_of},
         view::Owner,
     },
@@ -66,14 +67,7 @@
     fn any_server(&self, entry: &Entry) -> Result<Arc<Server>, Refused> {
         let policy = &entry.settings.policy;
         let registry = entry.view.registry();
-        let mut usable = registry.usable(&self.service, &self.tried);
-        if usable.is_empty() {
-            let (arrived_ms, hold_ms) = (self.times.arrived_ms, entry.limits.notice_hold_ms);
-            usable = registry.usable_at_last(&self.service, &self.tried, arrived_ms, hold_ms);
-        }
-        if usable.is_empty() {
-            return Err(Refused::soon("no server may get work", policy));
-        }
+        let usable = self.free_servers(entry, &registry)?;
         let seen = usable.iter().map(|server| self.candidate(entry, server));
         let question = Question {
             servers: &seen.collect::<Vec<_>>(),
@@ -90,6 +84,32 @@
         }
     }
 
+    /// Servers that may get the request, those that leave only for want of others.
+    fn free_servers<'r>(
+        &self,
+        entry: &Entry,
+        registry: &'r Registry,
+    ) -> Result<Vec<&'r Arc<Server>>, Refused> {
+        let policy = &entry.settings.policy;
+        let (arrived_ms, hold_ms) = (self.times.arrived_ms, entry.limits.notice_hold_ms);
+        let mut least_rest_ms = None;
+        for mut servers in [
+            registry.usable(&self.service, &self.tried),
+            registry.usable_at_last(&self.service, &self.tried, arrived_ms, hold_ms),
+        ] {
+            let rests_ms = servers.iter().map(|server| server.rest_ms());
+            least_rest_ms = least_rest_ms.into_iter().chain(rests_ms).min();
+            servers.retain(|server| server.rest_ms() == 0);
+            if !servers.is_empty() {
+                return Ok(servers);
+            }
+        }
+        Err(match least_rest_ms {
+            Some(rest_ms) => Refused::after("all servers want a rest", rest_ms, policy),
+            None => Refused::soon("no server may get work", policy),
+        })
+    }
+
     /// The server that holds the key; waits a little while the key is on its way.
     async fn owner(&mut self, entry: &Entry, key: u16) -> Result<Arc<Server>, Refused> {
         let policy = &entry.settings.policy;
@@ -148,6 +168,9 @@
         {
             return Err(Refused::soon("the key's server is leaving", policy));
         }
+        if server.rest_ms() > 0 {
+            return Err(Refused::resting(server.rest_ms(), policy));
+        }
         if server.is_barred(self.cold_rule) {
             let reason = "the key's server is cold";
             return Err(Refused::after(reason, server.cold_rest_ms(), policy));
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -81,6 +81,8 @@
     Answered(Response<AnswerBody>),
     /// No connection came up, so nothing was sent.
     NotSent(String),
+    /// The server asked for rest while the connection came up, so nothing was sent.
+    Rests,
     /// The server says that it did not run the request.
     NotRun(StatusCode),
     /// The request may have run.
@@ -141,6 +143,7 @@
             let ended = match self.attempt(entry, &server, payload).await {
                 Attempt::Answered(response) => Some(self.answered(entry, response)),
                 Attempt::NotSent(reason) => self.not_sent(entry, payload, &server, &reason).await,
+                Attempt::Rests => None,
                 Attempt::NotRun(status) => self.not_run(entry, payload, &server, status).await,
                 Attempt::Unknown(reason) => self.unknown(entry, payload, &server, reason),
                 Attempt::BrokeOff(reason) => {
@@ -237,6 +240,10 @@
             "the server answered {status}, not run, and wants {} ms of rest",
             server.rest_ms()
         );
+        if self.key.is_some() && server.rest_ms() > 0 {
+            let refused = Refused::resting(server.rest_ms(), &entry.settings.policy);
+            return Some(self.refuse(entry, logged, &refused));
+        }
         if !self.may_repeat(entry, payload) {
             let typical_ms = entry.view.registry().typical_run_ms(&self.service);
             let seen = self.candidate(entry, server);
@@ -311,6 +318,10 @@
         let mut connection = match server.pool.take() {
             Some(connection) => connection,
             None => match server.pool.connect(self.left_ms()).await {
+                Ok(connection) if server.rest_ms() > 0 => {
+                    server.pool.keep(connection);
+                    return Attempt::Rests;
+                }
                 Ok(connection) => connection,
                 Err(error) => {
                     if matches!(error, ConnectError::Refused { .. }) {
