Tests of crashes: two bounds that were loosened are back as they were

Change: the caller's own 400 ms stands again (the log's stays beside it), and fewer than three servers may end where tries come together. What made the third server end stays suspected.

--- a/tests/entry_crashes.rs
+++ b/tests/entry_crashes.rs
@@ -140,9 +140,11 @@
     assert_eq!(late.count(), 0, "servers ended when all hosts must know");
     // Its caller learns at once that it has not run, and what others ask for is served.
     for host in &site.hosts {
+        let asked = Instant::now();
         let answer = read(host, CALLER, DEADLY).await.expect("an answer");
         assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
         assert!(answer.headers.contains_key("retry-after"));
+        assert!(asked.elapsed() < Duration::from_millis(400), "held back");
         let refusals = host.events("request").into_iter();
         let of_quarantine = |line: &String| line.contains("several servers have ended");
         for line in refusals.filter(of_quarantine) {
@@ -300,9 +302,6 @@
     let late = runs.iter().filter(|run| **run > *known + CONTACT).count();
     assert!(late <= LATE_RUNS_MAX, "{late} of {} runs", runs.len());
     let ends = site.record.ends().len();
-    assert!(
-        ends <= ENDS_NEEDED + ENDS_ON_THE_WAY,
-        "{ends} servers ended"
-    );
+    assert!(ends < ENDS_NEEDED, "{ends} servers ended");
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
