The test of service in an outage compares with the time before it

Cause: 'over 1,000 answers in 6 s' measured the machine. Change: the answers of the 6 s of the outage must be over half of those of the 6 s before. No failure is allowed, as before.

--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -16,6 +16,12 @@
 use tokio::{task::JoinHandle, time};
 
 /// Calls until stopped; every answer must be a success or a truthful refusal.
+/// Length of the outage in which service must go on, and of the time before that it is compared with.
+const OUTAGE: Duration = Duration::from_secs(6);
+/// Share of the answers before an outage that must come in it. Callers wait for each answer, so that hosts
+/// which are slower by half would show.
+const SERVED_SHARE: f64 = 0.5;
+
 struct Load {
     stop: Arc<AtomicBool>,
     answered: Arc<AtomicU64>,
@@ -171,18 +177,21 @@
     cluster.declare("").await;
     let before = cluster.status(0).await;
     let load = Load::start(&addresses(&cluster)[..2]);
+    // What the machine gives the callers while nothing is wrong.
+    time::sleep(OUTAGE).await;
+    let usual = load.answered.load(Ordering::Relaxed);
     cluster
         .platform_faults(platform::Faults {
             down: true,
             ..platform::Faults::default()
         })
         .await;
-    time::sleep(Duration::from_secs(3)).await;
+    time::sleep(OUTAGE / 2).await;
     cluster.hosts[2].process.kill();
-    time::sleep(Duration::from_secs(3)).await;
+    time::sleep(OUTAGE / 2).await;
     let during = cluster.status(0).await;
     assert_eq!(before.revision, during.revision);
-    let answered = load.answered.load(Ordering::Relaxed);
+    let answered = load.answered.load(Ordering::Relaxed) - usual;
     let failures = load.end().await;
     assert!(
         failures.is_empty(),
@@ -190,7 +199,8 @@
         failures.len(),
         failures.first()
     );
-    assert!(answered > 1_000, "{answered} answered");
+    let share = answered as f64 / usual as f64;
+    assert!(share > SERVED_SHARE, "{answered} answered, {usual} before");
     let back = Instant::now();
     cluster.platform_faults(platform::Faults::default()).await;
     cluster
