Sight for two listed tests: which calls were made, and who took the duty

Their messages held a number only. Change: the stand-in store counts calls by path and table, and the messages name these, the takings of the duty and what the hosts logged of the store. Conclusion: the next failure can be traced.

--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -64,13 +64,17 @@
     for outage_ms in outages {
         sites.spawn_local_on(terms_over_outage(outage_ms), &local);
     }
-    for (outage_ms, terms) in local.run_until(sites.join_all()).await {
-        assert_eq!(terms, 1, "after an outage of {outage_ms} ms");
+    for (outage_ms, taken) in local.run_until(sites.join_all()).await {
+        assert_eq!(
+            taken.len(),
+            1,
+            "after an outage of {outage_ms} ms: {taken:#?}"
+        );
     }
 }
 
-/// Terms of the duty by some time after an outage.
-async fn terms_over_outage(outage_ms: u64) -> (u64, usize) {
+/// Lines of the hosts that took the duty by some time after an outage, each with what its host logged of the store.
+async fn terms_over_outage(outage_ms: u64) -> (u64, Vec<String>) {
     let site = Site::start(3, 2).await;
     site.store.set_faults(Faults {
         silent: true,
@@ -79,7 +83,12 @@
     time::sleep(Duration::from_millis(outage_ms)).await;
     site.store.set_faults(Faults::default());
     time::sleep(Duration::from_millis(3_500)).await;
-    (outage_ms, site.hosts.iter().map(taken).sum())
+    let lines = site.hosts.iter().flat_map(|host| {
+        let taken = host.events("duty_taken").into_iter();
+        let store = host.events("store_lost").join(" ") + &host.events("store_back").join(" ");
+        taken.map(move |line| format!("{line} {store}"))
+    });
+    (outage_ms, lines.collect())
 }
 
 #[tokio::test]
@@ -115,6 +124,7 @@
     let site = Site::start(6, 2).await;
     time::sleep(Duration::from_millis(3_000)).await;
     let before = site.store.calls();
+    let kinds_before = site.store.calls_by_kind();
     let mut joined = Vec::new();
     for _ in 0..5 {
         joined.push(Server::start(&site.store, &site.record, ORDERS).await);
@@ -126,7 +136,11 @@
     // The holder confirms its duty 12 times in 7 s and asks for each of the six changes, once more
     // when its feeds end. The five others would ask for each change as well.
     let calls = site.store.calls() - before;
-    assert!(calls <= 12 + 10 + 6, "{calls} calls");
+    let kinds = site.store.calls_by_kind();
+    assert!(
+        calls <= 12 + 10 + 6,
+        "{calls} calls: {kinds:?}, before {kinds_before:?}"
+    );
     for host in &site.hosts {
         let seen = host.events("server");
         for server in &joined {
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -49,6 +49,8 @@
     faults: Faults,
     transactions: u64,
     calls: u64,
+    /// Calls by path and query, without what differs between calls of one kind.
+    kinds: BTreeMap<String, u64>,
 }
 
 /// The store.
@@ -131,6 +133,11 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Calls so far by their kind, so that a test which counts too many says which.
+    pub fn calls_by_kind(&self) -> BTreeMap<String, u64> {
+        self.state.rows().kinds.clone()
+    }
+
     /// A row's content.
     pub fn row(&self, table: &str, key: &str) -> Option<Value> {
         let rows = self.state.rows();
@@ -145,6 +152,13 @@
     }
 }
 
+/// Path and table of a call.
+fn kind_of(request: &Request<Incoming>) -> String {
+    let query = parse_query(request.uri().query().unwrap_or_default());
+    let table = query.get("table").map_or("", String::as_str);
+    format!("{} {table}", request.uri().path())
+}
+
 impl Rows {
     fn write(&mut self, table: &str, key: &str, value: Option<String>) {
         let version = self.version;
@@ -240,6 +254,7 @@
         let faults = {
             let mut rows = self.rows();
             rows.calls += 1;
+            *rows.kinds.entry(kind_of(&request)).or_default() += 1;
             rows.faults
         };
         let is_read = request.uri().path() == "/rows-get";
