One product: an attempt at a server is a module of its own

Cause: the passage of a request had grown to 457 lines and its attempt to one function of 64, which connected, sent, learned and built the answer. Change: forward::attempt holds what one attempt may come to, with a step each for the connection, the exchange and what is learned; passage keeps the choice of what follows.

--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -1,5 +1,6 @@
 //! Passes callers' requests on to backend servers and their answers back.
 
+mod attempt;
 mod body;
 mod choose;
 mod head;
