--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    crashes::break_offs::BreakOffs,
     decide::{
         Candidate, Policy,
         behaviour::Behaviour,
@@ -50,18 +51,8 @@
     paces: Mutex<Paces>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Runs>,
-    break_offs: Mutex<BreakOffs>,
-}
-
-/// Connections to a server that broke off without an answer.
-#[derive(Clone, Copy, Debug, Default)]
-struct BreakOffs {
-    count: u32,
-    latest_ms: u64,
-    /// When it was found to have ended; 0 if it was not.
-    ended_ms: u64,
-    /// True while somebody finds out whether the server has ended.
-    is_probed: bool,
+    /// Connections to it that broke off.
+    pub break_offs: BreakOffs,
 }
 
 /// What is known of a server's pace.
@@ -118,7 +109,7 @@
             paces: Mutex::default(),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
-            break_offs: Mutex::default(),
+            break_offs: BreakOffs::default(),
             entry,
         };
         server.set_cold_for(server.entry.cold_ms);
@@ -299,37 +290,9 @@
         self.runs().suspects(clock::now_ms())
     }
 
-    /// Notes that a connection broke off without an answer, or was refused; true if the caller is the
-    /// one to find out whether the server has ended. If it is known to have ended, nobody probes it until it
-    /// answers again.
-    pub fn note_break_off(&self) -> bool {
-        let answered_ms = self.answered_ms();
-        let mut break_offs = self.break_offs_lock();
-        if break_offs.ended_ms > answered_ms {
-            return false;
-        }
-        break_offs.count = break_offs.count.wrapping_add(1);
-        break_offs.latest_ms = clock::now_ms();
-        !std::mem::replace(&mut break_offs.is_probed, true)
-    }
-
-    /// Notes that it was found out whether the server has ended.
-    pub fn end_probe(&self, has_ended: bool) {
-        let mut break_offs = self.break_offs_lock();
-        break_offs.is_probed = false;
-        if has_ended {
-            break_offs.ended_ms = clock::now_ms();
-        }
-    }
-
-    /// Number of connections that broke off so far.
-    pub fn break_offs(&self) -> u32 {
-        self.break_offs_lock().count
-    }
-
     /// True if it has answered this host after the latest connection that broke off.
     pub fn has_answered_since_break_off(&self) -> bool {
-        self.answered_ms() > self.break_offs_lock().latest_ms
+        self.answered_ms() > self.break_offs.latest_ms()
     }
 
     /// Average run time by this host's and the others' evidence; 0 if unknown.
@@ -426,12 +389,6 @@
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn break_offs_lock(&self) -> MutexGuard<'_, BreakOffs> {
-        self.break_offs
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn behaviour(&self) -> MutexGuard<'_, Behaviour> {
         self.behaviour
             .lock()
