One product: who holds which keys is a module of its own

Change: entry::owners holds the former with its four locks; the view passes on and tells of changes. Moved, not changed; tests of hosts, rules and servers green.

--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -17,10 +17,10 @@
             return_time::Refused,
         },
         news::followed::Followed,
+        owners::Owner,
         peers::message::Message,
         registry::Registry,
         server::{Server, tag_of},
-        view::Owner,
     },
     transport::AnswerBody,
 };
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -18,6 +18,7 @@
 pub mod model;
 pub mod news;
 mod notices;
+pub mod owners;
 pub mod peers;
 mod pool;
 pub mod registry;
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -15,8 +15,8 @@
         decide::hot_keys::HotKey,
         keys::Holding,
         news::{announcement::Announcement, followed::Followed, freshness::StoreNews},
+        owners::Owner,
         server::tag_of,
-        view::Owner,
     },
 };
 
