Servers that leave are looked at only for want of others

Cause: for each request without a key all servers of its service were gone through twice, also where the first look found some; a newcomer's reading found it. Change: the second look follows only if the first finds nobody awake. A test of a service whose servers all want a rest: two requests at most in a rest, and refusals within 400 ms by the hosts' own clocks (keys and orders).

--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -25,6 +25,19 @@
     transport::AnswerBody,
 };
 
+/// Those of the servers that want no rest; else the least rest that one of them wants, if there are any.
+fn awake(servers: Vec<&Arc<Server>>) -> Result<Vec<&Arc<Server>>, Option<u64>> {
+    let least_rest_ms = servers.iter().map(|server| server.rest_ms()).min();
+    let awake: Vec<_> = servers
+        .into_iter()
+        .filter(|server| server.rest_ms() == 0)
+        .collect();
+    if awake.is_empty() {
+        return Err(least_rest_ms);
+    }
+    Ok(awake)
+}
+
 impl Passage<'_> {
     /// The server that the request goes to, or why it is refused.
     pub(super) async fn choose(&mut self, entry: &Entry) -> Result<Arc<Server>, Refused> {
@@ -91,20 +104,17 @@
         registry: &'r Registry,
     ) -> Result<Vec<&'r Arc<Server>>, Refused> {
         let policy = &entry.settings.policy;
+        let rest_ms = match awake(registry.usable(&self.service, &self.tried)) {
+            Ok(servers) => return Ok(servers),
+            Err(rest_ms) => rest_ms,
+        };
         let (arrived_ms, hold_ms) = (self.times.arrived_ms, entry.limits.notice_hold_ms);
-        let mut least_rest_ms = None;
-        for mut servers in [
-            registry.usable(&self.service, &self.tried),
-            registry.usable_at_last(&self.service, &self.tried, arrived_ms, hold_ms),
-        ] {
-            let rests_ms = servers.iter().map(|server| server.rest_ms());
-            least_rest_ms = least_rest_ms.into_iter().chain(rests_ms).min();
-            servers.retain(|server| server.rest_ms() == 0);
-            if !servers.is_empty() {
-                return Ok(servers);
-            }
-        }
-        Err(match least_rest_ms {
+        let at_last = registry.usable_at_last(&self.service, &self.tried, arrived_ms, hold_ms);
+        let last_rest_ms = match awake(at_last) {
+            Ok(servers) => return Ok(servers),
+            Err(rest_ms) => rest_ms,
+        };
+        Err(match rest_ms.into_iter().chain(last_rest_ms).min() {
             Some(rest_ms) => Refused::after("all servers want a rest", rest_ms, policy),
             None => Refused::soon("no server may get work", policy),
         })
--- a/tests/entry_notices.rs
+++ b/tests/entry_notices.rs
@@ -18,6 +18,7 @@
     time::{Duration, Instant},
 };
 
+use serde_json::Value;
 use tokio::{
     sync::Mutex,
     task::{JoinSet, LocalSet},
@@ -46,6 +47,8 @@
 const CONTACT: Duration = Duration::from_secs(3);
 /// Time within which a key is served again after a loss.
 const SERVED_AGAIN: Duration = Duration::from_secs(3);
+/// Time within which a host refuses what nobody can serve, by its own clock; as in tests/entry_crashes.rs.
+const AT_ONCE_MS: u64 = 400;
 /// One test plays at a time: together they would be over a hundred processes.
 static TURN: Mutex<()> = Mutex::const_new(());
 /// Hosts and servers of each service.
@@ -330,3 +333,43 @@
 async fn a_server_that_wants_a_rest_gets_no_orders() {
     play(ALL.map(|beside| (beside, Asked::Orders)), rest).await;
 }
+
+/// All servers of a service want a rest: nobody can serve, and callers are told so at once.
+async fn rest_of_all(asked: Asked) -> Result<(), String> {
+    let deployment = Deployment::start(asked).await;
+    let servers = match asked {
+        Asked::Keys => &deployment.site.keyed,
+        Asked::Orders => &deployment.site.orders,
+    };
+    for server in servers {
+        server.turn_away(REST_MS);
+    }
+    time::sleep(Duration::from_millis(5_000)).await;
+    for server in servers {
+        let most = most_in_a_rest(server, &deployment.traffic);
+        if most > REST_VISITS_MAX {
+            return Err(format!("{most} requests in one rest"));
+        }
+    }
+    let hosts = deployment.site.hosts.iter();
+    let lines: Vec<String> = hosts.flat_map(|host| host.events("request")).collect();
+    let refused = lines.iter().filter(|line| line.contains("rest\""));
+    let slow: Vec<&String> = refused
+        .clone()
+        .filter(|line| {
+            let event: Value = serde_json::from_str(line).expect("an event");
+            event["after_ms"].as_u64() > Some(AT_ONCE_MS)
+        })
+        .collect();
+    if refused.clone().count() < 100 || !slow.is_empty() {
+        let count = refused.count();
+        return Err(format!("{count} refused, of these late: {slow:?}"));
+    }
+    violations(&deployment)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_refused_at_once_while_all_servers_rest() {
+    let cases = [Asked::Keys, Asked::Orders].map(|asked| (Beside::Nothing, asked));
+    play(cases, |_, asked| rest_of_all(asked)).await;
+}
