A rest is looked at once more just before a request is sent

Cause: between the choice of a server and the attempt a request may wait 25 ms for other hosts' claims of a try; only the wait for a new connection was followed by another look at the rest. Found by reading. Change: the attempt looks first as well. The connection's steps are apart.

--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -32,7 +32,7 @@
     Answered(Response<AnswerBody>),
     /// No connection came up, so nothing was sent.
     NotSent(String),
-    /// The server asked for rest while the connection came up, so nothing was sent.
+    /// The server asked for rest before the request could be sent.
     Rests,
     /// The server says that it did not run the request.
     NotRun(StatusCode),
@@ -92,29 +92,40 @@
         Attempt::Answered(build_answer(head, body))
     }
 
-    /// An idle connection to the server, or a new one.
+    /// An idle connection to the server, or a new one. The server may have asked for rest since it was chosen,
+    /// while the request waited for other hosts' claims, and may do so while the connection comes up.
     async fn connection(
         &self,
         entry: &Arc<Entry>,
         server: &Arc<Server>,
     ) -> Result<Connection, Attempt> {
+        if server.rest_ms() > 0 {
+            return Err(Attempt::Rests);
+        }
         if let Some(connection) = server.pool.take() {
             return Ok(connection);
         }
-        match server.pool.connect(self.left_ms()).await {
-            Ok(connection) if server.rest_ms() > 0 => {
-                server.pool.keep(connection);
-                Err(Attempt::Rests)
-            }
-            Ok(connection) => Ok(connection),
-            Err(error) => {
-                if matches!(error, ConnectError::Refused { .. }) {
-                    // Requests whose callers have left break off nothing when the server ends.
-                    entry.probe_liveness(server);
-                }
-                Err(Attempt::NotSent(error.to_string()))
-            }
+        let connection = self.connect(entry, server).await?;
+        if server.rest_ms() > 0 {
+            server.pool.keep(connection);
+            return Err(Attempt::Rests);
         }
+        Ok(connection)
+    }
+
+    async fn connect(
+        &self,
+        entry: &Arc<Entry>,
+        server: &Arc<Server>,
+    ) -> Result<Connection, Attempt> {
+        let connected = server.pool.connect(self.left_ms()).await;
+        connected.map_err(|error| {
+            if matches!(error, ConnectError::Refused { .. }) {
+                // Requests whose callers have left break off nothing when the server ends.
+                entry.probe_liveness(server);
+            }
+            Attempt::NotSent(error.to_string())
+        })
     }
 
     /// Notes what an answer shows of its server and of the request.
