--- a/src/entry/decide/notices.rs
+++ b/src/entry/decide/notices.rs
@@ -2,6 +2,7 @@
 //! a time. It holds for the host that was told, and whatever the server's row in the store says: the store may be
 //! away, or have an older row.
 
+use super::rate_limit::RateLimit;
 use crate::entry::model::Notice;
 
 /// Longest rest that is believed. A server that wants nothing for longer is as good as gone, and a damaged
@@ -26,6 +27,8 @@
     known_since_ms: Option<u64>,
     /// End of the latest rest that it asked for.
     rests_until_ms: u64,
+    /// Rate that it takes from all hosts together.
+    pub rate_limit: RateLimit,
 }
 
 impl Notices {
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -99,6 +99,19 @@
         /// How this host knows.
         source: &'static str,
     },
+    /// A server has named another rate that it takes from all hosts together, or none any more.
+    ServerRateLimit {
+        /// Server.
+        server: Arc<str>,
+        /// Service.
+        service: Arc<str>,
+        /// Requests a second; `None` if it takes any rate.
+        per_s: Option<f64>,
+        /// Requests a second that this host has sent to it lately.
+        sent_per_s: f64,
+        /// How this host knows.
+        source: &'static str,
+    },
     /// A server's entry is gone.
     ServerGone {
         /// Server.
--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -172,6 +172,8 @@
         if id != self.request_id {
             return Err(Attempt::Unknown("the answer has another id".to_owned()));
         }
+        // Not of an answer to another request: that may be an old one.
+        entry.note_told_limit(server, headers::told_limit(head.status, &head.headers));
         if headers::says_not_run(head.status, &head.headers) {
             return Err(Attempt::NotRun(head.status));
         }
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -183,6 +183,17 @@
     pub rest_ms: Option<u64>,
 }
 
+/// What an answer says of the rate that its server takes from all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ToldLimit {
+    /// It names none.
+    Unlimited,
+    /// Requests a second.
+    PerS(f64),
+    /// It says nothing that can be read or relied on.
+    Unknown,
+}
+
 /// An entry as hosts tell it to each other: the identifier follows from name and start.
 #[derive(Serialize, Deserialize)]
 struct PackedEntry {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -14,6 +14,8 @@
         behaviour::Behaviour,
         notices::{Learned, Notices},
         pace::Pace,
+        rate_limit::LimitWord,
+        rate_meter::RateMeter,
         warmup::{self, Turns},
     },
     digest::{RequestDigest, RequestDigests},
@@ -51,6 +53,8 @@
     paces: Mutex<Paces>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Runs>,
+    /// Requests that this host sent to it.
+    sent: Mutex<RateMeter>,
     /// Connections to it that broke off.
     pub break_offs: BreakOffs,
 }
@@ -109,6 +113,7 @@
             paces: Mutex::default(),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
+            sent: Mutex::default(),
             break_offs: BreakOffs::default(),
             entry,
         };
@@ -251,6 +256,23 @@
         self.notices().rest_ms(clock::now_ms())
     }
 
+    /// Takes in the rate that an answer named; true if that is worth a log line.
+    pub fn note_rate_limit(&self, word: LimitWord) -> bool {
+        let mut notices = self.notices();
+        notices.rate_limit.note(word);
+        notices.rate_limit.take_change()
+    }
+
+    /// Requests a second that it takes from all hosts together; `None` if it takes any rate.
+    pub fn rate_limit_per_s(&self) -> Option<f64> {
+        self.notices().rate_limit.per_s()
+    }
+
+    /// Requests a second that this host sends to it.
+    pub fn sent_per_s(&self) -> f64 {
+        self.sent().per_s(clock::now_ms())
+    }
+
     /// Requests of this host that are at the server.
     pub fn own_load(&self) -> u32 {
         self.own.load(Ordering::Relaxed)
@@ -271,6 +293,7 @@
     /// Counts a request until the result is dropped.
     pub fn enter(self: &Arc<Self>, digests: RequestDigests) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
+        self.sent().note(clock::now_ms());
         self.runs().begin(digests);
         InFlight {
             server: self.clone(),
@@ -379,6 +402,10 @@
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn sent(&self) -> MutexGuard<'_, RateMeter> {
+        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn runs(&self) -> MutexGuard<'_, Runs> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, HeaderName, StatusCode, header};
 
-use crate::entry::model::{Notice, ToldLoad};
+use crate::entry::model::{Notice, ToldLimit, ToldLoad};
 
 /// Identifier of one attempt of a caller; returned in the answer.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
@@ -23,6 +23,8 @@
 const LOAD: HeaderName = HeaderName::from_static("server-load");
 /// Present in every answer of a server that leaves.
 const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests a second that a server in need takes from all hosts together; absent once it needs no limit.
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 /// Token by which a server's next owner of keys starts warm.
 pub const HANDOVER: HeaderName = HeaderName::from_static("handover");
 
@@ -54,6 +56,27 @@
     }
 }
 
+/// What an answer says of the rate that its server takes from all hosts together. Only an answer that is surely its
+/// server's shows by a missing header that there is no limit.
+pub fn told_limit(status: StatusCode, headers: &HeaderMap) -> ToldLimit {
+    let Some(value) = headers.get(LIMIT) else {
+        let is_of_server = headers.contains_key(SIGNATURE) || says_not_run(status, headers);
+        return if is_of_server {
+            ToldLimit::Unlimited
+        } else {
+            ToldLimit::Unknown
+        };
+    };
+    let figure = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse::<f64>().ok());
+    match figure {
+        Some(per_s) if per_s.is_finite() && per_s >= 0.0 => ToldLimit::PerS(per_s),
+        _ => ToldLimit::Unknown,
+    }
+}
+
 /// Rest that a server asks for as it turns a request away: seconds, fractions included. A date, which HTTP
 /// allows here, is none that the platform's servers send.
 fn rest_ms(status: StatusCode, headers: &HeaderMap) -> Option<u64> {
--- a/tests/platform_messages.rs
+++ b/tests/platform_messages.rs
@@ -1,6 +1,9 @@
 //! Messages of the platform are decoded into the product's types, and bad ones are refused.
 
-use ashroad::platform::{config, headers, parse_ms, servers};
+use ashroad::{
+    entry::model::ToldLimit,
+    platform::{config, headers, parse_ms, servers},
+};
 use http::{HeaderMap, HeaderValue, StatusCode};
 use quickcheck::quickcheck;
 
@@ -243,3 +246,49 @@
         );
     }
 }
+
+#[test]
+fn a_rate_limit_is_read_and_ends_only_by_an_answer_of_its_server() {
+    struct Case {
+        named: Option<&'static str>,
+        status: u16,
+        other: Option<&'static str>,
+        told: ToldLimit,
+    }
+    let signed = Some("server-signature");
+    let rows = [
+        (Some("10.7"), 200, signed, ToldLimit::PerS(10.7)),
+        (Some(" 0.5 "), 503, Some("not-run"), ToldLimit::PerS(0.5)),
+        (Some("0"), 500, None, ToldLimit::PerS(0.0)),
+        (Some("1e12"), 200, signed, ToldLimit::PerS(1e12)),
+        (Some("-3"), 200, signed, ToldLimit::Unknown),
+        (Some("NaN"), 200, signed, ToldLimit::Unknown),
+        (Some("inf"), 200, signed, ToldLimit::Unknown),
+        (Some("ten"), 200, signed, ToldLimit::Unknown),
+        (Some(""), 200, signed, ToldLimit::Unknown),
+        (None, 200, signed, ToldLimit::Unlimited),
+        (None, 500, signed, ToldLimit::Unlimited),
+        (None, 503, Some("not-run"), ToldLimit::Unlimited),
+        (None, 421, None, ToldLimit::Unlimited),
+        (None, 200, None, ToldLimit::Unknown),
+        (None, 500, None, ToldLimit::Unknown),
+    ];
+    let cases = rows.map(|(named, status, other, told)| Case {
+        named,
+        status,
+        other,
+        told,
+    });
+    for case in cases {
+        let mut map = HeaderMap::new();
+        if let Some(named) = case.named {
+            map.insert("server-limit", HeaderValue::from_static(named));
+        }
+        if let Some(other) = case.other {
+            map.insert(other, HeaderValue::from_static("1"));
+        }
+        let status = StatusCode::from_u16(case.status).expect("a status");
+        let told = headers::told_limit(status, &map);
+        assert_eq!(told, case.told, "{:?}, {status}", case.named);
+    }
+}
