--- /dev/null
+++ b/tests/entry_rate_limits.rs
@@ -0,0 +1,231 @@
+//! Servers that name in their answers the requests a second that they take from all hosts together.
+//!
+//! What users saw: two of nine servers of a service named limits of 7.6 and 9.7 requests a second, and three seconds later
+//! they still got 118 and 109 requests in 4 s from the hosts that they had told.
+
+mod platform_standin;
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use tokio::time;
+
+use self::platform_standin::{
+    deployment::{ALL, Beside, Deployment, HOSTS, SERVERS, play, violations, visits_by_host},
+    server::Server,
+    traffic::{Asked, Traffic},
+};
+
+/// Time after a host has passed on an answer that names a limit from which its requests count.
+const TOLD_AFTER: Duration = Duration::from_millis(500);
+/// Time after a server first named a limit from which the bound holds. The users give three seconds.
+const SETTLED_AFTER: Duration = Duration::from_secs(2);
+/// Length of the windows; every one of them counts.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests that may come in a window as a multiple of what the limit allows, and besides. The users allow 1.5 times.
+const EXCESS_MAX: f64 = 1.3;
+const SLACK: f64 = 5.0;
+/// Share of the limits that must be used while callers ask for twice as much and no server has room besides.
+const USED_MIN: f64 = 0.8;
+/// Share of the requests that must be served while other servers have room for them.
+const SERVED_MIN: f64 = 0.9;
+/// Time within which the keys that are too many for a limited server have gone to others.
+const MOVED_AFTER: Duration = Duration::from_secs(3);
+/// Time for which servers name limits.
+const LIMITED: Duration = Duration::from_secs(12);
+
+/// Limits of one server over time, as `(time, requests a second)`.
+struct Named(Vec<(Instant, f64)>);
+
+impl Named {
+    /// Requests that the limits allow from one moment to another; `None` if there is none for a part of it.
+    fn allowed(&self, from: Instant, until: Instant) -> Option<f64> {
+        let (first, _) = *self.0.first()?;
+        if from < first {
+            return None;
+        }
+        let ends = self.0.iter().skip(1).map(|(at, _)| *at).chain([until]);
+        let spans = self.0.iter().zip(ends).map(|((begin, per_s), end)| {
+            let (begin, end) = ((*begin).max(from), end.min(until));
+            per_s * end.saturating_duration_since(begin).as_secs_f64()
+        });
+        Some(spans.sum())
+    }
+
+    /// What is wrong in the worst window, of the requests from hosts that had been told.
+    fn check(&self, server: &Server, traffic: &Traffic, excused: &[usize]) -> Result<(), String> {
+        let Some((first, _)) = self.0.first() else {
+            return Ok(());
+        };
+        let mut counted = Vec::new();
+        let by_host: HashMap<usize, Vec<_>> = visits_by_host(server, traffic);
+        for (host, visits) in by_host {
+            let told = visits.iter().filter(|(_, sent)| sent.names_limit);
+            let Some(told) = told.map(|(_, sent)| sent.answered).min() else {
+                continue;
+            };
+            let from = (told + TOLD_AFTER).max(*first + SETTLED_AFTER);
+            if !excused.contains(&host) {
+                let later = visits.iter().filter(|(visit, _)| visit.at >= from);
+                counted.extend(later.map(|(visit, _)| visit.at));
+            }
+        }
+        counted.sort_unstable();
+        for begin in &counted {
+            let end = *begin + WINDOW;
+            let Some(allowed) = self.allowed(*begin, end) else {
+                continue;
+            };
+            let most = allowed * EXCESS_MAX + SLACK;
+            let count = counted
+                .iter()
+                .filter(|at| (*begin..end).contains(*at))
+                .count();
+            if count as f64 > most {
+                return Err(format!(
+                    "{count} requests in 4 s where {allowed:.1} are allowed"
+                ));
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Lets a server name limits one after the other, each for a time.
+async fn name_in_turn(server: &Server, limits: &[f64], each: Duration) -> Named {
+    let mut named = Vec::new();
+    for limit in limits {
+        server.name_limit(Some(&limit.to_string()));
+        named.push((Instant::now(), *limit));
+        time::sleep(each).await;
+    }
+    Named(named)
+}
+
+/// One of three servers names a limit of a fifth of what it gets.
+async fn one_of_three(beside: Beside, asked: Asked) -> Result<(), String> {
+    let mut deployment = Deployment::start(asked).await;
+    deployment.server(asked).name_limit(Some("10"));
+    let began = Instant::now();
+    deployment.suffer(beside, asked, LIMITED).await;
+    let named = Named(vec![(began, 10.0)]);
+    // A host that was frozen owes nothing.
+    let excused: &[usize] = if beside == Beside::HostFrozen {
+        &[0]
+    } else {
+        &[]
+    };
+    named.check(deployment.server(asked), &deployment.traffic, excused)?;
+    // Without the store no key can get another server.
+    if beside == Beside::StoreAway && asked == Asked::Keys {
+        return Ok(());
+    }
+    let owed = began + beside.owed_after(MOVED_AFTER);
+    served_at_least(&deployment, owed, began + LIMITED)?;
+    violations(&deployment)
+}
+
+fn served_at_least(deployment: &Deployment, from: Instant, until: Instant) -> Result<(), String> {
+    let served = deployment.traffic.served(from, until);
+    if served < SERVED_MIN {
+        return Err(format!("{served:.2} of the requests served"));
+    }
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_with_keys_gets_what_its_limit_allows() {
+    play(ALL.map(|beside| (beside, Asked::Keys)), one_of_three).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_without_keys_gets_what_its_limit_allows() {
+    play(ALL.map(|beside| (beside, Asked::Orders)), one_of_three).await;
+}
+
+/// All servers name limits, each of a third of what it gets: their sum is used, and none gets too much. One host has
+/// half of the callers.
+async fn all_servers(asked: Asked) -> Result<(), String> {
+    const LIMIT: f64 = 20.0;
+    let deployment = Deployment::start(asked).await;
+    for _ in 1..HOSTS {
+        deployment.traffic.add(0, deployment.site.hosts[0].callers);
+    }
+    time::sleep(Duration::from_secs(1)).await;
+    let began = Instant::now();
+    for server in deployment.servers(asked) {
+        server.name_limit(Some(&LIMIT.to_string()));
+    }
+    time::sleep(SETTLED_AFTER).await;
+    let served = || -> u64 { deployment.servers(asked).iter().map(Server::served).sum() };
+    let (before, from) = (served(), Instant::now());
+    time::sleep(LIMITED).await;
+    let used = (served() - before) as f64 / from.elapsed().as_secs_f64();
+    for server in deployment.servers(asked) {
+        Named(vec![(began, LIMIT)]).check(server, &deployment.traffic, &[])?;
+    }
+    if used < USED_MIN * LIMIT * SERVERS as f64 {
+        return Err(format!("{used:.1} requests a second served"));
+    }
+    violations(&deployment)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_limits_of_all_servers_are_used() {
+    let cases = [Asked::Keys, Asked::Orders].map(|asked| (Beside::Nothing, asked));
+    play(cases, |_, asked| all_servers(asked)).await;
+}
+
+/// A limit falls to a third, to a fraction, to nothing, rises again and ends.
+async fn falls_and_ends(asked: Asked) -> Result<(), String> {
+    let deployment = Deployment::start(asked).await;
+    let server = deployment.server(asked);
+    let each = Duration::from_secs(6);
+    let named = name_in_turn(server, &[30.0, 10.0, 0.5, 0.0, 20.0], each).await;
+    let ended = Instant::now();
+    named.check(server, &deployment.traffic, &[])?;
+    server.name_limit(Some("a lot"));
+    time::sleep(Duration::from_secs(2)).await;
+    server.name_limit(None);
+    time::sleep(Duration::from_secs(5)).await;
+    let visits = server.visits();
+    let later = visits
+        .iter()
+        .filter(|visit| visit.at > ended + Duration::from_secs(5));
+    let per_s = later.count() as f64 / 2.0;
+    // Keys come back only as far as the other servers are busy.
+    if asked == Asked::Orders && per_s < 30.0 {
+        return Err(format!("{per_s} requests a second after the end"));
+    }
+    served_at_least(&deployment, ended + Duration::from_secs(3), Instant::now())?;
+    violations(&deployment)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_limit_that_changes_holds_as_it_is_and_ends() {
+    let cases = [Asked::Keys, Asked::Orders].map(|asked| (Beside::Nothing, asked));
+    play(cases, |_, asked| falls_and_ends(asked)).await;
+}
+
+/// Twelve hosts share a small limit.
+async fn twelve_hosts(asked: Asked) -> Result<(), String> {
+    let deployment = Deployment::start_sized(asked, 12, SERVERS).await;
+    let named = name_in_turn(
+        deployment.server(asked),
+        &[10.0, 2.0],
+        Duration::from_secs(7),
+    )
+    .await;
+    named.check(deployment.server(asked), &deployment.traffic, &[])?;
+    let until = Instant::now();
+    served_at_least(&deployment, until - Duration::from_secs(4), until)?;
+    violations(&deployment)
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn twelve_hosts_share_a_limit() {
+    let cases = [Asked::Keys, Asked::Orders].map(|asked| (Beside::Nothing, asked));
+    play(cases, |_, asked| twelve_hosts(asked)).await;
+}
--- /dev/null
+++ b/tests/platform_standin/deployment.rs
@@ -0,0 +1,234 @@
+//! A deployment whose hosts each reach the store through a proxy of their own, with callers at all of them, and what
+//! happens besides the fault that a test is about.
+
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    sync::Mutex,
+    task::{JoinSet, LocalSet},
+    time,
+};
+
+use super::{
+    hosts::Host,
+    proxy::{Mode, Proxy},
+    server::{Server, Visit},
+    site::Site,
+    traffic::{Asked, Sent, Traffic},
+};
+
+/// Time after a host has passed on that a server leaves in which it may still send it requests.
+pub const DRAIN: Duration = Duration::from_millis(2_000);
+/// Time after a cut in which a host owes nobody a bound.
+pub const CONTACT: Duration = Duration::from_secs(3);
+/// Time within which a key is served again after a loss.
+pub const SERVED_AGAIN: Duration = Duration::from_secs(3);
+/// Hosts, and servers of each service.
+pub const HOSTS: usize = 3;
+pub const SERVERS: usize = 3;
+/// One test plays at a time: together they would be over a hundred processes.
+static TURN: Mutex<()> = Mutex::const_new(());
+
+/// What happens besides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Beside {
+    /// Nothing.
+    Nothing,
+    /// The store answers no host.
+    StoreAway,
+    /// The store answers all hosts but the first.
+    HostCut,
+    /// The store answers all hosts but the one that has the duty.
+    HolderCut,
+    /// The server's entry is written again, as of one that is ready.
+    ReadyAgain,
+    /// The server's entry is removed, and comes back as of one that is ready.
+    EntryLapses,
+    /// The first host is frozen for a while.
+    HostFrozen,
+    /// A host starts.
+    HostNew,
+}
+
+/// All of them.
+pub const ALL: [Beside; 8] = [
+    Beside::Nothing,
+    Beside::StoreAway,
+    Beside::HostCut,
+    Beside::HolderCut,
+    Beside::ReadyAgain,
+    Beside::EntryLapses,
+    Beside::HostFrozen,
+    Beside::HostNew,
+];
+
+impl Beside {
+    /// Time after which callers must be served by other servers, given the time that one loss takes.
+    pub fn owed_after(self, one_loss: Duration) -> Duration {
+        match self {
+            // The holder of the duty may be lost as well: another one takes the duty, then moves the keys.
+            Self::HostCut | Self::HolderCut => CONTACT + SERVED_AGAIN,
+            _ => one_loss,
+        }
+    }
+}
+
+/// A deployment whose hosts each reach the store through a proxy of their own.
+pub struct Deployment {
+    /// Store, servers and hosts.
+    pub site: Site,
+    /// Callers.
+    pub traffic: Traffic,
+    proxies: Vec<Proxy>,
+}
+
+impl Deployment {
+    /// Starts one of the usual size.
+    pub async fn start(asked: Asked) -> Self {
+        Self::start_sized(asked, HOSTS, SERVERS).await
+    }
+
+    /// Starts hosts, servers of each service, and one caller at each host.
+    pub async fn start_sized(asked: Asked, hosts: usize, servers: usize) -> Self {
+        let site = Site::start_servers(servers).await;
+        let mut deployment = Self {
+            site,
+            proxies: Vec::new(),
+            traffic: Traffic::new(asked),
+        };
+        for _ in 0..hosts {
+            deployment.add_host().await;
+        }
+        deployment.site.await_ready().await;
+        for (place, host) in deployment.site.hosts.iter().enumerate() {
+            deployment.traffic.add(place, host.callers);
+        }
+        // Each host has had answers of all servers, and the first moves for balance are over.
+        time::sleep(Duration::from_secs(2)).await;
+        deployment
+    }
+
+    async fn add_host(&mut self) {
+        let proxy = Proxy::start(self.site.store.address).await;
+        self.site.hosts.push(Host::start_at(proxy.address));
+        self.proxies.push(proxy);
+    }
+
+    /// Place of the host that has the duty.
+    fn holder(&self) -> usize {
+        let has_duty = |host: &Host| !host.events("duty_taken").is_empty();
+        let place = self.site.hosts.iter().position(has_duty);
+        place.expect("a holder")
+    }
+
+    /// Servers that get the requests.
+    pub fn servers(&self, asked: Asked) -> &[Server] {
+        match asked {
+            Asked::Keys => &self.site.keyed,
+            Asked::Orders => &self.site.orders,
+        }
+    }
+
+    /// The server that a test is about.
+    pub fn server(&self, asked: Asked) -> &Server {
+        &self.servers(asked)[0]
+    }
+
+    /// Lets `beside` happen for as long as `time`.
+    pub async fn suffer(&mut self, beside: Beside, asked: Asked, time: Duration) {
+        let end = Instant::now() + time;
+        let hosts = self.proxies.len();
+        let store = |deployment: &Self, mode: Mode, hosts: usize| {
+            let proxies = deployment.proxies.iter().take(hosts);
+            proxies.for_each(|proxy| proxy.set(mode));
+        };
+        match beside {
+            Beside::Nothing => {}
+            Beside::StoreAway => store(self, Mode::Silent, hosts),
+            Beside::HostCut => store(self, Mode::Silent, 1),
+            Beside::HolderCut => self.proxies[self.holder()].set(Mode::Silent),
+            Beside::ReadyAgain => {
+                while Instant::now() < end {
+                    self.server(asked).declare(&self.site.store, "ready");
+                    time::sleep(Duration::from_millis(400)).await;
+                }
+            }
+            Beside::EntryLapses => {
+                time::sleep(Duration::from_millis(300)).await;
+                self.server(asked).lapse(&self.site.store);
+                // Back only after the bound of what was told before.
+                time::sleep(DRAIN).await;
+                self.server(asked).declare(&self.site.store, "ready");
+            }
+            Beside::HostFrozen => {
+                time::sleep(Duration::from_millis(300)).await;
+                self.site.hosts[0].signal("STOP");
+                time::sleep(Duration::from_millis(1_200)).await;
+                self.site.hosts[0].signal("CONT");
+            }
+            Beside::HostNew => {
+                self.add_host().await;
+                let place = self.site.hosts.len() - 1;
+                self.traffic.add(place, self.site.hosts[place].callers);
+            }
+        }
+        time::sleep(end.saturating_duration_since(Instant::now())).await;
+        store(self, Mode::Pass, hosts);
+    }
+}
+
+/// Requests that reached a server, each with what its caller knows of it.
+pub fn visits_by_host(server: &Server, traffic: &Traffic) -> HashMap<usize, Vec<(Visit, Sent)>> {
+    let sent = traffic.sent();
+    let mut by_host: HashMap<usize, Vec<(Visit, Sent)>> = HashMap::new();
+    for visit in server.visits() {
+        // What is still on its way, or came from the test itself, is left out.
+        if let Some(sent) = sent.get(&visit.id) {
+            by_host
+                .entry(sent.host)
+                .or_default()
+                .push((visit, sent.clone()));
+        }
+    }
+    by_host
+}
+
+/// Promises that were broken, as the servers saw it.
+pub fn violations(deployment: &Deployment) -> Result<(), String> {
+    let violations = deployment.site.record.violations();
+    if violations.is_empty() {
+        Ok(())
+    } else {
+        Err(violations.join("; "))
+    }
+}
+
+/// Plays every case at the same time, each with a deployment of its own; tells all that failed.
+pub async fn play<F>(
+    cases: impl IntoIterator<Item = (Beside, Asked)>,
+    of: impl Fn(Beside, Asked) -> F,
+) where
+    F: Future<Output = Result<(), String>> + 'static,
+{
+    let _turn = TURN.lock().await;
+    let mut playing = JoinSet::new();
+    let local = LocalSet::new();
+    for (beside, asked) in cases {
+        let played = of(beside, asked);
+        playing.spawn_local_on(async move { (beside, asked, played.await) }, &local);
+    }
+    let mut failed = Vec::new();
+    let all = async {
+        while let Some(played) = playing.join_next().await {
+            let (beside, asked, outcome) = played.expect("a case ends");
+            if let Err(problem) = outcome {
+                failed.push(format!("{asked:?}, {beside:?}: {problem}"));
+            }
+        }
+    };
+    local.run_until(all).await;
+    assert!(failed.is_empty(), "{failed:#?}");
+}
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, reason = "each test binary uses a part of this")]
 
 pub mod caller;
+pub mod deployment;
 pub mod hosts;
 pub mod proxy;
 pub mod server;
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -206,6 +206,8 @@
     leaving: AtomicBool,
     /// Rest that it asks for as it turns every request away; 0 if it takes them.
     rest_ms: AtomicU64,
+    /// Rate that all answers name.
+    rate_limit: Mutex<Option<String>>,
     visits: Mutex<Vec<Visit>>,
     served: AtomicU64,
     /// What a mortal server runs on: its end closes all of its sockets at once, as that of a process.
@@ -291,6 +293,7 @@
             arrivals: Mutex::default(),
             leaving: AtomicBool::new(false),
             rest_ms: AtomicU64::new(0),
+            rate_limit: Mutex::default(),
             visits: Mutex::default(),
             served: AtomicU64::new(0),
             runtime: Mutex::new(None),
@@ -348,6 +351,11 @@
         self.state.rest_ms.store(rest_ms, Ordering::Relaxed);
     }
 
+    /// Lets all answers name from now on the requests a second that the server takes; `None` for no limit.
+    pub fn name_limit(&self, rate: Option<&str>) {
+        *lock(&self.state.rate_limit) = rate.map(str::to_owned);
+    }
+
     /// Requests that reached it.
     pub fn visits(&self) -> Vec<Visit> {
         lock(&self.state.visits).clone()
@@ -455,7 +463,11 @@
 impl State {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let leaves = self.leaving.load(Ordering::Relaxed);
-        let mut response = self.respond(request).await;
+        let mut response = self.clone().respond(request).await;
+        if let Some(rate) = lock(&self.rate_limit).as_deref() {
+            let value = HeaderValue::from_str(rate).expect("a value");
+            response.headers_mut().insert("server-limit", value);
+        }
         if leaves {
             let value = HeaderValue::from_static("1");
             response.headers_mut().insert("server-leaving", value);
--- a/tests/platform_standin/traffic.rs
+++ b/tests/platform_standin/traffic.rs
@@ -13,7 +13,7 @@
 use http::StatusCode;
 use tokio::time;
 
-use super::caller::{Ask, Caller};
+use super::caller::{Answer, Ask, Caller};
 
 /// Pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(15);
@@ -42,6 +42,8 @@
     pub answered: Instant,
     /// True if the answer says that its server leaves.
     pub says_leaving: bool,
+    /// True if the answer names a rate limit.
+    pub names_limit: bool,
 }
 
 /// Callers that send until this is dropped.
@@ -123,14 +125,15 @@
             deadline_ms: DEADLINE_MS,
         })
         .await;
-    let says_leaving =
-        |answer: &super::caller::Answer| answer.headers.contains_key("server-leaving");
+    let says_leaving = |answer: &Answer| answer.headers.contains_key("server-leaving");
+    let names_limit = |answer: &Answer| answer.headers.contains_key("server-limit");
     let sent = Sent {
         host,
         at,
         status: answer.as_ref().map(|answer| answer.status),
         answered: Instant::now(),
         says_leaving: answer.as_ref().is_some_and(says_leaving),
+        names_limit: answer.as_ref().is_some_and(names_limit),
     };
     (id, sent)
 }
