--- a/src/entry/decide/hot_keys.rs
+++ b/src/entry/decide/hot_keys.rs
@@ -52,7 +52,7 @@
 ) -> Vec<HotKey> {
     let capacities: HashMap<&str, f64> = servers
         .iter()
-        .map(|server| (&*server.id, server.capacity_per_s))
+        .map(|server| (&*server.id, server.unlimited_per_s))
         .collect();
     let mut found = Vec::new();
     for holding in &assignment.holdings {
--- a/src/entry/decide/plan.rs
+++ b/src/entry/decide/plan.rs
@@ -19,8 +19,10 @@
 pub struct PlanServer {
     /// Incarnation.
     pub id: Arc<str>,
-    /// Requests a second that it can serve.
+    /// Requests a second that it can serve, and takes.
     pub capacity_per_s: f64,
+    /// Requests a second that it could serve if it took any rate.
+    pub unlimited_per_s: f64,
 }
 
 /// A move that should be made.
@@ -277,7 +279,8 @@
             let Some(from) = self.most_used(&[]) else {
                 return;
             };
-            let Some(range) = self.carve(&from, self.used[&from] / 2.0) else {
+            let wanted = (self.used[&from] / 2.0).min(self.capacity(&to));
+            let Some(range) = self.carve(&from, wanted) else {
                 return;
             };
             self.shift(range, &from, to, "joined");
@@ -327,12 +330,10 @@
                 self.carve(&from, wanted)
             };
             let Some(range) = carved else {
-                if hot_load > 0.0 {
-                    // It has only its hot key left; the others are balanced all the same.
-                    settled.push(from);
-                    continue;
-                }
-                return;
+                // It has only a hot key left, or takes less than its least range: the others are balanced all the
+                // same.
+                settled.push(from);
+                continue;
             };
             let load = self.question.loads.of(range);
             // A move that only swaps the roles of the two servers gains nothing.
--- a/src/entry/decide/return_time.rs
+++ b/src/entry/decide/return_time.rs
@@ -12,6 +12,10 @@
 /// ms after the first answer in 36 of 40 moves, with three hosts on one machine.
 const REST_MOVE_MS: u64 = 150;
 
+/// Time after which keys that are too many for a limited server are at others: two rounds of the planner, and a
+/// move.
+const LIMIT_MOVE_MS: u64 = 300;
+
 /// Why a request is refused. It has not run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -51,6 +55,13 @@
         Self::after(reason, rest_ms.min(REST_MOVE_MS), policy)
     }
 
+    /// The key's server gets as many requests as it takes from all hosts. The keys that are too many for it go to
+    /// others.
+    pub fn limited(policy: &Policy) -> Self {
+        let reason = "the key's server gets as much as it takes";
+        Self::after(reason, LIMIT_MOVE_MS, policy)
+    }
+
     /// The host has just started.
     pub fn starting(reason: &'static str) -> Self {
         Self {
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -14,6 +14,7 @@
             admission,
             choice::{self, Question},
             hold::{self, Hold, MoveRest, MoveWait},
+            rate_limit,
             return_time::Refused,
         },
         news::followed::Followed,
@@ -38,6 +39,31 @@
     Ok(awake)
 }
 
+/// Those of the servers that a request may go to by the rates that they take. It has a ticket of one of the limited
+/// servers at most, unless what these take is more than what callers ask for.
+fn under_rate_limits(servers: Vec<&Arc<Server>>, hosts: usize) -> Vec<&Arc<Server>> {
+    let point: f64 = rand::random();
+    let mut before = 0.0;
+    let may_go = |server: &&Arc<Server>| {
+        let Some(part) = server.rate_part(hosts) else {
+            return true;
+        };
+        server.note_asked();
+        let has_ticket = rate_limit::has_ticket(point, before, part.ticket);
+        before += part.ticket;
+        has_ticket && server.has_rate_token(part)
+    };
+    servers.into_iter().filter(may_go).collect()
+}
+
+/// True if a request that only one server may serve can go there by the rate that it takes.
+fn is_under_rate_limit(server: &Server, hosts: usize) -> bool {
+    let Some(part) = server.rate_part(hosts) else {
+        return true;
+    };
+    rate_limit::has_ticket(rand::random(), 0.0, part.ticket) && server.has_rate_token(part)
+}
+
 impl Passage<'_> {
     /// The server that the request goes to, or why it is refused.
     pub(super) async fn choose(&mut self, entry: &Entry) -> Result<Arc<Server>, Refused> {
@@ -81,6 +107,11 @@
         let policy = &entry.settings.policy;
         let registry = entry.view.registry();
         let usable = self.free_servers(entry, &registry)?;
+        let usable = under_rate_limits(usable, entry.sharing_hosts());
+        if usable.is_empty() {
+            let reason = "all servers get as much as they take";
+            return Err(self.refused_for_a_run(entry, reason));
+        }
         let seen = usable.iter().map(|server| self.candidate(entry, server));
         let question = Question {
             servers: &seen.collect::<Vec<_>>(),
@@ -91,6 +122,7 @@
         match choice::pick(question, policy, &mut rand::rng()) {
             Some(place) => {
                 usable[place].take_turn(self.cold_rule);
+                usable[place].take_rate_token();
                 Ok(usable[place].clone())
             }
             None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
@@ -172,6 +204,7 @@
             return Err(Refused::soon("the key's server is gone", policy));
         };
         self.last = Some(server.clone());
+        server.note_asked();
         let limits = &entry.limits;
         if !server.serves_held_keys(limits.evacuation_hold_ms)
             || server.is_closed_to(self.times.arrived_ms, limits.notice_hold_ms)
@@ -190,7 +223,11 @@
         if !admission::has_room(&seen, typical_ms, self.demand(entry), policy) {
             return Err(self.refused_for_a_run(entry, "the key's server is overloaded"));
         }
+        if !is_under_rate_limit(server, entry.sharing_hosts()) {
+            return Err(Refused::limited(policy));
+        }
         server.take_turn(self.cold_rule);
+        server.take_rate_token();
         Ok(server.clone())
     }
 
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -247,12 +247,16 @@
         let typical_ms = registry.typical_run_ms(service);
         let zone = &self.entry.settings.availability_zone;
         let policy = &self.entry.settings.policy;
-        let plan_server = |server: &Arc<Server>| PlanServer {
-            id: server.entry.id.clone(),
-            capacity_per_s: admission::capacity_per_s(
-                &server.candidate(zone, None, policy),
-                typical_ms,
-            ),
+        let now_ms = clock::now_ms();
+        let plan_server = |server: &Arc<Server>| {
+            let seen = server.candidate(zone, None, policy);
+            let unlimited_per_s = admission::capacity_per_s(&seen, typical_ms);
+            let limit_per_s = server.planned_limit_per_s(now_ms);
+            PlanServer {
+                id: server.entry.id.clone(),
+                capacity_per_s: limit_per_s.unwrap_or(unlimited_per_s).min(unlimited_per_s),
+                unlimited_per_s,
+            }
         };
         let mut servers: Vec<PlanServer> = usable.into_iter().map(plan_server).collect();
         servers.sort_by(|a, b| a.id.cmp(&b.id));
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 pub mod owners;
 pub mod peers;
 mod pool;
+mod rate_limits;
 pub mod registry;
 pub mod relay;
 mod rows;
@@ -39,7 +40,7 @@
 };
 
 use std::sync::{
-    Arc,
+    Arc, Mutex, MutexGuard, PoisonError,
     atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
@@ -48,7 +49,9 @@
 
 use self::{
     crashes::Crashes,
-    decide::{budget::RetryBudget, hot_keys::HotKeys, kinds::Kinds, rests::Rests},
+    decide::{
+        budget::RetryBudget, hot_keys::HotKeys, kinds::Kinds, rate_limit::AskedByHost, rests::Rests,
+    },
     duty::Duty,
     limits::TimeLimits,
     metrics::Metrics,
@@ -92,6 +95,8 @@
     noticed: Notify,
     /// Rests that servers asked hosts for, while this host has the duty.
     rests: Rests,
+    /// What is asked of servers that name a limit, while this host has the duty.
+    asked_by_host: Mutex<AskedByHost>,
     /// Run times by route.
     pub kinds: Kinds,
     /// Counters and histograms.
@@ -128,6 +133,7 @@
             crashes: Crashes::default(),
             noticed: Notify::new(),
             rests: Rests::default(),
+            asked_by_host: Mutex::default(),
             kinds: Kinds::default(),
             metrics: Metrics::default(),
             stopping: AtomicBool::new(false),
@@ -141,12 +147,22 @@
     /// The rule for cold servers of a service. Until the other hosts are read from the store this host
     /// does not know how many share what a cold server bears.
     fn cold_rule(&self, warmup: Warmup) -> ColdRule {
-        let hosts = if self.view.are_hosts_known() {
+        ColdRule::new(warmup, self.sharing_hosts())
+    }
+
+    /// Number of hosts that share what a server bears, this one included.
+    fn sharing_hosts(&self) -> usize {
+        if self.view.are_hosts_known() {
             self.peers.hosts()
         } else {
             HOSTS_UNKNOWN
-        };
-        ColdRule::new(warmup, hosts)
+        }
+    }
+
+    fn asked_by_host(&self) -> MutexGuard<'_, AskedByHost> {
+        self.asked_by_host
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// True if the balancer should send callers here.
--- a/src/entry/notices.rs
+++ b/src/entry/notices.rs
@@ -7,9 +7,8 @@
 
 use super::{
     Entry,
-    decide::rate_limit::LimitWord,
     events::Event,
-    model::{Notice, ToldLimit},
+    model::Notice,
     peers::message::{ENTRIES_MAX, Message, ServerRest},
     server::Server,
 };
@@ -34,20 +33,6 @@
         self.noticed.notify_one();
     }
 
-    /// Takes in what a server's answer to a request of this host said of the rate that it takes.
-    pub(in crate::entry) fn note_told_limit(&self, server: &Server, told: ToldLimit) {
-        let per_s = match told {
-            ToldLimit::Unlimited => None,
-            ToldLimit::PerS(per_s) => Some(per_s),
-            // Neither a limit nor its end.
-            ToldLimit::Unknown => return,
-        };
-        let at_ms = clock::now_ms();
-        if server.note_rate_limit(LimitWord { per_s, at_ms }) {
-            log_rate_limit(server, "its answer");
-        }
-    }
-
     /// Tells the holder what servers have said; the holder tells all hosts.
     pub(in crate::entry) async fn keep_telling_notices(self: Arc<Self>) {
         loop {
@@ -149,14 +134,3 @@
     }
     .log();
 }
-
-fn log_rate_limit(server: &Server, source: &'static str) {
-    Event::ServerRateLimit {
-        server: server.entry.id.clone(),
-        service: server.entry.service.clone(),
-        per_s: server.rate_limit_per_s(),
-        sent_per_s: server.sent_per_s(),
-        source,
-    }
-    .log();
-}
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -19,7 +19,7 @@
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
-pub const VERSION: u8 = 13;
+pub const VERSION: u8 = 14;
 
 /// One host's requests at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -70,6 +70,19 @@
     pub rest_ms: u32,
 }
 
+/// What is known of the rate that a server takes from all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServerRate {
+    /// Short name of the server.
+    pub server_tag: u32,
+    /// Requests a second by its latest word; `None` if it takes any rate again.
+    pub limit_per_s: Option<f64>,
+    /// Age of that word.
+    pub age_ms: u32,
+    /// Requests a second that callers ask of it.
+    pub asked_per_s: f32,
+}
+
 /// Requests for one key since the last report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KeyCount {
@@ -176,6 +189,10 @@
     Trying(RequestDigest),
     /// Servers that want no requests of the sender for a time. For the holder of the duty.
     Resting(Vec<ServerRest>),
+    /// Rates of servers, with what the sender's callers ask of them. For the holder of the duty.
+    Asked(Vec<ServerRate>),
+    /// Rates of servers as the holder of the duty knows them, with what the callers of all hosts ask of them.
+    Rates(Vec<ServerRate>),
     /// Short names of servers that have told the sender that they leave, while their entries do not say so. For
     /// the holder of the duty.
     SaidLeaving(Vec<u32>),
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -152,6 +152,8 @@
             }
             Message::Trying(digest) => self.note_trial(digest, from),
             Message::Resting(rests) => self.take_rests(from, &rests),
+            Message::Asked(rates) => self.take_rates(from, &rates),
+            Message::Rates(rates) => self.take_sums(&rates),
             Message::SaidLeaving(tags) => self.take_said_leaving(&tags),
             Message::Leaving(tags) => {
                 self.note_leaving_elsewhere(&tags);
--- /dev/null
+++ b/src/entry/rate_limits.rs
@@ -0,0 +1,147 @@
+//! Rates that servers take from all hosts together: each host tells the holder of the duty what servers have named
+//! and what its callers ask of them; the holder tells all hosts the latest word and the sum, by which each takes its
+//! part.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use tokio::time;
+
+use super::{
+    Entry,
+    decide::rate_limit::LimitWord,
+    events::Event,
+    model::ToldLimit,
+    peers::message::{ENTRIES_MAX, Message, ServerRate},
+    server::Server,
+};
+use crate::clock;
+
+/// Interval of reports among few hosts.
+const TELL_EVERY_MS: u64 = 150;
+/// The same for each host, among many: the holder hears all of them.
+const TELL_EVERY_MS_BY_HOST: u64 = 2;
+
+impl Entry {
+    /// Takes in what a server's answer to a request of this host said of the rate that it takes.
+    pub(in crate::entry) fn note_told_limit(&self, server: &Server, told: ToldLimit) {
+        let per_s = match told {
+            ToldLimit::Unlimited => None,
+            ToldLimit::PerS(per_s) => Some(per_s),
+            ToldLimit::Unknown => return,
+        };
+        let at_ms = clock::now_ms();
+        note_word(server, LimitWord { per_s, at_ms }, "its answer");
+    }
+
+    /// Tells the holder what this host knows of servers' rates; as the holder, tells all hosts.
+    pub(in crate::entry) async fn keep_telling_rates(self: Arc<Self>) {
+        loop {
+            let every_ms = TELL_EVERY_MS.max(TELL_EVERY_MS_BY_HOST * self.peers.hosts() as u64);
+            time::sleep(Duration::from_millis(every_ms)).await;
+            let rates = self.own_rates();
+            if self.duty.term() == 0 {
+                self.report_rates(rates);
+            } else {
+                self.take_rates(self.settings.listen.peers, &rates);
+                self.tell_rates();
+            }
+        }
+    }
+
+    /// What this host knows of the rates of servers, with what its own callers ask for.
+    fn own_rates(&self) -> Vec<ServerRate> {
+        let now_ms = clock::now_ms();
+        self.rates(now_ms, |server| server.report_asked_per_s(now_ms))
+    }
+
+    fn rates(&self, now_ms: u64, asked_per_s: impl Fn(&Server) -> f64) -> Vec<ServerRate> {
+        let registry = self.view.registry();
+        let told = registry.servers().filter_map(|server| {
+            let word = server.rate_limit_news(now_ms)?;
+            Some(ServerRate {
+                server_tag: server.tag,
+                limit_per_s: word.per_s,
+                age_ms: now_ms.saturating_sub(word.at_ms) as u32,
+                asked_per_s: asked_per_s(server) as f32,
+            })
+        });
+        told.collect()
+    }
+
+    fn report_rates(&self, rates: Vec<ServerRate>) {
+        for rates in rates.chunks(ENTRIES_MAX / 2) {
+            if !self.peers.send_to_holder(&Message::Asked(rates.to_vec())) {
+                log::debug!("no holder hears what is asked of limited servers");
+            }
+        }
+    }
+
+    /// Takes in, as the holder, what a host knows of the rates of servers.
+    pub(in crate::entry) fn take_rates(&self, host: SocketAddr, rates: &[ServerRate]) {
+        if self.duty.term() == 0 {
+            return;
+        }
+        let now_ms = clock::now_ms();
+        self.note_words(rates, now_ms);
+        let mut asked = self.asked_by_host();
+        for rate in rates {
+            let per_s = f64::from(rate.asked_per_s);
+            asked.note(rate.server_tag, host, per_s, now_ms);
+        }
+    }
+
+    /// Tells all hosts, as the holder, the rates of servers, and what the callers of all hosts ask for.
+    fn tell_rates(&self) {
+        let now_ms = clock::now_ms();
+        let rates = {
+            let mut asked = self.asked_by_host();
+            let sums = std::cell::RefCell::new(&mut *asked);
+            let rates = self.rates(now_ms, |server| {
+                sums.borrow_mut().sum_per_s(server.tag, now_ms)
+            });
+            asked.retain(|tag| rates.iter().any(|rate| rate.server_tag == tag));
+            rates
+        };
+        self.take_sums(&rates);
+        for rates in rates.chunks(ENTRIES_MAX / 2) {
+            self.peers.send_to_all(Message::Rates(rates.to_vec()));
+        }
+    }
+
+    /// Takes in what the holder knows of the rates of servers, and what the callers of all hosts ask for.
+    pub(in crate::entry) fn take_sums(&self, rates: &[ServerRate]) {
+        let now_ms = clock::now_ms();
+        self.note_words(rates, now_ms);
+        let registry = self.view.registry();
+        for rate in rates {
+            let named = registry.servers().filter(|s| s.tag == rate.server_tag);
+            named.for_each(|server| server.note_all_asked(f64::from(rate.asked_per_s), now_ms));
+        }
+    }
+
+    fn note_words(&self, rates: &[ServerRate], now_ms: u64) {
+        let registry = self.view.registry();
+        for rate in rates {
+            let word = LimitWord {
+                per_s: rate.limit_per_s,
+                at_ms: now_ms.saturating_sub(u64::from(rate.age_ms)),
+            };
+            let named = registry.servers().filter(|s| s.tag == rate.server_tag);
+            named.for_each(|server| note_word(server, word, "another host"));
+        }
+    }
+}
+
+fn note_word(server: &Server, word: LimitWord, source: &'static str) {
+    if !server.note_rate_limit(word) {
+        return;
+    }
+    Event::ServerRateLimit {
+        server: server.entry.id.clone(),
+        service: server.entry.service.clone(),
+        per_s: server.rate_limit_per_s(),
+        sent_per_s: server.sent_per_s(),
+        source,
+    }
+    .log();
+}
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -14,7 +14,7 @@
         behaviour::Behaviour,
         notices::{Learned, Notices},
         pace::Pace,
-        rate_limit::LimitWord,
+        rate_limit::{Asked, Bucket, LimitWord, Part},
         rate_meter::RateMeter,
         warmup::{self, Turns},
     },
@@ -55,6 +55,7 @@
     runs: Mutex<Runs>,
     /// Requests that this host sent to it.
     sent: Mutex<RateMeter>,
+    rate_share: Mutex<RateShare>,
     /// Connections to it that broke off.
     pub break_offs: BreakOffs,
 }
@@ -68,6 +69,13 @@
     own: Option<(f64, u64)>,
 }
 
+/// This host's share of the rate that a server takes from all hosts together.
+#[derive(Debug, Default)]
+struct RateShare {
+    asked: Asked,
+    bucket: Bucket,
+}
+
 /// What the servers of a service bear while they are cold, and how many hosts share that.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
@@ -114,6 +122,7 @@
             behaviour: Mutex::default(),
             runs: Mutex::default(),
             sent: Mutex::default(),
+            rate_share: Mutex::default(),
             break_offs: BreakOffs::default(),
             entry,
         };
@@ -268,6 +277,51 @@
         self.notices().rate_limit.per_s()
     }
 
+    /// The same for the planner.
+    pub fn planned_limit_per_s(&self, now_ms: u64) -> Option<f64> {
+        self.notices().rate_limit.planned_per_s(now_ms)
+    }
+
+    /// Its latest word of a rate, if other hosts should hear it.
+    pub fn rate_limit_news(&self, now_ms: u64) -> Option<LimitWord> {
+        self.notices().rate_limit.news(now_ms)
+    }
+
+    /// Counts a request that callers of this host ask of it.
+    pub fn note_asked(&self) {
+        self.rate_share().asked.note(clock::now_ms());
+    }
+
+    /// Requests a second that callers of this host ask of it, to be reported now.
+    pub fn report_asked_per_s(&self, now_ms: u64) -> f64 {
+        self.rate_share().asked.report_per_s(now_ms)
+    }
+
+    /// Notes the requests a second that callers of all hosts ask of it.
+    pub fn note_all_asked(&self, per_s: f64, now_ms: u64) {
+        self.rate_share().asked.note_all(per_s, now_ms);
+    }
+
+    /// This host's part of the rate that it takes, shared with so many hosts; `None` if it takes any rate.
+    pub fn rate_part(&self, hosts: usize) -> Option<Part> {
+        let limit_per_s = self.rate_limit_per_s()?;
+        let share = self.rate_share();
+        Some(share.asked.part(limit_per_s, hosts, clock::now_ms()))
+    }
+
+    /// True if this host's part leaves room for a request now.
+    pub fn has_rate_token(&self, part: Part) -> bool {
+        let bucket = &mut self.rate_share().bucket;
+        bucket.has_token(part.bucket_per_s, clock::now_ms())
+    }
+
+    /// Notes that a request is about to be sent, which uses a part of its rate if that is limited.
+    pub fn take_rate_token(&self) {
+        if self.rate_limit_per_s().is_some() {
+            self.rate_share().bucket.take();
+        }
+    }
+
     /// Requests a second that this host sends to it.
     pub fn sent_per_s(&self) -> f64 {
         self.sent().per_s(clock::now_ms())
@@ -402,6 +456,12 @@
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn rate_share(&self) -> MutexGuard<'_, RateShare> {
+        self.rate_share
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn sent(&self) -> MutexGuard<'_, RateMeter> {
         self.sent.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/entry_load.rs
+++ b/tests/entry_load.rs
@@ -203,6 +203,7 @@
         .map(|(number, capacity_per_s)| PlanServer {
             id: format!("s{number}").into(),
             capacity_per_s: *capacity_per_s,
+            unlimited_per_s: *capacity_per_s,
         })
         .collect();
     let mut assignment = Assignment::default();
@@ -294,6 +295,103 @@
     }
 }
 
+#[test]
+fn a_server_that_takes_little_keeps_little_and_the_others_stay_balanced() {
+    struct Case {
+        name: &'static str,
+        limits_per_s: &'static [f64],
+        /// Requests a second of one key of the first server.
+        key_per_s: f32,
+    }
+    let cases = [
+        Case {
+            name: "two limited servers of nine",
+            limits_per_s: &[7.6, 9.7],
+            key_per_s: 0.2,
+        },
+        Case {
+            name: "a key with more than its server takes",
+            limits_per_s: &[0.5],
+            key_per_s: 6.0,
+        },
+        Case {
+            name: "a server that takes nothing",
+            limits_per_s: &[0.25],
+            key_per_s: 0.2,
+        },
+        Case {
+            name: "a third of the servers",
+            limits_per_s: &[5.0, 5.0, 5.0],
+            key_per_s: 0.2,
+        },
+    ];
+    for case in cases {
+        let (mut servers, mut assignment) = uneven_servers(&[66.0; 9]);
+        for (server, limit_per_s) in servers.iter_mut().zip(case.limits_per_s) {
+            server.capacity_per_s = *limit_per_s;
+        }
+        let mut loads = KeyLoads::default();
+        for key in (0..=u16::MAX).step_by(64) {
+            loads.add(key, 0.2);
+        }
+        // Besides, one of the others has more than its part.
+        for key in 60_000..60_100 {
+            loads.add(key, 0.5);
+        }
+        loads.add(1_000, case.key_per_s);
+        let used = settle(&servers, &mut assignment, &loads, &[]);
+        for server in &servers {
+            let used = used.get(&server.id).copied().unwrap_or(0.0);
+            let most = server.capacity_per_s * 0.85;
+            let (name, id) = (case.name, &server.id);
+            assert!(used <= most, "{name}: {id} has {used} of {most}");
+        }
+    }
+}
+
+#[test]
+fn a_server_that_takes_less_than_can_be_moved_does_not_keep_the_others_from_balance() {
+    let (mut servers, mut assignment) = uneven_servers(&[66.0; 9]);
+    servers[0].capacity_per_s = 0.25;
+    let mut loads = KeyLoads::default();
+    loads.add(1_000, 0.4);
+    for key in (8_000..=u16::MAX).step_by(64) {
+        loads.add(key, 0.2);
+    }
+    for key in 60_000..60_100 {
+        loads.add(key, 0.5);
+    }
+    let used = settle(&servers, &mut assignment, &loads, &[]);
+    let busiest = used["s8"];
+    assert!(busiest < 66.0 * 0.85, "{busiest} of 66 requests a second");
+}
+
+#[test]
+fn a_server_that_joins_and_takes_little_gets_little() {
+    let (mut servers, assignment) = uneven_servers(&[66.0; 8]);
+    servers.push(PlanServer {
+        id: "joins".into(),
+        capacity_per_s: 3.0,
+        unlimited_per_s: 66.0,
+    });
+    let mut loads = KeyLoads::default();
+    for key in (0..=u16::MAX).step_by(64) {
+        loads.add(key, 0.2);
+    }
+    let moves = plan::plan(Question {
+        assignment: &assignment,
+        servers: &servers,
+        loads: &loads,
+        moving: &[],
+        balance_moves_max: 8,
+        hot: &[],
+        policy: &Policy::default(),
+    });
+    let given = moves.iter().filter(|planned| &*planned.to == "joins");
+    let load: f64 = given.map(|planned| loads.of(planned.range)).sum();
+    assert!(load > 0.0 && load <= 3.0, "{load} requests a second");
+}
+
 #[test]
 fn a_hot_key_stays_where_no_server_is_much_faster() {
     let (servers, mut assignment) = uneven_servers(&[50.0, 50.0, 55.0, 60.0]);
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -199,6 +199,7 @@
     let servers = ids.iter().map(|id| PlanServer {
         id: id.as_str().into(),
         capacity_per_s: 66.0,
+        unlimited_per_s: 66.0,
     });
     servers.collect()
 }
--- /dev/null
+++ b/tests/rate_shares.rs
@@ -0,0 +1,338 @@
+//! Hosts that share the rate which a server takes, played in virtual time on the deciding code: what the server gets, in
+//! every window, and what is left unused.
+
+use std::{
+    collections::BinaryHeap,
+    net::{Ipv4Addr, SocketAddr},
+};
+
+use ashroad::entry::decide::{
+    rate_limit::{self, Asked, AskedByHost, Bucket, LimitWord, RateLimit},
+    rate_meter::RateMeter,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Interval at which hosts report and the holder tells the sum.
+const TELL_EVERY_MS: u64 = 150;
+/// Time from a report to its place in the sums that all hosts know.
+const TELL_DELAY_MS: u64 = 100;
+/// Time from the first word of a limit from which the bound holds.
+const CONTACT_MS: u64 = 3_000;
+/// Length of the windows.
+const WINDOW_MS: u64 = 4_000;
+/// The users' bound: this many times what the limit allows, and some more.
+const EXCESS: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// Length of a play.
+const PLAY_MS: u64 = 24_000;
+/// Share of the limit that must be used while callers ask for twice as much.
+const USED_MIN: f64 = 0.8;
+/// Drawn plays of each case.
+const SEEDS: u64 = 40;
+
+/// A host of the play.
+#[derive(Default)]
+struct Host {
+    asked: Asked,
+    bucket: Bucket,
+    is_deaf: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    hosts: usize,
+    limit_per_s: f64,
+    /// Requests a second of all callers, and the same from half of the play on.
+    asked_per_s: (f64, f64),
+    /// Share of the callers that the first host has.
+    first_share: f64,
+    /// True if the first host's place is taken by the second one from half of the play on.
+    moves: bool,
+    /// Hosts that hear no sums and are not heard.
+    deaf: usize,
+    /// Share of a host that counts fewer hosts than there are.
+    counted: f64,
+}
+
+const CASE: Case = Case {
+    name: "three hosts",
+    hosts: 3,
+    limit_per_s: 10.0,
+    asked_per_s: (40.0, 40.0),
+    first_share: 0.0,
+    moves: false,
+    deaf: 0,
+    counted: 1.0,
+};
+
+/// When the server got requests.
+fn play(case: Case, seed: u64) -> Vec<u64> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let host = |place| Host {
+        is_deaf: place < case.deaf,
+        ..Host::default()
+    };
+    let mut hosts: Vec<Host> = (0..case.hosts).map(host).collect();
+    let mut sums = AskedByHost::default();
+    let mut told: BinaryHeap<std::cmp::Reverse<(u64, u64)>> = BinaryHeap::new();
+    let mut sent = Vec::new();
+    for now_ms in 1_000..1_000 + PLAY_MS {
+        let is_late = now_ms >= 1_000 + PLAY_MS / 2;
+        let per_s = if is_late {
+            case.asked_per_s.1
+        } else {
+            case.asked_per_s.0
+        };
+        let favoured = usize::from(case.moves && is_late);
+        if rng.random::<f64>() < per_s / 1_000.0 {
+            let place = if rng.random::<f64>() < case.first_share {
+                favoured
+            } else {
+                rng.random_range(0..case.hosts)
+            };
+            if asks(&mut hosts[place], case, now_ms, &mut rng) {
+                sent.push(now_ms);
+            }
+        }
+        if now_ms.is_multiple_of(TELL_EVERY_MS) {
+            for (place, host) in hosts
+                .iter_mut()
+                .enumerate()
+                .filter(|(_, host)| !host.is_deaf)
+            {
+                let address = SocketAddr::from((Ipv4Addr::from(place as u32), 1));
+                let own_per_s = host.asked.report_per_s(now_ms);
+                sums.note(1, address, own_per_s, now_ms);
+            }
+            let sum = (sums.sum_per_s(1, now_ms) * 1_000.0) as u64;
+            told.push(std::cmp::Reverse((now_ms + TELL_DELAY_MS, sum)));
+        }
+        while told.peek().is_some_and(|told| told.0.0 <= now_ms) {
+            let std::cmp::Reverse((_, sum)) = told.pop().expect("a sum");
+            let hearing = hosts.iter_mut().filter(|host| !host.is_deaf);
+            hearing.for_each(|host| host.asked.note_all(sum as f64 / 1_000.0, now_ms));
+        }
+    }
+    sent
+}
+
+/// True if a request of a host's caller is sent.
+fn asks(host: &mut Host, case: Case, now_ms: u64, rng: &mut StdRng) -> bool {
+    host.asked.note(now_ms);
+    let counted = (case.hosts as f64 * case.counted) as usize;
+    let part = host.asked.part(case.limit_per_s, counted, now_ms);
+    let has_ticket = rate_limit::has_ticket(rng.random(), 0.0, part.ticket);
+    let is_sent = has_ticket && host.bucket.has_token(part.bucket_per_s, now_ms);
+    if is_sent {
+        host.bucket.take();
+    }
+    is_sent
+}
+
+/// Most requests in a window, from the contact time on.
+fn most_in_a_window(sent: &[u64]) -> usize {
+    let counted: Vec<u64> = sent
+        .iter()
+        .copied()
+        .filter(|at| *at >= 1_000 + CONTACT_MS)
+        .collect();
+    let within = |begin: &u64| {
+        let first = counted.partition_point(|at| at < begin);
+        counted.partition_point(|at| *at < begin + WINDOW_MS) - first
+    };
+    counted.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn hosts_share_a_rate_and_use_it() {
+    let cases = [
+        CASE,
+        Case {
+            name: "eight hosts",
+            hosts: 8,
+            ..CASE
+        },
+        Case {
+            name: "twelve hosts",
+            hosts: 12,
+            ..CASE
+        },
+        Case {
+            name: "300 hosts",
+            hosts: 300,
+            ..CASE
+        },
+        Case {
+            name: "twice as much is asked for",
+            hosts: 8,
+            asked_per_s: (20.0, 20.0),
+            ..CASE
+        },
+        Case {
+            name: "one host has half",
+            hosts: 12,
+            first_share: 0.5,
+            ..CASE
+        },
+        Case {
+            name: "the half moves",
+            hosts: 12,
+            first_share: 0.5,
+            moves: true,
+            ..CASE
+        },
+        Case {
+            name: "the half moves among 300",
+            hosts: 300,
+            first_share: 0.5,
+            moves: true,
+            ..CASE
+        },
+        Case {
+            name: "a low rate",
+            hosts: 8,
+            limit_per_s: 2.0,
+            ..CASE
+        },
+        Case {
+            name: "a rate of a half",
+            hosts: 8,
+            limit_per_s: 0.5,
+            ..CASE
+        },
+        Case {
+            name: "a rate of a half among 300",
+            hosts: 300,
+            limit_per_s: 0.5,
+            ..CASE
+        },
+        Case {
+            name: "a high rate among 300",
+            hosts: 300,
+            limit_per_s: 60.0,
+            asked_per_s: (200.0, 200.0),
+            ..CASE
+        },
+        Case {
+            name: "a surge",
+            hosts: 8,
+            asked_per_s: (20.0, 100.0),
+            ..CASE
+        },
+        Case {
+            name: "a surge among 300",
+            hosts: 300,
+            asked_per_s: (20.0, 60.0),
+            ..CASE
+        },
+        Case {
+            name: "nobody hears",
+            hosts: 8,
+            deaf: 8,
+            ..CASE
+        },
+        Case {
+            name: "nobody hears among 300",
+            hosts: 300,
+            deaf: 300,
+            ..CASE
+        },
+        Case {
+            name: "the host with half is cut off",
+            hosts: 12,
+            first_share: 0.5,
+            deaf: 1,
+            ..CASE
+        },
+    ];
+    let mut failed = Vec::new();
+    for case in cases {
+        let mut all = 0;
+        for seed in 0..SEEDS {
+            let sent = play(case, seed);
+            all += sent.len();
+            let allowed = EXCESS * case.limit_per_s * WINDOW_MS as f64 / 1_000.0 + SLACK;
+            let most = most_in_a_window(&sent);
+            if most as f64 > allowed {
+                failed.push(format!("{}, seed {seed}: {most} of {allowed}", case.name));
+            }
+        }
+        let used = all as f64 / SEEDS as f64 / (PLAY_MS as f64 / 1_000.0) / case.limit_per_s;
+        println!("{}: {used:.2} used", case.name);
+        // Who is cut off has an equal part, whatever its callers ask for.
+        if case.deaf == 0 && used < USED_MIN {
+            failed.push(format!("{}: {used:.2} used", case.name));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+#[test]
+fn what_is_asked_below_the_rate_is_sent() {
+    for hosts in [3, 12, 300] {
+        let case = Case {
+            hosts,
+            asked_per_s: (4.5, 4.5),
+            ..CASE
+        };
+        let sent: usize = (0..SEEDS).map(|seed| play(case, seed).len()).sum();
+        let share = sent as f64 / SEEDS as f64 / (4.5 * PLAY_MS as f64 / 1_000.0);
+        assert!(
+            share > 0.9,
+            "{share:.2} of the requests of {hosts} hosts sent"
+        );
+    }
+}
+
+#[test]
+fn a_surge_from_below_the_rate_is_held() {
+    // Buckets are full then. Among hundreds of hosts the tickets must hold it.
+    for (hosts, surge_per_s) in [(3, 200.0), (8, 100.0), (12, 60.0), (300, 30.0)] {
+        for seed in 0..SEEDS {
+            let case = Case {
+                hosts,
+                asked_per_s: (5.0, surge_per_s),
+                ..CASE
+            };
+            let most = most_in_a_window(&play(case, seed));
+            let allowed = EXCESS * 10.0 * 4.0 + SLACK;
+            assert!(
+                most as f64 <= allowed,
+                "{hosts} hosts, seed {seed}: {most} of {allowed}"
+            );
+        }
+    }
+}
+
+#[test]
+fn the_latest_word_counts_and_silence_ends_nothing_at_once() {
+    let word = |per_s, at_ms| LimitWord { per_s, at_ms };
+    let mut limit = RateLimit::default();
+    limit.note(word(None, 1_000));
+    assert_eq!((limit.per_s(), limit.news(1_000)), (None, None));
+    limit.note(word(Some(8.0), 2_000));
+    limit.note(word(None, 1_500));
+    assert_eq!(limit.per_s(), Some(8.0), "an earlier answer is no news");
+    assert!(limit.take_change() && !limit.take_change());
+    assert_eq!(limit.planned_per_s(11_000), Some(8.0));
+    assert_eq!(limit.planned_per_s(23_000), Some(32.0), "more is tried");
+    assert_eq!(limit.per_s(), Some(8.0), "but no host sends more");
+    limit.note(word(None, 24_000));
+    assert_eq!(limit.per_s(), None);
+    assert_eq!(limit.planned_per_s(24_000), None);
+    assert!(limit.take_change());
+    assert!(limit.news(6_500).is_some(), "its end is told");
+    assert!(limit.news(24_001).is_none());
+}
+
+#[test]
+fn a_meter_tells_the_rate_of_the_last_seconds() {
+    let mut meter = RateMeter::default();
+    assert_eq!(meter.per_s(1_000), 0.0);
+    for step in 0..400 {
+        meter.note(1_000 + step * 20);
+    }
+    assert!((meter.per_s(9_000) - 50.0).abs() < 2.0);
+    assert!(meter.per_s(14_000) < 1.0);
+}
