--- a/src/entry/decide/rate_limit.rs
+++ b/src/entry/decide/rate_limit.rs
@@ -12,6 +12,8 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
+use serde::{Deserialize, Serialize};
+
 use super::rate_meter::RateMeter;
 
 /// Share of a rate that buckets hand out: more than tickets are drawn for, so that chance does not empty them.
@@ -21,16 +23,23 @@
 /// Tokens of a full bucket: this many, and what comes in within a time.
 const BURST_TOKENS: f64 = 2.0;
 const BURST_S: f64 = 0.4;
-/// Least rate that is tried, so that the end of a rate of 0 is heard.
+/// Least rate that is tried, so that the end of a rate of 0 is heard. It doubles with each [`TRIED_AFTER_MS`] without a word,
+/// up to the most, which the users' bound leaves room for in any case.
 const TRIED_PER_S: f64 = 0.25;
+const TRIED_MOST_PER_S: f64 = 1.0;
 /// Time for which a sum of what all callers ask for counts.
 const SUM_KEPT_MS: u64 = 2_000;
 /// Time for which what a host reported counts in a sum.
 const REPORT_KEPT_MS: u64 = 2_000;
 /// Time for which the end of a limit is told.
 const END_TOLD_MS: u64 = 5_000;
+/// Time without a word after which a request that may go to the server does so, whichever other one would suit it better:
+/// else a server that is chosen for nothing would keep its limit for good.
+const TRIED_AFTER_MS: u64 = 2_000;
 /// Time without a word after which the planner lets a server try more.
 const UNHEARD_MS: u64 = 10_000;
+/// Least share of a rate that is left to requests that are not urgent.
+const REST_SHARE_MIN: f64 = 0.25;
 /// Change of a rate that is worth a log line, as a share.
 const CHANGE_LOGGED: f64 = 0.1;
 
@@ -46,7 +55,10 @@
 /// Rate that a server takes from all hosts together, by its latest word.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RateLimit {
+    /// Its latest word to any host.
     latest: Option<LimitWord>,
+    /// Its latest word to this host.
+    own: Option<LimitWord>,
     /// When it last named a limit.
     limited_ms: Option<u64>,
     /// What was logged last.
@@ -54,7 +66,13 @@
 }
 
 impl RateLimit {
-    /// Takes in what the server said; an earlier word than the latest one is no news.
+    /// Takes in what the server said to this host.
+    pub fn note_own(&mut self, word: LimitWord) {
+        self.own = Some(word);
+        self.note(word);
+    }
+
+    /// Takes in what the server said to any host; an earlier word than the latest one is no news.
     pub fn note(&mut self, word: LimitWord) {
         if self.latest.is_some_and(|latest| word.at_ms < latest.at_ms) {
             return;
@@ -70,7 +88,22 @@
         self.latest?.per_s
     }
 
-    /// The same for the planner. A server without a word for long may have no keys that would bring one: what it is
+    /// True if nothing was heard of its limit for a while.
+    pub fn is_unheard(&self, now_ms: u64) -> bool {
+        let latest = self.latest;
+        latest.is_some_and(|word| now_ms >= word.at_ms + TRIED_AFTER_MS)
+    }
+
+    /// Requests a second that hosts share; `None` if it takes any rate.
+    pub fn shared_per_s(&self, now_ms: u64) -> Option<f64> {
+        let latest = self.latest?;
+        let silent_ms = now_ms.saturating_sub(latest.at_ms);
+        let doubled = (silent_ms / TRIED_AFTER_MS) as f64;
+        let tried_per_s = (TRIED_PER_S * doubled.exp2()).min(TRIED_MOST_PER_S);
+        Some(latest.per_s?.max(tried_per_s))
+    }
+
+    /// Requests a second that it takes, for the planner. A server without a word for long may have no keys that would bring one: what it is
     /// thought to take doubles with each further such time.
     pub fn planned_per_s(&self, now_ms: u64) -> Option<f64> {
         let latest = self.latest?;
@@ -80,10 +113,21 @@
         Some(tried_per_s * (1u64 << doubled) as f64)
     }
 
-    /// The latest word, if other hosts should hear it: it names a limit, or the end of one.
-    pub fn news(&self, now_ms: u64) -> Option<LimitWord> {
-        let is_fresh = now_ms < self.limited_ms? + END_TOLD_MS;
-        self.latest.filter(|word| word.per_s.is_some() || is_fresh)
+    /// True if other hosts should hear of it: it names a limit, or has done so lately.
+    pub fn is_news(&self, now_ms: u64) -> bool {
+        let is_fresh = |limited_ms| now_ms < limited_ms + END_TOLD_MS;
+        self.per_s().is_some() || self.limited_ms.is_some_and(is_fresh)
+    }
+
+    /// Its latest word to any host.
+    pub fn latest(&self) -> Option<LimitWord> {
+        self.latest
+    }
+
+    /// Its latest word to this host, which is all that a host reports. A word that came from others would go round
+    /// between the hosts, a little younger each time, and outlive the end of the limit.
+    pub fn own(&self) -> Option<LimitWord> {
+        self.own
     }
 
     /// True once for each change that is worth a log line.
@@ -135,48 +179,105 @@
     pub ticket: f64,
 }
 
-/// What is asked of a server: requests that only it may serve, or for a service of which it is one.
+/// Requests a second that callers ask of a server: those that only it may serve, or for a service of which it is one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct AskedRates {
+    /// All of them.
+    pub all_per_s: f64,
+    /// Those that are more urgent than others of the service.
+    pub urgent_per_s: f64,
+}
+
+impl AskedRates {
+    fn add(&mut self, other: Self) {
+        self.all_per_s += other.all_per_s;
+        self.urgent_per_s += other.urgent_per_s;
+    }
+
+    /// Share of the requests of one urgency for which there are tickets of a rate: urgent ones come first.
+    fn ticket(self, rate_per_s: f64, is_urgent: bool) -> f64 {
+        let for_urgent_per_s = self.urgent_per_s.min(rate_per_s * (1.0 - REST_SHARE_MIN));
+        if is_urgent {
+            // Where others do not use what is theirs, urgent ones do.
+            let rest_per_s = self.all_per_s - self.urgent_per_s;
+            let unused_per_s = (rate_per_s - for_urgent_per_s - rest_per_s).max(0.0);
+            return (for_urgent_per_s + unused_per_s) / self.urgent_per_s.max(f64::MIN_POSITIVE);
+        }
+        let rest_per_s = self.all_per_s - self.urgent_per_s;
+        (rate_per_s - for_urgent_per_s) / rest_per_s.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// What is asked of a server, as one host knows it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Asked {
-    /// By this host's callers.
+    /// By this host's callers: all, and the urgent ones.
     own: RateMeter,
+    own_urgent: RateMeter,
     /// The same as it was reported last.
-    reported_per_s: f64,
+    reported: AskedRates,
     /// By the callers of all hosts, as the holder of the duty summed it up, and when.
-    all: Option<(f64, u64)>,
+    sum: Option<(AskedRates, u64)>,
 }
 
 impl Asked {
     /// Counts a request.
-    pub fn note(&mut self, now_ms: u64) {
+    pub fn note(&mut self, is_urgent: bool, now_ms: u64) {
         self.own.note(now_ms);
+        if is_urgent {
+            self.own_urgent.note(now_ms);
+        }
     }
 
-    /// What this host's callers ask for a second, to be reported now.
-    pub fn report_per_s(&mut self, now_ms: u64) -> f64 {
-        self.reported_per_s = self.own.per_s(now_ms);
-        self.reported_per_s
+    /// What this host's callers ask for, to be reported now.
+    pub fn report(&mut self, now_ms: u64) -> AskedRates {
+        self.reported = self.own(now_ms);
+        self.reported
     }
 
-    /// Notes what the callers of all hosts ask for a second.
-    pub fn note_all(&mut self, per_s: f64, now_ms: u64) {
-        self.all = Some((per_s, now_ms));
+    /// Notes what the callers of all hosts ask for.
+    pub fn note_sum(&mut self, sum: AskedRates, now_ms: u64) {
+        self.sum = Some((sum, now_ms));
     }
 
-    /// The part of a host that shares a rate with `hosts`, itself included.
-    pub fn part(&self, limit_per_s: f64, hosts: usize, now_ms: u64) -> Part {
-        let own_per_s = self.own.per_s(now_ms);
-        let heard = self.all.filter(|(_, at_ms)| now_ms < at_ms + SUM_KEPT_MS);
-        let all_per_s = match heard {
-            // A rise of the own callers is not in the sum yet.
-            Some((per_s, _)) => per_s + (own_per_s - self.reported_per_s).max(0.0),
-            None => own_per_s * hosts.max(1) as f64,
-        };
-        let all_per_s = all_per_s.max(own_per_s).max(f64::MIN_POSITIVE);
-        let limit_per_s = limit_per_s.max(TRIED_PER_S);
+    /// The part for a request of a host that shares a rate with `hosts`, itself included.
+    pub fn part(&self, shared_per_s: f64, hosts: usize, is_urgent: bool, now_ms: u64) -> Part {
+        let own = self.own(now_ms);
+        let all = self.all(own, hosts, now_ms);
+        let share = own.all_per_s / all.all_per_s.max(f64::MIN_POSITIVE);
         Part {
-            bucket_per_s: limit_per_s * BUCKET_SHARE * own_per_s / all_per_s,
-            ticket: limit_per_s * TICKET_SHARE / all_per_s,
+            bucket_per_s: shared_per_s * BUCKET_SHARE * share,
+            ticket: all.ticket(shared_per_s * TICKET_SHARE, is_urgent),
+        }
+    }
+
+    fn own(&self, now_ms: u64) -> AskedRates {
+        AskedRates {
+            all_per_s: self.own.per_s(now_ms),
+            urgent_per_s: self.own_urgent.per_s(now_ms),
+        }
+    }
+
+    /// What the callers of all hosts ask for, by the latest sum, or as if all hosts were asked for as much.
+    fn all(&self, own: AskedRates, hosts: usize, now_ms: u64) -> AskedRates {
+        let heard = self.sum.filter(|(_, at_ms)| now_ms < at_ms + SUM_KEPT_MS);
+        let Some((sum, _)) = heard else {
+            let hosts = hosts.max(1) as f64;
+            return AskedRates {
+                all_per_s: own.all_per_s * hosts,
+                urgent_per_s: own.urgent_per_s * hosts,
+            };
+        };
+        // A rise of the own callers is not in the sum yet.
+        let with_rise =
+            |sum: f64, own: f64, reported: f64| (sum + (own - reported).max(0.0)).max(own);
+        AskedRates {
+            all_per_s: with_rise(sum.all_per_s, own.all_per_s, self.reported.all_per_s),
+            urgent_per_s: with_rise(
+                sum.urgent_per_s,
+                own.urgent_per_s,
+                self.reported.urgent_per_s,
+            ),
         }
     }
 }
@@ -189,22 +290,23 @@
 
 /// What hosts reported that their callers ask of servers, as the holder of the duty knows it.
 #[derive(Debug, Default)]
-pub struct AskedByHost(HashMap<u32, HashMap<SocketAddr, (f64, u64)>>);
+pub struct AskedByHost(HashMap<u32, HashMap<SocketAddr, (AskedRates, u64)>>);
 
 impl AskedByHost {
-    /// Notes what the callers of a host ask a second of a server, by its short name.
-    pub fn note(&mut self, server_tag: u32, host: SocketAddr, per_s: f64, now_ms: u64) {
+    /// Notes what the callers of a host ask of a server, by its short name.
+    pub fn note(&mut self, server_tag: u32, host: SocketAddr, asked: AskedRates, now_ms: u64) {
         let hosts = self.0.entry(server_tag).or_default();
-        hosts.insert(host, (per_s, now_ms));
+        hosts.insert(host, (asked, now_ms));
     }
 
-    /// What the callers of all hosts ask a second of a server. A host that is not heard any more counts for a while.
-    pub fn sum_per_s(&mut self, server_tag: u32, now_ms: u64) -> f64 {
-        let Some(hosts) = self.0.get_mut(&server_tag) else {
-            return 0.0;
-        };
-        hosts.retain(|_, (_, at_ms)| now_ms < *at_ms + REPORT_KEPT_MS);
-        hosts.values().map(|(per_s, _)| per_s).sum()
+    /// What the callers of all hosts ask of a server. A host that is not heard any more counts for a while.
+    pub fn sum(&mut self, server_tag: u32, now_ms: u64) -> AskedRates {
+        let mut sum = AskedRates::default();
+        if let Some(hosts) = self.0.get_mut(&server_tag) {
+            hosts.retain(|_, (_, at_ms)| now_ms < *at_ms + REPORT_KEPT_MS);
+            hosts.values().for_each(|(asked, _)| sum.add(*asked));
+        }
+        sum
     }
 
     /// Forgets servers that name no limit any more.
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -46,24 +46,34 @@
 
 /// Those of the servers that a request may go to by the rates that they take. It has a ticket of one of the limited
 /// servers at most, unless what these take is more than what callers ask for.
-fn under_rate_limits(servers: Vec<&Arc<Server>>, hosts: usize) -> Vec<&Arc<Server>> {
+fn under_rate_limits(
+    servers: Vec<&Arc<Server>>,
+    hosts: usize,
+    is_urgent: bool,
+) -> Vec<&Arc<Server>> {
     let point: f64 = rand::random();
     let mut before = 0.0;
     let may_go = |server: &&Arc<Server>| {
-        let Some(part) = server.rate_part(hosts) else {
+        let Some(part) = server.rate_part(hosts, is_urgent) else {
             return true;
         };
-        server.note_asked();
+        server.note_asked(is_urgent);
         let has_ticket = rate_limit::has_ticket(point, before, part.ticket);
         before += part.ticket;
         has_ticket && server.has_rate_token(part)
     };
-    servers.into_iter().filter(may_go).collect()
+    let servers: Vec<_> = servers.into_iter().filter(may_go).collect();
+    let is_tried =
+        |server: &&&Arc<Server>| server.rate_limit_per_s().is_some() && server.is_rate_unheard();
+    match servers.iter().find(is_tried) {
+        Some(server) => vec![*server],
+        None => servers,
+    }
 }
 
 /// True if a request that only one server may serve can go there by the rate that it takes.
-fn is_under_rate_limit(server: &Server, hosts: usize) -> bool {
-    let Some(part) = server.rate_part(hosts) else {
+fn is_under_rate_limit(server: &Server, hosts: usize, is_urgent: bool) -> bool {
+    let Some(part) = server.rate_part(hosts, is_urgent) else {
         return true;
     };
     rate_limit::has_ticket(rand::random(), 0.0, part.ticket) && server.has_rate_token(part)
@@ -118,7 +128,7 @@
         let policy = &entry.settings.policy;
         let registry = entry.view.registry();
         let usable = self.free_servers(entry, &registry)?;
-        let usable = under_rate_limits(usable, entry.sharing_hosts());
+        let usable = under_rate_limits(usable, entry.sharing_hosts(), self.is_urgent());
         if usable.is_empty() {
             let reason = "all servers get as much as they take";
             return Err(self.refused_for_a_run(entry, reason));
@@ -215,7 +225,7 @@
             return Err(Refused::soon("the key's server is gone", policy));
         };
         self.last = Some(server.clone());
-        server.note_asked();
+        server.note_asked(self.is_urgent());
         let limits = &entry.limits;
         if !server.serves_held_keys(limits.evacuation_hold_ms)
             || server.is_closed_to(self.times.arrived_ms, limits.notice_hold_ms)
@@ -234,7 +244,7 @@
         if !admission::has_room(&seen, typical_ms, self.demand(entry), policy) {
             return Err(self.refused_for_a_run(entry, "the key's server is overloaded"));
         }
-        if !is_under_rate_limit(server, entry.sharing_hosts()) {
+        if !is_under_rate_limit(server, entry.sharing_hosts(), self.is_urgent()) {
             return Err(Refused::limited(policy));
         }
         server.take_turn(self.cold_rule);
--- a/src/entry/forward/passage.rs
+++ b/src/entry/forward/passage.rs
@@ -82,7 +82,6 @@
         } else {
             1.0
         };
-        let urgency = self.route.urgency;
         Demand {
             objective_ms: if objective_ms < ATTEMPT_MS_MIN {
                 0
@@ -91,12 +90,17 @@
             },
             deadline_ms: self.left_ms(),
             run_share,
-            is_urgent: self
-                .configuration
-                .serves_less_urgent(&self.service, urgency),
+            is_urgent: self.is_urgent(),
         }
     }
 
+    /// True if its service also serves less urgent requests.
+    pub(super) fn is_urgent(&self) -> bool {
+        let urgency = self.route.urgency;
+        self.configuration
+            .serves_less_urgent(&self.service, urgency)
+    }
+
     pub(super) fn held_ms(&self) -> u64 {
         clock::now_ms().saturating_sub(self.times.arrived_ms)
     }
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{
-    decide::{hot_keys::HotKey, path_tally::SharedSuspect, trials::Claimed},
+    decide::{
+        hot_keys::HotKey, path_tally::SharedSuspect, rate_limit::AskedRates, trials::Claimed,
+    },
     digest::RequestDigest,
     keys::Holding,
     news::{
@@ -70,17 +72,24 @@
     pub rest_ms: u32,
 }
 
+/// Word of a server of the rate that it takes from all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ToldRate {
+    /// Requests a second; `None` if it takes any rate again.
+    pub limit_per_s: Option<f64>,
+    /// Time since it said so.
+    pub age_ms: u32,
+}
+
 /// What is known of the rate that a server takes from all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerRate {
     /// Short name of the server.
     pub server_tag: u32,
-    /// Requests a second by its latest word; `None` if it takes any rate again.
-    pub limit_per_s: Option<f64>,
-    /// Age of that word.
-    pub age_ms: u32,
-    /// Requests a second that callers ask of it.
-    pub asked_per_s: f32,
+    /// Its latest word, if the sender knows one.
+    pub told: Option<ToldRate>,
+    /// What callers ask of it.
+    pub asked: AskedRates,
 }
 
 /// Requests for one key since the last report.
--- a/src/entry/rate_limits.rs
+++ b/src/entry/rate_limits.rs
@@ -11,7 +11,7 @@
     decide::rate_limit::LimitWord,
     events::Event,
     model::ToldLimit,
-    peers::message::{ENTRIES_MAX, Message, ServerRate},
+    peers::message::{ENTRIES_MAX, Message, ServerRate, ToldRate},
     server::Server,
 };
 use crate::clock;
@@ -30,7 +30,8 @@
             ToldLimit::Unknown => return,
         };
         let at_ms = clock::now_ms();
-        note_word(server, LimitWord { per_s, at_ms }, "its answer");
+        let is_change = server.note_own_rate_limit(LimitWord { per_s, at_ms });
+        log_change(server, is_change, "its answer");
     }
 
     /// Tells the holder what this host knows of servers' rates; as the holder, tells all hosts.
@@ -48,24 +49,17 @@
         }
     }
 
-    /// What this host knows of the rates of servers, with what its own callers ask for.
+    /// What servers told this host of their rates, with what its own callers ask for.
     fn own_rates(&self) -> Vec<ServerRate> {
         let now_ms = clock::now_ms();
-        self.rates(now_ms, |server| server.report_asked_per_s(now_ms))
-    }
-
-    fn rates(&self, now_ms: u64, asked_per_s: impl Fn(&Server) -> f64) -> Vec<ServerRate> {
         let registry = self.view.registry();
-        let told = registry.servers().filter_map(|server| {
-            let word = server.rate_limit_news(now_ms)?;
-            Some(ServerRate {
-                server_tag: server.tag,
-                limit_per_s: word.per_s,
-                age_ms: now_ms.saturating_sub(word.at_ms) as u32,
-                asked_per_s: asked_per_s(server) as f32,
-            })
+        let limited = registry.servers().filter(|s| s.has_rate_news(now_ms));
+        let rates = limited.map(|server| ServerRate {
+            server_tag: server.tag,
+            told: told(server.own_rate_limit(), now_ms),
+            asked: server.report_asked(now_ms),
         });
-        told.collect()
+        rates.collect()
     }
 
     fn report_rates(&self, rates: Vec<ServerRate>) {
@@ -85,23 +79,26 @@
         self.note_words(rates, now_ms);
         let mut asked = self.asked_by_host();
         for rate in rates {
-            let per_s = f64::from(rate.asked_per_s);
-            asked.note(rate.server_tag, host, per_s, now_ms);
+            asked.note(rate.server_tag, host, rate.asked, now_ms);
         }
     }
 
     /// Tells all hosts, as the holder, the rates of servers, and what the callers of all hosts ask for.
     fn tell_rates(&self) {
         let now_ms = clock::now_ms();
-        let rates = {
+        let rates: Vec<ServerRate> = {
+            let registry = self.view.registry();
+            let limited = registry.servers().filter(|s| s.has_rate_news(now_ms));
             let mut asked = self.asked_by_host();
-            let sums = std::cell::RefCell::new(&mut *asked);
-            let rates = self.rates(now_ms, |server| {
-                sums.borrow_mut().sum_per_s(server.tag, now_ms)
+            let rates = limited.map(|server| ServerRate {
+                server_tag: server.tag,
+                told: told(server.latest_rate_limit(), now_ms),
+                asked: asked.sum(server.tag, now_ms),
             });
-            asked.retain(|tag| rates.iter().any(|rate| rate.server_tag == tag));
-            rates
+            rates.collect()
         };
+        let is_limited = |tag| rates.iter().any(|rate| rate.server_tag == tag);
+        self.asked_by_host().retain(is_limited);
         self.take_sums(&rates);
         for rates in rates.chunks(ENTRIES_MAX / 2) {
             self.peers.send_to_all(Message::Rates(rates.to_vec()));
@@ -115,25 +112,35 @@
         let registry = self.view.registry();
         for rate in rates {
             let named = registry.servers().filter(|s| s.tag == rate.server_tag);
-            named.for_each(|server| server.note_all_asked(f64::from(rate.asked_per_s), now_ms));
+            named.for_each(|server| server.note_asked_sum(rate.asked, now_ms));
         }
     }
 
     fn note_words(&self, rates: &[ServerRate], now_ms: u64) {
         let registry = self.view.registry();
         for rate in rates {
+            let Some(told) = rate.told else { continue };
             let word = LimitWord {
-                per_s: rate.limit_per_s,
-                at_ms: now_ms.saturating_sub(u64::from(rate.age_ms)),
+                per_s: told.limit_per_s,
+                at_ms: now_ms.saturating_sub(u64::from(told.age_ms)),
             };
-            let named = registry.servers().filter(|s| s.tag == rate.server_tag);
-            named.for_each(|server| note_word(server, word, "another host"));
+            for server in registry.servers().filter(|s| s.tag == rate.server_tag) {
+                log_change(server, server.note_rate_limit(word), "another host");
+            }
         }
     }
 }
 
-fn note_word(server: &Server, word: LimitWord, source: &'static str) {
-    if !server.note_rate_limit(word) {
+fn told(word: Option<LimitWord>, now_ms: u64) -> Option<ToldRate> {
+    let word = word?;
+    Some(ToldRate {
+        limit_per_s: word.per_s,
+        age_ms: now_ms.saturating_sub(word.at_ms) as u32,
+    })
+}
+
+fn log_change(server: &Server, is_change: bool, source: &'static str) {
+    if !is_change {
         return;
     }
     Event::ServerRateLimit {
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -14,7 +14,7 @@
         behaviour::Behaviour,
         notices::{Learned, Notices},
         pace::Pace,
-        rate_limit::{Asked, Bucket, LimitWord, Part},
+        rate_limit::{Asked, AskedRates, Bucket, LimitWord, Part},
         rate_meter::RateMeter,
         warmup::{self, Turns},
     },
@@ -265,7 +265,14 @@
         self.notices().rest_ms(clock::now_ms())
     }
 
-    /// Takes in the rate that an answer named; true if that is worth a log line.
+    /// Takes in the rate that an answer to this host named; true if that is worth a log line.
+    pub fn note_own_rate_limit(&self, word: LimitWord) -> bool {
+        let mut notices = self.notices();
+        notices.rate_limit.note_own(word);
+        notices.rate_limit.take_change()
+    }
+
+    /// The same of an answer to another host.
     pub fn note_rate_limit(&self, word: LimitWord) -> bool {
         let mut notices = self.notices();
         notices.rate_limit.note(word);
@@ -277,36 +284,52 @@
         self.notices().rate_limit.per_s()
     }
 
-    /// The same for the planner.
+    /// True if nothing was heard of its limit for a while.
+    pub fn is_rate_unheard(&self) -> bool {
+        self.notices().rate_limit.is_unheard(clock::now_ms())
+    }
+
+    /// Requests a second that it takes, for the planner.
     pub fn planned_limit_per_s(&self, now_ms: u64) -> Option<f64> {
         self.notices().rate_limit.planned_per_s(now_ms)
     }
 
-    /// Its latest word of a rate, if other hosts should hear it.
-    pub fn rate_limit_news(&self, now_ms: u64) -> Option<LimitWord> {
-        self.notices().rate_limit.news(now_ms)
+    /// True if other hosts should hear of the rate that it takes.
+    pub fn has_rate_news(&self, now_ms: u64) -> bool {
+        self.notices().rate_limit.is_news(now_ms)
     }
 
-    /// Counts a request that callers of this host ask of it.
-    pub fn note_asked(&self) {
-        self.rate_share().asked.note(clock::now_ms());
+    /// Its latest word of a rate to any host.
+    pub fn latest_rate_limit(&self) -> Option<LimitWord> {
+        self.notices().rate_limit.latest()
     }
 
-    /// Requests a second that callers of this host ask of it, to be reported now.
-    pub fn report_asked_per_s(&self, now_ms: u64) -> f64 {
-        self.rate_share().asked.report_per_s(now_ms)
+    /// Its latest word of a rate to this host.
+    pub fn own_rate_limit(&self) -> Option<LimitWord> {
+        self.notices().rate_limit.own()
     }
 
-    /// Notes the requests a second that callers of all hosts ask of it.
-    pub fn note_all_asked(&self, per_s: f64, now_ms: u64) {
-        self.rate_share().asked.note_all(per_s, now_ms);
+    /// Counts a request that a caller of this host asks of it.
+    pub fn note_asked(&self, is_urgent: bool) {
+        self.rate_share().asked.note(is_urgent, clock::now_ms());
     }
 
-    /// This host's part of the rate that it takes, shared with so many hosts; `None` if it takes any rate.
-    pub fn rate_part(&self, hosts: usize) -> Option<Part> {
-        let limit_per_s = self.rate_limit_per_s()?;
+    /// What callers of this host ask of it, to be reported now.
+    pub fn report_asked(&self, now_ms: u64) -> AskedRates {
+        self.rate_share().asked.report(now_ms)
+    }
+
+    /// Notes what callers of all hosts ask of it.
+    pub fn note_asked_sum(&self, sum: AskedRates, now_ms: u64) {
+        self.rate_share().asked.note_sum(sum, now_ms);
+    }
+
+    /// This host's part for a request of the rate that it takes, shared with so many hosts; `None` if it takes any rate.
+    pub fn rate_part(&self, hosts: usize, is_urgent: bool) -> Option<Part> {
+        let now_ms = clock::now_ms();
+        let shared_per_s = self.notices().rate_limit.shared_per_s(now_ms)?;
         let share = self.rate_share();
-        Some(share.asked.part(limit_per_s, hosts, clock::now_ms()))
+        Some(share.asked.part(shared_per_s, hosts, is_urgent, now_ms))
     }
 
     /// True if this host's part leaves room for a request now.
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -361,6 +361,11 @@
         *lock(&self.state.rate_limit) = rate.map(str::to_owned);
     }
 
+    /// Sets the time that a request runs.
+    pub fn set_work_ms(&self, work_ms: u64) {
+        self.state.work_ms.store(work_ms, Ordering::Relaxed);
+    }
+
     /// Requests that reached it.
     pub fn visits(&self) -> Vec<Visit> {
         lock(&self.state.visits).clone()
--- a/tests/platform_standin/traffic.rs
+++ b/tests/platform_standin/traffic.rs
@@ -25,6 +25,8 @@
 pub enum Asked {
     /// Keys of the divided service, drawn at random.
     Keys,
+    /// Keys of the divided service of which few are busy, close together.
+    BusyKeys,
     /// The service without keys.
     Orders,
 }
@@ -113,6 +115,7 @@
     let id = format!("{:016x}", rand::random::<u64>());
     let (method, path, key) = match asked {
         Asked::Keys => ("GET", "/keyed/level", Some(rand::random())),
+        Asked::BusyKeys => ("GET", "/keyed/level", Some(busy_key())),
         Asked::Orders => ("POST", "/orders/new", None),
     };
     let at = Instant::now();
@@ -138,6 +141,21 @@
     (id, sent)
 }
 
+/// A key: three of four requests are for one of 400 neighbours, and of these half for a tenth.
+fn busy_key() -> u16 {
+    const FIRST: u16 = 41_500;
+    const BUSY: u16 = 400;
+    if rand::random_bool(0.25) {
+        return rand::random();
+    }
+    let range = if rand::random_bool(0.5) {
+        BUSY / 10
+    } else {
+        BUSY
+    };
+    FIRST + rand::random_range(0..range)
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
