--- a/src/entry/crashes/mod.rs
+++ b/src/entry/crashes/mod.rs
@@ -33,7 +33,7 @@
     },
     digest::{RequestDigest, RequestDigests},
     events::Event,
-    peers::message::{ENTRIES_MAX, Message},
+    peers::message::{ENTRIES_MAX, Message, SHARED_SUSPECTS_MAX},
 };
 use crate::clock;
 
@@ -42,9 +42,6 @@
 /// Most requests in quarantine that a heartbeat names, the latest ones: 320 bytes. The store has all.
 const TOLD_MAX: usize = 32;
 
-/// Most suspects without their callers in one datagram, of at most 17 bytes each.
-const SHARED_MAX: usize = 80;
-
 /// What a host knows of servers that ended and of the requests that were there.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -283,7 +280,7 @@
         for digests in report.digests.chunks(ENTRIES_MAX) {
             self.tell_suspects(report, digests.to_vec(), Vec::new());
         }
-        for shared in report.shared.chunks(SHARED_MAX) {
+        for shared in report.shared.chunks(SHARED_SUSPECTS_MAX) {
             self.tell_suspects(report, Vec::new(), shared.to_vec());
         }
     }
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -10,7 +10,7 @@
 //! | [`pace`] | servers that run slower for a moment |
 //! | [`behaviour`] | servers that are slow, fail or cannot be reached |
 //! | [`notices`] | servers that say in their answers that they leave, or want a rest |
-//! | [`rate_limit`], [`rate_meter`] | servers that name a rate which all hosts share |
+//! | [`rate_limit`], [`rate_meter`], [`rate_parts`] | servers that name a rate which all hosts share |
 //! | [`kinds`] | services that serve short and long requests |
 //! | [`admission`] | more requests for a server than it can answer in time |
 //! | [`choice`] | requests that any server of a service may run |
@@ -44,6 +44,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod rate_meter;
+pub mod rate_parts;
 pub mod rests;
 pub mod return_time;
 pub mod trials;
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -14,7 +14,7 @@
             admission,
             choice::{self, Question},
             hold::{self, Hold, MoveRest, MoveWait},
-            rate_limit,
+            rate_parts,
             return_time::Refused,
         },
         news::followed::Followed,
@@ -54,17 +54,17 @@
     let point: f64 = rand::random();
     let mut before = 0.0;
     let may_go = |server: &&Arc<Server>| {
-        let Some(part) = server.rate_part(hosts, is_urgent) else {
+        let Some(part) = server.rate.part(hosts, is_urgent) else {
             return true;
         };
-        server.note_asked(is_urgent);
-        let has_ticket = rate_limit::has_ticket(point, before, part.ticket);
+        server.rate.note_asked(is_urgent);
+        let has_ticket = rate_parts::has_ticket(point, before, part.ticket);
         before += part.ticket;
-        has_ticket && server.has_rate_token(part)
+        has_ticket && server.rate.has_token(part)
     };
     let servers: Vec<_> = servers.into_iter().filter(may_go).collect();
     let is_tried =
-        |server: &&&Arc<Server>| server.rate_limit_per_s().is_some() && server.is_rate_unheard();
+        |server: &&&Arc<Server>| server.rate.limit_per_s().is_some() && server.rate.is_unheard();
     match servers.iter().find(is_tried) {
         Some(server) => vec![*server],
         None => servers,
@@ -73,10 +73,10 @@
 
 /// True if a request that only one server may serve can go there by the rate that it takes.
 fn is_under_rate_limit(server: &Server, hosts: usize, is_urgent: bool) -> bool {
-    let Some(part) = server.rate_part(hosts, is_urgent) else {
+    let Some(part) = server.rate.part(hosts, is_urgent) else {
         return true;
     };
-    rate_limit::has_ticket(rand::random(), 0.0, part.ticket) && server.has_rate_token(part)
+    rate_parts::has_ticket(rand::random(), 0.0, part.ticket) && server.rate.has_token(part)
 }
 
 impl Passage<'_> {
@@ -143,7 +143,7 @@
         match choice::pick(question, policy, &mut rand::rng()) {
             Some(place) => {
                 usable[place].take_turn(self.cold_rule);
-                usable[place].take_rate_token();
+                usable[place].rate.take_token();
                 Ok(usable[place].clone())
             }
             None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
@@ -225,7 +225,7 @@
             return Err(Refused::soon("the key's server is gone", policy));
         };
         self.last = Some(server.clone());
-        server.note_asked(self.is_urgent());
+        server.rate.note_asked(self.is_urgent());
         let limits = &entry.limits;
         if !server.serves_held_keys(limits.evacuation_hold_ms)
             || server.is_closed_to(self.times.arrived_ms, limits.notice_hold_ms)
@@ -248,7 +248,7 @@
             return Err(Refused::limited(policy));
         }
         server.take_turn(self.cold_rule);
-        server.take_rate_token();
+        server.rate.take_token();
         Ok(server.clone())
     }
 
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -251,7 +251,7 @@
         let plan_server = |server: &Arc<Server>| {
             let seen = server.candidate(zone, None, policy);
             let unlimited_per_s = admission::capacity_per_s(&seen, typical_ms);
-            let limit_per_s = server.planned_limit_per_s(now_ms);
+            let limit_per_s = server.rate.planned_per_s(now_ms);
             PlanServer {
                 id: server.entry.id.clone(),
                 capacity_per_s: limit_per_s.unwrap_or(unlimited_per_s).min(unlimited_per_s),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -31,6 +31,7 @@
 mod secret;
 pub mod server;
 pub mod settings;
+pub mod shared_rate;
 pub mod view;
 mod watch;
 
@@ -50,7 +51,7 @@
 use self::{
     crashes::Crashes,
     decide::{
-        budget::RetryBudget, hot_keys::HotKeys, kinds::Kinds, rate_limit::AskedByHost, rests::Rests,
+        budget::RetryBudget, hot_keys::HotKeys, kinds::Kinds, rate_parts::AskedByHost, rests::Rests,
     },
     duty::Duty,
     limits::TimeLimits,
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -6,7 +6,7 @@
 
 use crate::entry::{
     decide::{
-        hot_keys::HotKey, path_tally::SharedSuspect, rate_limit::AskedRates, trials::Claimed,
+        hot_keys::HotKey, path_tally::SharedSuspect, rate_parts::AskedRates, trials::Claimed,
     },
     digest::RequestDigest,
     keys::Holding,
@@ -18,6 +18,10 @@
 
 /// Most servers and keys in one datagram; it stays under the usual packet size.
 pub const ENTRIES_MAX: usize = 120;
+/// Most rates of servers in one datagram, of at most 36 bytes each.
+pub const RATES_MAX: usize = 45;
+/// Most suspects without their callers in one datagram, of at most 17 bytes each.
+pub const SHARED_SUSPECTS_MAX: usize = 80;
 /// Largest datagram.
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the messages.
--- a/src/entry/rate_limits.rs
+++ b/src/entry/rate_limits.rs
@@ -11,7 +11,7 @@
     decide::rate_limit::LimitWord,
     events::Event,
     model::ToldLimit,
-    peers::message::{ENTRIES_MAX, Message, ServerRate, ToldRate},
+    peers::message::{Message, RATES_MAX, ServerRate, ToldRate},
     server::Server,
 };
 use crate::clock;
@@ -30,7 +30,7 @@
             ToldLimit::Unknown => return,
         };
         let at_ms = clock::now_ms();
-        let is_change = server.note_own_rate_limit(LimitWord { per_s, at_ms });
+        let is_change = server.rate.note_own_word(LimitWord { per_s, at_ms });
         log_change(server, is_change, "its answer");
     }
 
@@ -53,17 +53,17 @@
     fn own_rates(&self) -> Vec<ServerRate> {
         let now_ms = clock::now_ms();
         let registry = self.view.registry();
-        let limited = registry.servers().filter(|s| s.has_rate_news(now_ms));
+        let limited = registry.servers().filter(|s| s.rate.is_news(now_ms));
         let rates = limited.map(|server| ServerRate {
             server_tag: server.tag,
-            told: told(server.own_rate_limit(), now_ms),
-            asked: server.report_asked(now_ms),
+            told: told(server.rate.own(), now_ms),
+            asked: server.rate.report_asked(now_ms),
         });
         rates.collect()
     }
 
     fn report_rates(&self, rates: Vec<ServerRate>) {
-        for rates in rates.chunks(ENTRIES_MAX / 2) {
+        for rates in rates.chunks(RATES_MAX) {
             if !self.peers.send_to_holder(&Message::Asked(rates.to_vec())) {
                 log::debug!("no holder hears what is asked of limited servers");
             }
@@ -88,11 +88,11 @@
         let now_ms = clock::now_ms();
         let rates: Vec<ServerRate> = {
             let registry = self.view.registry();
-            let limited = registry.servers().filter(|s| s.has_rate_news(now_ms));
+            let limited = registry.servers().filter(|s| s.rate.is_news(now_ms));
             let mut asked = self.asked_by_host();
             let rates = limited.map(|server| ServerRate {
                 server_tag: server.tag,
-                told: told(server.latest_rate_limit(), now_ms),
+                told: told(server.rate.latest(), now_ms),
                 asked: asked.sum(server.tag, now_ms),
             });
             rates.collect()
@@ -100,7 +100,7 @@
         let is_limited = |tag| rates.iter().any(|rate| rate.server_tag == tag);
         self.asked_by_host().retain(is_limited);
         self.take_sums(&rates);
-        for rates in rates.chunks(ENTRIES_MAX / 2) {
+        for rates in rates.chunks(RATES_MAX) {
             self.peers.send_to_all(Message::Rates(rates.to_vec()));
         }
     }
@@ -112,7 +112,7 @@
         let registry = self.view.registry();
         for rate in rates {
             let named = registry.servers().filter(|s| s.tag == rate.server_tag);
-            named.for_each(|server| server.note_asked_sum(rate.asked, now_ms));
+            named.for_each(|server| server.rate.note_asked_sum(rate.asked, now_ms));
         }
     }
 
@@ -125,7 +125,7 @@
                 at_ms: now_ms.saturating_sub(u64::from(told.age_ms)),
             };
             for server in registry.servers().filter(|s| s.tag == rate.server_tag) {
-                log_change(server, server.note_rate_limit(word), "another host");
+                log_change(server, server.rate.note_word(word), "another host");
             }
         }
     }
@@ -146,8 +146,8 @@
     Event::ServerRateLimit {
         server: server.entry.id.clone(),
         service: server.entry.service.clone(),
-        per_s: server.rate_limit_per_s(),
-        sent_per_s: server.sent_per_s(),
+        per_s: server.rate.limit_per_s(),
+        sent_per_s: server.rate.sent_per_s(),
         source,
     }
     .log();
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -14,8 +14,6 @@
         behaviour::Behaviour,
         notices::{Learned, Notices},
         pace::Pace,
-        rate_limit::{Asked, AskedRates, Bucket, LimitWord, Part},
-        rate_meter::RateMeter,
         warmup::{self, Turns},
     },
     digest::RequestDigests,
@@ -23,6 +21,7 @@
     model::{Notice, ServerEntry, Warmup},
     pool::Pool,
     runs::Runs,
+    shared_rate::SharedRate,
 };
 use crate::{clock, platform::Link};
 
@@ -53,9 +52,8 @@
     paces: Mutex<Paces>,
     behaviour: Mutex<Behaviour>,
     runs: Mutex<Runs>,
-    /// Requests that this host sent to it.
-    sent: Mutex<RateMeter>,
-    rate_share: Mutex<RateShare>,
+    /// Rate that it takes from all hosts together, and this host's part.
+    pub rate: SharedRate,
     /// Connections to it that broke off.
     pub break_offs: BreakOffs,
 }
@@ -69,13 +67,6 @@
     own: Option<(f64, u64)>,
 }
 
-/// This host's share of the rate that a server takes from all hosts together.
-#[derive(Debug, Default)]
-struct RateShare {
-    asked: Asked,
-    bucket: Bucket,
-}
-
 /// What the servers of a service bear while they are cold, and how many hosts share that.
 #[derive(Clone, Copy, Debug)]
 pub struct ColdRule {
@@ -112,6 +103,7 @@
             evacuated_ms: AtomicU64::new(0),
             cold_until_ms: AtomicU64::new(0),
             told_cold_ms: AtomicU64::new(entry.cold_ms),
+            rate: SharedRate::new(notices.clone()),
             notices,
             turns: Mutex::default(),
             own: AtomicU32::new(0),
@@ -121,8 +113,6 @@
             paces: Mutex::default(),
             behaviour: Mutex::default(),
             runs: Mutex::default(),
-            sent: Mutex::default(),
-            rate_share: Mutex::default(),
             break_offs: BreakOffs::default(),
             entry,
         };
@@ -265,91 +255,6 @@
         self.notices().rest_ms(clock::now_ms())
     }
 
-    /// Takes in the rate that an answer to this host named; true if that is worth a log line.
-    pub fn note_own_rate_limit(&self, word: LimitWord) -> bool {
-        let mut notices = self.notices();
-        notices.rate_limit.note_own(word);
-        notices.rate_limit.take_change()
-    }
-
-    /// The same of an answer to another host.
-    pub fn note_rate_limit(&self, word: LimitWord) -> bool {
-        let mut notices = self.notices();
-        notices.rate_limit.note(word);
-        notices.rate_limit.take_change()
-    }
-
-    /// Requests a second that it takes from all hosts together; `None` if it takes any rate.
-    pub fn rate_limit_per_s(&self) -> Option<f64> {
-        self.notices().rate_limit.per_s()
-    }
-
-    /// True if nothing was heard of its limit for a while.
-    pub fn is_rate_unheard(&self) -> bool {
-        self.notices().rate_limit.is_unheard(clock::now_ms())
-    }
-
-    /// Requests a second that it takes, for the planner.
-    pub fn planned_limit_per_s(&self, now_ms: u64) -> Option<f64> {
-        self.notices().rate_limit.planned_per_s(now_ms)
-    }
-
-    /// True if other hosts should hear of the rate that it takes.
-    pub fn has_rate_news(&self, now_ms: u64) -> bool {
-        self.notices().rate_limit.is_news(now_ms)
-    }
-
-    /// Its latest word of a rate to any host.
-    pub fn latest_rate_limit(&self) -> Option<LimitWord> {
-        self.notices().rate_limit.latest()
-    }
-
-    /// Its latest word of a rate to this host.
-    pub fn own_rate_limit(&self) -> Option<LimitWord> {
-        self.notices().rate_limit.own()
-    }
-
-    /// Counts a request that a caller of this host asks of it.
-    pub fn note_asked(&self, is_urgent: bool) {
-        self.rate_share().asked.note(is_urgent, clock::now_ms());
-    }
-
-    /// What callers of this host ask of it, to be reported now.
-    pub fn report_asked(&self, now_ms: u64) -> AskedRates {
-        self.rate_share().asked.report(now_ms)
-    }
-
-    /// Notes what callers of all hosts ask of it.
-    pub fn note_asked_sum(&self, sum: AskedRates, now_ms: u64) {
-        self.rate_share().asked.note_sum(sum, now_ms);
-    }
-
-    /// This host's part for a request of the rate that it takes, shared with so many hosts; `None` if it takes any rate.
-    pub fn rate_part(&self, hosts: usize, is_urgent: bool) -> Option<Part> {
-        let now_ms = clock::now_ms();
-        let shared_per_s = self.notices().rate_limit.shared_per_s(now_ms)?;
-        let share = self.rate_share();
-        Some(share.asked.part(shared_per_s, hosts, is_urgent, now_ms))
-    }
-
-    /// True if this host's part leaves room for a request now.
-    pub fn has_rate_token(&self, part: Part) -> bool {
-        let bucket = &mut self.rate_share().bucket;
-        bucket.has_token(part.bucket_per_s, clock::now_ms())
-    }
-
-    /// Notes that a request is about to be sent, which uses a part of its rate if that is limited.
-    pub fn take_rate_token(&self) {
-        if self.rate_limit_per_s().is_some() {
-            self.rate_share().bucket.take();
-        }
-    }
-
-    /// Requests a second that this host sends to it.
-    pub fn sent_per_s(&self) -> f64 {
-        self.sent().per_s(clock::now_ms())
-    }
-
     /// Requests of this host that are at the server.
     pub fn own_load(&self) -> u32 {
         self.own.load(Ordering::Relaxed)
@@ -381,7 +286,7 @@
 
     fn in_flight(self: &Arc<Self>, digests: RequestDigests) -> InFlight {
         self.own.fetch_add(1, Ordering::Relaxed);
-        self.sent().note(clock::now_ms());
+        self.rate.note_sent();
         InFlight {
             server: self.clone(),
             digests,
@@ -494,16 +399,6 @@
         self.turns.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn rate_share(&self) -> MutexGuard<'_, RateShare> {
-        self.rate_share
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn sent(&self) -> MutexGuard<'_, RateMeter> {
-        self.sent.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn runs(&self) -> MutexGuard<'_, Runs> {
         self.runs.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/tests/entry_crashes.rs
+++ b/tests/entry_crashes.rs
@@ -120,6 +120,26 @@
     (site, mortal)
 }
 
+/// Three hosts, and servers with keys that end under requests for a deadly path.
+async fn start_keyed(servers: usize) -> (Site, Vec<Server>) {
+    let mut site = Site::start_servers(0).await;
+    let mut mortal = Vec::new();
+    for _ in 0..servers {
+        mortal.push(Server::start_mortal(&site.store, &site.record, KEYED).await);
+    }
+    for _ in 0..3 {
+        site.hosts.push(Host::start(&site.store));
+    }
+    for host in &site.hosts {
+        eventually("a host serves keys", 8_000, async || {
+            get(host, 7).await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+    time::sleep(CONTACT).await;
+    (site, mortal)
+}
+
 /// Sends the deadly request to the hosts by turns, each time with another id, beside harmless ones.
 async fn send_again_and_again(site: &Site, tries: usize) {
     for number in 0..tries {
@@ -264,21 +284,7 @@
 #[tokio::test]
 async fn tries_that_come_together_do_not_run_together_once_a_server_has_ended() {
     const DEADLY_READ: &str = "/keyed/deadly";
-    let mut site = Site::start_servers(0).await;
-    let mut servers = Vec::new();
-    for _ in 0..5 {
-        servers.push(Server::start_mortal(&site.store, &site.record, KEYED).await);
-    }
-    for _ in 0..3 {
-        site.hosts.push(Host::start(&site.store));
-    }
-    for host in &site.hosts {
-        eventually("a host serves keys", 8_000, async || {
-            get(host, 7).await == Some(StatusCode::OK)
-        })
-        .await;
-    }
-    time::sleep(CONTACT).await;
+    let (site, servers) = start_keyed(5).await;
     site.record.set_deadly_path(Some(DEADLY_READ));
     let mut tries = JoinSet::new();
     let until = Instant::now() + Duration::from_secs(14);
@@ -458,21 +464,7 @@
 #[tokio::test]
 async fn a_key_is_served_while_one_of_its_paths_ends_servers_for_many_callers() {
     const DEADLY_READ: &str = "/keyed/deadly";
-    let mut site = Site::start_servers(0).await;
-    let mut servers = Vec::new();
-    for _ in 0..6 {
-        servers.push(Server::start_mortal(&site.store, &site.record, KEYED).await);
-    }
-    for _ in 0..3 {
-        site.hosts.push(Host::start(&site.store));
-    }
-    for host in &site.hosts {
-        eventually("a host serves keys", 8_000, async || {
-            get(host, 7).await == Some(StatusCode::OK)
-        })
-        .await;
-    }
-    time::sleep(CONTACT).await;
+    let (site, servers) = start_keyed(6).await;
     let harmless = Readers::start(&site.hosts, 100, 6, "/keyed/level", Some(7));
     site.record.set_deadly_path(Some(DEADLY_READ));
     let deadly = Readers::start(&site.hosts, 1, 6, DEADLY_READ, Some(7));
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -3,12 +3,20 @@
 use std::net::SocketAddr;
 
 use ashroad::entry::{
+    decide::{
+        path_tally::{SharedSuspect, Width},
+        rate_parts::AskedRates,
+    },
+    digest::RequestDigest,
     news::configuration_pieces::{Assembly, Piece, cut},
     peers::{
         fanout::{
             DIRECT_HOSTS_MAX, OneWayDelay, RelayCandidate, fanout, zone_aggregator, zone_relays,
         },
-        message::ServerSummary,
+        message::{
+            DATAGRAM_BYTES_MAX, Message, RATES_MAX, SHARED_SUSPECTS_MAX, ServerRate, ServerSummary,
+            ToldRate,
+        },
         zone_loads::ZoneLoads,
     },
 };
@@ -217,3 +225,38 @@
     let relays = zone_relays(&mut hosts[50..].to_vec());
     assert!(!relays.contains(&hosts[70].address));
 }
+
+#[test]
+fn what_hosts_tell_of_rates_and_suspects_fits_a_datagram() {
+    let rate = ServerRate {
+        server_tag: u32::MAX,
+        told: Some(ToldRate {
+            limit_per_s: Some(1.0 / 3.0),
+            age_ms: u32::MAX,
+        }),
+        asked: AskedRates {
+            all_per_s: 1.0 / 3.0,
+            urgent_per_s: 1.0 / 3.0,
+        },
+    };
+    let suspect = SharedSuspect {
+        digest: RequestDigest(u64::MAX),
+        width: Width::Path,
+        caller_tag: u32::MAX,
+        is_trial: true,
+    };
+    let messages = [
+        Message::Rates(vec![rate; RATES_MAX]),
+        Message::ServerEnded {
+            server_tag: u32::MAX,
+            digests: Vec::new(),
+            shared: vec![suspect; SHARED_SUSPECTS_MAX],
+        },
+    ];
+    /// Version and seal around a message, and what a relay adds.
+    const AROUND_BYTES: usize = 100;
+    for message in messages {
+        let bytes = postcard::to_stdvec(&message).expect("encoded").len();
+        assert!(bytes + AROUND_BYTES <= DATAGRAM_BYTES_MAX, "{bytes} bytes");
+    }
+}
