--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -62,13 +62,12 @@
         before += part.ticket;
         has_ticket && server.rate.has_token(part)
     };
-    let servers: Vec<_> = servers.into_iter().filter(may_go).collect();
-    let is_tried =
-        |server: &&&Arc<Server>| server.rate.limit_per_s().is_some() && server.rate.is_unheard();
-    match servers.iter().find(is_tried) {
-        Some(server) => vec![*server],
-        None => servers,
-    }
+    servers.into_iter().filter(may_go).collect()
+}
+
+/// True if a limited server was not heard for a while, so that a request which may go there should.
+fn is_due(server: &Server) -> bool {
+    server.rate.limit_per_s().is_some() && server.rate.is_unheard()
 }
 
 /// True if a request that only one server may serve can go there by the rate that it takes.
@@ -125,7 +124,6 @@
 
     /// A server of a service whose servers all may run the request.
     fn any_server(&self, entry: &Entry) -> Result<Arc<Server>, Refused> {
-        let policy = &entry.settings.policy;
         let registry = entry.view.registry();
         let usable = self.free_servers(entry, &registry)?;
         let usable = under_rate_limits(usable, entry.sharing_hosts(), self.is_urgent());
@@ -133,21 +131,34 @@
             let reason = "all servers get as much as they take";
             return Err(self.refused_for_a_run(entry, reason));
         }
-        let seen = usable.iter().map(|server| self.candidate(entry, server));
+        let due: Vec<_> = usable.iter().copied().filter(|s| is_due(s)).collect();
+        let picked = self.pick(entry, &registry, &due);
+        match picked.or_else(|| self.pick(entry, &registry, &usable)) {
+            Some(server) => {
+                server.take_turn(self.cold_rule);
+                server.rate.take_token();
+                Ok(server.clone())
+            }
+            None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
+        }
+    }
+
+    /// The server that is expected to answer first and has room; `None` if all are overloaded.
+    fn pick<'r>(
+        &self,
+        entry: &Entry,
+        registry: &Registry,
+        servers: &[&'r Arc<Server>],
+    ) -> Option<&'r Arc<Server>> {
+        let seen = servers.iter().map(|server| self.candidate(entry, server));
         let question = Question {
             servers: &seen.collect::<Vec<_>>(),
             typical_ms: registry.typical_run_ms(&self.service),
             demand: self.demand(entry),
             hosts: entry.peers.host_count(),
         };
-        match choice::pick(question, policy, &mut rand::rng()) {
-            Some(place) => {
-                usable[place].take_turn(self.cold_rule);
-                usable[place].rate.take_token();
-                Ok(usable[place].clone())
-            }
-            None => Err(self.refused_for_a_run(entry, "all servers are overloaded")),
-        }
+        let place = choice::pick(question, &entry.settings.policy, &mut rand::rng())?;
+        Some(servers[place])
     }
 
     /// Servers that may get the request, those that leave only for want of others.
