Contended services: specification, condition, counters and log events

Two deployments have sharded services with few slots per server and callers that wait for several times the latency objective. Nothing reads the decision yet, so no request is handled differently.

--- /dev/null
+++ b/src/entry/contention.rs
@@ -0,0 +1,193 @@
+//! Counts what happens to the requests for contended services, for the metrics and the log. A
+//! service is contended if it is sharded, its servers have few slots and its callers wait beyond
+//! the latency objective; see [`contended`].
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::time;
+
+use super::{
+    Entry,
+    decide::contended::{self, ServiceProfile},
+    events::Event,
+    server::tag_of,
+};
+
+/// Interval of the log events with the counts of each contended service.
+const LOG_EVERY_MS: u64 = 5_000;
+/// Number of variants of [`QueueStep`].
+const STEPS: usize = 8;
+
+/// Step in the handling of a request for a contended service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum QueueStep {
+    /// The request was sent to its server without waiting in the host.
+    SentAtOnce,
+    /// The request began to wait in the host.
+    Queued,
+    /// The request was sent to its server after it had waited in the host.
+    SentFromQueue,
+    /// The caller disconnected while the request waited.
+    CallerLeft,
+    /// The request was refused because the host's queue for its server was full.
+    RefusedQueueFull,
+    /// The request was refused on arrival because its response was expected too late.
+    RefusedLate,
+    /// The request was refused because it had waited as long as is useful.
+    RefusedAfterWait,
+    /// The request is a retry of a caller whose earlier attempt did not succeed.
+    Retry,
+}
+
+impl QueueStep {
+    /// All steps, in the order of their counters.
+    pub const ALL: [Self; STEPS] = [
+        Self::SentAtOnce,
+        Self::Queued,
+        Self::SentFromQueue,
+        Self::CallerLeft,
+        Self::RefusedQueueFull,
+        Self::RefusedLate,
+        Self::RefusedAfterWait,
+        Self::Retry,
+    ];
+
+    /// Returns the name of the step in metrics and log events.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::SentAtOnce => "sent_at_once",
+            Self::Queued => "queued",
+            Self::SentFromQueue => "sent_from_queue",
+            Self::CallerLeft => "caller_left",
+            Self::RefusedQueueFull => "refused_queue_full",
+            Self::RefusedLate => "refused_late",
+            Self::RefusedAfterWait => "refused_after_wait",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+/// Service and urgency that a count belongs to. A request is urgent if the service also gets
+/// requests of a lower priority.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ContentionKey {
+    /// Name of the service.
+    pub service: Arc<str>,
+    /// True for the counts of urgent requests.
+    pub is_urgent: bool,
+}
+
+/// Counts of one service and urgency since the start of the process.
+#[derive(Debug, Default)]
+struct Counters([AtomicU64; STEPS]);
+
+/// Counts of the requests for contended services, by service and urgency.
+#[derive(Debug, Default)]
+pub struct Contention {
+    counters: Mutex<HashMap<ContentionKey, Arc<Counters>>>,
+    /// Names of the services that were contended when the log last stated them.
+    logged_services: Mutex<Vec<Arc<str>>>,
+}
+
+impl Contention {
+    /// Counts a step of a request for a contended service.
+    pub fn note(&self, service: &Arc<str>, is_urgent: bool, step: QueueStep) {
+        let key = ContentionKey {
+            service: service.clone(),
+            is_urgent,
+        };
+        let counters = lock(&self.counters).entry(key).or_default().clone();
+        counters.0[step as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns the counts since the start of the process, in the order of [`QueueStep::ALL`].
+    pub fn counts(&self) -> Vec<(ContentionKey, [u64; STEPS])> {
+        let counters = lock(&self.counters);
+        let counts = counters.iter().map(|(key, counters)| {
+            let counts = counters.0.each_ref();
+            let counts = counts.map(|count| count.load(Ordering::Relaxed));
+            (key.clone(), counts)
+        });
+        counts.collect()
+    }
+}
+
+impl Entry {
+    /// Returns true if a service is contended, from its configuration and its servers.
+    pub(super) fn is_contended(&self, service: &str) -> bool {
+        let Some(configuration) = self.view.configuration() else {
+            return false;
+        };
+        let registry = self.view.registry();
+        let servers = registry.of_service(service).iter();
+        let profile = ServiceProfile {
+            is_sharded: configuration.service(service).is_some_and(|s| s.sharded),
+            slots_max: servers.map(|server| server.entry.slots).max().unwrap_or(0),
+            timeout_factor: configuration.timeout_factor(service),
+        };
+        contended::is_contended(profile, &self.settings.policy)
+    }
+
+    /// Logs at intervals which services are contended, if that has changed, and the counts of the
+    /// requests for these services since the previous interval.
+    pub(super) async fn keep_logging_contention(self: Arc<Self>) {
+        let mut logged: HashMap<ContentionKey, [u64; STEPS]> = HashMap::new();
+        loop {
+            time::sleep(Duration::from_millis(LOG_EVERY_MS)).await;
+            self.log_contended_services();
+            for (key, counts) in self.contention.counts() {
+                let before = logged.insert(key.clone(), counts).unwrap_or_default();
+                if before != counts {
+                    log_counts(&key, before, counts);
+                }
+            }
+        }
+    }
+
+    fn log_contended_services(&self) {
+        let Some(configuration) = self.view.configuration() else {
+            return;
+        };
+        let services = configuration.services().map(|service| service.name.clone());
+        let mut contended: Vec<Arc<str>> = services.filter(|s| self.is_contended(s)).collect();
+        contended.sort_unstable_by_key(|service| tag_of(service));
+        let mut logged = lock(&self.contention.logged_services);
+        if *logged == contended {
+            return;
+        }
+        logged.clone_from(&contended);
+        let policy = &self.settings.policy;
+        Event::ContendedServices {
+            services: contended,
+            slots_max: policy.contended_slots_max,
+            timeout_factor: policy.contended_timeout_factor,
+        }
+        .log();
+    }
+}
+
+/// Logs how often each step occurred from the counts `before` to `counts`. Steps that did not occur
+/// are left out.
+fn log_counts(key: &ContentionKey, before: [u64; STEPS], counts: [u64; STEPS]) {
+    let increases = QueueStep::ALL.into_iter().zip(before.iter().zip(counts));
+    let steps = increases
+        .filter(|(_, (before, count))| count > before)
+        .map(|(step, (before, count))| (step.name(), count - before));
+    Event::Contention {
+        service: key.service.clone(),
+        is_urgent: key.is_urgent,
+        steps: steps.collect(),
+    }
+    .log();
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -17,6 +17,7 @@
 //! | [`api_key_status`] | API keys that are added and revoked while hosts are disconnected |
 //! | [`run_shares`] | services that serve short and long requests |
 //! | [`admission`] | more requests for a server than it can answer in time |
+//! | [`contended`] | services whose requests compete for few slots |
 //! | [`choice`] | requests that any server of a service may run |
 //! | [`hot_keys`] | a key with more requests than its server can run |
 //! | [`hold`] | requests for keys that are being moved between servers |
@@ -36,6 +37,7 @@
 pub mod backoffs;
 pub mod budget;
 pub mod choice;
+pub mod contended;
 pub mod crash_tally;
 pub mod first;
 pub mod hold;
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -89,6 +89,12 @@
     /// Target utilisation of the two servers of a move for balance. If the mean utilisation is
     /// higher, the mean is the target.
     pub balance_goal_share: f64,
+    /// Largest number of slots of a contended service's servers; 0 if no service counts as
+    /// contended. With few slots, one long request takes a large part of a server's capacity.
+    pub contended_slots_max: u32,
+    /// Smallest timeout of the routes to a contended service, as a multiple of their latency
+    /// objectives. Callers with a shorter timeout have left before a queue has drained.
+    pub contended_timeout_factor: f64,
 }
 
 impl Default for Policy {
@@ -118,6 +124,8 @@
             balance_chance: 2.5,
             balance_busy_share: 0.6,
             balance_goal_share: 0.45,
+            contended_slots_max: 3,
+            contended_timeout_factor: 2.0,
         }
     }
 }
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -1,6 +1,6 @@
 //! Typed log events, written as JSON lines.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use serde::Serialize;
 
@@ -44,6 +44,26 @@
         /// configuration.
         before: u64,
     },
+    /// Other services than before are contended: sharded, with few slots a server, and with callers
+    /// that wait beyond the latency objective.
+    ContendedServices {
+        /// All services that are contended now.
+        services: Vec<Arc<str>>,
+        /// Setting: largest number of slots of the servers of a contended service.
+        slots_max: u32,
+        /// Setting: smallest timeout of the routes to a contended service, as a multiple of their
+        /// latency objectives.
+        timeout_factor: f64,
+    },
+    /// Numbers of requests for a contended service since the previous event of this kind.
+    Contention {
+        /// Service of the requests.
+        service: Arc<str>,
+        /// True for requests that are more urgent than others of the service.
+        is_urgent: bool,
+        /// Number of requests by step, without the steps that no request took.
+        steps: BTreeMap<&'static str, u64>,
+    },
     /// The evacuation of an availability zone began or ended.
     Evacuation {
         /// Availability zone that operators evacuate or restore.
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -18,6 +18,8 @@
     registry::Registry,
 };
 
+use super::contention::{ContentionKey, QueueStep};
+
 /// Lowest bucket bound of the latency histograms, in seconds. Each further bound is twice the bound
 /// below it, from 2 ms to 16 s.
 const LATENCY_FIRST_S: f64 = 0.002;
@@ -53,6 +55,17 @@
     pub table: String,
 }
 
+/// Labels of the counter of steps of requests for contended services.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ContentionLabels {
+    /// Service of the requests.
+    pub service: String,
+    /// Urgency of the requests: `urgent` or `other`.
+    pub urgency: &'static str,
+    /// Step in the handling of the requests, such as `queued`.
+    pub step: &'static str,
+}
+
 /// All metrics of one host, scraped from its metrics address.
 #[derive(Debug)]
 pub struct Metrics {
@@ -64,6 +77,7 @@
     orders: Family<OrderLabels, Counter>,
     moves: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
+    contention: Family<ContentionLabels, Counter>,
     /// Number of callers' requests that this host has accepted and not answered yet.
     pub in_flight: Gauge,
     /// Time since the store's last response, in seconds.
@@ -98,6 +112,7 @@
             orders: Family::default(),
             moves: Counter::default(),
             store_calls: Family::default(),
+            contention: Family::default(),
             in_flight: Gauge::default(),
             store_age_s: Gauge::default(),
             leadership_term: Gauge::default(),
@@ -129,6 +144,8 @@
         registry.register("key_moves", "Moves of keys", self.moves.clone());
         let help = "Calls to the platform's store";
         registry.register("store_calls", help, self.store_calls.clone());
+        let help = "Requests for contended services by step";
+        registry.register("contention", help, self.contention.clone());
         let help = "Requests in this host";
         registry.register("requests_in_flight", help, self.in_flight.clone());
         let help = "Age of the store's last answer";
@@ -198,6 +215,20 @@
         counter.inner().store(calls, Ordering::Relaxed);
     }
 
+    /// Sets how often each step of requests for a contended service occurred since the start of the
+    /// process.
+    pub fn contention(&self, key: &ContentionKey, counts: [u64; QueueStep::ALL.len()]) {
+        for (step, count) in QueueStep::ALL.into_iter().zip(counts) {
+            let labels = ContentionLabels {
+                service: key.service.to_string(),
+                urgency: if key.is_urgent { "urgent" } else { "other" },
+                step: step.name(),
+            };
+            let counter = self.contention.get_or_create(&labels);
+            counter.inner().store(count, Ordering::Relaxed);
+        }
+    }
+
     /// Returns all metrics in the text exposition format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod bounds;
 pub mod broadcast;
 mod callers;
+pub mod contention;
 pub mod crashes;
 pub mod decide;
 pub mod digest;
@@ -57,6 +58,7 @@
 
 use self::{
     broadcast::Broadcast,
+    contention::Contention,
     crashes::Crashes,
     decide::{
         backoffs::Backoffs, budget::RetryBudget, hot_keys::HotKeys, rate_shares::DemandByHost,
@@ -126,6 +128,8 @@
     demand_by_host: Mutex<DemandByHost>,
     /// Run time of each route's requests relative to the average of their server.
     pub run_shares: RunShares,
+    /// Counts of what happens to the requests for contended services.
+    contention: Contention,
     /// Counters, gauges and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// True once the host row of this host in the store states the incarnation of this process.
@@ -177,6 +181,7 @@
             backoffs: Backoffs::default(),
             demand_by_host: Mutex::default(),
             run_shares: RunShares::default(),
+            contention: Contention::default(),
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -101,6 +101,9 @@
     workspaces: Option<Workspaces>,
     /// Lowest priority among the routes of each service, which is the largest number.
     lowest_priority: HashMap<Arc<str>, u32>,
+    /// Smallest timeout among the routes of each service, as a multiple of the latency objective of
+    /// the same route.
+    timeout_factors: HashMap<Arc<str>, f64>,
 }
 
 /// Priority of a request. The priorities of the workspaces are compared first, then the priorities
@@ -125,6 +128,7 @@
             routes: HashMap::new(),
             workspaces: None,
             lowest_priority: HashMap::new(),
+            timeout_factors: HashMap::new(),
         }
     }
 
@@ -136,6 +140,10 @@
                 .entry(target.service.clone())
                 .or_default();
             *lowest = route.priority.max(*lowest);
+            let factor = route.timeout_ms as f64 / route.aim_ms.max(1) as f64;
+            let smallest = self.timeout_factors.entry(target.service.clone());
+            let smallest = smallest.or_insert(factor);
+            *smallest = smallest.min(factor);
         }
         let routes = self.routes.entry(host.to_ascii_lowercase()).or_default();
         // Routes are sorted by falling length of the prefix, so that the first match is the
@@ -195,6 +203,12 @@
         lowest_possible > priority
     }
 
+    /// Returns the smallest timeout among the routes to a service, as a multiple of the latency
+    /// objective of the same route; 0 if no route leads to the service.
+    pub fn timeout_factor(&self, service: &str) -> f64 {
+        self.timeout_factors.get(service).copied().unwrap_or(0.0)
+    }
+
     /// Iterates over all services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.values()
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -145,6 +145,7 @@
     tokio::spawn(entry.clone().keep_reporting_notices());
     tokio::spawn(entry.clone().exchange_rate_limits());
     tokio::spawn(entry.clone().exchange_quota_usage());
+    tokio::spawn(entry.clone().keep_logging_contention());
     tokio::spawn(sweep_connections(entry.clone()));
     tokio::spawn(async {
         loop {
@@ -211,6 +212,9 @@
     metrics.cold_servers.set(cold.count() as i64);
     let dropped = log_writer::dropped_in_total();
     metrics.log_lines_dropped.set(dropped as i64);
+    for (key, counts) in entry.contention.counts() {
+        metrics.contention(&key, counts);
+    }
     for (kind, table, calls) in entry.store.calls() {
         metrics.store_calls(kind.name(), table, calls);
     }
