Commands: a server that takes a command for a caller's request is another server

Cause: when a server ends and a server of another service gets its address, that server answers grants and releases with 400 and states that it did not run the request.

Change: a 400 with the not-run header counts as another server. A 400 without it stays an error.

--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -9,7 +9,7 @@
 
 use super::{
     error::{DecodeSnafu, Result, StatusSnafu},
-    headers::{EXPECTED_SERVER, HANDOVER, SERVER_NAME},
+    headers::{EXPECTED_SERVER, HANDOVER, SERVER_NAME, says_not_run},
     link::{BufferedResponse, Link},
     wire::{WireGrant, WireRelease},
 };
@@ -91,7 +91,7 @@
     match response.status {
         StatusCode::OK => Ok(GrantOutcome::Held),
         StatusCode::CONFLICT => Ok(GrantOutcome::Superseded),
-        StatusCode::MISDIRECTED_REQUEST => Ok(GrantOutcome::OtherServer),
+        _ if is_from_other_server(&response) => Ok(GrantOutcome::OtherServer),
         status => StatusSnafu {
             address: link.address(),
             status,
@@ -117,7 +117,7 @@
                 handover: handover.map(str::to_owned),
             })
         }
-        StatusCode::MISDIRECTED_REQUEST => Ok(ReleaseOutcome::OtherServer),
+        _ if is_from_other_server(&response) => Ok(ReleaseOutcome::OtherServer),
         status => StatusSnafu {
             address: link.address(),
             status,
@@ -152,6 +152,14 @@
     Ok(reported.is_none_or(|name| name.as_bytes() == server.as_bytes()))
 }
 
+/// Returns true if another server process than the intended one answered a command. A server of
+/// another service knows no commands: it takes a command for a caller's request without an
+/// identifier, and responds that it did not run this request.
+fn is_from_other_server(response: &BufferedResponse) -> bool {
+    let statuses = [StatusCode::MISDIRECTED_REQUEST, StatusCode::BAD_REQUEST];
+    statuses.contains(&response.status) && says_not_run(response.status, &response.headers)
+}
+
 async fn order<B: Serialize>(
     link: &Link,
     path: &str,
