Contended services: age of requests and scheduled retry times

Callers that were refused because of one lease were told to retry at its end, all at one moment, and a retry counted as a new request with a new objective. The age of a request is now estimated from its deadline, so that its objective counts from the first attempt, and refused callers get a place in a schedule of the key's server. A retry past its caller's objective does not queue at a server.

--- a/src/entry/contention.rs
+++ b/src/entry/contention.rs
@@ -23,7 +23,7 @@
 /// Interval of the log events with the counts of each contended service.
 const LOG_EVERY_MS: u64 = 5_000;
 /// Number of variants of [`QueueStep`].
-const STEPS: usize = 8;
+const STEPS: usize = 10;
 
 /// Step in the handling of a request for a contended service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -44,6 +44,10 @@
     RefusedAfterWait,
     /// The request is a retry of a caller whose earlier attempt did not succeed.
     Retry,
+    /// A retry was served.
+    RetryServed,
+    /// The request was refused with a retry time from the schedule of its server.
+    ToldToRetry,
 }
 
 impl QueueStep {
@@ -57,6 +61,8 @@
         Self::RefusedLate,
         Self::RefusedAfterWait,
         Self::Retry,
+        Self::RetryServed,
+        Self::ToldToRetry,
     ];
 
     /// Returns the name of the step in metrics and log events.
@@ -70,6 +76,8 @@
             Self::RefusedLate => "refused_late",
             Self::RefusedAfterWait => "refused_after_wait",
             Self::Retry => "retry",
+            Self::RetryServed => "retry_served",
+            Self::ToldToRetry => "told_to_retry",
         }
     }
 }
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -22,6 +22,8 @@
 //! | [`hot_keys`] | a key with more requests than its server can run |
 //! | [`hold`] | requests for keys that are being moved between servers |
 //! | [`retry_after`] | refused callers, which must learn when to retry |
+//! | [`retry_schedule`] | callers that would all retry when a lease or a queue ends |
+//! | [`request_age`] | retries, whose callers have waited since their first attempt |
 //! | [`budget`] | retries that would amplify an overload |
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
 //! | [`warmup`] | servers that have just started and can run few requests |
@@ -52,7 +54,9 @@
 pub mod rate_limit;
 pub mod rate_meter;
 pub mod rate_shares;
+pub mod request_age;
 pub mod retry_after;
+pub mod retry_schedule;
 pub mod run_shares;
 pub mod slowdown;
 pub mod trials;
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -95,6 +95,12 @@
     /// Smallest timeout of the routes to a contended service, as a multiple of their latency
     /// objectives. Callers with a shorter timeout have left before a queue has drained.
     pub contended_timeout_factor: f64,
+    /// True if the age of a request for a contended service is estimated from its deadline, so that
+    /// the latency objective counts from the caller's first attempt.
+    pub infers_request_age: bool,
+    /// True if callers that are refused at a contended service get retry times from a schedule of
+    /// the server, so that they do not all return when the lease or the queue ends.
+    pub schedules_retries: bool,
 }
 
 impl Default for Policy {
@@ -126,6 +132,8 @@
             balance_goal_share: 0.45,
             contended_slots_max: 3,
             contended_timeout_factor: 2.0,
+            infers_request_age: true,
+            schedules_retries: true,
         }
     }
 }
--- a/src/entry/decide/retry_after.rs
+++ b/src/entry/decide/retry_after.rs
@@ -6,7 +6,7 @@
 
 /// Longest retry time, in milliseconds, that a refused caller is given. Requests in quarantine are
 /// excepted: their callers may be given a longer retry time.
-const RETRY_AFTER_MAX_MS: u64 = 5_000;
+pub const RETRY_AFTER_MAX_MS: u64 = 5_000;
 /// Retry time, in milliseconds, for requests to a host that has started and has not loaded its
 /// configuration yet.
 const START_RETRY_MS: u64 = 500;
@@ -24,6 +24,17 @@
 /// one second because quotas are rates per second.
 const QUOTA_RETRY_MS: u64 = 1_000;
 
+/// Cause that blocks a refused request, by which retries at contended services are scheduled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BlockedBy {
+    /// The requests that the key's server already has.
+    Queue,
+    /// The move of the key to another server, or the lease of a lost server.
+    Move,
+    /// Any other cause; the retry is not scheduled.
+    Other,
+}
+
 /// Refusal of a request that has not run, so that the caller can safely send the request again.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Refused {
@@ -31,6 +42,8 @@
     pub reason: &'static str,
     /// Time after which the caller should retry, in milliseconds; sent in `Retry-After`.
     pub retry_after_ms: u64,
+    /// Cause that blocks the request.
+    pub blocked_by: BlockedBy,
 }
 
 impl Refused {
@@ -46,9 +59,20 @@
         Self {
             reason,
             retry_after_ms: after_ms.clamp(policy.return_min_ms, RETRY_AFTER_MAX_MS),
+            blocked_by: BlockedBy::Other,
         }
     }
 
+    /// Returns the refusal with the cause that blocks the request.
+    pub fn blocked_by(self, blocked_by: BlockedBy) -> Self {
+        Self { blocked_by, ..self }
+    }
+
+    /// Returns the refusal with another retry time, in the same range as that of [`Self::after`].
+    pub fn at(&self, after_ms: u64, policy: &Policy) -> Self {
+        Self::after(self.reason, after_ms, policy).blocked_by(self.blocked_by)
+    }
+
     /// Refuses a request that is in quarantine because several servers have crashed during that
     /// request. The retry time is the rest of the quarantine, without a maximum, because an earlier
     /// retry would be refused as well.
@@ -56,6 +80,7 @@
         Self {
             reason: "several servers have ended under the request",
             retry_after_ms: remaining_ms,
+            blocked_by: BlockedBy::Other,
         }
     }
 
@@ -81,6 +106,7 @@
         Self {
             reason: "the workspace is over its quota",
             retry_after_ms: QUOTA_RETRY_MS,
+            blocked_by: BlockedBy::Other,
         }
     }
 
@@ -90,6 +116,7 @@
         Self {
             reason,
             retry_after_ms: START_RETRY_MS,
+            blocked_by: BlockedBy::Other,
         }
     }
 
@@ -99,7 +126,7 @@
     pub fn hot_key(hot: HotKey, typical_ms: f64, policy: &Policy) -> Self {
         let turn_ms = (typical_ms * hot.excess()) as u64;
         let reason = "the key gets more requests than its server can serve";
-        Self::after(reason, turn_ms, policy)
+        Self::after(reason, turn_ms, policy).blocked_by(BlockedBy::Queue)
     }
 
     /// Refuses a request that a server did not run. A server with free slots sheds requests at
@@ -112,8 +139,9 @@
             return Self {
                 reason,
                 retry_after_ms: policy.return_shed_ms,
+                blocked_by: BlockedBy::Other,
             };
         }
-        Self::after(reason, typical_ms as u64, policy)
+        Self::after(reason, typical_ms as u64, policy).blocked_by(BlockedBy::Queue)
     }
 }
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -16,7 +16,7 @@
             choice::{self, Inputs},
             hold::{self, Hold, MoveTimeLeft, MoveWait},
             rate_shares,
-            retry_after::Refused,
+            retry_after::{BlockedBy, Refused},
         },
         owners::Owner,
         peers::message::Message,
@@ -247,11 +247,13 @@
             Hold::For(room_ms) => Ok(room_ms),
             Hold::Refuse if time_left.wait == MoveWait::Lease => {
                 let reason = "the key waits for the lease of a lost server to end";
-                Err(Refused::after(reason, time_left.remaining_ms, policy))
+                let refused = Refused::after(reason, time_left.remaining_ms, policy);
+                Err(refused.blocked_by(BlockedBy::Move))
             }
             Hold::Refuse => {
                 let reason = "the key is on its way to another server";
-                Err(self.refused_for_one_run(entry, reason))
+                let refused = self.refused_for_one_run(entry, reason);
+                Err(refused.blocked_by(BlockedBy::Move))
             }
         }
     }
@@ -265,7 +267,8 @@
             if registry.former(id).is_none() {
                 entry.view.request_read(FollowedTable::Servers);
             }
-            return Err(Refused::soon("the key's server is gone", policy));
+            let refused = Refused::soon("the key's server is gone", policy);
+            return Err(refused.blocked_by(BlockedBy::Move));
         };
         self.last = Some(server.clone());
         if !self.may_be_served_in(entry, &server.entry.availability_zone) {
@@ -288,8 +291,10 @@
         }
         let typical_ms = registry.typical_run_ms(&self.service);
         let seen = self.candidate(entry, server);
-        if !admission::has_room(&seen, typical_ms, self.demand(entry), policy) {
-            return Err(self.refused_for_one_run(entry, "the key's server is overloaded"));
+        let admission_policy = self.admission_policy(entry);
+        if !admission::has_room(&seen, typical_ms, self.demand(entry), &admission_policy) {
+            let refused = self.refused_for_one_run(entry, "the key's server is overloaded");
+            return Err(refused.blocked_by(BlockedBy::Queue));
         }
         if !is_under_rate_limit(server, entry.sharing_hosts(), self.is_urgent()) {
             return Err(Refused::limited(policy));
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -14,7 +14,11 @@
     clock,
     entry::{
         Entry,
-        decide::{Candidate, Demand, retry_after::Refused},
+        contention::QueueStep,
+        decide::{
+            Candidate, Demand,
+            retry_after::{BlockedBy, Refused},
+        },
         digest::RequestDigests,
         events::Event,
         model::{Configuration, Route},
@@ -46,10 +50,27 @@
 pub struct Times {
     /// Time at which the request arrived at this host.
     pub arrived_ms: u64,
-    /// Time up to which a response meets the latency objective of the request's route.
+    /// Time up to which a response meets the latency objective of the request's route, counted
+    /// from the caller's first attempt.
     pub objective_ms: u64,
-    /// Time after which the caller no longer waits for a response.
+    /// Time after which this host no longer waits for a response: the caller's deadline or the end
+    /// of the route's timeout.
     pub deadline_ms: u64,
+    /// Time after which the caller no longer waits for a response.
+    pub caller_deadline_ms: u64,
+    /// Estimated time from the caller's first attempt to the arrival; 0 if it is not known.
+    pub age_ms: u64,
+}
+
+impl Times {
+    /// Returns the times of a request whose caller made its first attempt `age_ms` before this one.
+    pub(super) fn with_age(self, age_ms: u64) -> Self {
+        Self {
+            objective_ms: self.objective_ms.saturating_sub(age_ms),
+            age_ms,
+            ..self
+        }
+    }
 }
 
 /// A caller's request while it is forwarded, with the state of its attempts.
@@ -156,6 +177,7 @@
         entry: &Arc<Entry>,
         payload: &mut Payload,
     ) -> Response<ResponseBody> {
+        self.note_retry(entry, QueueStep::Retry);
         if let Some(refused) = self.refuse_hot_key(entry) {
             return refused;
         }
@@ -193,6 +215,7 @@
         if entry.samples_response() {
             self.log("answered", format!("status {}", response.status()));
         }
+        self.note_retry(entry, QueueStep::RetryServed);
         self.end(entry, "answered");
         response
     }
@@ -207,7 +230,7 @@
     ) -> Response<ResponseBody> {
         self.log("refused", logged);
         self.end(entry, "refused");
-        refusal(refused)
+        refusal(&self.scheduled(entry, refused))
     }
 
     /// Returns a refusal whose retry time is the typical run time of a request of the service.
@@ -250,6 +273,7 @@
         if self.failed_connects >= connects_max || !payload.can_resend() {
             let logged = format!("no connection: {reason}");
             let refused = Refused::soon("no connection to the server", &entry.settings.policy);
+            let refused = refused.blocked_by(BlockedBy::Move);
             return Some(self.refuse(entry, logged, &refused));
         }
         if self.key.is_some() {
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -5,6 +5,7 @@
 mod choose;
 mod forwarded_request;
 mod head;
+mod retry_time;
 
 use std::{sync::Arc, time::Duration};
 
@@ -109,6 +110,8 @@
         arrived_ms,
         objective_ms: arrived_ms + route.aim_ms,
         deadline_ms,
+        caller_deadline_ms: arrived_ms.saturating_add(requested_ms.unwrap_or(left_ms)),
+        age_ms: 0,
     };
     let caller_request = CallerRequest {
         route,
@@ -225,6 +228,8 @@
     let hosts = entry.peers.hosts();
     entry.retries.request(&service, hosts, clock::now_ms());
     let request_id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
+    let stated_ms = header_number(&head.headers, headers::DEADLINE_MS.as_str());
+    let age_ms = entry.request_age_ms(&service, &route.name, stated_ms, times.arrived_ms);
     let digests = RequestDigests::of(head, payload.buffered_bytes());
     let mut forwarded_request = ForwardedRequest {
         configuration,
@@ -236,7 +241,7 @@
         head,
         request_id,
         digests,
-        times: *times,
+        times: times.with_age(age_ms),
         attempts: 0,
         failed_connects: 0,
         tried: Vec::new(),
--- /dev/null
+++ b/src/entry/forward/retry_time.rs
@@ -0,0 +1,124 @@
+//! Retry times of requests that are refused at contended services, and the admission of retries
+//! there.
+
+use super::forwarded_request::ForwardedRequest;
+use crate::{
+    clock,
+    entry::{
+        Entry,
+        contention::QueueStep,
+        decide::{
+            Policy, admission,
+            retry_after::{BlockedBy, RETRY_AFTER_MAX_MS, Refused},
+            retry_schedule::{self, RefusedCaller},
+        },
+        server::{Server, tag_of},
+    },
+};
+
+/// Server, or service if the server is not known, at which a refused caller gets a place.
+struct Scheduled {
+    tag: u32,
+    capacity_per_s: f64,
+    /// Time until the requests that the server has are expected to have run, in milliseconds.
+    queue_ms: f64,
+}
+
+impl ForwardedRequest<'_> {
+    /// Returns the refusal with a retry time from the schedule of the key's server if the service
+    /// is contended. Urgent callers that a queue blocks retry before the scheduled places.
+    pub(super) fn scheduled(&self, entry: &Entry, refused: &Refused) -> Refused {
+        let policy = &entry.settings.policy;
+        let now_ms = clock::now_ms();
+        let left_ms = self.times.caller_deadline_ms.saturating_sub(now_ms);
+        let honoured_ms = retry_schedule::honoured_ms(left_ms).min(RETRY_AFTER_MAX_MS);
+        let is_urgent = self.is_urgent();
+        let keeps_time = match refused.blocked_by {
+            BlockedBy::Other => true,
+            BlockedBy::Queue => is_urgent && refused.retry_after_ms <= honoured_ms,
+            BlockedBy::Move => false,
+        };
+        let is_contended = || policy.schedules_retries && entry.is_contended(&self.service);
+        if keeps_time || !is_contended() {
+            return refused.clone();
+        }
+        let scheduled = self.schedule(entry);
+        let blocked_ms = match refused.blocked_by {
+            BlockedBy::Queue => refused.retry_after_ms.max(scheduled.queue_ms as u64),
+            BlockedBy::Move | BlockedBy::Other => refused.retry_after_ms,
+        };
+        let caller = RefusedCaller {
+            now_ms,
+            blocked_ms,
+            honoured_ms,
+            is_urgent,
+        };
+        let hosts = entry.sharing_hosts();
+        let interval_ms = retry_schedule::interval_ms(scheduled.capacity_per_s, hosts);
+        let schedules = &entry.retry_schedules;
+        let after_ms = schedules.retry_after_ms(scheduled.tag, caller, interval_ms, rand::random());
+        let step = QueueStep::ToldToRetry;
+        entry.contention.note(&self.service, is_urgent, step);
+        refused.at(after_ms, policy)
+    }
+
+    /// Returns the thresholds for the admission of the request at its server. A retry past the
+    /// objective of its caller does not queue: its run would make timely responses late.
+    pub(super) fn admission_policy(&self, entry: &Entry) -> Policy {
+        let policy = entry.settings.policy;
+        Policy {
+            late_may_queue: policy.late_may_queue && self.times.age_ms == 0,
+            ..policy
+        }
+    }
+
+    /// Counts a retry, from the estimated age of the request.
+    pub(super) fn note_retry(&self, entry: &Entry, step: QueueStep) {
+        if self.times.age_ms > 0 {
+            entry.contention.note(&self.service, self.is_urgent(), step);
+        }
+    }
+
+    /// Returns the server that gets the retry: the server chosen last, or the server that is to
+    /// hold the key.
+    fn schedule(&self, entry: &Entry) -> Scheduled {
+        let registry = entry.view.registry();
+        let typical_ms = registry.typical_run_ms(&self.service);
+        let capacity_per_s = |server: &Server| {
+            let seen = self.candidate(entry, server);
+            admission::capacity_per_s(&seen, typical_ms)
+        };
+        let of_server = |server: &Server| {
+            let capacity_per_s = capacity_per_s(server);
+            Scheduled {
+                tag: server.tag,
+                capacity_per_s,
+                queue_ms: f64::from(server.load()) * 1000.0 / capacity_per_s,
+            }
+        };
+        if let Some(server) = &self.last {
+            return of_server(server);
+        }
+        let assigned = self
+            .key
+            .and_then(|k| entry.view.assigned_server(&self.service, k));
+        if let Some(server) = assigned.as_deref().and_then(|id| registry.server(id)) {
+            return of_server(server);
+        }
+        let servers = registry.of_service(&self.service);
+        let total_per_s: f64 = servers.iter().map(|server| capacity_per_s(server)).sum();
+        match assigned {
+            // The entry of the server is gone; its keys go to servers of the same kind.
+            Some(id) => Scheduled {
+                tag: tag_of(&id),
+                capacity_per_s: total_per_s / servers.len().max(1) as f64,
+                queue_ms: 0.0,
+            },
+            None => Scheduled {
+                tag: tag_of(&self.service),
+                capacity_per_s: total_per_s,
+                queue_ms: 0.0,
+            },
+        }
+    }
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -29,6 +29,8 @@
 mod rate_limits;
 mod register;
 pub mod registry;
+mod request_ages;
+mod retry_schedules;
 mod rows;
 mod run;
 pub mod running_requests;
@@ -72,6 +74,8 @@
     model::Warmup,
     peers::Peers,
     quotas::Quotas,
+    request_ages::RequestAges,
+    retry_schedules::RetrySchedules,
     server::WarmupLimit,
     updates::{confirmation::ConfigurationConfirmation, freshness::Freshness},
     view::View,
@@ -130,6 +134,10 @@
     pub run_shares: RunShares,
     /// Counts of what happens to the requests for contended services.
     contention: Contention,
+    /// Deadlines of the recent requests for contended services, which show the retries.
+    request_ages: RequestAges,
+    /// Places for the retries of callers that were refused at contended services.
+    retry_schedules: RetrySchedules,
     /// Counters, gauges and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// True once the host row of this host in the store states the incarnation of this process.
@@ -182,6 +190,8 @@
             demand_by_host: Mutex::default(),
             run_shares: RunShares::default(),
             contention: Contention::default(),
+            request_ages: RequestAges::default(),
+            retry_schedules: RetrySchedules::default(),
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -259,6 +259,14 @@
         });
     }
 
+    /// Returns the server that the recorded assignment names for `key` of a service, which may not
+    /// hold the key yet or any longer.
+    pub fn assigned_server(&self, service: &Arc<str>, key: u16) -> Option<Arc<str>> {
+        let held = self.held_map();
+        let assignment = &held.get(service)?.assignment;
+        Some(assignment.assigned_range(key)?.server.clone())
+    }
+
     /// Returns the server that gets the requests for `key` of a service, or the reason why no
     /// server gets them.
     pub fn owner(&self, service: &Arc<str>, key: u16) -> Owner {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -202,6 +202,12 @@
         self.owners.owner(service, key)
     }
 
+    /// Returns the server that the recorded assignment names for `key` of a service, which may not
+    /// hold the key yet or any longer.
+    pub fn assigned_server(&self, service: &Arc<str>, key: u16) -> Option<Arc<str>> {
+        self.owners.assigned_server(service, key)
+    }
+
     /// Records that a server does not, or not yet, hold the keys assigned to it under a fence.
     /// Requests for these keys are not sent to the server for a short time.
     pub fn note_not_held(&self, service: &Arc<str>, fence: u64) {
