--- a/src/entry/decide/request_age.rs
+++ b/src/entry/decide/request_age.rs
@@ -76,7 +76,9 @@
 
     fn advance(&mut self, now_ms: u64) {
         let number = now_ms / WINDOW_MS;
-        if number == self.current.number {
+        // Requests are recorded when their body has arrived, so that their arrival times may be out
+        // of order.
+        if number <= self.current.number {
             return;
         }
         let is_outdated = self.is_outdated(now_ms);
--- a/src/entry/decide/retry_schedule.rs
+++ b/src/entry/decide/retry_schedule.rs
@@ -49,8 +49,14 @@
 impl RetrySchedule {
     /// Returns the time after which the caller should retry, in milliseconds, and takes the place.
     /// Without a place within the time that the caller honours, the retry time is in the last
-    /// quarter of that time. `random` is uniform from 0 to 1.
-    pub fn retry_after_ms(&mut self, caller: RefusedCaller, interval_ms: f64, random: f64) -> u64 {
+    /// quarter of that time. The random numbers are uniform from 0 to 1; the first selects the time
+    /// of the first place, the second a time without a place.
+    pub fn retry_after_ms(
+        &mut self,
+        caller: RefusedCaller,
+        interval_ms: f64,
+        [first, spread]: [f64; 2],
+    ) -> u64 {
         let now_ms = caller.now_ms as f64;
         let honoured_ms = caller.honoured_ms as f64;
         let begin_ms = now_ms + caller.blocked_ms as f64;
@@ -62,12 +68,12 @@
         // The first place is at a random time within the interval, since all hosts expect the
         // blocking cause to end at the same moment.
         let place_ms = if free_ms < begin_ms {
-            begin_ms + interval_ms * random
+            begin_ms + interval_ms * first
         } else {
             free_ms
         };
         if place_ms > now_ms + honoured_ms {
-            return (honoured_ms * (1.0 - LAST_SHARE * random)) as u64;
+            return (honoured_ms * (1.0 - LAST_SHARE * spread)) as u64;
         }
         let next_ms = place_ms + interval_ms;
         if caller.is_urgent {
--- a/src/entry/retry_schedules.rs
+++ b/src/entry/retry_schedules.rs
@@ -28,13 +28,13 @@
 
 impl RetrySchedules {
     /// Returns the time after which a refused caller should retry, in milliseconds, and takes the
-    /// place at the server. `random` is uniform from 0 to 1.
+    /// place at the server. The random numbers are uniform from 0 to 1.
     pub fn retry_after_ms(
         &self,
         tag: u32,
         caller: RefusedCaller,
         interval_ms: f64,
-        random: f64,
+        random: [f64; 2],
     ) -> u64 {
         let mut schedules = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = caller.now_ms;
--- a/tests/entry_retry_schedule.rs
+++ b/tests/entry_retry_schedule.rs
@@ -198,7 +198,7 @@
             honoured_ms: 1_900,
             is_urgent,
         };
-        schedule.retry_after_ms(caller, 200.0, 0.5)
+        schedule.retry_after_ms(caller, 200.0, [0.5; 2])
     };
     assert_eq!([after_ms(false, 0), after_ms(false, 0)], [600, 800]);
     assert_eq!([after_ms(true, 0), after_ms(true, 0)], [600, 800]);
