--- a/tests/retry_simulation/mod.rs
+++ b/tests/retry_simulation/mod.rs
@@ -106,7 +106,6 @@
     pub others: Tally,
     /// Most retries that arrive within 100 ms after the end of the block.
     pub retries_peak: u32,
-
     /// Most requests of any kind that arrive within 100 ms after the end of the block.
     pub peak: u32,
 }
