Contended services: random retry times where the end of a block is not known

Callers whose connection was refused, or whose server was missing, got places in the schedule. They returned so late that they displaced timely requests. They are now told to retry after 100 to 500 ms, at random.

--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -99,7 +99,8 @@
     /// the latency objective counts from the caller's first attempt.
     pub infers_request_age: bool,
     /// True if callers that are refused at a contended service get retry times from a schedule of
-    /// the server, so that they do not all return when the lease or the queue ends.
+    /// the server, so that they do not all return when the lease or the queue ends. Needs
+    /// `infers_request_age`: retries that count as new requests displace timely ones.
     pub schedules_retries: bool,
 }
 
--- a/src/entry/decide/retry_after.rs
+++ b/src/entry/decide/retry_after.rs
@@ -31,6 +31,8 @@
     Queue,
     /// The move of the key to another server, or the lease of a lost server.
     Move,
+    /// The key's server refuses connections or is not known, until its keys have been moved.
+    Unknown,
     /// Any other cause; the retry is not scheduled.
     Other,
 }
--- a/src/entry/decide/retry_schedule.rs
+++ b/src/entry/decide/retry_schedule.rs
@@ -12,6 +12,10 @@
 /// rounding of `Retry-After` to 10 ms.
 const HONOURED_MARGIN_MS: u64 = 25;
 
+/// Largest retry time for a cause whose end is not known, as a multiple of the smallest. With places
+/// from the schedule, callers returned so late that they displaced timely requests.
+const UNKNOWN_FACTOR: f64 = 5.0;
+
 /// Returns the longest retry time, in milliseconds, that a caller honours who waits for another
 /// `left_ms`.
 pub fn honoured_ms(left_ms: u64) -> u64 {
@@ -24,6 +28,13 @@
     1000.0 * hosts.max(1) as f64 / capacity_per_s.max(0.001)
 }
 
+/// Returns a retry time, in milliseconds, for a cause whose end is not known: at random between
+/// `least_ms` and five times that time. `random` is uniform from 0 to 1.
+pub fn unknown_ms(least_ms: u64, honoured_ms: u64, random: f64) -> u64 {
+    let factor = 1.0 + (UNKNOWN_FACTOR - 1.0) * random;
+    ((least_ms as f64 * factor) as u64).min(honoured_ms)
+}
+
 /// Refused caller that needs a retry time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RefusedCaller {
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -268,7 +268,7 @@
                 entry.view.request_read(FollowedTable::Servers);
             }
             let refused = Refused::soon("the key's server is gone", policy);
-            return Err(refused.blocked_by(BlockedBy::Move));
+            return Err(refused.blocked_by(BlockedBy::Unknown));
         };
         self.last = Some(server.clone());
         if !self.may_be_served_in(entry, &server.entry.availability_zone) {
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -273,7 +273,7 @@
         if self.failed_connects >= connects_max || !payload.can_resend() {
             let logged = format!("no connection: {reason}");
             let refused = Refused::soon("no connection to the server", &entry.settings.policy);
-            let refused = refused.blocked_by(BlockedBy::Move);
+            let refused = refused.blocked_by(BlockedBy::Unknown);
             return Some(self.refuse(entry, logged, &refused));
         }
         if self.key.is_some() {
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -25,8 +25,9 @@
 }
 
 impl ForwardedRequest<'_> {
-    /// Returns the refusal with a retry time from the schedule of the key's server if the service
-    /// is contended. Urgent callers that a queue blocks retry before the scheduled places.
+    /// Returns the refusal with another retry time if the service is contended: from the schedule of
+    /// the key's server, or at random if the end of the blocking cause is not known. Urgent callers
+    /// that a queue blocks retry before the scheduled places.
     pub(super) fn scheduled(&self, entry: &Entry, refused: &Refused) -> Refused {
         let policy = &entry.settings.policy;
         let now_ms = clock::now_ms();
@@ -36,32 +37,47 @@
         let keeps_time = match refused.blocked_by {
             BlockedBy::Other => true,
             BlockedBy::Queue => is_urgent && refused.retry_after_ms <= honoured_ms,
-            BlockedBy::Move => false,
+            BlockedBy::Move | BlockedBy::Unknown => false,
         };
         let is_contended = || policy.schedules_retries && entry.is_contended(&self.service);
         if keeps_time || !is_contended() {
             return refused.clone();
         }
-        let scheduled = self.schedule(entry);
-        let blocked_ms = match refused.blocked_by {
-            BlockedBy::Queue => refused.retry_after_ms.max(scheduled.queue_ms as u64),
-            BlockedBy::Move | BlockedBy::Other => refused.retry_after_ms,
-        };
         let caller = RefusedCaller {
             now_ms,
-            blocked_ms,
+            blocked_ms: refused.retry_after_ms,
             honoured_ms,
             is_urgent,
         };
-        let hosts = entry.sharing_hosts();
-        let interval_ms = retry_schedule::interval_ms(scheduled.capacity_per_s, hosts);
-        let schedules = &entry.retry_schedules;
-        let after_ms = schedules.retry_after_ms(scheduled.tag, caller, interval_ms, rand::random());
+        let after_ms = match refused.blocked_by {
+            BlockedBy::Unknown => {
+                retry_schedule::unknown_ms(refused.retry_after_ms, honoured_ms, rand::random())
+            }
+            blocked_by => self.place_ms(entry, caller, blocked_by),
+        };
         let step = QueueStep::ToldToRetry;
         entry.contention.note(&self.service, is_urgent, step);
         refused.at(after_ms, policy)
     }
 
+    /// Takes a place in the schedule of the key's server and returns the time until the place, in
+    /// milliseconds.
+    fn place_ms(&self, entry: &Entry, caller: RefusedCaller, blocked_by: BlockedBy) -> u64 {
+        let scheduled = self.schedule(entry);
+        let queue_ms = match blocked_by {
+            BlockedBy::Queue => scheduled.queue_ms as u64,
+            BlockedBy::Move | BlockedBy::Unknown | BlockedBy::Other => 0,
+        };
+        let caller = RefusedCaller {
+            blocked_ms: caller.blocked_ms.max(queue_ms),
+            ..caller
+        };
+        let hosts = entry.sharing_hosts();
+        let interval_ms = retry_schedule::interval_ms(scheduled.capacity_per_s, hosts);
+        let schedules = &entry.retry_schedules;
+        schedules.retry_after_ms(scheduled.tag, caller, interval_ms, rand::random())
+    }
+
     /// Returns the thresholds for the admission of the request at its server. A retry past the
     /// objective of its caller does not queue: its run would make timely responses late.
     pub(super) fn admission_policy(&self, entry: &Entry) -> Policy {
--- a/tests/entry_retry_schedule.rs
+++ b/tests/entry_retry_schedule.rs
@@ -6,7 +6,7 @@
 use ashroad::{
     entry::decide::{
         request_age::DeadlineEvidence,
-        retry_schedule::{RefusedCaller, RetrySchedule, honoured_ms, interval_ms},
+        retry_schedule::{self, RefusedCaller, RetrySchedule, honoured_ms, interval_ms},
     },
     platform::headers::DEADLINE_MS,
     transport::header_number,
@@ -120,6 +120,7 @@
         (Block::Work, 6_900),
         (Block::Work, 8_000),
         (Block::Gone, 6_300),
+        (Block::Gone, 7_000),
         (Block::Gone, 10_000),
     ] {
         let scenario = Scenario {
@@ -183,6 +184,8 @@
                 "{name}: {after_ms}"
             );
         }
+        let unknown_ms = retry_schedule::unknown_ms(100, honoured_ms, rng.random());
+        assert!(unknown_ms <= honoured_ms, "{name}: {unknown_ms}");
         assert!(schedule.is_idle(1_010_000 + honoured_ms + 10_000), "{name}");
     }
 }
--- a/tests/retry_simulation/mod.rs
+++ b/tests/retry_simulation/mod.rs
@@ -311,8 +311,13 @@
             Block::Lease => (MoveWait::Lease, remaining_ms),
             Block::Work => (MoveWait::Work, MEAN_RUN_MS as u64),
             Block::Gone => {
-                let is_scheduled = self.rules.schedules_retries;
-                self.refuse(index, now_ms, self.policy.return_min_ms, is_scheduled);
+                let least_ms = self.policy.return_min_ms;
+                let told_ms = if self.rules.schedules_retries {
+                    retry_schedule::unknown_ms(least_ms, CALLER_WAIT_MS / 3, self.rng.random())
+                } else {
+                    least_ms
+                };
+                self.refuse(index, now_ms, told_ms, false);
                 return;
             }
         };
