Contended services: limit free times of schedules, no schedule without ages

A host that does not know the number of hosts assumes 10,000, so that one place moved the free time of a server by up to 1,000 s. After the number was known, all callers of that server got random times in the last quarter of the honoured time until then. Free times are now at most twice the sum of the longest retry time and the current interval ahead.

--- a/src/entry/contention.rs
+++ b/src/entry/contention.rs
@@ -46,7 +46,8 @@
     Retry,
     /// A retry was served.
     RetryServed,
-    /// The request was refused with a retry time from the schedule of its server.
+    /// The request was refused with a retry time from the schedule of its server, or at random if
+    /// the end of the blocking cause is not known.
     ToldToRetry,
 }
 
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -99,11 +99,19 @@
     /// the latency objective counts from the caller's first attempt.
     pub infers_request_age: bool,
     /// True if callers that are refused at a contended service get retry times from a schedule of
-    /// the server, so that they do not all return when the lease or the queue ends. Needs
-    /// `infers_request_age`: retries that count as new requests displace timely ones.
+    /// the server, so that they do not all return when the lease or the queue ends. Has no
+    /// effect without `infers_request_age`: retries that count as new requests displace timely
+    /// ones.
     pub schedules_retries: bool,
 }
 
+impl Policy {
+    /// Returns true if retries are scheduled: schedules need the estimated ages.
+    pub fn schedules_retries_by_age(&self) -> bool {
+        self.schedules_retries && self.infers_request_age
+    }
+}
+
 impl Default for Policy {
     fn default() -> Self {
         Self {
--- a/src/entry/decide/retry_schedule.rs
+++ b/src/entry/decide/retry_schedule.rs
@@ -2,6 +2,8 @@
 //! server, and an overload: callers that are all told to retry at the end of the blocking cause
 //! would overload the server again at that moment.
 
+use super::retry_after::RETRY_AFTER_MAX_MS;
+
 /// Part of the time that callers honour, counted from its end, in which a caller without a place
 /// retries at a random time.
 const LAST_SHARE: f64 = 0.25;
@@ -11,9 +13,8 @@
 /// transmission to the caller, which has less time left when it reads the response, and the
 /// rounding of `Retry-After` to 10 ms.
 const HONOURED_MARGIN_MS: u64 = 25;
-
-/// Largest retry time for a cause whose end is not known, as a multiple of the smallest. With places
-/// from the schedule, callers returned so late that they displaced timely requests.
+/// Largest retry time for a cause whose end is not known, as a multiple of the smallest. Places
+/// from the schedule would bring callers back so late that they displace timely requests.
 const UNKNOWN_FACTOR: f64 = 5.0;
 
 /// Returns the longest retry time, in milliseconds, that a caller honours who waits for another
@@ -69,6 +70,7 @@
         [first, spread]: [f64; 2],
     ) -> u64 {
         let now_ms = caller.now_ms as f64;
+        self.limit(now_ms, interval_ms);
         let honoured_ms = caller.honoured_ms as f64;
         let begin_ms = now_ms + caller.blocked_ms as f64;
         let free_ms = if caller.is_urgent {
@@ -96,6 +98,15 @@
         (place_ms - now_ms) as u64
     }
 
+    /// Moves free times to at most twice the sum of the longest retry time and the interval from
+    /// now. Later ones stem from a longer interval, as a host has that does not know the number of
+    /// hosts yet; they would leave all callers without a place for many minutes.
+    fn limit(&mut self, now_ms: f64, interval_ms: f64) {
+        let latest_ms = now_ms + 2.0 * (RETRY_AFTER_MAX_MS as f64 + interval_ms);
+        self.urgent_free_ms = self.urgent_free_ms.min(latest_ms);
+        self.others_free_ms = self.others_free_ms.min(latest_ms);
+    }
+
     /// Returns true if all places that were given have passed.
     pub fn is_idle(&self, now_ms: u64) -> bool {
         self.urgent_free_ms.max(self.others_free_ms) <= now_ms as f64
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -39,8 +39,8 @@
             BlockedBy::Queue => is_urgent && refused.retry_after_ms <= honoured_ms,
             BlockedBy::Move | BlockedBy::Unknown => false,
         };
-        let is_contended = || policy.schedules_retries && entry.is_contended(&self.service);
-        if keeps_time || !is_contended() {
+        let is_scheduled = policy.schedules_retries_by_age();
+        if keeps_time || !is_scheduled || !entry.is_contended(&self.service) {
             return refused.clone();
         }
         let caller = RefusedCaller {
--- a/tests/entry_retry_schedule.rs
+++ b/tests/entry_retry_schedule.rs
@@ -5,6 +5,7 @@
 
 use ashroad::{
     entry::decide::{
+        Policy,
         request_age::DeadlineEvidence,
         retry_schedule::{self, RefusedCaller, RetrySchedule, honoured_ms, interval_ms},
     },
@@ -190,7 +191,8 @@
     }
 }
 
-/// Guards against urgent callers that wait behind others, and against two callers at one time.
+/// Guards against urgent callers that wait behind others, and against two callers of the same
+/// urgency at one time.
 #[test]
 fn places_follow_at_the_rate_of_the_server_with_urgent_callers_first() {
     let mut schedule = RetrySchedule::default();
@@ -210,6 +212,45 @@
     assert_eq!(after_ms(false, 5_000), 600);
 }
 
+/// Guards against places that a host gave before it knew the number of hosts, and that leave all
+/// callers of a server without a place long after.
+#[test]
+fn a_schedule_recovers_from_an_interval_that_was_far_too_long() {
+    for is_urgent in [false, true] {
+        let mut schedule = RetrySchedule::default();
+        let mut after_ms = |now_ms, hosts, first| {
+            let caller = RefusedCaller {
+                now_ms,
+                blocked_ms: 500,
+                honoured_ms: 1_900,
+                is_urgent,
+            };
+            schedule.retry_after_ms(caller, interval_ms(10.0, hosts), [first, 0.0])
+        };
+        assert_eq!(after_ms(0, 10_000, 0.0), 500);
+        assert_eq!(after_ms(1_000, 7, 0.0), 1_900, "no place yet");
+        assert_eq!(after_ms(13_000, 7, 0.0), 500, "urgent: {is_urgent}");
+    }
+}
+
+/// Guards against a schedule without ages, which displaces timely requests.
+#[test]
+fn retries_are_scheduled_only_if_ages_are_inferred() {
+    for (schedules_retries, infers_request_age, is_scheduled) in [
+        (false, false, false),
+        (false, true, false),
+        (true, false, false),
+        (true, true, true),
+    ] {
+        let policy = Policy {
+            schedules_retries,
+            infers_request_age,
+            ..Policy::default()
+        };
+        assert_eq!(policy.schedules_retries_by_age(), is_scheduled);
+    }
+}
+
 /// Guards against requests that are taken for retries without clear evidence.
 #[test]
 fn the_age_is_zero_unless_the_evidence_is_clear() {
