--- a/src/entry/contention.rs
+++ b/src/entry/contention.rs
@@ -23,7 +23,7 @@
 /// Interval of the log events with the counts of each contended service.
 const LOG_EVERY_MS: u64 = 5_000;
 /// Number of variants of [`QueueStep`].
-const STEPS: usize = 8;
+const STEPS: usize = 10;
 
 /// Step in the handling of a request for a contended service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -44,6 +44,11 @@
     RefusedAfterWait,
     /// The request is a retry of a caller whose earlier attempt did not succeed.
     Retry,
+    /// A retry was served.
+    RetryServed,
+    /// The request was refused with a retry time from the schedule of its server, or at random if
+    /// the end of the blocking cause is not known.
+    ToldToRetry,
 }
 
 impl QueueStep {
@@ -57,6 +62,8 @@
         Self::RefusedLate,
         Self::RefusedAfterWait,
         Self::Retry,
+        Self::RetryServed,
+        Self::ToldToRetry,
     ];
 
     /// Returns the name of the step in metrics and log events.
@@ -70,6 +77,8 @@
             Self::RefusedLate => "refused_late",
             Self::RefusedAfterWait => "refused_after_wait",
             Self::Retry => "retry",
+            Self::RetryServed => "retry_served",
+            Self::ToldToRetry => "told_to_retry",
         }
     }
 }
@@ -125,14 +134,24 @@
         let Some(configuration) = self.view.configuration() else {
             return false;
         };
+        let policy = &self.settings.policy;
+        let with_one_slot = ServiceProfile {
+            is_sharded: configuration.service(service).is_some_and(|s| s.sharded),
+            slots_max: 1,
+            timeout_factor: configuration.timeout_factor(service),
+        };
+        // Every request needs the decision, and a service may have thousands of servers. Most
+        // services are excluded whatever the slots of their servers.
+        if !contended::is_contended(with_one_slot, policy) {
+            return false;
+        }
         let registry = self.view.registry();
         let servers = registry.of_service(service).iter();
         let profile = ServiceProfile {
-            is_sharded: configuration.service(service).is_some_and(|s| s.sharded),
             slots_max: servers.map(|server| server.entry.slots).max().unwrap_or(0),
-            timeout_factor: configuration.timeout_factor(service),
+            ..with_one_slot
         };
-        contended::is_contended(profile, &self.settings.policy)
+        contended::is_contended(profile, policy)
     }
 
     /// Logs at intervals which services are contended, if that has changed, and the counts of the
