--- a/src/entry/decide/retry_after.rs
+++ b/src/entry/decide/retry_after.rs
@@ -25,7 +25,7 @@
 const QUOTA_RETRY_MS: u64 = 1_000;
 
 /// Cause that blocks a refused request, by which retries at contended services are scheduled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum BlockedBy {
     /// The requests that the key's server already has.
     Queue,
@@ -70,9 +70,13 @@
         Self { blocked_by, ..self }
     }
 
-    /// Returns the refusal with another retry time, in the same range as that of [`Self::after`].
-    pub fn at(&self, after_ms: u64, policy: &Policy) -> Self {
-        Self::after(self.reason, after_ms, policy).blocked_by(self.blocked_by)
+    /// Returns the refusal with another retry time: at least `policy.return_min_ms`, and at most
+    /// the longest time that the caller honours.
+    pub fn at(&self, after_ms: u64, honoured_ms: u64, policy: &Policy) -> Self {
+        Self {
+            retry_after_ms: after_ms.max(policy.return_min_ms).min(honoured_ms),
+            ..self.clone()
+        }
     }
 
     /// Refuses a request that is in quarantine because several servers have crashed during that
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -230,7 +230,7 @@
     ) -> Response<ResponseBody> {
         self.log("refused", logged);
         self.end(entry, "refused");
-        refusal(&self.scheduled(entry, refused))
+        refusal(&self.with_retry_time(entry, refused))
     }
 
     /// Returns a refusal whose retry time is the typical run time of a request of the service.
@@ -311,7 +311,10 @@
         if !self.may_retry(entry, payload) {
             let typical_ms = entry.view.registry().typical_run_ms(&self.service);
             let seen = self.candidate(entry, server);
-            let refused = Refused::not_run(&seen, typical_ms, &entry.settings.policy);
+            let mut refused = Refused::not_run(&seen, typical_ms, &entry.settings.policy);
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                refused = refused.blocked_by(BlockedBy::Unknown);
+            }
             return Some(self.refuse(entry, logged, &refused));
         }
         self.log("repeated", logged);
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -12,12 +12,13 @@
             retry_after::{BlockedBy, RETRY_AFTER_MAX_MS, Refused},
             retry_schedule::{self, RefusedCaller},
         },
+        retry_schedules::SchedulePlace,
         server::{Server, tag_of},
     },
 };
 
 /// Server, or service if the server is not known, at which a refused caller gets a place.
-struct Scheduled {
+struct RetryTarget {
     tag: u32,
     capacity_per_s: f64,
     /// Time until the requests that the server has are expected to have run, in milliseconds.
@@ -28,7 +29,7 @@
     /// Returns the refusal with another retry time if the service is contended: from the schedule of
     /// the key's server, or at random if the end of the blocking cause is not known. Urgent callers
     /// that a queue blocks retry before the scheduled places.
-    pub(super) fn scheduled(&self, entry: &Entry, refused: &Refused) -> Refused {
+    pub(super) fn with_retry_time(&self, entry: &Entry, refused: &Refused) -> Refused {
         let policy = &entry.settings.policy;
         let now_ms = clock::now_ms();
         let left_ms = self.times.caller_deadline_ms.saturating_sub(now_ms);
@@ -57,15 +58,15 @@
         };
         let step = QueueStep::ToldToRetry;
         entry.contention.note(&self.service, is_urgent, step);
-        refused.at(after_ms, policy)
+        refused.at(after_ms, honoured_ms, policy)
     }
 
     /// Takes a place in the schedule of the key's server and returns the time until the place, in
     /// milliseconds.
     fn place_ms(&self, entry: &Entry, caller: RefusedCaller, blocked_by: BlockedBy) -> u64 {
-        let scheduled = self.schedule(entry);
+        let target = self.retry_target(entry);
         let queue_ms = match blocked_by {
-            BlockedBy::Queue => scheduled.queue_ms as u64,
+            BlockedBy::Queue => target.queue_ms as u64,
             BlockedBy::Move | BlockedBy::Unknown | BlockedBy::Other => 0,
         };
         let caller = RefusedCaller {
@@ -73,9 +74,13 @@
             ..caller
         };
         let hosts = entry.sharing_hosts();
-        let interval_ms = retry_schedule::interval_ms(scheduled.capacity_per_s, hosts);
+        let interval_ms = retry_schedule::interval_ms(target.capacity_per_s, hosts);
+        let place = SchedulePlace {
+            tag: target.tag,
+            blocked_by,
+        };
         let schedules = &entry.retry_schedules;
-        schedules.retry_after_ms(scheduled.tag, caller, interval_ms, rand::random())
+        schedules.retry_after_ms(place, caller, interval_ms, rand::random())
     }
 
     /// Returns the thresholds for the admission of the request at its server. A retry past the
@@ -97,7 +102,7 @@
 
     /// Returns the server that gets the retry: the server chosen last, or the server that is to
     /// hold the key.
-    fn schedule(&self, entry: &Entry) -> Scheduled {
+    fn retry_target(&self, entry: &Entry) -> RetryTarget {
         let registry = entry.view.registry();
         let typical_ms = registry.typical_run_ms(&self.service);
         let capacity_per_s = |server: &Server| {
@@ -106,7 +111,7 @@
         };
         let of_server = |server: &Server| {
             let capacity_per_s = capacity_per_s(server);
-            Scheduled {
+            RetryTarget {
                 tag: server.tag,
                 capacity_per_s,
                 queue_ms: f64::from(server.load()) * 1000.0 / capacity_per_s,
@@ -125,12 +130,12 @@
         let total_per_s: f64 = servers.iter().map(|server| capacity_per_s(server)).sum();
         match assigned {
             // The entry of the server is gone; its keys go to servers of the same kind.
-            Some(id) => Scheduled {
+            Some(id) => RetryTarget {
                 tag: tag_of(&id),
                 capacity_per_s: total_per_s / servers.len().max(1) as f64,
                 queue_ms: 0.0,
             },
-            None => Scheduled {
+            None => RetryTarget {
                 tag: tag_of(&self.service),
                 capacity_per_s: total_per_s,
                 queue_ms: 0.0,
--- a/src/entry/retry_schedules.rs
+++ b/src/entry/retry_schedules.rs
@@ -7,7 +7,10 @@
     sync::{Mutex, PoisonError},
 };
 
-use super::decide::retry_schedule::{RefusedCaller, RetrySchedule};
+use super::decide::{
+    retry_after::BlockedBy,
+    retry_schedule::{RefusedCaller, RetrySchedule},
+};
 
 /// Number of schedules from which those without future places are dropped, and above which no
 /// schedule is added. The number is that of the servers of the largest supported deployment.
@@ -16,13 +19,23 @@
 /// longest retry time.
 const PRUNE_EVERY_MS: u64 = 10_000;
 
-/// Schedules by the tag of the server, or of the service if the server is not known.
+/// Server and cause that a schedule is for. Causes have schedules of their own, because a lease
+/// blocks some keys of a server for seconds while its queue drains in a fraction of a second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SchedulePlace {
+    /// Tag of the server, or of the service if the server is not known.
+    pub tag: u32,
+    /// Cause that blocks the refused requests.
+    pub blocked_by: BlockedBy,
+}
+
+/// Schedules by server and cause.
 #[derive(Debug, Default)]
 pub struct RetrySchedules(Mutex<Schedules>);
 
 #[derive(Debug, Default)]
 struct Schedules {
-    by_tag: HashMap<u32, RetrySchedule>,
+    by_place: HashMap<SchedulePlace, RetrySchedule>,
     pruned_ms: u64,
 }
 
@@ -31,7 +44,7 @@
     /// place at the server. The random numbers are uniform from 0 to 1.
     pub fn retry_after_ms(
         &self,
-        tag: u32,
+        place: SchedulePlace,
         caller: RefusedCaller,
         interval_ms: f64,
         random: [f64; 2],
@@ -39,14 +52,14 @@
         let mut schedules = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let now_ms = caller.now_ms;
         if now_ms >= schedules.pruned_ms + PRUNE_EVERY_MS {
-            schedules.by_tag.retain(|_, known| !known.is_idle(now_ms));
+            schedules.by_place.retain(|_, known| !known.is_idle(now_ms));
             schedules.pruned_ms = now_ms;
         }
-        let mut schedule = schedules.by_tag.get(&tag).copied().unwrap_or_default();
+        let mut schedule = schedules.by_place.get(&place).copied().unwrap_or_default();
         let after_ms = schedule.retry_after_ms(caller, interval_ms, random);
-        let has_space = schedules.by_tag.len() < SCHEDULES_MAX;
-        if !schedule.is_idle(now_ms) && (has_space || schedules.by_tag.contains_key(&tag)) {
-            schedules.by_tag.insert(tag, schedule);
+        let has_space = schedules.by_place.len() < SCHEDULES_MAX;
+        if !schedule.is_idle(now_ms) && (has_space || schedules.by_place.contains_key(&place)) {
+            schedules.by_place.insert(place, schedule);
         }
         after_ms
     }
--- a/tests/platform_orders.rs
+++ b/tests/platform_orders.rs
@@ -24,7 +24,8 @@
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut request = [0; 4_096];
-            stream.read(&mut request).await.expect("a request");
+            let length = stream.read(&mut request).await.expect("a request");
+            assert!(length > 0);
             stream
                 .write_all(response.as_bytes())
                 .await
