Policy: methods after the defaults

The block stood between the fields and their defaults, so that every branch that adds a threshold conflicts with it. No change of behaviour.

--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -105,13 +105,6 @@
     pub schedules_retries: bool,
 }
 
-impl Policy {
-    /// Returns true if retries are scheduled: schedules need the estimated ages.
-    pub fn schedules_retries_by_age(&self) -> bool {
-        self.schedules_retries && self.infers_request_age
-    }
-}
-
 impl Default for Policy {
     fn default() -> Self {
         Self {
@@ -146,3 +139,10 @@
         }
     }
 }
+
+impl Policy {
+    /// Returns true if retries are scheduled: schedules need the estimated ages.
+    pub fn schedules_retries_by_age(&self) -> bool {
+        self.schedules_retries && self.infers_request_age
+    }
+}
