--- a/src/entry/model.rs
+++ b/src/entry/model.rs
@@ -102,7 +102,8 @@
     /// Lowest priority among the routes of each service, which is the largest number.
     lowest_priority: HashMap<Arc<str>, u32>,
     /// Smallest timeout among the routes of each service, as a multiple of the latency objective of
-    /// the same route.
+    /// the same route. Routes without an objective below their timeout are left out, because they
+    /// do not show how long callers wait beyond an objective.
     timeout_factors: HashMap<Arc<str>, f64>,
 }
 
@@ -140,10 +141,12 @@
                 .entry(target.service.clone())
                 .or_default();
             *lowest = route.priority.max(*lowest);
-            let factor = route.timeout_ms as f64 / route.aim_ms.max(1) as f64;
-            let smallest = self.timeout_factors.entry(target.service.clone());
-            let smallest = smallest.or_insert(factor);
-            *smallest = smallest.min(factor);
+            if route.aim_ms < route.timeout_ms {
+                let factor = route.timeout_ms as f64 / route.aim_ms.max(1) as f64;
+                let smallest = self.timeout_factors.entry(target.service.clone());
+                let smallest = smallest.or_insert(factor);
+                *smallest = smallest.min(factor);
+            }
         }
         let routes = self.routes.entry(host.to_ascii_lowercase()).or_default();
         // Routes are sorted by falling length of the prefix, so that the first match is the
@@ -203,8 +206,8 @@
         lowest_possible > priority
     }
 
-    /// Returns the smallest timeout among the routes to a service, as a multiple of the latency
-    /// objective of the same route; 0 if no route leads to the service.
+    /// Returns the smallest timeout among the routes to a service that have an objective below their
+    /// timeout, as a multiple of that objective; 0 if there is no such route.
     pub fn timeout_factor(&self, service: &str) -> f64 {
         self.timeout_factors.get(service).copied().unwrap_or(0.0)
     }
