Request age: a lower bound where callers wait for different times, no schedule without exact ages

Change: if most deadlines lie within a fifth below the largest, a request with a smaller one is a retry for at least the difference; retry times are scheduled only where ages are exact.

--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -243,7 +243,7 @@
     fn hold(&self, entry: &Entry, time_left: MoveTimeLeft) -> Result<u64, Refused> {
         let policy = &entry.settings.policy;
         let aim_ms = self.route.aim_ms;
-        let held_ms = self.elapsed_ms() + self.times.age_ms;
+        let held_ms = self.elapsed_ms() + self.times.age.age_ms;
         match hold::decide(time_left, held_ms, self.left_ms(), aim_ms, policy) {
             Hold::For(room_ms) => Ok(room_ms),
             Hold::Refuse if time_left.wait == MoveWait::Lease => {
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -22,6 +22,7 @@
         digest::RequestDigests,
         events::Event,
         model::{Configuration, Route},
+        request_ages::RequestAge,
         server::{Server, WarmupLimit},
         workspaces::{Workspace, WorkspaceKey},
     },
@@ -58,16 +59,16 @@
     pub deadline_ms: u64,
     /// Time after which the caller no longer waits for a response.
     pub caller_deadline_ms: u64,
-    /// Estimated time from the caller's first attempt to the arrival; 0 if it is not known.
-    pub age_ms: u64,
+    /// Estimated age of the request, counted from the caller's first attempt.
+    pub age: RequestAge,
 }
 
 impl Times {
-    /// Returns the times of a request whose caller made its first attempt `age_ms` before this one.
-    pub(super) fn with_age(self, age_ms: u64) -> Self {
+    /// Returns the times of a request of this age.
+    pub(super) fn with_age(self, age: RequestAge) -> Self {
         Self {
-            objective_ms: self.objective_ms.saturating_sub(age_ms),
-            age_ms,
+            objective_ms: self.objective_ms.saturating_sub(age.age_ms),
+            age,
             ..self
         }
     }
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -25,6 +25,7 @@
     digest::RequestDigests,
     events::Event,
     model::{Configuration, Route, RouteTarget},
+    request_ages::RequestAge,
     server::tag_of,
     workspaces::WorkspaceKey,
 };
@@ -111,7 +112,7 @@
         objective_ms: arrived_ms + route.aim_ms,
         deadline_ms,
         caller_deadline_ms: arrived_ms.saturating_add(requested_ms.unwrap_or(left_ms)),
-        age_ms: 0,
+        age: RequestAge::default(),
     };
     let caller_request = CallerRequest {
         route,
@@ -229,7 +230,7 @@
     entry.retries.request(&service, hosts, clock::now_ms());
     let request_id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
     let stated_ms = header_number(&head.headers, headers::DEADLINE_MS.as_str());
-    let age_ms = entry.request_age_ms(&service, &route.name, stated_ms, times.arrived_ms);
+    let age = entry.request_age(&service, &route.name, stated_ms, times.arrived_ms);
     let digests = RequestDigests::of(head, payload.buffered_bytes());
     let mut forwarded_request = ForwardedRequest {
         configuration,
@@ -241,7 +242,7 @@
         head,
         request_id,
         digests,
-        times: times.with_age(age_ms),
+        times: times.with_age(age),
         attempts: 0,
         failed_connects: 0,
         tried: Vec::new(),
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -40,7 +40,7 @@
             BlockedBy::Queue => is_urgent && refused.retry_after_ms <= honoured_ms,
             BlockedBy::Move | BlockedBy::Unknown => false,
         };
-        let is_scheduled = policy.schedules_retries_by_age();
+        let is_scheduled = policy.schedules_retries_by_age() && self.times.age.is_exact;
         if keeps_time || !is_scheduled || !entry.is_contended(&self.service) {
             return refused.clone();
         }
@@ -88,14 +88,14 @@
     pub(super) fn admission_policy(&self, entry: &Entry) -> Policy {
         let policy = entry.settings.policy;
         Policy {
-            late_may_queue: policy.late_may_queue && self.times.age_ms == 0,
+            late_may_queue: policy.late_may_queue && self.times.age.age_ms == 0,
             ..policy
         }
     }
 
     /// Counts a retry, from the estimated age of the request.
     pub(super) fn note_retry(&self, entry: &Entry, step: QueueStep) {
-        if self.times.age_ms > 0 {
+        if self.times.age.age_ms > 0 {
             entry.contention.note(&self.service, self.is_urgent(), step);
         }
     }
