Ended servers: evidence from refused connections, keys move without leases

A lost server's keys waited for its lease, and after a loss of the leader for 9 s more, although its address refused connections. For contended services the leader now tries connections of its own to servers that refuse commands or that hosts report. Three refused attempts over 0.3 s, with the entry present and ready and confirmed by a call to the store, prove that the process has ended: its moves go on at once, and it gets no keys or grants. Hosts report refused connections without requests in flight by a new last message variant.

--- a/src/entry/crashes/mod.rs
+++ b/src/entry/crashes/mod.rs
@@ -14,6 +14,7 @@
 mod stored;
 
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -22,7 +23,7 @@
 use tokio::{sync::Notify, time};
 
 use self::{
-    reports::{Report, Reports},
+    reports::{RefusingServers, Report, Reports},
     stored::StoredQuarantine,
 };
 use super::{
@@ -60,6 +61,11 @@
     trials: Mutex<TrialClaims>,
     /// Reports of the server crashes that this host detected, to be sent to the other hosts.
     reports: Mutex<Reports>,
+    /// Servers that refused connections of this host, to be reported to the leader.
+    refusing: Mutex<RefusingServers>,
+    /// Tags of servers that any host has reported as refusing connections or as crashed, since this
+    /// host as the leader last took them.
+    reported_refusing: Mutex<HashSet<u32>>,
     /// Quarantined requests as this host last read them from the store or wrote them to the store.
     stored: Mutex<StoredQuarantine>,
     /// Notified when this host has detected a server crash, to wake the task that sends crash
@@ -291,6 +297,35 @@
         }
     }
 
+    /// Records, as the leader, servers that refused connections of a host.
+    pub(in crate::entry) fn note_refusing_servers(&self, tags: &[u32]) {
+        if self.leadership.term() > 0 {
+            lock(&self.crashes.reported_refusing).extend(tags);
+        }
+    }
+
+    /// Takes the tags of the servers that hosts have reported as refusing connections since the
+    /// last call.
+    pub(in crate::entry) fn take_refusing_servers(&self) -> HashSet<u32> {
+        std::mem::take(&mut *lock(&self.crashes.reported_refusing))
+    }
+
+    /// Reports to the leader the servers that refused connections of this host.
+    fn report_refusing_servers(&self, term: u64) {
+        let tags = lock(&self.crashes.refusing).due(term, clock::now_ms());
+        if tags.is_empty() {
+            return;
+        }
+        if self.leadership.term() > 0 {
+            self.note_refusing_servers(&tags);
+        } else if !self
+            .peers
+            .send_to_leader(&Message::RefusedConnections(tags))
+        {
+            log::debug!("refused connections not reported: no leader can be reached");
+        }
+    }
+
     /// Sends the crash reports of this host to the other hosts, and again to each new leader.
     pub(in crate::entry) async fn report_crashes(self: Arc<Self>) {
         loop {
@@ -299,6 +334,7 @@
             for report in &due {
                 self.send_crash_report(report);
             }
+            self.report_refusing_servers(term);
             let pause = Duration::from_millis(RESEND_INTERVAL_MS);
             // The loop sends the due reports both after a crash and after the timeout.
             if time::timeout(pause, self.crashes.crashed.notified())
--- a/src/entry/crashes/probe.rs
+++ b/src/entry/crashes/probe.rs
@@ -49,13 +49,19 @@
     }
 
     /// Records that a server has crashed, and reports the requests of this host that were in flight
-    /// at the server; does nothing if no request was in flight.
+    /// at the server. If no request was in flight, reports only the refused connection to the
+    /// leader, and only for a contended service.
     fn note_crash(&self, server: &Server) {
         let suspects = server.suspects();
         let Suspects { digests, shared } = &suspects;
         if digests.is_empty() {
+            if self.is_contended(&server.entry.service) {
+                lock(&self.crashes.refusing).add(server.tag);
+                self.crashes.crashed.notify_one();
+            }
             return;
         }
+        self.note_refusing_servers(&[server.tag]);
         self.metrics.server_ended();
         Event::ServerEnded {
             server: server.entry.id.clone(),
--- /dev/null
+++ b/src/entry/decide/ended.rs
@@ -0,0 +1,101 @@
+//! Decides whether the process of a server has certainly ended, so that its keys may be granted to
+//! other servers before its lease expires. Handles the loss of many servers at once: without this
+//! decision, requests for the keys of lost servers are refused until the leases of the servers have
+//! expired, including those that an earlier leader may have granted.
+//!
+//! An address that refuses connections has no listening process. A process that shuts down
+//! gracefully closes its listener while its last requests still run, but its entry in the store
+//! shows for longer than [`Policy::ended_evidence_ms`] before that it is leaving. Refused
+//! connections are therefore evidence only while the entry says that the server is ready. An end is
+//! final for an incarnation, so that evidence does not become stale.
+
+use super::Policy;
+
+/// Connection attempt of the deciding host at the address of a server, and what the host knew of
+/// the server when the attempt had ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ConnectionAttempt {
+    /// Time at which the attempt began.
+    pub began_ms: u64,
+    /// True if the address refused the connection; false after a success, a timeout, a reset or any
+    /// other failure.
+    pub is_refused: bool,
+    /// True if the deciding host has another open connection to the server, whose process then
+    /// probably runs.
+    pub has_open_connection: bool,
+    /// True if the store has an entry of this incarnation of the server, with this address.
+    pub is_present: bool,
+    /// True if the entry is ready and the server has sent no host a notice that it leaves.
+    pub is_ready: bool,
+    /// Age of the deciding host's view of the store.
+    pub view_age_ms: u64,
+    /// Time at which the server last answered the deciding host; 0 if it never did.
+    pub answered_ms: u64,
+}
+
+impl ConnectionAttempt {
+    fn is_evidence(&self, policy: &Policy) -> bool {
+        self.is_refused
+            && !self.has_open_connection
+            && self.is_present
+            && self.is_ready
+            && self.view_age_ms <= policy.ended_view_age_ms
+            && self.answered_ms < self.began_ms
+    }
+}
+
+/// Refused connection attempts at one server with nothing else in between.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    refused: u32,
+    first_ms: u64,
+    latest_ms: u64,
+}
+
+impl Evidence {
+    /// Adds an attempt. An attempt that is no evidence, and a response of the server since the
+    /// first refused attempt, discard all earlier attempts.
+    pub fn note(&mut self, attempt: &ConnectionAttempt, policy: &Policy) {
+        if !attempt.is_evidence(policy) {
+            *self = Self::default();
+            return;
+        }
+        if self.refused == 0 || attempt.answered_ms >= self.first_ms {
+            *self = Self {
+                refused: 0,
+                first_ms: attempt.began_ms,
+                latest_ms: attempt.began_ms,
+            };
+        }
+        self.refused += 1;
+        self.latest_ms = attempt.began_ms;
+    }
+
+    /// Returns the number of refused attempts.
+    pub fn refused(&self) -> u32 {
+        self.refused
+    }
+
+    /// Returns the time from the first to the latest refused attempt.
+    pub fn span_ms(&self) -> u64 {
+        self.latest_ms.saturating_sub(self.first_ms)
+    }
+
+    /// Returns the time at which the latest refused attempt began.
+    pub fn latest_ms(&self) -> u64 {
+        self.latest_ms
+    }
+
+    /// Returns true if the refused attempts suffice, in number and span. The entry of the server
+    /// must still be confirmed, see [`Self::is_proof`].
+    pub fn is_sufficient(&self, policy: &Policy) -> bool {
+        self.refused >= policy.ended_attempts && self.span_ms() >= policy.ended_evidence_ms
+    }
+
+    /// Returns true if the process of the server has ended: the attempts suffice, and the store
+    /// states, in response to a call sent at `confirmed_ms`, that the entry of the server has not
+    /// changed. A view that lags behind the store might show a leaving server as ready.
+    pub fn is_proof(&self, confirmed_ms: u64, policy: &Policy) -> bool {
+        self.is_sufficient(policy) && confirmed_ms > self.latest_ms
+    }
+}
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -24,6 +24,7 @@
 //! | [`retry_after`] | refused callers, which must learn when to retry |
 //! | [`budget`] | retries that would amplify an overload |
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
+//! | [`ended`] | servers whose process has ended while their leases still run |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
 //! | [`backoffs`] | servers that ask many hosts for a backoff at the same time |
@@ -39,6 +40,7 @@
 pub mod choice;
 pub mod contended;
 pub mod crash_tally;
+pub mod ended;
 pub mod first;
 pub mod hold;
 pub mod hot_keys;
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -95,6 +95,15 @@
     /// Smallest timeout of the routes to a contended service, as a multiple of their latency
     /// objectives. Callers with a shorter timeout have left before a queue has drained.
     pub contended_timeout_factor: f64,
+    /// Number of refused connection attempts after which a server of a contended service counts as
+    /// ended. One attempt may meet a process that is just being replaced.
+    pub ended_attempts: u32,
+    /// Shortest time from the first to the last of these attempts, in milliseconds. Servers that
+    /// shut down gracefully show for longer that they are leaving before they close their listener.
+    pub ended_evidence_ms: u64,
+    /// Largest age of a host's view of the store, in milliseconds, at which a refused connection is
+    /// evidence. An older view may show a leaving server as ready.
+    pub ended_view_age_ms: u64,
 }
 
 impl Default for Policy {
@@ -126,6 +135,9 @@
             balance_goal_share: 0.45,
             contended_slots_max: 3,
             contended_timeout_factor: 2.0,
+            ended_attempts: 3,
+            ended_evidence_ms: 300,
+            ended_view_age_ms: 1_000,
         }
     }
 }
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -189,6 +189,23 @@
         /// suspect: a request that may have caused the crash.
         digests: Vec<String>,
     },
+    /// The process of a server of a contended service has certainly ended. Logged by the leader,
+    /// which moves the keys of the server without waiting for its lease.
+    ServerProcessEnded {
+        /// Identifier of the server's incarnation; a restarted server gets a new identifier.
+        server: Arc<str>,
+        /// Service that the server belonged to.
+        service: Arc<str>,
+        /// Observation for which the leader tried connections to the server.
+        suspected_by: &'static str,
+        /// Number of connection attempts that the address refused, with no other outcome between.
+        refused: u32,
+        /// Time from the first to the last of these attempts.
+        span_ms: u64,
+        /// Time from the last of these attempts until the store confirmed that the entry of the
+        /// server was still present and ready.
+        confirmed_after_ms: u64,
+    },
     /// A request was quarantined because several servers crashed while running the request. Hosts
     /// send a quarantined request to no server.
     Quarantined {
--- /dev/null
+++ b/src/entry/leases/ended.rs
@@ -0,0 +1,378 @@
+//! Finds out whether the processes of servers that refuse connections have ended. The leader tries
+//! connections of its own to each suspected server of a contended service and collects the outcomes
+//! as evidence. When the evidence suffices, one call to the store confirms that the entries of the
+//! servers have not changed. The keys of an ended server move without waiting for its lease.
+//!
+//! The evidence is kept in memory for the term. From the first refused attempt on, this leader
+//! sends the server no grants, so that no grant of its own can reach a later process at the
+//! address.
+
+use std::{
+    collections::{HashMap, HashSet},
+    io::ErrorKind,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
+
+use tokio::{net::TcpStream, task::JoinSet, time};
+
+use super::Term;
+use crate::{
+    clock,
+    entry::{
+        decide::ended::{ConnectionAttempt, Evidence},
+        events::Event,
+        server::Server,
+        updates::followed::FollowedTable,
+        watch::store_age_ms,
+    },
+    platform::store::{Feed, Rows},
+};
+
+/// Maximum number of connection attempts to suspected servers at the same time. Together with
+/// [`ATTEMPT_HELD_MS`] it bounds the attempts to 320 a second, which take some hundredths of a core
+/// when hundreds of servers have crashed together.
+pub(super) const ATTEMPTS_AT_ONCE: usize = 16;
+/// Time for which an attempt keeps its permit after its end.
+const ATTEMPT_HELD_MS: u64 = 50;
+/// Pause from the end of an attempt to the next one at the same server. Three attempts take more
+/// than the shortest span of sufficient evidence.
+const ATTEMPT_PAUSE_MS: u64 = 155;
+/// Timeout of a connection attempt, as of the hosts' liveness probes.
+const ATTEMPT_TIMEOUT_MS: u64 = 400;
+/// Number of attempts at a server that goes on refusing connections without becoming proof, for
+/// example because the store does not answer. A later refused grant or release starts again.
+const ATTEMPTS_MAX: u32 = 12;
+/// Interval of the attempts at an ended server whose entry is still present although its leases
+/// have expired: a process without a start time in its entry has the same id after a restart.
+const RECHECK_EVERY_MS: u64 = 1_000;
+
+/// Suspected servers by incarnation id.
+#[derive(Debug, Default)]
+pub(super) struct Suspects {
+    by_id: HashMap<Arc<str>, Suspect>,
+    /// True while a call to the store is in progress that confirms the entries of the suspects.
+    is_confirming: bool,
+}
+
+/// Server whose process may have ended, or has ended.
+#[derive(Debug)]
+struct Suspect {
+    server: Arc<Server>,
+    /// Observation by which the server became a suspect, for the log.
+    suspected_by: &'static str,
+    evidence: Evidence,
+    /// True while a task tries connections to the server.
+    is_tried: bool,
+    /// Time at which the server was found to have ended; `None` before that.
+    ended_ms: Option<u64>,
+    /// Time of the last attempt at an ended server whose entry is still present.
+    rechecked_ms: u64,
+}
+
+impl Suspects {
+    /// Returns true if the process of a server has certainly ended.
+    pub(super) fn has_ended(&self, id: &str) -> bool {
+        let suspect = self.by_id.get(id);
+        suspect.is_some_and(|suspect| suspect.ended_ms.is_some())
+    }
+
+    /// Returns true if a server has ended, or if its address refused the last connection attempt.
+    pub(super) fn refuses_connections(&self, id: &str) -> bool {
+        let suspect = self.by_id.get(id);
+        suspect.is_some_and(|s| s.ended_ms.is_some() || s.evidence.refused() > 0)
+    }
+
+    /// Ends the suspicion against a server that has answered or accepted a connection.
+    pub(super) fn remove(&mut self, id: &str) {
+        self.by_id.remove(id);
+    }
+
+    fn add(&mut self, server: &Arc<Server>, suspected_by: &'static str) {
+        let suspect = || Suspect {
+            server: server.clone(),
+            suspected_by,
+            evidence: Evidence::default(),
+            is_tried: false,
+            ended_ms: None,
+            rechecked_ms: 0,
+        };
+        let id = server.entry.id.clone();
+        self.by_id.entry(id).or_insert_with(suspect);
+    }
+
+    /// Returns the suspects that no task tries yet and whose evidence does not suffice, and marks
+    /// them as tried.
+    fn take_untried(&mut self, is_sufficient: impl Fn(&Evidence) -> bool) -> Vec<Arc<Server>> {
+        let mut untried = Vec::new();
+        for suspect in self.by_id.values_mut() {
+            let is_open = suspect.ended_ms.is_none() && !is_sufficient(&suspect.evidence);
+            if is_open && !std::mem::replace(&mut suspect.is_tried, true) {
+                untried.push(suspect.server.clone());
+            }
+        }
+        untried
+    }
+}
+
+impl Term {
+    /// Returns true if the process of a server has certainly ended.
+    pub(super) fn has_ended(&self, id: &str) -> bool {
+        self.state().suspects.has_ended(id)
+    }
+
+    /// Waits for `wait_ms`, or until the server `id` is found to have ended.
+    pub(super) async fn wait_or_ended(&self, id: &str, wait_ms: u64) {
+        let until = time::Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            // The future must exist before the check, since it receives only later notifications.
+            let any_ended = self.server_ended.notified();
+            if self.has_ended(id) || time::timeout_at(until, any_ended).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Suspects a server of a contended service to have ended.
+    pub(super) fn suspect(&self, server: &Arc<Server>, suspected_by: &'static str) {
+        if self.entry.is_contended(&server.entry.service) {
+            self.state().suspects.add(server, suspected_by);
+        }
+    }
+
+    /// Starts the connection attempts to new suspects, and the confirmation of sufficient evidence.
+    pub(super) fn examine_suspects(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
+        self.add_reported_suspects();
+        self.drop_uncontended_suspects();
+        let policy = self.entry.settings.policy;
+        let (untried, is_confirmation_due) = {
+            let mut state = self.state();
+            let suspects = &mut state.suspects;
+            let untried = suspects.take_untried(|evidence| evidence.is_sufficient(&policy));
+            let mut open = suspects.by_id.values().filter(|s| s.ended_ms.is_none());
+            let is_due = !suspects.is_confirming && open.any(|s| s.evidence.is_sufficient(&policy));
+            suspects.is_confirming |= is_due;
+            (untried, is_due)
+        };
+        for server in untried {
+            let term = self.clone();
+            tasks.spawn(async move { term.try_connections(&server).await });
+        }
+        if is_confirmation_due {
+            let term = self.clone();
+            tasks.spawn(async move {
+                term.confirm_evidence().await;
+                term.state().suspects.is_confirming = false;
+            });
+        }
+        self.recheck_ended(tasks);
+    }
+
+    /// Suspects the servers that hosts have reported as crashed or as refusing connections.
+    fn add_reported_suspects(&self) {
+        let tags = self.entry.take_refusing_servers();
+        if tags.is_empty() {
+            return;
+        }
+        let registry = self.entry.view.registry();
+        for server in registry.servers().filter(|s| tags.contains(&s.tag)) {
+            self.suspect(server, "report of a host");
+        }
+    }
+
+    /// Drops the suspects of services that are not contended (any longer).
+    fn drop_uncontended_suspects(&self) {
+        let services: HashSet<Arc<str>> = {
+            let state = self.state();
+            let suspects = state.suspects.by_id.values();
+            suspects.map(|s| s.server.entry.service.clone()).collect()
+        };
+        let is_uncontended = |service: &Arc<str>| !self.entry.is_contended(service);
+        let dropped: Vec<Arc<str>> = services.into_iter().filter(is_uncontended).collect();
+        if !dropped.is_empty() {
+            let mut state = self.state();
+            let suspects = &mut state.suspects.by_id;
+            suspects.retain(|_, suspect| !dropped.contains(&suspect.server.entry.service));
+        }
+    }
+
+    /// Tries connections to a suspect until the evidence suffices or the address does not refuse.
+    async fn try_connections(self: &Arc<Self>, server: &Arc<Server>) {
+        for _ in 0..ATTEMPTS_MAX {
+            let attempt = self.try_connection(server).await;
+            if !self.note_attempt(server, &attempt) {
+                return;
+            }
+            time::sleep(Duration::from_millis(ATTEMPT_PAUSE_MS)).await;
+        }
+        self.state().suspects.remove(&server.entry.id);
+    }
+
+    /// Makes one connection attempt, as soon as there is a permit for it.
+    async fn try_connection(self: &Arc<Self>, server: &Arc<Server>) -> ConnectionAttempt {
+        let permit = self.attempts.acquire().await;
+        let began_ms = clock::now_ms();
+        let timeout = Duration::from_millis(ATTEMPT_TIMEOUT_MS);
+        let connect = TcpStream::connect(server.entry.address);
+        let is_refused = match time::timeout(timeout, connect).await {
+            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        };
+        let is_present = self.is_present(server);
+        let attempt = ConnectionAttempt {
+            began_ms,
+            is_refused,
+            has_open_connection: server.pool.has_open() || server.orders.has_open_connection(),
+            is_present,
+            is_ready: is_ready(server),
+            view_age_ms: store_age_ms(&self.entry),
+            answered_ms: server.answered_ms(),
+        };
+        time::sleep(Duration::from_millis(ATTEMPT_HELD_MS)).await;
+        drop(permit);
+        attempt
+    }
+
+    /// Returns true if the registry has this incarnation of the server with an entry in the store,
+    /// and no incarnation with the same id has used another address, where its process may run.
+    fn is_present(&self, server: &Arc<Server>) -> bool {
+        let registry = self.entry.view.registry();
+        let id = &server.entry.id;
+        let known = registry.server(id);
+        let same = known.is_some_and(|known| Arc::ptr_eq(known, server));
+        let former = registry.former(id);
+        same && former.is_none_or(|former| former.address == server.entry.address)
+            && !registry.is_missing(&server.entry.name)
+    }
+
+    /// Adds an attempt to the evidence against a server. Returns true if further attempts are
+    /// needed, and ends the suspicion if the address did not refuse the connection or the server is
+    /// not present.
+    fn note_attempt(&self, server: &Arc<Server>, attempt: &ConnectionAttempt) -> bool {
+        let id = &server.entry.id;
+        let policy = &self.entry.settings.policy;
+        let mut state = self.state();
+        // A grant in flight may yet arrive at a later process at the address. No further grant is
+        // sent once an attempt has been added.
+        let has_grants = state
+            .servers
+            .get(id)
+            .is_some_and(|s| s.grants_in_flight > 0);
+        if !attempt.is_refused || !attempt.is_present {
+            state.suspects.remove(id);
+            return false;
+        }
+        let Some(suspect) = state.suspects.by_id.get_mut(id) else {
+            return false;
+        };
+        if has_grants {
+            suspect.evidence = Evidence::default();
+            return true;
+        }
+        suspect.evidence.note(attempt, policy);
+        let is_sufficient = suspect.evidence.is_sufficient(policy);
+        suspect.is_tried = !is_sufficient;
+        !is_sufficient
+    }
+
+    /// Asks the store for changes of servers' entries that this host has not applied yet. Each
+    /// suspect with sufficient evidence has ended if its entry is still present and ready without
+    /// such a change; otherwise its evidence is discarded.
+    async fn confirm_evidence(&self) {
+        let applied = self.entry.freshness.applied(FollowedTable::Servers);
+        let sent_ms = clock::now_ms();
+        let table = FollowedTable::Servers.table();
+        let head_received = AtomicBool::new(false);
+        let feed = self.entry.store.feed(table, applied, 0, &head_received);
+        let changes = match feed.await {
+            Ok(Feed::Changes(changes)) => Some(changes).filter(|c| !c.is_full_page()),
+            Ok(Feed::HistoryGone) => None,
+            Err(error) => {
+                log::debug!("cannot confirm the entries of ended servers: {error}");
+                None
+            }
+        };
+        if self.may_send_orders() {
+            self.conclude(changes.as_ref(), sent_ms);
+        }
+    }
+
+    /// Decides on the suspects with sufficient evidence, from the changes of servers' entries that
+    /// the store returned to a call sent at `sent_ms`; `None` if the call failed.
+    fn conclude(&self, changes: Option<&Rows>, sent_ms: u64) {
+        let policy = &self.entry.settings.policy;
+        let now_ms = clock::now_ms();
+        let is_unchanged = |server: &Server| {
+            let concerns = |key: &str| *key == *server.entry.name;
+            changes.is_some_and(|changes| !changes.rows.iter().any(|row| concerns(&row.key)))
+        };
+        let mut ended = Vec::new();
+        let mut state = self.state();
+        state.suspects.by_id.retain(|_, suspect| {
+            if suspect.ended_ms.is_some() || !suspect.evidence.is_sufficient(policy) {
+                return true;
+            }
+            let server = &suspect.server;
+            let holds = is_unchanged(server) && self.is_present(server) && is_ready(server);
+            if !holds {
+                return false;
+            }
+            if !suspect.evidence.is_proof(sent_ms, policy) {
+                // The next call to the store confirms evidence that sufficed during this call.
+                return true;
+            }
+            suspect.ended_ms = Some(now_ms);
+            ended.push(Event::ServerProcessEnded {
+                server: server.entry.id.clone(),
+                service: server.entry.service.clone(),
+                suspected_by: suspect.suspected_by,
+                refused: suspect.evidence.refused(),
+                span_ms: suspect.evidence.span_ms(),
+                confirmed_after_ms: now_ms.saturating_sub(suspect.evidence.latest_ms()),
+            });
+            true
+        });
+        drop(state);
+        for event in ended {
+            self.entry.metrics.server_process_ended();
+            event.log();
+        }
+        self.server_ended.notify_waiters();
+    }
+
+    /// Forgets the ended servers whose leases have expired and whose entry is gone, and tries a
+    /// connection to those whose entry is still present.
+    fn recheck_ended(self: &Arc<Self>, tasks: &mut JoinSet<()>) {
+        let ended: Vec<(Arc<Server>, u64)> = {
+            let state = self.state();
+            let suspects = state.suspects.by_id.values();
+            let ended = suspects.filter(|suspect| suspect.ended_ms.is_some());
+            ended.map(|s| (s.server.clone(), s.rechecked_ms)).collect()
+        };
+        let now_ms = clock::now_ms();
+        for (server, rechecked_ms) in ended {
+            let id = &server.entry.id;
+            if now_ms < self.lease_end_ms(id) || now_ms < rechecked_ms + RECHECK_EVERY_MS {
+                continue;
+            }
+            if self.entry.view.registry().server(id).is_none() {
+                self.state().suspects.remove(id);
+                continue;
+            }
+            if let Some(suspect) = self.state().suspects.by_id.get_mut(id) {
+                suspect.rechecked_ms = now_ms;
+            }
+            let term = self.clone();
+            tasks.spawn(async move {
+                if !term.try_connection(&server).await.is_refused {
+                    term.state().suspects.remove(&server.entry.id);
+                }
+            });
+        }
+    }
+}
+
+/// Returns true if the entry of a server is ready and no notice says that the server leaves.
+fn is_ready(server: &Server) -> bool {
+    !server.leaving() && server.leaves_for_ms().is_none()
+}
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -9,6 +9,7 @@
 //! leader changes during the move, the next leader finds the move among the recorded assigned
 //! ranges and completes it in the same way.
 
+mod ended;
 mod moves;
 mod renewal;
 
@@ -18,8 +19,13 @@
     time::Duration,
 };
 
-use tokio::{task::JoinSet, time};
+use tokio::{
+    sync::{Notify, Semaphore},
+    task::JoinSet,
+    time,
+};
 
+use self::ended::{ATTEMPTS_AT_ONCE, Suspects};
 use super::{
     Entry,
     decide::{
@@ -136,6 +142,8 @@
     completed_fences: HashMap<Arc<str>, Vec<u64>>,
     /// Time at which the leader last began to record completed moves in the store.
     completed_recorded_ms: u64,
+    /// Servers of contended services whose process may have ended or has ended.
+    suspects: Suspects,
 }
 
 impl TermState {
@@ -159,6 +167,10 @@
     entry: Arc<Entry>,
     number: u64,
     state: Mutex<TermState>,
+    /// Notified when a server is found to have ended, to wake the moves that wait for its lease.
+    server_ended: Notify,
+    /// Permits of connection attempts to suspected servers.
+    attempts: Semaphore,
 }
 
 impl Entry {
@@ -175,6 +187,8 @@
                 entry: self.clone(),
                 number,
                 state: Mutex::default(),
+                server_ended: Notify::new(),
+                attempts: Semaphore::new(ATTEMPTS_AT_ONCE),
             });
             term.run().await;
         }
@@ -197,6 +211,7 @@
                 continue;
             }
             self.add_reported_key_counts();
+            self.examine_suspects(&mut tasks);
             for service in self.sharded_services() {
                 self.renew(&service, &mut tasks);
                 self.plan(&service, round, &mut tasks);
@@ -272,7 +287,8 @@
             .filter(|server| {
                 let record = state.servers.get(&server.entry.id);
                 let silent = record.is_some_and(|r| r.is_silent);
-                server.takes_new_work() && !silent
+                let has_ended = state.suspects.has_ended(&server.entry.id);
+                server.takes_new_work() && !silent && !has_ended
             })
             .collect();
         let is_warm = |server: &&Arc<Server>| server.cold_remaining_ms() == 0;
@@ -383,26 +399,6 @@
         }
     }
 
-    /// Permits grants to silent servers again once twice the lease time has passed since the last
-    /// grant. A server that does not answer the new grants either is marked as silent again.
-    fn retry_silent_servers(&self, service: &str) {
-        let registry = self.entry.view.registry();
-        let now_ms = clock::now_ms();
-        let lease_ms = self.entry.settings.leases.lease_ms;
-        let mut state = self.state();
-        for server in registry.of_service(service) {
-            let Some(record) = state.servers.get_mut(&server.entry.id) else {
-                continue;
-            };
-            // After twice the lease time, the last lease of the server has expired and its keys
-            // have moved to other servers.
-            if record.is_silent && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms {
-                record.failures = 0;
-                record.is_silent = false;
-            }
-        }
-    }
-
     fn distribute_first(
         self: &Arc<Self>,
         service: &Arc<str>,
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -196,7 +196,7 @@
             let record = state.servers.get(from);
             record.is_some_and(|record| record.is_silent)
         };
-        let answers = registry.server(from).is_some() && !is_silent;
+        let answers = registry.server(from).is_some() && !is_silent || self.has_ended(from);
         let time_left = if answers {
             MoveTimeLeft {
                 wait: MoveWait::Work,
@@ -297,8 +297,8 @@
     }
 
     /// Ensures that the server `id` no longer holds a range: waits until the server confirms the
-    /// release, the last lease of the server has expired, or another server responds at the last
-    /// known address of the server.
+    /// release, the last lease of the server has expired, another server responds at the last known
+    /// address of the server, or the process of the server is found to have ended.
     ///
     /// Returns the handover token for the new server, or `Some(None)` if the former server returned
     /// no token. Returns `None` if this host may send no commands to servers, for example because
@@ -327,6 +327,9 @@
             if !self.may_send_orders() {
                 return None;
             }
+            if self.has_ended(id) {
+                return Some(None);
+            }
             let free_ms = self.lease_end_ms(id);
             let now_ms = clock::now_ms();
             // A server with an entry in the registry gets the release command at least once, even
@@ -337,7 +340,7 @@
             }
             let Some((link, name)) = link else {
                 self.mark_waiting_for_lease(range);
-                time::sleep(Duration::from_millis(free_ms.saturating_sub(now_ms))).await;
+                self.wait_or_ended(id, free_ms.saturating_sub(now_ms)).await;
                 continue;
             };
             let left_ms = free_ms.saturating_sub(now_ms);
@@ -356,6 +359,9 @@
                 Err(error) => {
                     self.entry.metrics.order("release", "failed");
                     log::debug!("server {id} did not release its keys: {error}");
+                    if let Some(server) = server.as_ref().filter(|_| error.is_refused()) {
+                        self.suspect(server, "refused release");
+                    }
                     if self.mark_waiting_for_lease(range) {
                         let time_left = MoveTimeLeft {
                             wait: MoveWait::Lease,
@@ -364,7 +370,7 @@
                         self.announce_time_left(service, assigned_range, fence - 1, time_left);
                     }
                     let pause_ms = 200.min(free_ms.saturating_sub(clock::now_ms()).max(1));
-                    time::sleep(Duration::from_millis(pause_ms)).await;
+                    self.wait_or_ended(id, pause_ms).await;
                 }
             }
         }
@@ -372,7 +378,7 @@
 
     /// Returns the time after which the server `id` holds no lease: the last lease that this leader
     /// or an earlier leader may have granted to the server has expired.
-    fn lease_end_ms(&self, id: &Arc<str>) -> u64 {
+    pub(super) fn lease_end_ms(&self, id: &Arc<str>) -> u64 {
         let now_ms = clock::now_ms();
         let own_ms = self
             .state()
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -92,7 +92,8 @@
         for assigned_range in &assignment.assigned_ranges {
             let record = state.servers.get(&assigned_range.server);
             let is_silent = record.is_some_and(|record| record.is_silent);
-            if is_silent || state.is_unfinished(service, assigned_range) {
+            let has_ended = state.suspects.has_ended(&assigned_range.server);
+            if is_silent || has_ended || state.is_unfinished(service, assigned_range) {
                 continue;
             }
             let key = (service.clone(), assigned_range.fence);
@@ -107,6 +108,26 @@
         due
     }
 
+    /// Permits grants to silent servers again once twice the lease time has passed since the last
+    /// grant. A server that does not answer the new grants either is marked as silent again.
+    pub(super) fn retry_silent_servers(&self, service: &str) {
+        let registry = self.entry.view.registry();
+        let now_ms = clock::now_ms();
+        let lease_ms = self.entry.settings.leases.lease_ms;
+        let mut state = self.state();
+        for server in registry.of_service(service) {
+            let Some(record) = state.servers.get_mut(&server.entry.id) else {
+                continue;
+            };
+            // After twice the lease time, the last lease of the server has expired and its keys
+            // have moved to other servers.
+            if record.is_silent && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms {
+                record.failures = 0;
+                record.is_silent = false;
+            }
+        }
+    }
+
     fn end_renewals(&self, service: &Arc<str>, assigned_ranges: &[AssignedRange]) {
         let mut state = self.state();
         for assigned_range in assigned_ranges {
@@ -158,6 +179,11 @@
         let sent_ms = clock::now_ms();
         {
             let mut state = self.state();
+            // A later process at the address might execute a grant to a server that seems to have
+            // ended, and then hold keys that have moved to another server.
+            if state.suspects.refuses_connections(id) {
+                return None;
+            }
             let record = state.servers.entry(id.clone()).or_default();
             if record.is_silent {
                 return None;
@@ -183,6 +209,9 @@
             Err(error) => error,
         };
         self.order_failed(server, "grant", error.to_string());
+        if error.is_refused() {
+            self.suspect(server, "refused grant");
+        }
         if needs_probe {
             self.probe_server(order.service, server).await;
         }
@@ -213,6 +242,7 @@
         };
         record.failures = 0;
         record.is_silent = false;
+        state.suspects.remove(id);
         if *granted == GrantOutcome::Held {
             let key = (order.service.clone(), order.fence);
             state.renewals.entry(key).or_default().renewed_ms = sent_ms;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -74,6 +74,7 @@
     latency: Family<RequestLabels, Histogram>,
     retries: Counter,
     servers_ended: Counter,
+    server_processes_ended: Counter,
     orders: Family<OrderLabels, Counter>,
     moves: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
@@ -109,6 +110,7 @@
             latency,
             retries: Counter::default(),
             servers_ended: Counter::default(),
+            server_processes_ended: Counter::default(),
             orders: Family::default(),
             moves: Counter::default(),
             store_calls: Family::default(),
@@ -162,6 +164,13 @@
         registry.register("evacuated_zones", help, self.evacuated_zones.clone());
         let help = "Servers that ended with requests of this host in flight";
         registry.register("servers_ended", help, self.servers_ended.clone());
+        let help =
+            "Servers whose process has ended, so that their keys moved before their lease's end";
+        registry.register(
+            "server_processes_ended",
+            help,
+            self.server_processes_ended.clone(),
+        );
         let help = "Requests that no server gets, since several have ended under them";
         registry.register(
             "quarantined_requests",
@@ -195,6 +204,12 @@
         self.servers_ended.inc();
     }
 
+    /// Counts a server whose process has certainly ended, so that its keys moved without waiting
+    /// for its lease.
+    pub fn server_process_ended(&self) {
+        self.server_processes_ended.inc();
+    }
+
     /// Counts a command (grant or release of keys) to a server when the outcome of the command is
     /// known.
     pub fn order(&self, order: &'static str, outcome: &'static str) {
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -325,4 +325,7 @@
         #[serde(rename = "holdings")]
         assigned_ranges: Vec<AssignedRange>,
     },
+    /// Reports the tags of servers that refused connections of the sender while no request of the
+    /// sender was in flight there. Sent to the leader, which tries whether the servers have ended.
+    RefusedConnections(Vec<u32>),
 }
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -164,7 +164,11 @@
                 server_tag,
                 digests,
                 shared,
-            } => self.note_suspects(server_tag, &digests, &shared),
+            } => {
+                self.note_suspects(server_tag, &digests, &shared);
+                self.note_refusing_servers(&[server_tag]);
+            }
+            Message::RefusedConnections(tags) => self.note_refusing_servers(&tags),
             Message::SuspectCleared {
                 digest,
                 sent_ago_ms,
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -249,6 +249,11 @@
         self.missing.values().any(|until_ms| *until_ms <= now_ms)
     }
 
+    /// Returns true if the server with a name stays in the registry although its entry is missing.
+    pub fn is_missing(&self, name: &str) -> bool {
+        self.missing.contains_key(name)
+    }
+
     /// Returns true if a server stays in the registry although its entry is missing, because the
     /// entry may still return within the grace period.
     pub fn has_missing(&self) -> bool {
--- a/src/platform/error.rs
+++ b/src/platform/error.rs
@@ -19,6 +19,13 @@
         /// Cause, worded for the log.
         message: String,
     },
+    /// The address refused the connection, so no process listens there and the request was not
+    /// sent.
+    #[snafu(display("connection to {address} refused"))]
+    Refused {
+        /// Address of the store or server that was called.
+        address: SocketAddr,
+    },
     /// The call was sent but no complete response arrived. The call may have taken effect, or may
     /// still take effect later.
     #[snafu(display("{address} sent no complete response: {message}"))]
@@ -66,6 +73,11 @@
         }
     }
 
+    /// Returns true if the address refused the connection.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused { .. })
+    }
+
     /// Returns true if the failed call may have taken effect all the same: no complete response
     /// arrived, or the response could not be decoded.
     pub fn may_have_run(&self) -> bool {
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -2,6 +2,7 @@
 //! persistent connection.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Mutex, MutexGuard, PoisonError,
@@ -71,6 +72,13 @@
         self.address
     }
 
+    /// Returns true if the connection that is kept for the next call is still open.
+    pub fn has_open_connection(&self) -> bool {
+        let idle = self.idle();
+        idle.as_ref()
+            .is_some_and(|connection| !connection.sender.is_closed())
+    }
+
     /// Sends a request and reads the whole response. The head of the response must arrive within
     /// `timeout_ms`. Concurrent calls use separate connections.
     pub async fn call(
@@ -153,9 +161,12 @@
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
     let connect_error = |message: String| Error::Connect { address, message };
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|error| connect_error(error.to_string()))?;
+    let stream = TcpStream::connect(address).await.map_err(|error| {
+        if error.kind() == ErrorKind::ConnectionRefused {
+            return Error::Refused { address };
+        }
+        connect_error(error.to_string())
+    })?;
     let options = stream.set_nodelay(true).and(stream.set_zero_linger());
     options.map_err(|error| connect_error(error.to_string()))?;
     let (sender, connection) = handshake(TokioIo::new(stream))
