Tests of ended servers with host processes; the stand-in checks single owners

The stand-in's servers get a number of slots, a given address, and ways to end their process or to close their listener.

--- /dev/null
+++ b/tests/entry_ended_servers.rs
@@ -0,0 +1,241 @@
+//! Tests with host processes of servers of a contended service that end, or only seem to have
+//! ended. A background task checks in each test that no key has two owners.
+
+mod platform_standin;
+
+use std::time::{Duration, Instant};
+
+use tokio::time;
+
+use self::platform_standin::{
+    caller::{TestRequest, send_once},
+    hosts::Host,
+    server::{Place, Server, ServerKind},
+    site::{CONTENDED, ORDERS, Site, eventually, get},
+};
+
+/// Duration of a lease.
+const LEASE_MS: u64 = 4_000;
+/// Time after its last heartbeat at which the platform removes the entry of a server.
+const ENTRY_LAPSE_MS: u64 = 2_400;
+
+fn is_leader(host: &Host) -> bool {
+    !host.events("duty_taken").is_empty()
+}
+
+fn leader(site: &Site) -> usize {
+    let leader = site.hosts.iter().position(is_leader);
+    leader.expect("a host is the leader")
+}
+
+fn ended_events(site: &Site) -> Vec<String> {
+    let hosts = site.hosts.iter();
+    hosts
+        .flat_map(|host| host.events("server_process_ended"))
+        .collect()
+}
+
+/// Waits until the servers together hold all keys. Returns the time since `since`.
+async fn all_keys_held_ms(servers: &[Server], since: Instant, limit_ms: u64) -> u64 {
+    eventually("all keys are held", limit_ms, async || {
+        servers.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+    })
+    .await;
+    since.elapsed().as_millis() as u64
+}
+
+/// Guards against keys that wait for leases that an earlier leader may have granted, although
+/// nothing listens at the addresses of their servers: the wait takes 13 s.
+#[tokio::test]
+async fn keys_of_servers_lost_with_the_leader_are_served_within_a_lease_and_two_seconds() {
+    let mut site = Site::start_contended(3, 6).await;
+    let lost_leader = leader(&site);
+    site.hosts[lost_leader].kill();
+    time::sleep(Duration::from_millis(1_200)).await;
+    let lost_at = Instant::now();
+    for server in &site.keyed[..3] {
+        server.end_process();
+    }
+    let lapse = async {
+        time::sleep(Duration::from_millis(ENTRY_LAPSE_MS)).await;
+        for server in &site.keyed[..3] {
+            server.remove_entry(&site.store);
+        }
+    };
+    let held = all_keys_held_ms(&site.keyed[3..], lost_at, 20_000);
+    let (held_ms, ()) = tokio::join!(held, lapse);
+    println!(
+        "all keys held after {held_ms} ms: {:#?}",
+        ended_events(&site)
+    );
+    assert!(held_ms < LEASE_MS + 2_000, "{held_ms} ms");
+    let next = &site.hosts[(lost_leader + 1) % 3];
+    eventually("all keys are served", 1_000, async || {
+        for key in (0..=u16::MAX).step_by(4_001) {
+            if !get(next, key).await.is_some_and(|s| s.is_success()) {
+                return false;
+            }
+        }
+        true
+    })
+    .await;
+    assert_eq!(ended_events(&site).len(), 3);
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
+/// Guards against two owners of the keys of a server that leaves: it closes its listener while its
+/// last requests run.
+#[tokio::test]
+async fn a_leaving_server_keeps_its_keys_until_its_requests_have_ended() {
+    struct Case {
+        /// Time from the entry that shows the leaving until the listener closes.
+        announced_ms: u64,
+        /// True if the entry is removed when the listener closes.
+        entry_is_removed: bool,
+    }
+    let cases = [
+        Case {
+            announced_ms: 500,
+            entry_is_removed: false,
+        },
+        Case {
+            announced_ms: 500,
+            entry_is_removed: true,
+        },
+        Case {
+            announced_ms: 0,
+            entry_is_removed: true,
+        },
+    ];
+    const RUN_MS: u64 = 2_500;
+    for case in cases {
+        let site = Site::start_contended(2, 3).await;
+        let leaving = &site.keyed[0];
+        let key = (0..=u16::MAX).find(|key| leaving.holds(*key));
+        let key = key.expect("the server holds a key");
+        leaving.set_work_ms(RUN_MS);
+        let request = TestRequest {
+            method: "GET",
+            path: "/keyed/long",
+            id: "long",
+            key: Some(key),
+            deadline_ms: RUN_MS + 1_000,
+        };
+        let run = send_once(leaving.address, request);
+        let watch = async {
+            time::sleep(Duration::from_millis(100)).await;
+            leaving.write_entry(&site.store, "draining");
+            time::sleep(Duration::from_millis(case.announced_ms)).await;
+            leaving.close_listener();
+            if case.entry_is_removed {
+                leaving.remove_entry(&site.store);
+            }
+            // Hosts meet the refused connections and report them.
+            while leaving.served() == 0 {
+                let taken = site.keyed[1..].iter().any(|server| server.holds(key));
+                assert!(!taken, "the key has a second owner during a request");
+                get(&site.hosts[0], key).await;
+                time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let (response, ()) = tokio::join!(run, watch);
+        assert!(response.expect("a response").status.is_success());
+        all_keys_held_ms(&site.keyed[1..], Instant::now(), 8_000).await;
+        assert_eq!(ended_events(&site), Vec::<String>::new());
+        assert_eq!(site.record.violations(), Vec::<String>::new());
+    }
+}
+
+/// Guards against two owners of the keys of a server that accepts connections and does not answer.
+#[tokio::test]
+async fn a_frozen_server_keeps_its_keys_for_its_lease() {
+    let site = Site::start_contended(2, 3).await;
+    let frozen_at = Instant::now();
+    site.keyed[0].set_silent(true);
+    let held_ms = all_keys_held_ms(&site.keyed[1..], frozen_at, 12_000).await;
+    // The last renewal was sent up to 1.2 s before the server froze.
+    assert!(held_ms > LEASE_MS - 1_300, "{held_ms} ms");
+    assert_eq!(ended_events(&site), Vec::<String>::new());
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
+/// Guards against confusion with a process that starts at the address of an ended server, before or
+/// after the leader has found the end.
+#[tokio::test]
+async fn a_process_at_the_address_of_an_ended_server_gets_none_of_its_leases() {
+    struct Case {
+        name: &'static str,
+        kind: ServerKind<'static>,
+        keeps_name: bool,
+        after_ms: u64,
+        /// True if the leader is lost with the server.
+        leader_is_lost: bool,
+    }
+    let other_service = Case {
+        name: "another service, before the end is found",
+        kind: ORDERS,
+        keeps_name: false,
+        after_ms: 150,
+        leader_is_lost: false,
+    };
+    let cases = [
+        Case {
+            name: "another service, after the end is found",
+            after_ms: 1_500,
+            ..other_service
+        },
+        Case {
+            name: "the same name, before the end is found",
+            kind: CONTENDED,
+            keeps_name: true,
+            ..other_service
+        },
+        Case {
+            name: "the same name, after the end is found",
+            kind: CONTENDED,
+            keeps_name: true,
+            after_ms: 1_500,
+            ..other_service
+        },
+        Case {
+            name: "the same name, and the leader is frozen",
+            kind: CONTENDED,
+            keeps_name: true,
+            after_ms: 500,
+            leader_is_lost: true,
+        },
+        other_service,
+    ];
+    for case in cases {
+        let site = Site::start_contended(3, 3).await;
+        let lost = &site.keyed[0];
+        let frozen = &site.hosts[leader(&site)];
+        if case.leader_is_lost {
+            frozen.signal("STOP");
+        }
+        lost.end_process();
+        time::sleep(Duration::from_millis(case.after_ms)).await;
+        let mut place = Place::new();
+        place.address = lost.address;
+        if case.keeps_name {
+            place.id.clone_from(&lost.id);
+        } else {
+            lost.remove_entry(&site.store);
+        }
+        let later = Server::start_crashable_at(place, &site.store, &site.record, case.kind).await;
+        if case.leader_is_lost {
+            time::sleep(Duration::from_millis(4_000)).await;
+            frozen.signal("CONT");
+        }
+        let began = Instant::now();
+        eventually(case.name, 20_000, async || {
+            let held: usize = site.keyed[1..].iter().map(Server::keys_held).sum();
+            held + later.keys_held() == 1 << 16
+        })
+        .await;
+        println!("{}: {} ms", case.name, began.elapsed().as_millis());
+        time::sleep(Duration::from_millis(500)).await;
+        let violations = site.record.violations();
+        assert_eq!(violations, Vec::<String>::new(), "{}", case.name);
+    }
+}
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -8,6 +8,7 @@
 pub mod deployment;
 pub mod hosts;
 pub mod proxy;
+pub mod record;
 pub mod server;
 pub mod site;
 pub mod store;
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -1,11 +1,9 @@
-//! Stand-in of a backend server that holds keys under fences and leases, and a record of all runs
-//! that the servers of a test share.
+//! Stand-in of a backend server that holds keys under fences and leases.
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, Instant},
@@ -16,7 +14,7 @@
     transport::{self, ListenerLimits, ResponseBody, header_text},
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::{Value, json};
@@ -27,7 +25,12 @@
     time,
 };
 
-use super::{next_address, store::Store};
+pub use super::record::RunRecord;
+use super::{
+    next_address,
+    record::{HeldKeys, KeyState, lock},
+    store::Store,
+};
 
 /// Number of keys of a service.
 const KEYS: usize = 1 << 16;
@@ -41,171 +44,6 @@
 /// Delay in milliseconds after which a server carries out an order to which it sends no response.
 const LATE_ORDER_MS: u64 = 2_000;
 
-/// Record of the runs of requests at all servers of a test. The record checks that each key has a
-/// single owner at a time.
-#[derive(Debug, Default)]
-pub struct RunRecord {
-    /// Number of runs by request id.
-    runs: Mutex<HashMap<String, u32>>,
-    /// Keys that each server holds, for the check of single ownership.
-    held_keys_of_servers: Mutex<Vec<Arc<HeldKeys>>>,
-    /// Descriptions of violated invariants.
-    violations: Mutex<Vec<String>>,
-    /// Paths of crashing requests, and the crashes that such requests caused.
-    crash_triggers: Mutex<CrashTriggers>,
-    /// Headers of the requests that ran, by request id.
-    headers_by_request: Mutex<HashMap<String, HeaderMap>>,
-    /// Time until which the single ownership of keys is not checked; `None` if the checks were
-    /// never suspended.
-    ownership_unchecked_until: Mutex<Option<Instant>>,
-}
-
-/// Crashing requests, i.e. requests that crash each crashable server that begins to run them.
-#[derive(Debug, Default)]
-struct CrashTriggers {
-    /// Paths of crashing requests.
-    paths: Vec<&'static str>,
-    /// Times at which servers began to run a crashing request.
-    runs: Vec<Instant>,
-    /// Times at which servers crashed because of a crashing request.
-    crashes: Vec<Instant>,
-}
-
-impl RunRecord {
-    /// Makes requests for a path crash each crashable server that begins to run them. With `None`,
-    /// no request crashes a server.
-    pub fn set_crash_path(&self, path: Option<&'static str>) {
-        self.set_crash_paths(path.into_iter().collect());
-    }
-
-    /// Makes requests for any of these paths crash each crashable server that begins to run them.
-    pub fn set_crash_paths(&self, paths: Vec<&'static str>) {
-        lock(&self.crash_triggers).paths = paths;
-    }
-
-    /// Returns the times at which servers crashed because of crashing requests.
-    pub fn crashes(&self) -> Vec<Instant> {
-        lock(&self.crash_triggers).crashes.clone()
-    }
-
-    /// Returns the times at which servers began to run crashing requests.
-    pub fn crashing_runs(&self) -> Vec<Instant> {
-        lock(&self.crash_triggers).runs.clone()
-    }
-
-    /// Returns true if a request for `path` that is about to run is a crashing request, and records
-    /// the time of its run in this case.
-    fn record_crashing_run(&self, path: &str) -> bool {
-        let mut crash_triggers = lock(&self.crash_triggers);
-        let triggers_crash = crash_triggers.paths.contains(&path);
-        if triggers_crash {
-            crash_triggers.runs.push(Instant::now());
-        }
-        triggers_crash
-    }
-
-    pub fn violations(&self) -> Vec<String> {
-        lock(&self.violations).clone()
-    }
-
-    pub fn report_violation(&self, text: String) {
-        lock(&self.violations).push(text);
-    }
-
-    /// Suspends the checks of single ownership for `time_ms`. Tests that pause a host need this,
-    /// because a grant that the host had in flight when it was paused arrives late.
-    pub fn pause_ownership_checks(&self, time_ms: u64) {
-        *lock(&self.ownership_unchecked_until) =
-            Some(Instant::now() + Duration::from_millis(time_ms));
-    }
-
-    fn ownership_checks_paused(&self) -> bool {
-        lock(&self.ownership_unchecked_until).is_some_and(|until| Instant::now() < until)
-    }
-
-    /// Returns the headers with which a request arrived at the server that ran it; `None` if the
-    /// request did not run.
-    pub fn head(&self, id: &str) -> Option<HeaderMap> {
-        lock(&self.headers_by_request).get(id).cloned()
-    }
-
-    /// Returns the number of runs of a request.
-    pub fn runs(&self, id: &str) -> u32 {
-        lock(&self.runs).get(id).copied().unwrap_or(0)
-    }
-
-    /// Records a run of a request at `server`, and a violation if another server of the same
-    /// service holds the key of the request.
-    fn record_run(&self, id: &str, key: Option<u16>, server: &HeldKeys) {
-        *lock(&self.runs).entry(id.to_owned()).or_default() += 1;
-        let Some(key) = key.filter(|_| !self.ownership_checks_paused()) else {
-            return;
-        };
-        let others = lock(&self.held_keys_of_servers).clone();
-        for other in others {
-            let same_service = other.service == server.service;
-            if same_service && other.id != server.id && other.holds(key) {
-                let text = format!("key {key} is held by {} and {}", server.id, other.id);
-                self.report_violation(text);
-            }
-        }
-    }
-
-    /// Checks the grant of a key to `server`. The fence of the grant must be greater than the
-    /// fences at which other servers of the same service were granted the key.
-    fn take(&self, key: u16, fence: u64, server: &HeldKeys) {
-        if self.ownership_checks_paused() {
-            return;
-        }
-        let others = lock(&self.held_keys_of_servers).clone();
-        for other in others {
-            if other.service != server.service || other.id == server.id {
-                continue;
-            }
-            let held = lock(&other.keys)[usize::from(key)].granted_fence;
-            if held >= fence {
-                let text = format!(
-                    "{} was granted key {key} at fence {fence}, not above fence {held} of another server",
-                    server.id
-                );
-                self.report_violation(text);
-                return;
-            }
-        }
-    }
-}
-
-/// State of one key at one server.
-#[derive(Clone, Copy, Debug, Default)]
-struct KeyState {
-    /// Highest fence of all accepted grants and releases of the key.
-    fence: u64,
-    /// Highest fence of all accepted grants of the key.
-    granted_fence: u64,
-    /// End of the lease on the key; `None` if the server was never granted the key or has released
-    /// the key.
-    until: Option<Instant>,
-}
-
-/// Keys that one server holds.
-#[derive(Debug)]
-pub struct HeldKeys {
-    id: String,
-    /// Service that the server belongs to.
-    service: String,
-    /// False once the server has crashed, which ends all its leases.
-    up: AtomicBool,
-    keys: Mutex<Vec<KeyState>>,
-}
-
-impl HeldKeys {
-    /// Returns true if the server runs and its lease on a key has not expired.
-    fn holds(&self, key: u16) -> bool {
-        let until = lock(&self.keys)[usize::from(key)].until;
-        self.up.load(Ordering::Relaxed) && until.is_some_and(|until| Instant::now() < until)
-    }
-}
-
 /// Stand-in of one backend server, which runs in the process of the test.
 #[derive(Debug)]
 pub struct Server {
@@ -226,6 +64,8 @@
     zone: String,
     /// True if the server runs only requests for keys that it holds.
     sharded: bool,
+    /// Number of requests that the server runs at the same time, as its entry states it.
+    slots_total: u32,
     /// Permits that limit the number of requests that run concurrently.
     slots: Semaphore,
     /// Run time of each request in milliseconds.
@@ -279,6 +119,27 @@
     pub sharded: bool,
     /// Run time of each request in milliseconds.
     pub work_ms: u64,
+    /// Number of requests that the server runs at the same time.
+    pub slots: u32,
+}
+
+/// Name and address of a server that takes the place of another server.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Name of the server, which is also the row key of its entry in the store.
+    pub id: String,
+    /// Address that the server listens on.
+    pub address: SocketAddr,
+}
+
+impl Place {
+    /// Returns a new name and an unused address.
+    pub fn new() -> Self {
+        Self {
+            id: format!("i-{:010x}", rand::random::<u32>()),
+            address: next_address(0),
+        }
+    }
 }
 
 impl Server {
@@ -289,11 +150,21 @@
         store: &Store,
         record: &Arc<RunRecord>,
         kind: ServerKind<'_>,
+    ) -> Self {
+        Self::start_crashable_at(Place::new(), store, record, kind).await
+    }
+
+    /// Starts a crashable server with a given name and address.
+    pub async fn start_crashable_at(
+        place: Place,
+        store: &Store,
+        record: &Arc<RunRecord>,
+        kind: ServerKind<'_>,
     ) -> Self {
         let mut builder = Builder::new_multi_thread();
         let runtime = builder.worker_threads(1).enable_all().build();
         let runtime = runtime.expect("runtime");
-        let server = Self::start_on(runtime.handle(), store, record, kind).await;
+        let server = Self::start_on(runtime.handle(), place, store, record, kind).await;
         *lock(&server.state.runtime) = Some(runtime);
         server
     }
@@ -301,24 +172,24 @@
     /// Starts a server that never crashes by itself, and writes its entry to the store.
     pub async fn start(store: &Store, record: &Arc<RunRecord>, kind: ServerKind<'_>) -> Self {
         let runtime = Handle::current();
-        Self::start_on(&runtime, store, record, kind).await
+        Self::start_on(&runtime, Place::new(), store, record, kind).await
     }
 
     #[allow(clippy::unused_async, reason = "callers await the start of a server")]
     async fn start_on(
         runtime: &Handle,
+        Place { id, address }: Place,
         store: &Store,
         record: &Arc<RunRecord>,
         kind: ServerKind<'_>,
     ) -> Self {
         let listener = {
             let _entered = runtime.enter();
-            let listener = std::net::TcpListener::bind(next_address(0)).expect("listener");
+            let listener = std::net::TcpListener::bind(address).expect("listener");
             listener.set_nonblocking(true).expect("not blocking");
             TcpListener::from_std(listener).expect("listener")
         };
         let address = listener.local_addr().expect("address");
-        let id = format!("i-{:010x}", rand::random::<u32>());
         let held_keys = Arc::new(HeldKeys {
             id: id.clone(),
             service: kind.service.to_owned(),
@@ -331,7 +202,8 @@
             record: record.clone(),
             zone: kind.zone.to_owned(),
             sharded: kind.sharded,
-            slots: Semaphore::new(4),
+            slots_total: kind.slots,
+            slots: Semaphore::new(kind.slots as usize),
             work_ms: AtomicU64::new(kind.work_ms),
             running: AtomicU64::new(0),
             silent: AtomicBool::new(false),
@@ -371,7 +243,7 @@
         let entry = json!({
             "addr": self.address.to_string(),
             "info": {"service": self.state.held_keys.service, "version": "v1",
-                "zone": self.state.zone, "slots": 4},
+                "zone": self.state.zone, "slots": self.state.slots_total},
             "status": {"state": state, "seq": 1, "warmupLeft": "0ms"},
         });
         store.put("servers", &self.id, &entry);
@@ -384,7 +256,7 @@
             "addr": self.address.to_string(),
             "born": 1_791_000_000_000u64,
             "info": {"service": self.state.held_keys.service, "version": "v1",
-                "zone": self.state.zone, "slots": 4},
+                "zone": self.state.zone, "slots": self.state.slots_total},
             "status": {"state": "ready", "seq": 2, "warmupLeft": format!("{cold_ms}ms")},
         });
         store.put("servers", &self.id, &entry);
@@ -457,6 +329,17 @@
         store.remove("servers", &self.id);
     }
 
+    /// Ends the process of a crashable server: all of its sockets close. Its entry stays.
+    pub fn end_process(&self) {
+        self.state.end();
+    }
+
+    /// Closes the listener and the idle connections, as a server that leaves does. Running requests
+    /// go on, and the server keeps its keys.
+    pub fn close_listener(&self) {
+        self.stop.send(true).expect("the listener is open");
+    }
+
     /// Writes the entry of a server `id` of the service `orders` that has the same address as this
     /// server.
     pub fn register_another(&self, store: &Store, id: &str) {
@@ -503,6 +386,11 @@
         self.state.served.load(Ordering::Relaxed)
     }
 
+    /// Returns true if the server runs and has a valid lease on a key.
+    pub fn holds(&self, key: u16) -> bool {
+        self.state.held_keys.holds(key)
+    }
+
     /// Returns the number of keys on which the server has a valid lease.
     pub fn keys_held(&self) -> usize {
         (0..=u16::MAX)
@@ -734,7 +622,3 @@
         number("fence"),
     )
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -23,13 +23,18 @@
     zone: "a",
     sharded: true,
     work_ms: 5,
+    slots: 4,
 };
+/// Servers of the sharded service with so few slots that the service is contended: the timeout of its
+/// route is four times the objective.
+pub const CONTENDED: ServerKind<'static> = ServerKind { slots: 3, ..KEYED };
 /// Service without keys. Its route `/orders/` has unrepeatable requests.
 pub const ORDERS: ServerKind<'static> = ServerKind {
     service: "orders",
     zone: "a",
     sharded: false,
     work_ms: 5,
+    slots: 4,
 };
 
 /// Store, servers and hosts of one test.
@@ -77,6 +82,25 @@
         }
     }
 
+    /// Starts a deployment whose sharded service is contended, with crashable servers, and waits
+    /// until all hosts are ready and all keys are served. Checks from then on that no key has two
+    /// owners.
+    pub async fn start_contended(hosts: usize, servers: usize) -> Self {
+        let mut site = Self::start_servers(0).await;
+        for _ in 0..servers {
+            let server = Server::start_crashable(&site.store, &site.record, CONTENDED);
+            site.keyed.push(server.await);
+            site.orders
+                .push(Server::start(&site.store, &site.record, ORDERS).await);
+        }
+        for _ in 0..hosts {
+            site.hosts.push(Host::start(&site.store));
+        }
+        site.await_ready().await;
+        site.record.spawn_owner_checks();
+        site
+    }
+
     /// Waits until every host serves requests for keys at the start, in the middle and at the end
     /// of the key range; panics after 8 s per host.
     pub async fn await_ready(&self) {
