Ended servers: fence later processes at the addresses of ended servers

A leader that was frozen renewed the leases of an ended server at a process that had started under the same name at the same address. While earlier leaders may grant, the leader now sends releases under the new fences to these addresses, and gives keys to a process there only after it has confirmed them.

--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -22,6 +22,7 @@
     entry::{
         decide::ended::{ConnectionAttempt, Evidence},
         events::Event,
+        keys::KeyRange,
         server::Server,
         updates::followed::FollowedTable,
         watch::store_age_ms,
@@ -50,24 +51,38 @@
 /// Suspected servers by incarnation id.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    by_id: HashMap<Arc<str>, Suspect>,
+    pub(super) by_id: HashMap<Arc<str>, Suspect>,
     /// True while a call to the store is in progress that confirms the entries of the suspects.
     is_confirming: bool,
 }
 
 /// Server whose process may have ended, or has ended.
 #[derive(Debug)]
-struct Suspect {
-    server: Arc<Server>,
+pub(super) struct Suspect {
+    pub(super) server: Arc<Server>,
     /// Observation by which the server became a suspect, for the log.
     suspected_by: &'static str,
     evidence: Evidence,
     /// True while a task tries connections to the server.
     is_tried: bool,
     /// Time at which the server was found to have ended; `None` before that.
-    ended_ms: Option<u64>,
+    pub(super) ended_ms: Option<u64>,
     /// Time of the last attempt at an ended server whose entry is still present.
     rechecked_ms: u64,
+    /// Ranges that moved away from the ended server and whose release no later process at its
+    /// address has confirmed.
+    pub(super) moved: Vec<MovedRange>,
+    /// True while a task sends releases of `moved` to the address.
+    pub(super) is_fenced_now: bool,
+    /// Time at which a task last began to do so; 0 if there was none.
+    pub(super) fence_tried_ms: u64,
+}
+
+/// Range that moved away from an ended server, and the fence of the move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct MovedRange {
+    pub(super) range: KeyRange,
+    pub(super) fence: u64,
 }
 
 impl Suspects {
@@ -83,7 +98,15 @@
         suspect.is_some_and(|s| s.ended_ms.is_some() || s.evidence.refused() > 0)
     }
 
-    /// Ends the suspicion against a server that has answered or accepted a connection.
+    /// Ends the suspicion against a server that has answered a command, unless it has ended: then a
+    /// later process at the address has answered.
+    pub(super) fn note_answer(&mut self, id: &str) {
+        if !self.has_ended(id) {
+            self.remove(id);
+        }
+    }
+
+    /// Forgets a suspect.
     pub(super) fn remove(&mut self, id: &str) {
         self.by_id.remove(id);
     }
@@ -96,6 +119,9 @@
             is_tried: false,
             ended_ms: None,
             rechecked_ms: 0,
+            moved: Vec::new(),
+            is_fenced_now: false,
+            fence_tried_ms: 0,
         };
         let id = server.entry.id.clone();
         self.by_id.entry(id).or_insert_with(suspect);
@@ -166,6 +192,7 @@
             });
         }
         self.recheck_ended(tasks);
+        self.fence_successors(tasks);
     }
 
     /// Suspects the servers that hosts have reported as crashed or as refusing connections.
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -242,7 +242,7 @@
         };
         record.failures = 0;
         record.is_silent = false;
-        state.suspects.remove(id);
+        state.suspects.note_answer(id);
         if *granted == GrantOutcome::Held {
             let key = (order.service.clone(), order.fence);
             state.renewals.entry(key).or_default().renewed_ms = sent_ms;
--- a/tests/entry_ended.rs
+++ b/tests/entry_ended.rs
@@ -155,8 +155,8 @@
         ),
     ];
     for (name, outcome) in other_outcomes {
-        for place in 0..3 {
-            let began_ms = proof[place].began_ms;
+        for (place, refused) in proof.iter().enumerate() {
+            let began_ms = refused.began_ms;
             cases.push(Case {
                 name,
                 attempts: with(
--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -204,6 +204,13 @@
             after_ms: 500,
             leader_is_lost: true,
         },
+        Case {
+            name: "the same name, after the next leader has found the end",
+            kind: CONTENDED,
+            keeps_name: true,
+            after_ms: 3_800,
+            leader_is_lost: true,
+        },
         other_service,
     ];
     for case in cases {
