--- a/tests/platform_standin/record.rs
+++ b/tests/platform_standin/record.rs
@@ -98,13 +98,15 @@
         }
         let servers = lock(&self.held_keys_of_servers).clone();
         let now = Instant::now();
-        let mut owners_of_services: HashMap<&str, Vec<Option<&str>>> = HashMap::new();
+        let mut owners_of_services: HashMap<&str, Vec<Option<&HeldKeys>>> = HashMap::new();
         for server in &servers {
             let owners = owners_of_services.entry(&server.service);
             let owners = owners.or_insert_with(|| vec![None; lock(&server.keys).len()]);
             for key in server.held_at(now) {
-                if let Some(other) = owners[key].replace(&server.id) {
-                    let text = format!("key {key} is held by {} and {other}", server.id);
+                if let Some(other) = owners[key].replace(server)
+                    && server.holds_with(other, key)
+                {
+                    let text = format!("key {key} is held by {} and {}", server.id, other.id);
                     self.report_violation(text);
                     return;
                 }
@@ -203,6 +205,17 @@
 }
 
 impl HeldKeys {
+    /// Returns true if this server and `other` hold a key at the same time. The states of both are
+    /// locked together: a key may move from one to the other between two separate checks.
+    fn holds_with(&self, other: &Self, key: usize) -> bool {
+        let keys = lock(&self.keys);
+        let keys_of_other = lock(&other.keys);
+        let now = Instant::now();
+        let is_held = |state: &KeyState| state.until.is_some_and(|until| now < until);
+        let are_up = self.up.load(Ordering::Relaxed) && other.up.load(Ordering::Relaxed);
+        are_up && is_held(&keys[key]) && is_held(&keys_of_other[key])
+    }
+
     /// Returns the keys that the server holds at `now`; none if it has crashed.
     fn held_at(&self, now: Instant) -> Vec<usize> {
         if !self.up.load(Ordering::Relaxed) {
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -86,13 +86,8 @@
     /// until all hosts are ready and all keys are served. Checks from then on that no key has two
     /// owners.
     pub async fn start_contended(hosts: usize, servers: usize) -> Self {
-        let mut site = Self::start_servers(0).await;
-        for _ in 0..servers {
-            let server = Server::start_crashable(&site.store, &site.record, CONTENDED);
-            site.keyed.push(server.await);
-            site.orders
-                .push(Server::start(&site.store, &site.record, ORDERS).await);
-        }
+        let mut site = Self::start_servers(servers).await;
+        site.replace_by_contended().await;
         for _ in 0..hosts {
             site.hosts.push(Host::start(&site.store));
         }
@@ -101,6 +96,15 @@
         site
     }
 
+    /// Replaces the servers of the sharded service, before hosts start, by crashable servers with so
+    /// few slots that the service is contended.
+    pub async fn replace_by_contended(&mut self) {
+        for server in &mut self.keyed {
+            server.crash(&self.store);
+            *server = Server::start_crashable(&self.store, &self.record, CONTENDED).await;
+        }
+    }
+
     /// Waits until every host serves requests for keys at the start, in the middle and at the end
     /// of the key range; panics after 8 s per host.
     pub async fn await_ready(&self) {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,8 @@
 //!
 //! A longer run: `ASHROAD_SOAK_SEEDS=50 cargo test --release --test soak -- --nocapture`.
 //! `ASHROAD_SOAK_FIRST` is the first seed, and `ASHROAD_SOAK_SECONDS` the time that each seed runs
-//! for.
+//! for. In every second seed the sharded service is contended, and its servers may end while their
+//! entries stay.
 
 mod platform_standin;
 
@@ -27,7 +28,7 @@
     hosts::Host,
     proxy::{Mode, Proxy},
     server::{RunRecord, Server},
-    site::{KEYED, ORDERS, Site, eventually, get},
+    site::{CONTENDED, KEYED, ORDERS, Site, eventually, get},
     store::Faults,
 };
 
@@ -40,6 +41,9 @@
 /// still arrive at servers; the platform allows 300 ms.
 const RESUME_ALLOWANCE_MS: u64 = 300;
 
+/// Time after the end of a server's process at which the platform removes the server's entry.
+const ENTRY_LAPSE: Duration = Duration::from_millis(2_400);
+
 /// Seeds with which this test once failed, each with the cause of the failure.
 const REGRESSIONS: [(u64, &str); 0] = [];
 
@@ -59,6 +63,10 @@
     proxies: Vec<Proxy>,
     /// Time at which each host was paused by SIGSTOP; `None` if the host is not paused.
     stopped: Vec<Option<Instant>>,
+    /// Servers whose processes have ended, with the times at which their entries are removed.
+    ended: Vec<(Instant, Server)>,
+    /// True if the sharded service is contended.
+    is_contended: bool,
     rng: StdRng,
     tally: Arc<Tally>,
 }
@@ -131,7 +139,11 @@
 
 impl Soak {
     async fn start(seed: u64, tally: Arc<Tally>) -> Self {
+        let is_contended = seed.is_multiple_of(2);
         let mut site = Site::start_servers(SERVERS).await;
+        if is_contended {
+            site.replace_by_contended().await;
+        }
         let mut proxies = Vec::new();
         for _ in 0..HOSTS {
             let proxy = Proxy::start(site.store.address).await;
@@ -139,10 +151,13 @@
             proxies.push(proxy);
         }
         site.await_ready().await;
+        site.record.spawn_owner_checks();
         Self {
             site,
             proxies,
             stopped: vec![None; HOSTS],
+            ended: Vec::new(),
+            is_contended,
             rng: StdRng::seed_from_u64(seed),
             tally,
         }
@@ -156,6 +171,7 @@
     /// Injects a random fault or ends a fault that is in effect. Several faults may be in effect at
     /// once.
     async fn inject_fault(&mut self) {
+        self.remove_lapsed_entries(Instant::now());
         let host = self.rng.random_range(0..HOSTS);
         match self.rng.random_range(0..10) {
             0 | 1 => {
@@ -244,7 +260,18 @@
         let number = self.rng.random_range(HEALTHY_SERVERS..SERVERS);
         let record = self.site.record.clone();
         let store = &self.site.store;
-        if self.rng.random_bool(0.5) {
+        if self.is_contended && self.rng.random_bool(0.7) {
+            let server = Server::start_crashable(store, &record, CONTENDED).await;
+            let ended = std::mem::replace(&mut self.site.keyed[number], server);
+            ended.end_process();
+            self.ended.push((Instant::now() + ENTRY_LAPSE, ended));
+            self.count("end");
+            return;
+        }
+        if self.is_contended {
+            self.site.orders[number].crash(store);
+            self.site.orders[number] = Server::start(store, &record, ORDERS).await;
+        } else if self.rng.random_bool(0.5) {
             self.site.keyed[number].crash(store);
             self.site.keyed[number] = Server::start(store, &record, KEYED).await;
         } else {
@@ -254,7 +281,20 @@
         self.count("replace");
     }
 
+    /// Removes the entries that have lapsed by `now`.
+    fn remove_lapsed_entries(&mut self, now: Instant) {
+        let store = &self.site.store;
+        self.ended.retain(|(lapse, server)| {
+            let is_due = now >= *lapse;
+            if is_due {
+                server.remove_entry(store);
+            }
+            !is_due
+        });
+    }
+
     async fn clear_faults(&mut self) {
+        self.remove_lapsed_entries(Instant::now() + ENTRY_LAPSE);
         self.site.store.set_faults(Faults::default());
         for host in 0..HOSTS {
             self.proxies[host].set(Mode::Pass);
