--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -83,6 +83,30 @@
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
 
+/// Guards against keys that wait for the lease of their servers, 3 to 4 s, while the leader runs.
+#[tokio::test]
+async fn keys_of_lost_servers_are_served_again_before_their_lease_ends() {
+    let site = Site::start_contended(3, 6).await;
+    let lost_at = Instant::now();
+    for server in &site.keyed[..3] {
+        server.end_process();
+    }
+    let requests = async {
+        for key in (0..=u16::MAX).step_by(1_001) {
+            get(&site.hosts[usize::from(key) % 3], key).await;
+        }
+    };
+    let held = all_keys_held_ms(&site.keyed[3..], lost_at, 10_000);
+    let (held_ms, ()) = tokio::join!(held, requests);
+    println!(
+        "all keys held after {held_ms} ms: {:#?}",
+        ended_events(&site)
+    );
+    assert!(held_ms < 2_500, "{held_ms} ms");
+    assert_eq!(ended_events(&site).len(), 3);
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
+
 /// Guards against two owners of the keys of a server that leaves: it closes its listener while its
 /// last requests run.
 #[tokio::test]
