--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -130,6 +130,11 @@
             announced_ms: 0,
             entry_is_removed: true,
         },
+        // The leader's release is refused, so that the leader tries whether the server has ended.
+        Case {
+            announced_ms: 0,
+            entry_is_removed: false,
+        },
     ];
     const RUN_MS: u64 = 2_500;
     for case in cases {
--- a/tests/platform_link.rs
+++ b/tests/platform_link.rs
@@ -81,3 +81,29 @@
         time::sleep(Duration::from_millis(500)).await;
     }
 }
+
+/// Guards against a server that counts as ended because of a failure that is no refusal, or whose
+/// refusal is not noticed.
+#[tokio::test]
+async fn a_refused_connection_is_told_from_other_failures() {
+    let closed = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let closed_address = closed.local_addr().expect("an address");
+    drop(closed);
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let silent_address = silent.local_addr().expect("an address");
+    let reset = peer(&[0]);
+    let cases = [
+        ("nothing listens", closed_address, true),
+        ("no answer", silent_address, false),
+        ("closed after the request", reset.address(), false),
+    ];
+    for (name, address, is_refused) in cases {
+        let link = Link::new(address);
+        let request = Request::get("/").body(Full::new(Bytes::new()));
+        let error = link.call(request.expect("a request"), 200).await;
+        let error = error.expect_err(name);
+        assert_eq!(error.is_refused(), is_refused, "{name}: {error}");
+        assert!(!(is_refused && error.may_have_run()), "{name}");
+        assert!(!link.has_open_connection(), "{name}");
+    }
+}
