Ended servers: tests wait until hosts have written their buffered log lines

A test of five read the log before the hosts had written the events: 0 in place of 3, in one of 14 runs at once, and in two runs of the file.

--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -28,7 +28,9 @@
     leader.expect("a host is the leader")
 }
 
-fn ended_events(site: &Site) -> Vec<String> {
+/// Returns the logged ends of servers, after the time in which hosts write their buffered log lines.
+async fn ended_events(site: &Site) -> Vec<String> {
+    time::sleep(Duration::from_millis(600)).await;
     let hosts = site.hosts.iter();
     hosts
         .flat_map(|host| host.events("server_process_ended"))
@@ -66,7 +68,7 @@
     let (held_ms, ()) = tokio::join!(held, lapse);
     println!(
         "all keys held after {held_ms} ms: {:#?}",
-        ended_events(&site)
+        ended_events(&site).await
     );
     assert!(held_ms < LEASE_MS + 2_000, "{held_ms} ms");
     let next = &site.hosts[(lost_leader + 1) % 3];
@@ -79,7 +81,7 @@
         true
     })
     .await;
-    assert_eq!(ended_events(&site).len(), 3);
+    assert_eq!(ended_events(&site).await.len(), 3);
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
 
@@ -100,10 +102,10 @@
     let (held_ms, ()) = tokio::join!(held, requests);
     println!(
         "all keys held after {held_ms} ms: {:#?}",
-        ended_events(&site)
+        ended_events(&site).await
     );
     assert!(held_ms < 2_500, "{held_ms} ms");
-    assert_eq!(ended_events(&site).len(), 3);
+    assert_eq!(ended_events(&site).await.len(), 3);
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
 
@@ -170,7 +172,7 @@
         let (response, ()) = tokio::join!(run, watch);
         assert!(response.expect("a response").status.is_success());
         all_keys_held_ms(&site.keyed[1..], Instant::now(), 8_000).await;
-        assert_eq!(ended_events(&site), Vec::<String>::new());
+        assert_eq!(ended_events(&site).await, Vec::<String>::new());
         assert_eq!(site.record.violations(), Vec::<String>::new());
     }
 }
@@ -184,7 +186,7 @@
     let held_ms = all_keys_held_ms(&site.keyed[1..], frozen_at, 12_000).await;
     // The last renewal was sent up to 1.2 s before the server froze.
     assert!(held_ms > LEASE_MS - 1_300, "{held_ms} ms");
-    assert_eq!(ended_events(&site), Vec::<String>::new());
+    assert_eq!(ended_events(&site).await, Vec::<String>::new());
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
 
