Ended servers: test of leaving servers waits until its request runs

`a_leaving_server_keeps_its_keys_until_its_requests_have_ended` failed in 2 of 5 parallel runs. The test closed the listener 100 ms after it had sent its request. The checks of single owners of all earlier cases went on in the test's only thread and delayed the request, so that the listener closed before it had read it: in the failed runs under trace, the request had not begun to run. The test now waits until it runs, and the checks of a deployment end with its servers.

The loop that watches the key's owner ended at once, since the server had already completed requests when the deployment started.

--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -152,9 +152,14 @@
             key: Some(key),
             deadline_ms: RUN_MS + 1_000,
         };
+        let served_before = leaving.served();
         let run = send_once(leaving.address, request);
         let watch = async {
-            time::sleep(Duration::from_millis(100)).await;
+            // A listener that closes before it has read the request drops the connection.
+            eventually("the request runs", 5_000, async || {
+                site.record.runs("long") == 1
+            })
+            .await;
             leaving.write_entry(&site.store, "draining");
             time::sleep(Duration::from_millis(case.announced_ms)).await;
             leaving.close_listener();
@@ -162,7 +167,7 @@
                 leaving.remove_entry(&site.store);
             }
             // Hosts meet the refused connections and report them.
-            while leaving.served() == 0 {
+            while leaving.served() == served_before {
                 let taken = site.keyed[1..].iter().any(|server| server.holds(key));
                 assert!(!taken, "the key has a second owner during a request");
                 get(&site.hosts[0], key).await;
--- a/tests/platform_standin/record.rs
+++ b/tests/platform_standin/record.rs
@@ -114,12 +114,14 @@
         }
     }
 
-    /// Checks every 50 ms that no two servers hold a key, for as long as the test runs.
+    /// Checks every 50 ms that no two servers hold a key, for as long as the servers run. The checks
+    /// of earlier deployments of a test would delay its other tasks.
     pub fn spawn_owner_checks(self: &Arc<Self>) {
-        let record = self.clone();
+        let record = Arc::downgrade(self);
         tokio::spawn(async move {
-            loop {
+            while let Some(record) = record.upgrade() {
                 record.check_single_owners();
+                drop(record);
                 time::sleep(Duration::from_millis(50)).await;
             }
         });
