Ended servers: a rule of evidence replaces the fencing of later processes

The leader sent releases to the addresses of ended servers, so that a process that starts there under the same name refuses late grants of earlier leaders. A grant could still arrive before the first release. Servers without a start time get a new name with every start by a guarantee of the platform, so that a later process answers such grants with 421. For servers with a start time, refused connections now are evidence only once no earlier leader may grant leases. Nothing is left for the releases to protect; they are removed.

The test of processes at the address of an ended server has cases with start times, and checks in each case whether the end was found. The cases after a found end start the process after 2.5 s: at 1.5 s, the leader had not always sent the grant that raises the suspicion.

--- a/src/entry/decide/ended.rs
+++ b/src/entry/decide/ended.rs
@@ -8,6 +8,11 @@
 //! shows for longer than [`Policy::ended_evidence_ms`] before that it is leaving. Refused
 //! connections are therefore evidence only while the entry says that the server is ready. An end is
 //! final for an incarnation, so that evidence does not become stale.
+//!
+//! An entry with a start time may be followed by another process under the same name, which would
+//! execute a late grant that a leader of an earlier term meant for the ended process. Refused
+//! connections at such a server are evidence only once no earlier leader may grant leases any more.
+//! A server without a start time gets a new name with every start.
 
 use super::Policy;
 
@@ -23,6 +28,9 @@
     /// True if the deciding host has another open connection to the server, whose process then
     /// probably runs.
     pub has_open_connection: bool,
+    /// True if another process may start under the same name, because the entry states a start
+    /// time, and a leader of an earlier term may still send it grants.
+    pub may_follow_under_name: bool,
     /// True if the store has an entry of this incarnation of the server, with this address.
     pub is_present: bool,
     /// True if the entry is ready and the server has sent no host a notice that it leaves.
@@ -37,6 +45,7 @@
     fn is_evidence(&self, policy: &Policy) -> bool {
         self.is_refused
             && !self.has_open_connection
+            && !self.may_follow_under_name
             && self.is_present
             && self.is_ready
             && self.view_age_ms <= policy.ended_view_age_ms
--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -22,7 +22,6 @@
     entry::{
         decide::ended::{ConnectionAttempt, Evidence},
         events::Event,
-        keys::KeyRange,
         server::Server,
         updates::followed::FollowedTable,
         watch::store_age_ms,
@@ -51,38 +50,24 @@
 /// Suspected servers by incarnation id.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    pub(super) by_id: HashMap<Arc<str>, Suspect>,
+    by_id: HashMap<Arc<str>, Suspect>,
     /// True while a call to the store is in progress that confirms the entries of the suspects.
     is_confirming: bool,
 }
 
 /// Server whose process may have ended, or has ended.
 #[derive(Debug)]
-pub(super) struct Suspect {
-    pub(super) server: Arc<Server>,
+struct Suspect {
+    server: Arc<Server>,
     /// Observation by which the server became a suspect, for the log.
     suspected_by: &'static str,
     evidence: Evidence,
     /// True while a task tries connections to the server.
     is_tried: bool,
     /// Time at which the server was found to have ended; `None` before that.
-    pub(super) ended_ms: Option<u64>,
+    ended_ms: Option<u64>,
     /// Time of the last attempt at an ended server whose entry is still present.
     rechecked_ms: u64,
-    /// Ranges that moved away from the ended server and whose release no later process at its
-    /// address has confirmed.
-    pub(super) moved: Vec<MovedRange>,
-    /// True while a task sends releases of `moved` to the address.
-    pub(super) is_fenced_now: bool,
-    /// Time at which a task last began to do so; 0 if there was none.
-    pub(super) fence_tried_ms: u64,
-}
-
-/// Range that moved away from an ended server, and the fence of the move.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct MovedRange {
-    pub(super) range: KeyRange,
-    pub(super) fence: u64,
 }
 
 impl Suspects {
@@ -107,7 +92,7 @@
     }
 
     /// Forgets a suspect.
-    pub(super) fn remove(&mut self, id: &str) {
+    fn remove(&mut self, id: &str) {
         self.by_id.remove(id);
     }
 
@@ -119,9 +104,6 @@
             is_tried: false,
             ended_ms: None,
             rechecked_ms: 0,
-            moved: Vec::new(),
-            is_fenced_now: false,
-            fence_tried_ms: 0,
         };
         let id = server.entry.id.clone();
         self.by_id.entry(id).or_insert_with(suspect);
@@ -192,7 +174,6 @@
             });
         }
         self.recheck_ended(tasks);
-        self.fence_successors(tasks);
     }
 
     /// Suspects the servers that hosts have reported as crashed or as refusing connections.
@@ -246,10 +227,12 @@
             Ok(Ok(_)) | Err(_) => false,
         };
         let is_present = self.is_present(server);
+        let may_earlier_grant = began_ms < self.entry.leadership.earlier_leases_until_ms();
         let attempt = ConnectionAttempt {
             began_ms,
             is_refused,
             has_open_connection: server.pool.has_open() || server.orders.has_open_connection(),
+            may_follow_under_name: server.entry.started_ms > 0 && may_earlier_grant,
             is_present,
             is_ready: is_ready(server),
             view_age_ms: store_age_ms(&self.entry),
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -12,7 +12,6 @@
 mod ended;
 mod moves;
 mod renewal;
-mod successors;
 
 use std::{
     collections::HashMap,
@@ -282,17 +281,14 @@
     /// their warm-up, cold servers are left out as long as there is a warm server.
     fn usable(&self, service: &str) -> Vec<PlanServer> {
         let registry = self.entry.view.registry();
-        let may_need_fence = self.may_earlier_leaders_grant();
         let state = self.state();
         let servers = registry.of_service(service).iter();
         let mut usable: Vec<&Arc<Server>> = servers
             .filter(|server| {
                 let record = state.servers.get(&server.entry.id);
                 let silent = record.is_some_and(|r| r.is_silent);
-                let suspects = &state.suspects;
-                let is_unfenced = may_need_fence && suspects.is_unfenced_successor(server);
-                let has_ended = suspects.has_ended(&server.entry.id);
-                server.takes_new_work() && !silent && !has_ended && !is_unfenced
+                let has_ended = state.suspects.has_ended(&server.entry.id);
+                server.takes_new_work() && !silent && !has_ended
             })
             .collect();
         let is_warm = |server: &&Arc<Server>| server.cold_remaining_ms() == 0;
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -5,7 +5,7 @@
 
 use tokio::{task::JoinSet, time};
 
-use super::{LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term, ended::MovedRange, renewal::LeaseOrder};
+use super::{LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term, renewal::LeaseOrder};
 use crate::{
     clock,
     entry::{
@@ -327,7 +327,7 @@
             if !self.may_send_orders() {
                 return None;
             }
-            if self.moves_without_release(id, MovedRange { range, fence }) {
+            if self.has_ended(id) {
                 return Some(None);
             }
             let free_ms = self.lease_end_ms(id);
--- a/tests/entry_ended.rs
+++ b/tests/entry_ended.rs
@@ -12,6 +12,7 @@
     began_ms: 0,
     is_refused: true,
     has_open_connection: false,
+    may_follow_under_name: false,
     is_present: true,
     is_ready: true,
     view_age_ms: 400,
@@ -132,6 +133,13 @@
                 ..REFUSED
             },
         ),
+        (
+            "a name that a later process may bear while earlier leaders may grant",
+            ConnectionAttempt {
+                may_follow_under_name: true,
+                ..REFUSED
+            },
+        ),
         (
             "no entry",
             ConnectionAttempt {
--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -16,6 +16,8 @@
 
 /// Duration of a lease.
 const LEASE_MS: u64 = 4_000;
+/// Start time that the entries of servers state.
+const STARTED_MS: u64 = 1_791_000_000_000;
 /// Time after its last heartbeat at which the platform removes the entry of a server.
 const ENTRY_LAPSE_MS: u64 = 2_400;
 
@@ -204,20 +206,27 @@
         kind: ServerKind<'static>,
         keeps_name: bool,
         after_ms: u64,
+        /// True if the entries state start times, which a later process under the same name needs.
+        states_start: bool,
         /// True if the leader is lost with the server.
         leader_is_lost: bool,
+        /// True if the end must be found, false if it must not be; `None` if it may be.
+        is_found: Option<bool>,
     }
     let other_service = Case {
         name: "another service, before the end is found",
         kind: ORDERS,
         keeps_name: false,
         after_ms: 150,
+        states_start: false,
         leader_is_lost: false,
+        is_found: None,
     };
     let cases = [
         Case {
             name: "another service, after the end is found",
-            after_ms: 1_500,
+            after_ms: 2_500,
+            is_found: Some(true),
             ..other_service
         },
         Case {
@@ -230,7 +239,8 @@
             name: "the same name, after the end is found",
             kind: CONTENDED,
             keeps_name: true,
-            after_ms: 1_500,
+            after_ms: 2_500,
+            is_found: Some(true),
             ..other_service
         },
         Case {
@@ -239,18 +249,47 @@
             keeps_name: true,
             after_ms: 500,
             leader_is_lost: true,
+            ..other_service
+        },
+        Case {
+            name: "the same name and a later start, before the end is found",
+            kind: CONTENDED,
+            keeps_name: true,
+            states_start: true,
+            ..other_service
+        },
+        Case {
+            name: "the same name and a later start, after the end is found",
+            kind: CONTENDED,
+            keeps_name: true,
+            after_ms: 2_500,
+            states_start: true,
+            is_found: Some(true),
+            ..other_service
         },
+        // The next leader must not find the end while the frozen one may grant the former keys to
+        // the later process.
         Case {
-            name: "the same name, after the next leader has found the end",
+            name: "the same name and a later start, under the next leader",
             kind: CONTENDED,
             keeps_name: true,
-            after_ms: 3_800,
+            after_ms: 4_300,
+            states_start: true,
+            leader_is_lost: true,
+            is_found: Some(false),
+        },
+        Case {
+            name: "another service, after the next leader has found the end",
+            after_ms: 4_300,
             leader_is_lost: true,
+            is_found: Some(true),
+            ..other_service
         },
         other_service,
     ];
     for case in cases {
-        let site = Site::start_contended(3, 3).await;
+        let started_ms = case.states_start.then_some(STARTED_MS);
+        let site = Site::start_contended_since(3, 3, started_ms).await;
         let lost = &site.keyed[0];
         let frozen = &site.hosts[leader(&site)];
         if case.leader_is_lost {
@@ -260,6 +299,7 @@
         time::sleep(Duration::from_millis(case.after_ms)).await;
         let mut place = Place::new();
         place.address = lost.address;
+        place.started_ms = started_ms.map(|started_ms| started_ms + case.after_ms);
         if case.keeps_name {
             place.id.clone_from(&lost.id);
         } else {
@@ -267,7 +307,7 @@
         }
         let later = Server::start_crashable_at(place, &site.store, &site.record, case.kind).await;
         if case.leader_is_lost {
-            time::sleep(Duration::from_millis(4_000)).await;
+            time::sleep(Duration::from_millis(3_500)).await;
             frozen.signal("CONT");
         }
         let began = Instant::now();
@@ -278,6 +318,10 @@
         .await;
         println!("{}: {} ms", case.name, began.elapsed().as_millis());
         time::sleep(Duration::from_millis(500)).await;
+        let ended = ended_events(&site).await;
+        if let Some(is_found) = case.is_found {
+            assert_eq!(!ended.is_empty(), is_found, "{}: {ended:?}", case.name);
+        }
         let violations = site.record.violations();
         assert_eq!(violations, Vec::<String>::new(), "{}", case.name);
     }
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -62,6 +62,8 @@
     held_keys: Arc<HeldKeys>,
     record: Arc<RunRecord>,
     zone: String,
+    /// Start time that the server's entry states; `None` if it states none.
+    started_ms: Option<u64>,
     /// True if the server runs only requests for keys that it holds.
     sharded: bool,
     /// Number of requests that the server runs at the same time, as its entry states it.
@@ -123,21 +125,24 @@
     pub slots: u32,
 }
 
-/// Name and address of a server that takes the place of another server.
+/// Name, address and start time of a server, which may take the place of another server.
 #[derive(Clone, Debug)]
 pub struct Place {
     /// Name of the server, which is also the row key of its entry in the store.
     pub id: String,
     /// Address that the server listens on.
     pub address: SocketAddr,
+    /// Start time that the server's entry states; `None` if it states none.
+    pub started_ms: Option<u64>,
 }
 
 impl Place {
-    /// Returns a new name and an unused address.
+    /// Returns a new name and an unused address, without a start time.
     pub fn new() -> Self {
         Self {
             id: format!("i-{:010x}", rand::random::<u32>()),
             address: next_address(0),
+            started_ms: None,
         }
     }
 }
@@ -178,7 +183,11 @@
     #[allow(clippy::unused_async, reason = "callers await the start of a server")]
     async fn start_on(
         runtime: &Handle,
-        Place { id, address }: Place,
+        Place {
+            id,
+            address,
+            started_ms,
+        }: Place,
         store: &Store,
         record: &Arc<RunRecord>,
         kind: ServerKind<'_>,
@@ -201,6 +210,7 @@
             held_keys,
             record: record.clone(),
             zone: kind.zone.to_owned(),
+            started_ms,
             sharded: kind.sharded,
             slots_total: kind.slots,
             slots: Semaphore::new(kind.slots as usize),
@@ -242,6 +252,7 @@
     pub fn write_entry(&self, store: &Store, state: &str) {
         let entry = json!({
             "addr": self.address.to_string(),
+            "born": self.state.started_ms,
             "info": {"service": self.state.held_keys.service, "version": "v1",
                 "zone": self.state.zone, "slots": self.state.slots_total},
             "status": {"state": state, "seq": 1, "warmupLeft": "0ms"},
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -13,7 +13,7 @@
 use super::{
     caller::{TestRequest, send_once},
     hosts::Host,
-    server::{RunRecord, Server, ServerKind},
+    server::{Place, RunRecord, Server, ServerKind},
     store::Store,
 };
 
@@ -86,8 +86,17 @@
     /// until all hosts are ready and all keys are served. Checks from then on that no key has two
     /// owners.
     pub async fn start_contended(hosts: usize, servers: usize) -> Self {
+        Self::start_contended_since(hosts, servers, None).await
+    }
+
+    /// Starts the same deployment with servers whose entries state the start time `started_ms`.
+    pub async fn start_contended_since(
+        hosts: usize,
+        servers: usize,
+        started_ms: Option<u64>,
+    ) -> Self {
         let mut site = Self::start_servers(servers).await;
-        site.replace_by_contended().await;
+        site.replace_by_contended(started_ms).await;
         for _ in 0..hosts {
             site.hosts.push(Host::start(&site.store));
         }
@@ -97,11 +106,15 @@
     }
 
     /// Replaces the servers of the sharded service, before hosts start, by crashable servers with so
-    /// few slots that the service is contended.
-    pub async fn replace_by_contended(&mut self) {
+    /// few slots that the service is contended. Their entries state the start time `started_ms`.
+    pub async fn replace_by_contended(&mut self, started_ms: Option<u64>) {
         for server in &mut self.keyed {
             server.crash(&self.store);
-            *server = Server::start_crashable(&self.store, &self.record, CONTENDED).await;
+            let place = Place {
+                started_ms,
+                ..Place::new()
+            };
+            *server = Server::start_crashable_at(place, &self.store, &self.record, CONTENDED).await;
         }
     }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -142,7 +142,7 @@
         let is_contended = seed.is_multiple_of(2);
         let mut site = Site::start_servers(SERVERS).await;
         if is_contended {
-            site.replace_by_contended().await;
+            site.replace_by_contended(None).await;
         }
         let mut proxies = Vec::new();
         for _ in 0..HOSTS {
