--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -103,6 +103,15 @@
     /// effect without `infers_request_age`: retries that count as new requests displace timely
     /// ones.
     pub schedules_retries: bool,
+    /// Number of refused connection attempts after which a server of a contended service counts as
+    /// ended. One attempt may meet a process that is just being replaced.
+    pub ended_attempts: u32,
+    /// Shortest time from the first to the last of these attempts, in milliseconds. Servers that
+    /// shut down gracefully show for longer that they are leaving before they close their listener.
+    pub ended_evidence_ms: u64,
+    /// Largest age of a host's view of the store, in milliseconds, at which a refused connection is
+    /// evidence. An older view may show a leaving server as ready.
+    pub ended_view_age_ms: u64,
 }
 
 impl Default for Policy {
@@ -136,6 +145,9 @@
             contended_timeout_factor: 2.0,
             infers_request_age: true,
             schedules_retries: true,
+            ended_attempts: 3,
+            ended_evidence_ms: 300,
+            ended_view_age_ms: 1_000,
         }
     }
 }
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -13,7 +13,7 @@
 use super::{
     caller::{TestRequest, send_once},
     hosts::Host,
-    server::{RunRecord, Server, ServerKind},
+    server::{Place, RunRecord, Server, ServerKind},
     store::Store,
 };
 
@@ -23,13 +23,18 @@
     zone: "a",
     sharded: true,
     work_ms: 5,
+    slots: 4,
 };
+/// Servers of the sharded service with so few slots that the service is contended: the timeout of its
+/// route is four times the objective.
+pub const CONTENDED: ServerKind<'static> = ServerKind { slots: 3, ..KEYED };
 /// Service without keys. Its route `/orders/` has unrepeatable requests.
 pub const ORDERS: ServerKind<'static> = ServerKind {
     service: "orders",
     zone: "a",
     sharded: false,
     work_ms: 5,
+    slots: 4,
 };
 
 /// Store, servers and hosts of one test.
@@ -77,6 +82,42 @@
         }
     }
 
+    /// Starts a deployment whose sharded service is contended, with crashable servers, and waits
+    /// until all hosts are ready and all keys are served. Checks from then on that no key has two
+    /// owners.
+    pub async fn start_contended(hosts: usize, servers: usize) -> Self {
+        Self::start_contended_since(hosts, servers, None).await
+    }
+
+    /// Starts the same deployment with servers whose entries state the start time `started_ms`.
+    pub async fn start_contended_since(
+        hosts: usize,
+        servers: usize,
+        started_ms: Option<u64>,
+    ) -> Self {
+        let mut site = Self::start_servers(servers).await;
+        site.replace_by_contended(started_ms).await;
+        for _ in 0..hosts {
+            site.hosts.push(Host::start(&site.store));
+        }
+        site.await_ready().await;
+        site.record.spawn_owner_checks();
+        site
+    }
+
+    /// Replaces the servers of the sharded service, before hosts start, by crashable servers with so
+    /// few slots that the service is contended. Their entries state the start time `started_ms`.
+    pub async fn replace_by_contended(&mut self, started_ms: Option<u64>) {
+        for server in &mut self.keyed {
+            server.crash(&self.store);
+            let place = Place {
+                started_ms,
+                ..Place::new()
+            };
+            *server = Server::start_crashable_at(place, &self.store, &self.record, CONTENDED).await;
+        }
+    }
+
     /// Waits until every host serves requests for keys at the start, in the middle and at the end
     /// of the key range; panics after 8 s per host.
     pub async fn await_ready(&self) {
