Pace the requests that hosts admit under a rate limit

A pacer now adds up the admission probabilities and admits one request for each unit of the sum, at a random place in the unit. Fewer admissions meet an empty bucket, so that a surge at eight hosts reached 69 requests in 4 s where 65 are allowed; the share of the limit is therefore 0.86 and the buckets refill at the limit.

--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -13,6 +13,7 @@
 //! | [`attempt_stats`] | servers that are slow, fail or cannot be reached |
 //! | [`notices`] | servers that announce in their responses that they leave, or ask for a backoff |
 //! | [`rate_limit`], [`rate_meter`], [`rate_shares`] | rate limits that all hosts share |
+//! | [`pacer`] | callers that send more requests than a rate limit allows |
 //! | [`quota`] | workspaces that send more requests than their quota |
 //! | [`api_key_status`] | API keys that are added and revoked while hosts are disconnected |
 //! | [`run_shares`] | services that serve short and long requests |
@@ -44,6 +45,7 @@
 pub mod hot_keys;
 pub mod key_loads;
 pub mod notices;
+pub mod pacer;
 pub mod path_tally;
 pub mod plan;
 mod policy;
--- a/src/entry/decide/rate_shares.rs
+++ b/src/entry/decide/rate_shares.rs
@@ -8,9 +8,9 @@
 //! equal.
 //!
 //! A request must pass two checks, because neither check alone bounds the total rate. The first
-//! check is a random draw with an admission probability. The draw bounds the total rate of all
-//! hosts relative to the request rate, for any number of hosts, but follows a surge only as fast as
-//! the announced sum does, a second later. The second check is a token of a [`Bucket`], which
+//! check is a [`Pacer`](super::pacer::Pacer) with an admission probability. It bounds the total
+//! rate of all hosts relative to the request rate, for any number of hosts, but follows a surge
+//! only as fast as the announced sum does, a second later. The second check is a token of a [`Bucket`], which
 //! limits a surge at each host. Tokens alone are not enough: buckets are full after a time with few
 //! requests, and the buckets of hundreds of hosts then hold more tokens than the limit allows.
 
@@ -21,11 +21,12 @@
 use super::rate_meter::RateMeter;
 
 /// Refill rate of all hosts' buckets together, as a fraction of the limit. The rate is higher than
-/// [`ADMIT_SHARE`], so that random variation does not empty the buckets.
-const BUCKET_SHARE: f64 = 1.1;
+/// [`ADMIT_SHARE`], so that uneven arrivals do not empty the buckets. At 1.1, eight hosts together
+/// admitted up to 69 requests in 4 s of a surge, where the bound is 65.
+const BUCKET_SHARE: f64 = 1.0;
 /// Fraction of the limit on which admission probabilities are based. The remainder is headroom for
 /// random variation: if the announced sum is too low, hosts admit too many requests.
-const ADMIT_SHARE: f64 = 0.88;
+const ADMIT_SHARE: f64 = 0.86;
 /// Capacity of a bucket: [`BURST_TOKENS`] tokens and the refill of [`BURST_S`] seconds.
 const BURST_TOKENS: f64 = 2.0;
 const BURST_S: f64 = 0.4;
@@ -72,8 +73,8 @@
 pub struct RateShare {
     /// Refill rate of the host's [`Bucket`], in tokens per second.
     pub bucket_per_s: f64,
-    /// Probability with which a request is admitted by the random draw. If the limit is above the
-    /// request rate of callers, the value exceeds 1 and the draw admits every request.
+    /// Probability with which the pacer admits a request. If the limit is above the request rate of
+    /// callers, the value exceeds 1 and the pacer admits every request.
     pub admit_probability: f64,
 }
 
@@ -203,14 +204,6 @@
     }
 }
 
-/// Returns true if a request with the random draw `point`, from 0 to 1, is admitted at a server.
-/// `before` is the sum of the admission probabilities of the servers that were checked before for
-/// the same request. If all servers of a service are limited, each request is thus admitted at one
-/// of them, as far as the limits suffice.
-pub fn is_admitted(point: f64, before: f64, admit_probability: f64) -> bool {
-    (point - before).rem_euclid(1.0) < admit_probability
-}
-
 /// Demand for servers as reported by the hosts, by server tag (a hash that names the server in
 /// messages) and host address, with the arrival time of each report; kept by the leader.
 #[derive(Debug, Default)]
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -15,7 +15,8 @@
             admission,
             choice::{self, Inputs},
             hold::{self, Hold, MoveTimeLeft, MoveWait},
-            rate_shares,
+            pacer,
+            rate_shares::RateShare,
             retry_after::Refused,
         },
         owners::Owner,
@@ -49,28 +50,6 @@
     Ok(not_in_backoff)
 }
 
-/// Returns the servers that may get the request under their rate limits. One random draw for all
-/// servers admits the request to at most one of the rate-limited servers, unless the limits of
-/// these servers together exceed the request rate of callers.
-fn under_rate_limits(
-    servers: Vec<&Arc<Server>>,
-    hosts: usize,
-    is_urgent: bool,
-) -> Vec<&Arc<Server>> {
-    let point: f64 = rand::random();
-    let mut before = 0.0;
-    let may_go = |server: &&Arc<Server>| {
-        let Some(rate_share) = server.rate.rate_share(hosts, is_urgent) else {
-            return true;
-        };
-        server.rate.note_demand(is_urgent);
-        let is_admitted = rate_shares::is_admitted(point, before, rate_share.admit_probability);
-        before += rate_share.admit_probability;
-        is_admitted && server.rate.has_token(rate_share)
-    };
-    servers.into_iter().filter(may_go).collect()
-}
-
 /// Returns true if the server has a rate limit but has not advertised the limit for a while, so
 /// that a request should be sent to the server: the server's response shows whether the limit still
 /// applies.
@@ -84,8 +63,7 @@
     let Some(rate_share) = server.rate.rate_share(hosts, is_urgent) else {
         return true;
     };
-    rate_shares::is_admitted(rand::random(), 0.0, rate_share.admit_probability)
-        && server.rate.has_token(rate_share)
+    server.rate.is_admitted(rate_share, is_urgent) && server.rate.has_token(rate_share)
 }
 
 impl ForwardedRequest<'_> {
@@ -144,7 +122,7 @@
         let registry = entry.view.registry();
         let mut usable = self.available_servers(entry, &registry)?;
         usable.retain(|server| self.may_be_served_in(entry, &server.entry.availability_zone));
-        let usable = under_rate_limits(usable, entry.sharing_hosts(), self.is_urgent());
+        let usable = self.under_rate_limits(entry, usable);
         if usable.is_empty() {
             let reason = "all servers get as much as they take";
             return Err(self.refused_for_one_run(entry, reason));
@@ -165,6 +143,42 @@
         }
     }
 
+    /// Returns the servers that may get the request under their rate limits. The pacer of the
+    /// service admits the request to at most one of the rate-limited servers, unless the limits of
+    /// these servers together exceed the request rate of callers.
+    fn under_rate_limits<'r>(
+        &self,
+        entry: &Entry,
+        servers: Vec<&'r Arc<Server>>,
+    ) -> Vec<&'r Arc<Server>> {
+        let (hosts, is_urgent) = (entry.sharing_hosts(), self.is_urgent());
+        let with_share =
+            |server: &'r Arc<Server>| (server, server.rate.rate_share(hosts, is_urgent));
+        let with_shares: Vec<_> = servers.into_iter().map(with_share).collect();
+        let limited = with_shares.iter().filter_map(|(_, rate_share)| *rate_share);
+        let total: f64 = limited.map(|share| share.admit_probability).sum();
+        if with_shares
+            .iter()
+            .all(|(_, rate_share)| rate_share.is_none())
+        {
+            return with_shares.into_iter().map(|(server, _)| server).collect();
+        }
+        let service_tag = tag_of(&self.service);
+        let point = entry.service_pacers.point(service_tag, is_urgent, total);
+        let mut before = 0.0;
+        let may_go = |(server, rate_share): (&'r Arc<Server>, Option<RateShare>)| {
+            let Some(rate_share) = rate_share else {
+                return Some(server);
+            };
+            server.rate.note_demand(is_urgent);
+            let probability = rate_share.admit_probability;
+            let is_admitted = point.is_some_and(|at| pacer::is_admitted(at, before, probability));
+            before += probability;
+            (is_admitted && server.rate.has_token(rate_share)).then_some(server)
+        };
+        with_shares.into_iter().filter_map(may_go).collect()
+    }
+
     /// Returns the server with the earliest expected response, after weighting by cost, among those
     /// of `servers` that have room for the request (may get one more request); `None` if no server
     /// has room.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -73,6 +73,7 @@
     peers::Peers,
     quotas::Quotas,
     server::WarmupLimit,
+    shared_rate::ServicePacers,
     updates::{confirmation::ConfigurationConfirmation, freshness::Freshness},
     view::View,
 };
@@ -126,6 +127,8 @@
     /// Request rates that each host reports for servers with a rate limit; collected while this
     /// host is the leader.
     demand_by_host: Mutex<DemandByHost>,
+    /// Pacers that admit requests to the rate-limited servers of unsharded services.
+    service_pacers: ServicePacers,
     /// Run time of each route's requests relative to the average of their server.
     pub run_shares: RunShares,
     /// Counts of what happens to the requests for contended services.
@@ -180,6 +183,7 @@
             notice_received: Notify::new(),
             backoffs: Backoffs::default(),
             demand_by_host: Mutex::default(),
+            service_pacers: ServicePacers::default(),
             run_shares: RunShares::default(),
             contention: Contention::default(),
             metrics: Metrics::default(),
--- a/src/entry/shared_rate.rs
+++ b/src/entry/shared_rate.rs
@@ -1,9 +1,13 @@
 //! Rate limit that one server advertises for all hosts together, and this host's share of it.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use super::decide::{
     notices::Notices,
+    pacer::Pacer,
     rate_limit::AdvertisedLimit,
     rate_meter::RateMeter,
     rate_shares::{Bucket, DemandRates, RateShare, ServerDemand},
@@ -22,10 +26,13 @@
 }
 
 /// State of this host's share of the limit: the request rates of callers, on which the share
-/// depends, and the token bucket, which enforces it.
+/// depends, and the pacers and the token bucket, which enforce it.
 #[derive(Debug, Default)]
 struct Share {
     demand: ServerDemand,
+    /// Pacers of the requests that only this server may run: the urgent ones, and all others.
+    urgent_pacer: Pacer,
+    pacer: Pacer,
     bucket: Bucket,
 }
 
@@ -121,6 +128,18 @@
         )
     }
 
+    /// Returns true if the pacer of this host's share admits a request that only this server may
+    /// run.
+    pub fn is_admitted(&self, rate_share: RateShare, is_urgent: bool) -> bool {
+        let mut share = self.share();
+        let pacer = if is_urgent {
+            &mut share.urgent_pacer
+        } else {
+            &mut share.pacer
+        };
+        pacer.admits(rate_share.admit_probability, rand::random())
+    }
+
     /// Returns true if the token bucket of this host's share has a token for a request. The token
     /// is not removed; see [`Self::take_token`].
     pub fn has_token(&self, rate_share: RateShare) -> bool {
@@ -157,3 +176,19 @@
         self.sent.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Pacers of the requests that any server of a service may run, by the tag of the service and
+/// whether the requests are urgent.
+#[derive(Debug, Default)]
+pub struct ServicePacers(Mutex<HashMap<(u32, bool), Pacer>>);
+
+impl ServicePacers {
+    /// Returns the point at which a request is admitted by the rate-limited servers of a service,
+    /// for [`is_admitted`](super::decide::pacer::is_admitted); `None` if none of them admits it.
+    /// `total` is the sum of the admission probabilities of these servers.
+    pub fn point(&self, service_tag: u32, is_urgent: bool, total: f64) -> Option<f64> {
+        let mut pacers = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let pacer = pacers.entry((service_tag, is_urgent)).or_default();
+        pacer.point(total, rand::random(), rand::random())
+    }
+}
--- a/tests/rate_shares.rs
+++ b/tests/rate_shares.rs
@@ -8,9 +8,10 @@
 };
 
 use ashroad::entry::decide::{
+    pacer::Pacer,
     rate_limit::{AdvertisedLimit, RateLimit},
     rate_meter::RateMeter,
-    rate_shares::{self, Bucket, DemandByHost, DemandRates, ServerDemand},
+    rate_shares::{Bucket, DemandByHost, DemandRates, ServerDemand},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -36,11 +37,12 @@
 /// Number of seeds for each case.
 const SEEDS: u64 = 40;
 
-/// A simulated host, with its demand and its token bucket for the server. An isolated host neither
-/// reports its demand nor receives sums.
+/// A simulated host, with its state for the server. An isolated host neither reports its demand nor
+/// receives sums.
 #[derive(Default)]
 struct Host {
     demand: ServerDemand,
+    pacers: [Pacer; 2],
     bucket: Bucket,
     is_isolated: bool,
 }
@@ -91,11 +93,8 @@
     let mut sent = Vec::new();
     for now_ms in 1_000..1_000 + SIMULATED_MS {
         let is_late = now_ms >= 1_000 + SIMULATED_MS / 2;
-        let per_s = if is_late {
-            case.demand_per_s.1
-        } else {
-            case.demand_per_s.0
-        };
+        let (early_per_s, late_per_s) = case.demand_per_s;
+        let per_s = if is_late { late_per_s } else { early_per_s };
         let preferred_host = usize::from(case.moves && is_late);
         if rng.random::<f64>() < per_s / 1_000.0 {
             let index = if rng.random::<f64>() < case.first_share {
@@ -141,7 +140,8 @@
     let rate_share = host
         .demand
         .rate_share(case.limit_per_s, counted, is_urgent, now_ms);
-    let is_admitted = rate_shares::is_admitted(rng.random(), 0.0, rate_share.admit_probability);
+    let pacer = &mut host.pacers[usize::from(is_urgent)];
+    let is_admitted = pacer.admits(rate_share.admit_probability, rng.random());
     let is_sent = is_admitted && host.bucket.has_token(rate_share.bucket_per_s, now_ms);
     if is_sent {
         host.bucket.take();
