Try contents alone that were in flight at several servers of a mass crash

Both attempts of one request and then of another one crashed four servers within 111 ms.

A content that was in flight at two servers of a mass crash is now run only as trials until a success clears it. The mass crash itself is still no evidence: a quarantine needs crashes during trials. In a large crash (nine or more servers within a second, remembered for 3 s) no content becomes suspect, as before. Reports of smaller mass crashes go to all hosts, which must know the suspects; those of large ones go to the leader only.

--- a/src/entry/crashes/mod.rs
+++ b/src/entry/crashes/mod.rs
@@ -135,9 +135,13 @@
         let mut tally = lock(&self.crashes.tally);
         let mut crossed_threshold = tally.note(server_tag, digests, now_ms);
         let is_mass_crash = tally.has_recent_mass_crash(now_ms);
+        let is_large_crash = tally.has_recent_large_crash(now_ms);
         drop(tally);
         let mut path_tally = lock(&self.crashes.path_tally);
         crossed_threshold.extend(path_tally.note(server_tag, shared, is_mass_crash, now_ms));
+        if is_large_crash {
+            path_tally.drop_pending();
+        }
         drop(path_tally);
         self.put_in_quarantine(&crossed_threshold, "servers ended under it");
     }
--- a/src/entry/crashes/probe.rs
+++ b/src/entry/crashes/probe.rs
@@ -64,9 +64,10 @@
         }
         .log();
         self.note_suspects(server.tag, digests, shared);
-        // In a mass crash (many servers crash at once) the reports go only to the leader: after the
-        // loss of a zone with 216 servers, each of 295 hosts would otherwise get 2,600 reports.
-        let to_all = !lock(&self.crashes.tally).has_recent_mass_crash(clock::now_ms());
+        // In a large crash the reports go only to the leader: after the loss of a zone with 216
+        // servers, each of 295 hosts would otherwise get 2,600 reports. In a smaller mass crash all
+        // hosts must know the contents that may have caused it.
+        let to_all = !lock(&self.crashes.tally).has_recent_large_crash(clock::now_ms());
         lock(&self.crashes.reports).add(server.tag, suspects, to_all);
         self.crashes.crashed.notify_one();
     }
--- a/src/entry/decide/crash_tally.rs
+++ b/src/entry/decide/crash_tally.rs
@@ -24,9 +24,16 @@
 /// mass crash. In a mass crash, a common cause, such as the loss of a zone, is more likely than a
 /// request. A single request that crashes servers reaches [`SERVERS_NEEDED`] first.
 const MASS_CRASH_SERVERS: usize = 3;
+/// Number of servers that must crash within [`MASS_CRASH_WINDOW_MS`] for the crashes to count as a
+/// large crash, which requests do not cause. Two requests that each crash servers at both attempts
+/// of two callers reach 8.
+const LARGE_CRASH_SERVERS: usize = 9;
 /// Time in which crashes count as simultaneous, in milliseconds. Hosts detect and report a crash in
 /// 30 to 100 ms.
 const MASS_CRASH_WINDOW_MS: u64 = 1_000;
+/// Time for which a large crash counts as recent, in milliseconds. Hosts send each report of a crash
+/// again for a second, and a part of the reports does not look like a large crash.
+const LARGE_CRASH_MS: u64 = 3_000;
 /// Time for which a crash counts as evidence against a request, in milliseconds. The caller of a
 /// request that causes crashes sends it again after seconds to minutes; with a longer time, more
 /// harmless requests would be in flight at two crashes by coincidence.
@@ -58,6 +65,8 @@
     /// Tags (hashes that name servers in messages) of the servers that crashed within the last
     /// [`MASS_CRASH_WINDOW_MS`], with the times of the crashes.
     latest: Vec<(u32, u64)>,
+    /// Time of the latest crash that was part of a large crash; `None` before the first.
+    large_crash_ms: Option<u64>,
 }
 
 impl CrashTally {
@@ -101,6 +110,9 @@
         if !self.latest.iter().any(|(other, _)| *other == server_tag) {
             self.latest.push((server_tag, now_ms));
         }
+        if self.latest.len() >= LARGE_CRASH_SERVERS {
+            self.large_crash_ms = Some(now_ms);
+        }
         self.latest.len()
     }
 
@@ -123,6 +135,13 @@
             >= MASS_CRASH_SERVERS
     }
 
+    /// Returns true if at least [`LARGE_CRASH_SERVERS`] servers crashed within
+    /// [`MASS_CRASH_WINDOW_MS`], the last of them at most [`LARGE_CRASH_MS`] ago.
+    pub fn has_recent_large_crash(&self, now_ms: u64) -> bool {
+        let is_recent = |at_ms| now_ms < at_ms + LARGE_CRASH_MS;
+        self.large_crash_ms.is_some_and(is_recent)
+    }
+
     /// Drops the evidence against a request that a server has run successfully. Returns true if
     /// there was any evidence.
     pub fn clear(&mut self, digest: RequestDigest) -> bool {
--- a/src/entry/decide/path_tally.rs
+++ b/src/entry/decide/path_tally.rs
@@ -16,6 +16,12 @@
 //! server crashed). So a crash during a trial has a single cause, and two crashes are enough.
 //! Requests for a path whose queries or bodies differ are not held back for trials, since most of
 //! them may be harmless; for such a path, three crashes that are not simultaneous are needed.
+//!
+//! Several requests that crash servers at the same time look like a mass crash, whose crashes are
+//! no evidence. Contents that were in flight at two servers of a mass crash are therefore pending:
+//! they are also run only as trials until a success clears them, but only crashes during these
+//! trials are evidence against them. If so many servers crash that requests cannot be the cause,
+//! no content is pending.
 
 use std::collections::HashMap;
 
@@ -43,6 +49,14 @@
 /// and oldest evidence are dropped first.
 const SUSPECTS_MAX: usize = 4_096;
 
+/// Number of servers of a mass crash at which a content must have been in flight to be pending. A
+/// host attempts a request twice, so a content that crashes servers reaches two. Most harmless
+/// contents in flight at a mass crash reach one and are not held back for trials.
+const PENDING_SERVERS: usize = 2;
+/// Maximum number of contents that are observed in mass crashes. Further contents are not observed
+/// until the time of the others has passed.
+const PENDING_MAX: usize = 1_024;
+
 /// Part of a request that a digest without the caller covers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum DigestScope {
@@ -81,13 +95,18 @@
 /// Evidence against suspects (requests in flight at a server when the server crashed), by a digest
 /// that does not cover the caller.
 #[derive(Debug, Default)]
-pub struct PathTally(HashMap<RequestDigest, Vec<Evidence>>);
+pub struct PathTally {
+    evidence: HashMap<RequestDigest, Vec<Evidence>>,
+    /// Servers of mass crashes at which a content was in flight, as `(server tag, time in ms)`.
+    pending: HashMap<RequestDigest, Vec<(u32, u64)>>,
+}
 
 impl PathTally {
     /// Records the crash of a server while `suspects` were in flight there. Returns the digests
     /// that count as the cause because there is enough evidence against them. A repeated report of
     /// the same crash adds no evidence. `is_mass_crash` is true if many servers have crashed at
-    /// once, so that a request is unlikely to be the cause; then only crashes during trials count.
+    /// once, so that a request is unlikely to be the cause; then only crashes during trials count,
+    /// and the contents of the other requests may become pending.
     pub fn note(
         &mut self,
         server_tag: u32,
@@ -96,10 +115,13 @@
         now_ms: u64,
     ) -> Vec<RequestDigest> {
         self.make_room(suspects.len(), now_ms);
+        if is_mass_crash {
+            self.note_pending(server_tag, suspects, now_ms);
+        }
         let counted = suspects.iter().filter(|s| s.is_trial || !is_mass_crash);
         let mut reached = Vec::new();
         for suspect in counted {
-            let evidence = self.0.entry(suspect.digest).or_default();
+            let evidence = self.evidence.entry(suspect.digest).or_default();
             evidence.retain(|crash| now_ms < crash.at_ms + EVIDENCE_MS);
             let is_same = |crash: &&mut Evidence| {
                 crash.server_tag == server_tag && crash.caller_tag == suspect.caller_tag
@@ -123,10 +145,46 @@
         reached
     }
 
+    /// Records a mass crash of a server while `suspects` were in flight there.
+    fn note_pending(&mut self, server_tag: u32, suspects: &[SharedSuspect], now_ms: u64) {
+        self.pending.retain(|_, servers| {
+            servers.retain(|(_, at_ms)| now_ms < at_ms + EVIDENCE_MS);
+            !servers.is_empty()
+        });
+        let contents = suspects.iter().filter(|s| s.scope == DigestScope::Content);
+        for suspect in contents {
+            let is_known = self.pending.contains_key(&suspect.digest);
+            if !is_known && self.pending.len() >= PENDING_MAX {
+                continue;
+            }
+            let servers = self.pending.entry(suspect.digest).or_default();
+            if servers.iter().all(|(server, _)| *server != server_tag) {
+                servers.push((server_tag, now_ms));
+            }
+        }
+    }
+
+    /// Drops what mass crashes have shown, because so many servers crashed that requests are not
+    /// the cause.
+    pub fn drop_pending(&mut self) {
+        self.pending.clear();
+    }
+
+    /// Returns true if a content was in flight at [`PENDING_SERVERS`] servers of mass crashes
+    /// within the last [`EVIDENCE_MS`], and has not succeeded since.
+    fn is_pending(&self, digest: RequestDigest, now_ms: u64) -> bool {
+        let is_fresh = |(_, at_ms): &&(u32, u64)| now_ms < at_ms + EVIDENCE_MS;
+        let servers = self.pending.get(&digest);
+        servers.is_some_and(|all| all.iter().filter(is_fresh).count() >= PENDING_SERVERS)
+    }
+
     /// Returns true if a server crashed during a request with this digest within the last
-    /// [`EVIDENCE_MS`], and no success has dropped that evidence.
+    /// [`EVIDENCE_MS`], or the content is pending, and no success has cleared it.
     pub fn is_suspect(&self, digest: RequestDigest, now_ms: u64) -> bool {
-        let evidence = self.0.get(&digest);
+        if self.is_pending(digest, now_ms) {
+            return true;
+        }
+        let evidence = self.evidence.get(&digest);
         let is_fresh = |crash: &Evidence| now_ms < crash.at_ms + EVIDENCE_MS;
         evidence.is_some_and(|evidence| evidence.iter().any(is_fresh))
     }
@@ -136,54 +194,65 @@
     /// that was already in flight at a crash does not drop the evidence of that crash: the content
     /// may have become harmful after that request was sent.
     pub fn clear(&mut self, digest: RequestDigest, sent_ms: u64) -> bool {
-        let Some(evidence) = self.0.get_mut(&digest) else {
-            return false;
-        };
-        let known = evidence.len();
-        evidence.retain(|crash| crash.at_ms >= sent_ms);
-        let is_cleared = evidence.len() < known;
-        if evidence.is_empty() {
-            self.0.remove(&digest);
-        }
-        is_cleared
+        let is_pending_cleared =
+            drop_older(&mut self.pending, digest, |(_, at_ms)| *at_ms < sent_ms);
+        drop_older(&mut self.evidence, digest, |crash| crash.at_ms < sent_ms) || is_pending_cleared
     }
 
     /// Returns the number of digests against which there is evidence. Digests whose evidence has
-    /// expired but is not dropped yet are included.
+    /// expired but is not dropped yet are included, pending contents are not.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.evidence.len()
     }
 
     /// Returns true if [`len`](Self::len) is 0: there is no evidence, not even expired evidence.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.evidence.is_empty()
     }
 
     /// Drops suspects if `added` more would exceed [`SUSPECTS_MAX`]: first the suspects whose
     /// evidence has expired, then those with the least and oldest evidence.
     fn make_room(&mut self, added: usize, now_ms: u64) {
-        if self.0.len() + added <= SUSPECTS_MAX {
+        if self.evidence.len() + added <= SUSPECTS_MAX {
             return;
         }
         let latest_ms = |evidence: &[Evidence]| evidence.iter().map(|crash| crash.at_ms).max();
-        self.0.retain(|_, evidence| {
+        self.evidence.retain(|_, evidence| {
             latest_ms(evidence).is_some_and(|at_ms| now_ms < at_ms + EVIDENCE_MS)
         });
         // Keeps three quarters of the maximum, so that not every crash has to sort all suspects.
         let kept = (SUSPECTS_MAX * 3 / 4).saturating_sub(added);
         let mut ranked: Vec<_> = self
-            .0
+            .evidence
             .iter()
             .map(|(digest, evidence)| (evidence.len(), latest_ms(evidence), *digest))
             .collect();
         ranked.sort_unstable();
         let excess = ranked.len().saturating_sub(kept);
         for (_, _, digest) in ranked.into_iter().take(excess) {
-            self.0.remove(&digest);
+            self.evidence.remove(&digest);
         }
     }
 }
 
+/// Drops the entries of a digest for which `is_old` returns true. Returns true if there were any.
+fn drop_older<T>(
+    by_digest: &mut HashMap<RequestDigest, Vec<T>>,
+    digest: RequestDigest,
+    is_old: impl Fn(&T) -> bool,
+) -> bool {
+    let Some(entries) = by_digest.get_mut(&digest) else {
+        return false;
+    };
+    let known = entries.len();
+    entries.retain(|entry| !is_old(entry));
+    let is_changed = entries.len() < known;
+    if entries.is_empty() {
+        by_digest.remove(&digest);
+    }
+    is_changed
+}
+
 /// Returns true if the evidence against a digest is enough to count it as the cause of the crashes.
 /// How many crashes are needed depends on `scope`.
 fn is_enough(scope: DigestScope, evidence: &[Evidence]) -> bool {
