--- a/src/bin/ashroad/app.rs
+++ b/src/bin/ashroad/app.rs
@@ -33,6 +33,8 @@
     Explain(ExplainArgs),
     /// Count lost requests by second, route and reason, from the logs of entry hosts.
     Losses(LossesArgs),
+    /// Count what happened to requests of contended services, from the logs of entry hosts.
+    Contention(ContentionArgs),
     /// Check settings, templates and workspaces, and print every problem.
     Check(CheckArgs),
     /// Submit, withdraw and show templates.
@@ -90,6 +92,14 @@
     pub logs: Vec<PathBuf>,
 }
 
+/// Flags of `contention`: the logs to read.
+#[derive(Debug, Args)]
+pub struct ContentionArgs {
+    /// Log files of the hosts, one JSON event per line.
+    #[arg(required = true)]
+    pub logs: Vec<PathBuf>,
+}
+
 /// Flags of `check`, which reads files and calls no host.
 #[derive(Debug, Args)]
 pub struct CheckArgs {
--- a/src/bin/ashroad/logs.rs
+++ b/src/bin/ashroad/logs.rs
@@ -1,4 +1,4 @@
-//! Reads the logs of entry hosts for `explain` and `losses`.
+//! Reads the logs of entry hosts for `contention`, `explain` and `losses`.
 
 use std::{fs, path::PathBuf};
 
@@ -15,8 +15,8 @@
 }
 
 impl Log {
-    /// Returns the name and the text of the log in the form that `explain` and `losses` of the
-    /// library read.
+    /// Returns the name and the text of the log in the form that `contention_totals`, `explain` and
+    /// `losses` of the library read.
     pub fn source(&self) -> Source<'_> {
         Source {
             name: &self.name,
--- a/src/bin/ashroad/main.rs
+++ b/src/bin/ashroad/main.rs
@@ -3,6 +3,7 @@
 mod app;
 mod bench;
 mod check;
+mod contention;
 mod declaration;
 mod demo;
 mod entry;
@@ -50,6 +51,7 @@
         Command::Entry(args) => entry::run(&args),
         Command::Explain(args) => explain::run(&args, json),
         Command::Losses(args) => losses::run(&args, json),
+        Command::Contention(args) => contention::run(&args, json),
         Command::Standin(args) => block_on(standin::run(args)),
         Command::Template(args) => block_on(declaration::run_template(args, json)),
         Command::Workspace(args) => block_on(declaration::run_workspace(args, json)),
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -200,3 +200,62 @@
     let status = run(&["--json", "status", "--api", &api]);
     assert!(status.status.success());
 }
+
+/// Guards against counts that leave out a host, an urgency or a step in the logs of several hosts.
+#[test]
+fn requests_of_contended_services_are_counted_over_all_logs() {
+    let directory = directory("contention");
+    let event = |service: &str, is_urgent: bool, steps: &str| {
+        format!(
+            "{{\"at_unix_ms\":1,\"event\":\"contention\",\"service\":\"{service}\",\
+             \"is_urgent\":{is_urgent},\"steps\":{{{steps}}}}}"
+        )
+    };
+    let first = [
+        event("orders", false, "\"queued\":4,\"sent_from_queue\":3"),
+        event("orders", true, "\"sent_at_once\":20"),
+        "no event".to_owned(),
+        "1.6 host-1 {\"at_unix_ms\":5,\"event\":\"dropped\",\"lines\":7}".to_owned(),
+    ];
+    let second = [
+        event(
+            "orders",
+            false,
+            "\"queued\":2,\"refused_late\":1,\"new_step\":6",
+        ),
+        event("a", false, "\"retry\":5"),
+    ];
+    let mut arguments = vec!["contention".to_owned()];
+    for (name, lines) in [("first", first.join("\n")), ("second", second.join("\n"))] {
+        let path = directory.join(name);
+        fs::write(&path, lines).expect("log");
+        arguments.push(path.display().to_string());
+    }
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let output = run(&arguments);
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    let cells = |line: &str| {
+        line.split_whitespace()
+            .map(str::to_owned)
+            .collect::<Vec<_>>()
+    };
+    let rows: Vec<Vec<String>> = text.lines().skip(1).map(cells).collect();
+    let expected = [
+        "a no 0 0 0 0 0 0 0 5 0",
+        "orders no 0 6 3 0 0 1 0 0 6",
+        "orders yes 20 0 0 0 0 0 0 0 0",
+        "7 log lines were dropped by the hosts",
+    ];
+    assert_eq!(rows, expected.map(cells), "{text}");
+    assert!(
+        text.starts_with("service  urgent  sent at once  queued  sent from queue"),
+        "{text}"
+    );
+    let output = run(&[&["--json"], &arguments[..]].concat());
+    let found: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(found["steps"][1], "queued");
+    assert_eq!(found["totals"][1]["requests"][1], 6);
+    assert_eq!(found["dropped_lines"], 7);
+    let _ = fs::remove_dir_all(directory);
+}
