Send requests again that the HTTP client has not written

A server may close an idle connection at the moment of its reuse. Callers of requests that must run at most once then got 502, also if no part of the request was written. hyper returns such a request from try_send_request. The host now sends it once more on a new connection to the same server; if no connection opens or the new one closes before the request was written, the attempt counts as not sent: another attempt, or 503. The server does not run the request, so it is no suspect if the server has crashed. All other failures of a connection are treated as before.

--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -8,6 +8,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, response};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use tokio::time;
 
 use super::{
@@ -19,7 +20,7 @@
     clock,
     entry::{
         Entry,
-        pool::{ConnectError, Connection},
+        pool::{ConnectError, Connection, SendError},
         server::Server,
     },
     platform::headers,
@@ -33,7 +34,8 @@
 /// Result of one attempt, which decides whether the request may be sent again.
 pub(super) enum AttemptOutcome {
     Answered(Response<ResponseBody>),
-    /// The request was not sent: no connection could be opened, or the request could not be built.
+    /// The request was not sent: no connection could be opened, the request could not be built, or
+    /// the connections closed before any part of the request was written.
     NotSent(String),
     /// The server has asked this host for a backoff (a period without requests), so the request was
     /// not sent.
@@ -79,9 +81,14 @@
         let (head, body) = match time::timeout(timeout, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(attempt)) => {
-                if matches!(attempt, AttemptOutcome::NotRun(_)) {
-                    in_flight.answered();
-                    self.end_trial(entry, server);
+                match attempt {
+                    AttemptOutcome::NotRun(_) => {
+                        in_flight.answered();
+                        self.end_trial(entry, server);
+                    }
+                    // The server does not run the request, so it is no suspect if it crashes.
+                    AttemptOutcome::NotSent(_) | AttemptOutcome::InBackoff => in_flight.answered(),
+                    _ => {}
                 }
                 return attempt;
             }
@@ -134,6 +141,15 @@
         if let Some(connection) = server.pool.take() {
             return Ok(connection);
         }
+        self.new_connection(entry, server).await
+    }
+
+    /// Opens a connection to the server, unless the server has asked this host for a backoff.
+    async fn new_connection(
+        &self,
+        entry: &Arc<Entry>,
+        server: &Arc<Server>,
+    ) -> Result<Connection, AttemptOutcome> {
         let connection = self.connect(entry, server).await?;
         if server.backoff_ms() > 0 {
             server.pool.keep(connection);
@@ -188,18 +204,39 @@
         server.answered(run_ms, found_free_slot);
     }
 
+    /// Sends the request and waits for the head of the response. A server may close an idle
+    /// connection at the moment of its reuse: if no part of the request was written, the request is
+    /// sent again on a new connection.
+    async fn send(
+        &self,
+        entry: &Arc<Entry>,
+        server: &Arc<Server>,
+        connection: &mut Connection,
+        request: Request<ResponseBody>,
+    ) -> Result<Response<Incoming>, AttemptOutcome> {
+        let request = match connection.send(request).await {
+            Err(SendError::NotWritten { request, source }) => {
+                log::debug!("request not written to {}: {source}", server.entry.id);
+                request
+            }
+            sent => return sent.map_err(not_answered),
+        };
+        *connection = self.new_connection(entry, server).await?;
+        connection.send(*request).await.map_err(not_answered)
+    }
+
     /// Sends the request, checks that the response is usable, and reads the body of the response as
     /// far as [`receive`] buffers it.
     async fn exchange(
         &self,
-        entry: &Entry,
-        server: &Server,
+        entry: &Arc<Entry>,
+        server: &Arc<Server>,
         connection: &mut Connection,
         request: Request<ResponseBody>,
     ) -> Result<(response::Parts, Received), AttemptOutcome> {
         let connection_lost =
             |error: hyper::Error| AttemptOutcome::ConnectionLost(error.to_string());
-        let response = connection.send(request).await.map_err(connection_lost)?;
+        let response = self.send(entry, server, connection, request).await?;
         let (head, body) = response.into_parts();
         // A notice (the server leaves, or asks for a backoff) concerns the server as a whole, so
         // this host applies the notice even if the response belongs to another request.
@@ -276,3 +313,11 @@
         Some(())
     }
 }
+
+/// Returns the result of an attempt whose connection gave no response.
+fn not_answered(error: SendError) -> AttemptOutcome {
+    match error {
+        SendError::NotWritten { source, .. } => AttemptOutcome::NotSent(source.to_string()),
+        SendError::Lost { source } => AttemptOutcome::ConnectionLost(source.to_string()),
+    }
+}
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -55,6 +55,25 @@
     TimedOut,
 }
 
+/// Reason why an open connection gave no response.
+#[derive(Debug, Snafu)]
+pub enum SendError {
+    /// The connection closed before the HTTP library wrote any part of the request.
+    #[snafu(display("{source}"))]
+    NotWritten {
+        /// The request, which can be sent on another connection.
+        request: Box<Request<ResponseBody>>,
+        /// Error that the HTTP library returned with the request.
+        source: hyper::Error,
+    },
+    /// The connection failed after the request may have been written.
+    #[snafu(display("{source}"))]
+    Lost {
+        /// Error that the HTTP library returned.
+        source: hyper::Error,
+    },
+}
+
 impl From<io::Error> for ConnectError {
     fn from(source: io::Error) -> Self {
         if source.kind() == io::ErrorKind::ConnectionRefused {
@@ -172,8 +191,18 @@
     pub async fn send(
         &mut self,
         request: Request<ResponseBody>,
-    ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
+    ) -> Result<Response<Incoming>, SendError> {
+        let sent = self.sender.try_send_request(request).await;
+        sent.map_err(|mut error| match error.take_message() {
+            // The library returns the request only if it has written no part of it.
+            Some(request) => SendError::NotWritten {
+                request: Box::new(request),
+                source: error.into_error(),
+            },
+            None => SendError::Lost {
+                source: error.into_error(),
+            },
+        })
     }
 }
 
