Test orders whose server closes idle connections

A host sends an order again if no part of it was written. The test pauses the host while the order arrives and the server closes its idle connections, so that the host learns of both at the same time, and checks that no order runs twice and that 503 means that it has not run. Which of the two the host handles first is by chance, so the test does not show that orders get fewer responses 502.

--- a/tests/entry_connections.rs
+++ b/tests/entry_connections.rs
@@ -1,17 +1,32 @@
 //! Tests what a host knows of a request whose connection closes.
 
+mod platform_standin;
+
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener},
-    sync::mpsc::{self, Receiver, Sender},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+        mpsc::{self, Receiver, Sender},
+    },
     thread,
     time::Duration,
 };
 
 use ashroad::entry::pool::{Pool, SendError};
-use http::Request;
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
+use serde_json::json;
+use tokio::time;
+
+use self::platform_standin::{
+    caller::{Caller, TestRequest},
+    hosts::Host,
+    site::{configuration, eventually},
+    store::Store,
+};
 
 /// When the fake server closes a connection on which it has answered one request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -73,7 +88,7 @@
         body.collect().await.expect("body");
         pool.give_back(connection, &head.headers);
         // The connection task polls the connection until it is ready again.
-        tokio::time::sleep(Duration::from_millis(20)).await;
+        time::sleep(Duration::from_millis(20)).await;
         let mut connection = pool.take().expect("idle connection");
         close.send(()).expect("server");
         if closes == Closes::WhileIdle {
@@ -97,3 +112,116 @@
         }
     }
 }
+
+/// Fake server that answers all requests, and closes its idle connections when it is told so.
+#[derive(Default)]
+struct ClosingServer {
+    /// Number of times that the server was told to close its idle connections.
+    closings: AtomicU32,
+    /// Identifiers of the requests that the server has read.
+    ids: Mutex<Vec<String>>,
+}
+
+impl ClosingServer {
+    fn start() -> (Arc<Self>, SocketAddr) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
+        let address = listener.local_addr().expect("address");
+        let server = Arc::new(Self::default());
+        let accepting = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (server, stream) = (accepting.clone(), stream.expect("connection"));
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        (server, address)
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let closings = self.closings.load(Ordering::Relaxed);
+        let pause = Some(Duration::from_millis(2));
+        stream.set_read_timeout(pause).expect("timeout");
+        let mut head = String::new();
+        let mut buffer = [0; 4_096];
+        while self.closings.load(Ordering::Relaxed) == closings {
+            match stream.read(&mut buffer) {
+                Ok(0) => return,
+                Ok(count) => head += &String::from_utf8_lossy(&buffer[..count]),
+                // No request has arrived within the timeout.
+                Err(_) => continue,
+            }
+            if !head.contains("\r\n\r\n") {
+                continue;
+            }
+            let id = head
+                .lines()
+                .find_map(|line| line.strip_prefix("request-id: "));
+            let id = id.unwrap_or_default().to_owned();
+            let response = format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nserver-signature: s\r\n\
+                 request-id: {id}\r\n\r\n"
+            );
+            self.ids.lock().expect("ids").push(id);
+            head.clear();
+            if stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+async fn send_order(caller: Option<Caller>, id: &str) -> Option<StatusCode> {
+    let order = TestRequest {
+        method: "POST",
+        path: "/orders/new",
+        id,
+        key: None,
+        deadline_ms: 800,
+    };
+    Some(caller?.ask(order).await?.status)
+}
+
+/// Guards against running an order twice because it is sent again. The host is paused while the
+/// order arrives and the server closes the idle connections, so that it learns of both at the same
+/// time. Which of them it handles first is by chance: an order that may have been written gets 502.
+#[tokio::test]
+async fn orders_run_at_most_once_when_the_server_closes_idle_connections() {
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1, &[]));
+    let (server, server_address) = ClosingServer::start();
+    let entry = json!({
+        "addr": server_address.to_string(),
+        "info": {"service": "orders", "version": "v1", "zone": "a", "slots": 4},
+        "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
+    });
+    store.put("servers", "i-0000000001", &entry);
+    let host = Host::start(&store);
+    let callers = host.callers;
+    eventually("the host serves orders", 8_000, async || {
+        let caller = Caller::connect(callers).await;
+        send_order(caller, "0000000000000000").await == Some(StatusCode::OK)
+    })
+    .await;
+    for number in 1..=20 {
+        let caller = Caller::connect(callers).await;
+        // The host accepts the connection.
+        time::sleep(Duration::from_millis(10)).await;
+        host.signal("STOP");
+        let id = format!("{number:016x}");
+        let sent_id = id.clone();
+        let order = tokio::spawn(async move { send_order(caller, &sent_id).await });
+        time::sleep(Duration::from_millis(20)).await;
+        server.closings.fetch_add(1, Ordering::Relaxed);
+        time::sleep(Duration::from_millis(20)).await;
+        host.signal("CONT");
+        let status = order.await.expect("task");
+        let ids = server.ids.lock().expect("ids");
+        let runs = ids.iter().filter(|run| **run == id).count();
+        match status {
+            Some(StatusCode::OK) => assert_eq!(runs, 1, "order {number}"),
+            Some(StatusCode::SERVICE_UNAVAILABLE) => assert_eq!(runs, 0, "order {number}"),
+            Some(StatusCode::BAD_GATEWAY) => assert!(runs <= 1, "order {number}"),
+            status => panic!("order {number}: {status:?}"),
+        }
+    }
+}
