--- a/src/entry/decide/rate_shares.rs
+++ b/src/entry/decide/rate_shares.rs
@@ -10,9 +10,10 @@
 //! A request must pass two checks, because neither check alone bounds the total rate. The first
 //! check is a [`Pacer`](super::pacer::Pacer) with an admission probability. It bounds the total
 //! rate of all hosts relative to the request rate, for any number of hosts, but follows a surge
-//! only as fast as the announced sum does, a second later. The second check is a token of a [`Bucket`], which
-//! limits a surge at each host. Tokens alone are not enough: buckets are full after a time with few
-//! requests, and the buckets of hundreds of hosts then hold more tokens than the limit allows.
+//! only as fast as the announced sum does, a second later. The second check is a token of a
+//! [`Bucket`], which limits a surge at each host. Tokens alone are not enough: buckets are full
+//! after a time with few requests, and the buckets of hundreds of hosts then hold more tokens than
+//! the limit allows.
 
 use std::{collections::HashMap, net::SocketAddr};
 
