Send the report that completes a large crash to all hosts

A host noted its own report first and then sent it only to the leader if it made the crash large. Hosts that got reports only from others then knew of eight crashed servers at most, kept the contents in flight at two of these pending, and ran them as trials until a success or for 15 minutes. The host now decides before it notes the report.

--- a/src/entry/crashes/probe.rs
+++ b/src/entry/crashes/probe.rs
@@ -63,11 +63,12 @@
             digests: logged(&suspects),
         }
         .log();
-        self.note_suspects(server.tag, digests, shared);
         // In a large crash the reports go only to the leader: after the loss of a zone with 216
         // servers, each of 295 hosts would otherwise get 2,600 reports. In a smaller mass crash all
-        // hosts must know the contents that may have caused it.
+        // hosts must know the contents that may have caused it. The report that makes the crash
+        // large goes to all hosts too, so that they drop these contents.
         let to_all = !lock(&self.crashes.tally).has_recent_large_crash(clock::now_ms());
+        self.note_suspects(server.tag, digests, shared);
         lock(&self.crashes.reports).add(server.tag, suspects, to_all);
         self.crashes.crashed.notify_one();
     }
