Send the remaining time of a request that is sent again on a new connection

The header Deadline-Ms was set before the first attempt to write. Opening another connection takes up to 400 ms, so the server was told of more time than was left.

--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -214,7 +214,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
     ) -> Result<Response<Incoming>, AttemptOutcome> {
-        let request = match connection.send(request).await {
+        let mut request = match connection.send(request).await {
             Err(SendError::NotWritten { request, source }) => {
                 log::debug!("request not written to {}: {source}", server.entry.id);
                 request
@@ -222,6 +222,8 @@
             sent => return sent.map_err(not_answered),
         };
         *connection = self.new_connection(entry, server).await?;
+        let left_ms = HeaderValue::from(self.left_ms());
+        request.headers_mut().insert(headers::DEADLINE_MS, left_ms);
         connection.send(*request).await.map_err(not_answered)
     }
 
