--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 pub mod broadcast;
 mod callers;
 pub mod contention;
+pub mod contention_totals;
 pub mod crashes;
 pub mod decide;
 pub mod digest;
@@ -24,7 +25,7 @@
 mod notices;
 pub mod owners;
 pub mod peers;
-mod pool;
+pub mod pool;
 pub mod quotas;
 mod rate_limits;
 mod register;
@@ -77,6 +78,7 @@
     request_ages::RequestAges,
     retry_schedules::RetrySchedules,
     server::WarmupLimit,
+    shared_rate::ServicePacers,
     updates::{confirmation::ConfigurationConfirmation, freshness::Freshness},
     view::View,
 };
@@ -130,6 +132,8 @@
     /// Request rates that each host reports for servers with a rate limit; collected while this
     /// host is the leader.
     demand_by_host: Mutex<DemandByHost>,
+    /// Pacers that admit requests to the rate-limited servers of unsharded services.
+    service_pacers: ServicePacers,
     /// Run time of each route's requests relative to the average of their server.
     pub run_shares: RunShares,
     /// Counts of what happens to the requests for contended services.
@@ -188,6 +192,7 @@
             notice_received: Notify::new(),
             backoffs: Backoffs::default(),
             demand_by_host: Mutex::default(),
+            service_pacers: ServicePacers::default(),
             run_shares: RunShares::default(),
             contention: Contention::default(),
             request_ages: RequestAges::default(),
