Ended servers: the entry is confirmed after the first refused attempt

Change: the confirming call follows the first refused attempts. A server that shuts down in order goes on accepting connections for the drain bound after the store has accepted the change of its entry, so one refusal with a later confirmation rules out such a shutdown; the further attempts may find the entry expired.

--- a/src/entry/decide/ended.rs
+++ b/src/entry/decide/ended.rs
@@ -5,9 +5,10 @@
 //!
 //! An address that refuses connections has no listening process. A process that shuts down
 //! gracefully closes its listener while its last requests still run, but its entry in the store
-//! shows for longer than [`Policy::ended_evidence_ms`] before that it is leaving. Refused
-//! connections are therefore evidence only while the entry says that the server is ready. An end is
-//! final for an incarnation, so that evidence does not become stale.
+//! shows for seconds before that it is leaving, or is removed. A refused connection is therefore
+//! evidence if the store states after it that the entry is present and ready. The entry of an ended
+//! server expires within seconds, so that later attempts need no entry. An end is final for an
+//! incarnation, so that evidence does not become stale.
 //!
 //! An entry with a start time may be followed by another process under the same name, which would
 //! execute a late grant that a leader of an earlier term meant for the ended process. Refused
@@ -42,12 +43,14 @@
 }
 
 impl ConnectionAttempt {
-    fn is_evidence(&self, policy: &Policy) -> bool {
+    /// Returns true if the attempt shows that no process listens at the address, where the entry of
+    /// the server is known to have been present and ready after an earlier refused attempt if
+    /// `is_confirmed` is true.
+    fn is_evidence(&self, is_confirmed: bool, policy: &Policy) -> bool {
         self.is_refused
             && !self.has_open_connection
             && !self.may_follow_under_name
-            && self.is_present
-            && self.is_ready
+            && (is_confirmed || self.is_present && self.is_ready)
             && self.view_age_ms <= policy.ended_view_age_ms
             && self.answered_ms < self.began_ms
     }
@@ -59,13 +62,16 @@
     refused: u32,
     first_ms: u64,
     latest_ms: u64,
+    /// True once the store has confirmed, after the first refused attempt, that the entry of the
+    /// server was present and ready.
+    is_confirmed: bool,
 }
 
 impl Evidence {
     /// Adds an attempt. An attempt that is no evidence, and a response of the server since the
-    /// first refused attempt, discard all earlier attempts.
+    /// first refused attempt, discard all earlier attempts and the confirmation.
     pub fn note(&mut self, attempt: &ConnectionAttempt, policy: &Policy) {
-        if !attempt.is_evidence(policy) {
+        if !attempt.is_evidence(self.is_confirmed, policy) {
             *self = Self::default();
             return;
         }
@@ -74,12 +80,30 @@
                 refused: 0,
                 first_ms: attempt.began_ms,
                 latest_ms: attempt.began_ms,
+                is_confirmed: false,
             };
         }
         self.refused += 1;
         self.latest_ms = attempt.began_ms;
     }
 
+    /// Records that the store stated, in response to a call sent at `sent_ms`, that the entry of the
+    /// server is present and ready. A server that shuts down in order still accepts connections for
+    /// a while after its entry has changed, so that the entry may expire from then on.
+    pub fn confirm(&mut self, sent_ms: u64) {
+        self.is_confirmed |= self.refused > 0 && sent_ms > self.first_ms;
+    }
+
+    /// Returns true if there is a refused attempt and the store has not confirmed the entry yet.
+    pub fn needs_confirmation(&self) -> bool {
+        self.refused > 0 && !self.is_confirmed
+    }
+
+    /// Returns true if the store has confirmed the entry after the first refused attempt.
+    pub fn is_confirmed(&self) -> bool {
+        self.is_confirmed
+    }
+
     /// Returns the number of refused attempts.
     pub fn refused(&self) -> u32 {
         self.refused
@@ -95,16 +119,15 @@
         self.latest_ms
     }
 
-    /// Returns true if the refused attempts suffice, in number and span. The entry of the server
-    /// must still be confirmed, see [`Self::is_proof`].
+    /// Returns true if the refused attempts suffice, in number and span.
     pub fn is_sufficient(&self, policy: &Policy) -> bool {
         self.refused >= policy.ended_attempts && self.span_ms() >= policy.ended_evidence_ms
     }
 
-    /// Returns true if the process of the server has ended: the attempts suffice, and the store
-    /// states, in response to a call sent at `confirmed_ms`, that the entry of the server has not
-    /// changed. A view that lags behind the store might show a leaving server as ready.
-    pub fn is_proof(&self, confirmed_ms: u64, policy: &Policy) -> bool {
-        self.is_sufficient(policy) && confirmed_ms > self.latest_ms
+    /// Returns true if the process of the server has ended: the attempts suffice, and the store has
+    /// confirmed the entry. Without the confirmation, a view that lags behind the store might show a
+    /// leaving server as ready.
+    pub fn is_proof(&self, policy: &Policy) -> bool {
+        self.is_sufficient(policy) && self.is_confirmed
     }
 }
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -202,9 +202,8 @@
         refused: u32,
         /// Time from the first to the last of these attempts.
         span_ms: u64,
-        /// Time from the last of these attempts until the store confirmed that the entry of the
-        /// server was still present and ready.
-        confirmed_after_ms: u64,
+        /// Time from the last of these attempts until the leader concluded that the process had ended.
+        found_after_ms: u64,
     },
     /// A request was quarantined because several servers crashed while running the request. Hosts
     /// send a quarantined request to no server.
--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -1,7 +1,7 @@
 //! Finds out whether the processes of servers that refuse connections have ended. The leader tries
 //! connections of its own to each suspected server of a contended service and collects the outcomes
-//! as evidence. When the evidence suffices, one call to the store confirms that the entries of the
-//! servers have not changed. The keys of an ended server move without waiting for its lease.
+//! as evidence. After the first refused attempts, one call to the store confirms that the entries of
+//! the servers have not changed. The keys of an ended server move without waiting for its lease.
 //!
 //! The evidence is kept in memory for the term. From the first refused attempt on, this leader
 //! sends the server no grants, so that no grant of its own can reach a later process at the
@@ -158,7 +158,7 @@
             let suspects = &mut state.suspects;
             let untried = suspects.take_untried(|evidence| evidence.is_sufficient(&policy));
             let mut open = suspects.by_id.values().filter(|s| s.ended_ms.is_none());
-            let is_due = !suspects.is_confirming && open.any(|s| s.evidence.is_sufficient(&policy));
+            let is_due = !suspects.is_confirming && open.any(|s| s.evidence.needs_confirmation());
             suspects.is_confirming |= is_due;
             (untried, is_due)
         };
@@ -173,6 +173,7 @@
                 term.state().suspects.is_confirming = false;
             });
         }
+        self.conclude();
         self.recheck_ended(tasks);
     }
 
@@ -268,13 +269,14 @@
             .servers
             .get(id)
             .is_some_and(|s| s.grants_in_flight > 0);
-        if !attempt.is_refused || !attempt.is_present {
-            state.suspects.remove(id);
-            return false;
-        }
         let Some(suspect) = state.suspects.by_id.get_mut(id) else {
             return false;
         };
+        let may_be_absent = suspect.evidence.is_confirmed();
+        if !attempt.is_refused || !attempt.is_present && !may_be_absent {
+            state.suspects.remove(id);
+            return false;
+        }
         if has_grants {
             suspect.evidence = Evidence::default();
             return true;
@@ -285,9 +287,9 @@
         !is_sufficient
     }
 
-    /// Asks the store for changes of servers' entries that this host has not applied yet. Each
-    /// suspect with sufficient evidence has ended if its entry is still present and ready without
-    /// such a change; otherwise its evidence is discarded.
+    /// Asks the store for changes of servers' entries that this host has not applied yet. The entry
+    /// of each suspect is confirmed if it is present and ready without such a change; otherwise the
+    /// evidence against the suspect is discarded.
     async fn confirm_evidence(&self) {
         let applied = self.entry.freshness.applied(FollowedTable::Servers);
         let sent_ms = clock::now_ms();
@@ -302,47 +304,52 @@
                 None
             }
         };
-        if self.may_send_orders() {
-            self.conclude(changes.as_ref(), sent_ms);
-        }
+        self.note_confirmation(changes.as_ref(), sent_ms);
     }
 
-    /// Decides on the suspects with sufficient evidence, from the changes of servers' entries that
-    /// the store returned to a call sent at `sent_ms`; `None` if the call failed.
-    fn conclude(&self, changes: Option<&Rows>, sent_ms: u64) {
-        let policy = &self.entry.settings.policy;
-        let now_ms = clock::now_ms();
+    /// Applies the changes of servers' entries that the store returned to a call sent at `sent_ms`
+    /// to the suspects without a confirmed entry; `None` if the call failed.
+    fn note_confirmation(&self, changes: Option<&Rows>, sent_ms: u64) {
         let is_unchanged = |server: &Server| {
             let concerns = |key: &str| *key == *server.entry.name;
             changes.is_some_and(|changes| !changes.rows.iter().any(|row| concerns(&row.key)))
         };
-        let mut ended = Vec::new();
         let mut state = self.state();
         state.suspects.by_id.retain(|_, suspect| {
-            if suspect.ended_ms.is_some() || !suspect.evidence.is_sufficient(policy) {
+            if suspect.ended_ms.is_some() || !suspect.evidence.needs_confirmation() {
                 return true;
             }
             let server = &suspect.server;
             let holds = is_unchanged(server) && self.is_present(server) && is_ready(server);
-            if !holds {
-                return false;
-            }
-            if !suspect.evidence.is_proof(sent_ms, policy) {
-                // The next call to the store confirms evidence that sufficed during this call.
-                return true;
-            }
+            suspect.evidence.confirm(sent_ms);
+            holds
+        });
+    }
+
+    /// Decides which suspects have ended.
+    fn conclude(&self) {
+        let policy = &self.entry.settings.policy;
+        let now_ms = clock::now_ms();
+        let mut ended = Vec::new();
+        let mut state = self.state();
+        let suspects = state.suspects.by_id.values_mut();
+        let proven = suspects.filter(|s| s.ended_ms.is_none() && s.evidence.is_proof(policy));
+        for suspect in proven {
             suspect.ended_ms = Some(now_ms);
+            let server = &suspect.server;
             ended.push(Event::ServerProcessEnded {
                 server: server.entry.id.clone(),
                 service: server.entry.service.clone(),
                 suspected_by: suspect.suspected_by,
                 refused: suspect.evidence.refused(),
                 span_ms: suspect.evidence.span_ms(),
-                confirmed_after_ms: now_ms.saturating_sub(suspect.evidence.latest_ms()),
+                found_after_ms: now_ms.saturating_sub(suspect.evidence.latest_ms()),
             });
-            true
-        });
+        }
         drop(state);
+        if ended.is_empty() {
+            return;
+        }
         for event in ended {
             self.entry.metrics.server_process_ended();
             event.log();
