Contention counts: the steps that requests take today

The steps of the host queue are not in this build, so their columns were always 0. The counts are now answered, refused by cause, retries, and callers told when to retry; ashroad contention, the metric and the event show them.

--- a/src/entry/contention.rs
+++ b/src/entry/contention.rs
@@ -15,69 +15,74 @@
 
 use super::{
     Entry,
-    decide::contended::{self, ServiceProfile},
+    decide::{
+        contended::{self, ServiceProfile},
+        retry_after::BlockedBy,
+    },
     events::Event,
     server::tag_of,
 };
 
 /// Interval of the log events with the counts of each contended service.
 const LOG_EVERY_MS: u64 = 5_000;
-/// Number of variants of [`QueueStep`].
-const STEPS: usize = 10;
+/// Number of variants of [`RequestStep`].
+const STEPS: usize = 8;
 
 /// Step in the handling of a request for a contended service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum QueueStep {
-    /// The request was sent to its server without waiting in the host.
-    SentAtOnce,
-    /// The request began to wait in the host.
-    Queued,
-    /// The request was sent to its server after it had waited in the host.
-    SentFromQueue,
-    /// The caller disconnected while the request waited.
-    CallerLeft,
-    /// The request was refused because the host's queue for its server was full.
-    RefusedQueueFull,
-    /// The request was refused on arrival because its response was expected too late.
-    RefusedLate,
-    /// The request was refused because it had waited as long as is useful.
-    RefusedAfterWait,
+pub enum RequestStep {
+    /// A server answered the request.
+    Answered,
+    /// The request was refused because its server already has too many requests.
+    RefusedByQueue,
+    /// The request was refused because its key is being moved, or waits for a lease to expire.
+    RefusedByMove,
+    /// The request was refused because the server of its key is not known or not reached.
+    RefusedWithoutServer,
+    /// The request was refused for another reason.
+    RefusedOther,
     /// The request is a retry of a caller whose earlier attempt did not succeed.
     Retry,
-    /// A retry was served.
-    RetryServed,
+    /// A server answered a retry.
+    RetryAnswered,
     /// The request was refused with a retry time from the schedule of its server, or at random if
     /// the end of the blocking cause is not known.
     ToldToRetry,
 }
 
-impl QueueStep {
+impl RequestStep {
     /// All steps, in the order of their counters.
     pub const ALL: [Self; STEPS] = [
-        Self::SentAtOnce,
-        Self::Queued,
-        Self::SentFromQueue,
-        Self::CallerLeft,
-        Self::RefusedQueueFull,
-        Self::RefusedLate,
-        Self::RefusedAfterWait,
+        Self::Answered,
+        Self::RefusedByQueue,
+        Self::RefusedByMove,
+        Self::RefusedWithoutServer,
+        Self::RefusedOther,
         Self::Retry,
-        Self::RetryServed,
+        Self::RetryAnswered,
         Self::ToldToRetry,
     ];
 
+    /// Returns the step of a request that was refused because of `blocked_by`.
+    pub fn refused(blocked_by: BlockedBy) -> Self {
+        match blocked_by {
+            BlockedBy::Queue => Self::RefusedByQueue,
+            BlockedBy::Move => Self::RefusedByMove,
+            BlockedBy::Unknown => Self::RefusedWithoutServer,
+            BlockedBy::Other => Self::RefusedOther,
+        }
+    }
+
     /// Returns the name of the step in metrics and log events.
     pub fn name(self) -> &'static str {
         match self {
-            Self::SentAtOnce => "sent_at_once",
-            Self::Queued => "queued",
-            Self::SentFromQueue => "sent_from_queue",
-            Self::CallerLeft => "caller_left",
-            Self::RefusedQueueFull => "refused_queue_full",
-            Self::RefusedLate => "refused_late",
-            Self::RefusedAfterWait => "refused_after_wait",
+            Self::Answered => "answered",
+            Self::RefusedByQueue => "refused_by_queue",
+            Self::RefusedByMove => "refused_by_move",
+            Self::RefusedWithoutServer => "refused_without_server",
+            Self::RefusedOther => "refused_other",
             Self::Retry => "retry",
-            Self::RetryServed => "retry_served",
+            Self::RetryAnswered => "retry_answered",
             Self::ToldToRetry => "told_to_retry",
         }
     }
@@ -107,7 +112,7 @@
 
 impl Contention {
     /// Counts a step of a request for a contended service.
-    pub fn note(&self, service: &Arc<str>, is_urgent: bool, step: QueueStep) {
+    pub fn note(&self, service: &Arc<str>, is_urgent: bool, step: RequestStep) {
         let key = ContentionKey {
             service: service.clone(),
             is_urgent,
@@ -116,7 +121,7 @@
         counters.0[step as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    /// Returns the counts since the start of the process, in the order of [`QueueStep::ALL`].
+    /// Returns the counts since the start of the process, in the order of [`RequestStep::ALL`].
     pub fn counts(&self) -> Vec<(ContentionKey, [u64; STEPS])> {
         let counters = lock(&self.counters);
         let counts = counters.iter().map(|(key, counters)| {
@@ -183,7 +188,7 @@
 /// Logs how often each step occurred from the counts `before` to `counts`. Steps that did not occur
 /// are left out.
 fn log_counts(key: &ContentionKey, before: [u64; STEPS], counts: [u64; STEPS]) {
-    let increases = QueueStep::ALL.into_iter().zip(before.iter().zip(counts));
+    let increases = RequestStep::ALL.into_iter().zip(before.iter().zip(counts));
     let steps = increases
         .filter(|(_, (before, count))| count > before)
         .map(|(step, (before, count))| (step.name(), count - before));
--- a/src/entry/contention_totals.rs
+++ b/src/entry/contention_totals.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::{
-    contention::QueueStep,
+    contention::RequestStep,
     explain::{Source, read},
 };
 
@@ -35,7 +35,7 @@
 
 /// Adds up the `contention` events of the logs. Lines that are not events are skipped.
 pub fn contention_totals(sources: &[Source<'_>]) -> ContentionTotals {
-    let known = QueueStep::ALL.map(|step| step.name().to_owned());
+    let known = RequestStep::ALL.map(|step| step.name().to_owned());
     let mut steps = Vec::from(known);
     let mut sums: BTreeMap<(String, bool), BTreeMap<String, u64>> = BTreeMap::new();
     let mut dropped_lines = 0;
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -14,7 +14,7 @@
     clock,
     entry::{
         Entry,
-        contention::QueueStep,
+        contention::RequestStep,
         decide::{
             Candidate, Demand,
             retry_after::{BlockedBy, Refused},
@@ -178,7 +178,7 @@
         entry: &Arc<Entry>,
         payload: &mut Payload,
     ) -> Response<ResponseBody> {
-        self.note_retry(entry, QueueStep::Retry);
+        self.note_retry(entry, RequestStep::Retry);
         if let Some(refused) = self.refuse_hot_key(entry) {
             return refused;
         }
@@ -216,7 +216,8 @@
         if entry.samples_response() {
             self.log("answered", format!("status {}", response.status()));
         }
-        self.note_retry(entry, QueueStep::RetryServed);
+        self.note_step(entry, RequestStep::Answered);
+        self.note_retry(entry, RequestStep::RetryAnswered);
         self.end(entry, "answered");
         response
     }
@@ -231,6 +232,7 @@
     ) -> Response<ResponseBody> {
         self.log("refused", logged);
         self.end(entry, "refused");
+        self.note_step(entry, RequestStep::refused(refused.blocked_by));
         refusal(&self.with_retry_time(entry, refused))
     }
 
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -6,7 +6,7 @@
     clock,
     entry::{
         Entry,
-        contention::QueueStep,
+        contention::RequestStep,
         decide::{
             Policy, admission,
             retry_after::{BlockedBy, RETRY_AFTER_MAX_MS, Refused},
@@ -56,7 +56,7 @@
             }
             blocked_by => self.place_ms(entry, caller, blocked_by),
         };
-        let step = QueueStep::ToldToRetry;
+        let step = RequestStep::ToldToRetry;
         entry.contention.note(&self.service, is_urgent, step);
         refused.at(after_ms, honoured_ms, policy)
     }
@@ -93,13 +93,20 @@
         }
     }
 
-    /// Counts a retry, from the estimated age of the request.
-    pub(super) fn note_retry(&self, entry: &Entry, step: QueueStep) {
-        if self.times.age.age_ms > 0 {
+    /// Counts a step of the request if its service is contended.
+    pub(super) fn note_step(&self, entry: &Entry, step: RequestStep) {
+        if entry.is_contended(&self.service) {
             entry.contention.note(&self.service, self.is_urgent(), step);
         }
     }
 
+    /// Counts a step of a retry, if the request is one by its estimated age.
+    pub(super) fn note_retry(&self, entry: &Entry, step: RequestStep) {
+        if self.times.age.age_ms > 0 {
+            self.note_step(entry, step);
+        }
+    }
+
     /// Returns the server that gets the retry: the server chosen last, or the server that is to
     /// hold the key.
     fn retry_target(&self, entry: &Entry) -> RetryTarget {
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -18,7 +18,7 @@
     registry::Registry,
 };
 
-use super::contention::{ContentionKey, QueueStep};
+use super::contention::{ContentionKey, RequestStep};
 
 /// Lowest bucket bound of the latency histograms, in seconds. Each further bound is twice the bound
 /// below it, from 2 ms to 16 s.
@@ -232,8 +232,8 @@
 
     /// Sets how often each step of requests for a contended service occurred since the start of the
     /// process.
-    pub fn contention(&self, key: &ContentionKey, counts: [u64; QueueStep::ALL.len()]) {
-        for (step, count) in QueueStep::ALL.into_iter().zip(counts) {
+    pub fn contention(&self, key: &ContentionKey, counts: [u64; RequestStep::ALL.len()]) {
+        for (step, count) in RequestStep::ALL.into_iter().zip(counts) {
             let labels = ContentionLabels {
                 service: key.service.to_string(),
                 urgency: if key.is_urgent { "urgent" } else { "other" },
