Ended servers: only an absent entry is excused after the confirmation

Change: the state of the entry is ready, absent or other; only an absent one is excused, and for 1.5 s from the first refused attempt. The call must follow the outcome of the first attempt, its answer must be as new as the view, and it concerns only suspects that were refused before. A suspect found ended is not forgotten by an older task.

--- a/src/entry/decide/ended.rs
+++ b/src/entry/decide/ended.rs
@@ -17,12 +17,19 @@
 
 use super::Policy;
 
+/// Longest time from the first refused attempt in which the entry may be absent at further attempts.
+/// Within this time, a server that began to shut down after the first attempt still accepts
+/// connections: it does so for at least 2 s after its entry has changed.
+const ABSENT_SPAN_MAX_MS: u64 = 1_500;
+
 /// Connection attempt of the deciding host at the address of a server, and what the host knew of
 /// the server when the attempt had ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ConnectionAttempt {
     /// Time at which the attempt began.
     pub began_ms: u64,
+    /// Time at which its outcome was known.
+    pub completed_ms: u64,
     /// True if the address refused the connection; false after a success, a timeout, a reset or any
     /// other failure.
     pub is_refused: bool,
@@ -32,25 +39,42 @@
     /// True if another process may start under the same name, because the entry states a start
     /// time, and a leader of an earlier term may still send it grants.
     pub may_follow_under_name: bool,
-    /// True if the store has an entry of this incarnation of the server, with this address.
-    pub is_present: bool,
-    /// True if the entry is ready and the server has sent no host a notice that it leaves.
-    pub is_ready: bool,
+    /// Entry of the server in the store, as the deciding host knew it.
+    pub entry: EntryState,
+    /// True if a notice of the server says that it leaves.
+    pub has_leave_notice: bool,
     /// Age of the deciding host's view of the store.
     pub view_age_ms: u64,
     /// Time at which the server last answered the deciding host; 0 if it never did.
     pub answered_ms: u64,
 }
 
+/// State of a server's entry in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EntryState {
+    /// The entry is present, with the address of the attempt, and ready.
+    Ready,
+    /// There is no entry of the incarnation.
+    Absent,
+    /// The entry says that the server leaves, names another address, was written anew, or may be
+    /// missing only because of an outage of the store.
+    Other,
+}
+
 impl ConnectionAttempt {
-    /// Returns true if the attempt shows that no process listens at the address, where the entry of
-    /// the server is known to have been present and ready after an earlier refused attempt if
-    /// `is_confirmed` is true.
-    fn is_evidence(&self, is_confirmed: bool, policy: &Policy) -> bool {
-        self.is_refused
+    /// Returns true if the attempt shows that no process listens at the address. The entry may be
+    /// absent if `may_be_absent` is true.
+    fn is_evidence(&self, may_be_absent: bool, policy: &Policy) -> bool {
+        let entry_agrees = match self.entry {
+            EntryState::Ready => true,
+            EntryState::Absent => may_be_absent,
+            EntryState::Other => false,
+        };
+        entry_agrees
+            && self.is_refused
             && !self.has_open_connection
             && !self.may_follow_under_name
-            && (is_confirmed || self.is_present && self.is_ready)
+            && !self.has_leave_notice
             && self.view_age_ms <= policy.ended_view_age_ms
             && self.answered_ms < self.began_ms
     }
@@ -61,6 +85,8 @@
 pub struct Evidence {
     refused: u32,
     first_ms: u64,
+    /// Time at which the outcome of the first refused attempt was known.
+    first_completed_ms: u64,
     latest_ms: u64,
     /// True once the store has confirmed, after the first refused attempt, that the entry of the
     /// server was present and ready.
@@ -71,7 +97,8 @@
     /// Adds an attempt. An attempt that is no evidence, and a response of the server since the
     /// first refused attempt, discard all earlier attempts and the confirmation.
     pub fn note(&mut self, attempt: &ConnectionAttempt, policy: &Policy) {
-        if !attempt.is_evidence(self.is_confirmed, policy) {
+        let is_soon = attempt.began_ms < self.first_ms + ABSENT_SPAN_MAX_MS;
+        if !attempt.is_evidence(self.is_confirmed && is_soon, policy) {
             *self = Self::default();
             return;
         }
@@ -79,6 +106,7 @@
             *self = Self {
                 refused: 0,
                 first_ms: attempt.began_ms,
+                first_completed_ms: attempt.completed_ms,
                 latest_ms: attempt.began_ms,
                 is_confirmed: false,
             };
@@ -91,7 +119,13 @@
     /// server is present and ready. A server that shuts down in order still accepts connections for
     /// a while after its entry has changed, so that the entry may expire from then on.
     pub fn confirm(&mut self, sent_ms: u64) {
-        self.is_confirmed |= self.refused > 0 && sent_ms > self.first_ms;
+        self.is_confirmed |= self.is_open_to_confirmation(sent_ms);
+    }
+
+    /// Returns true if the response to a call sent at `sent_ms` can confirm the entry: the first
+    /// refused attempt had been completed before.
+    pub fn is_open_to_confirmation(&self, sent_ms: u64) -> bool {
+        self.refused > 0 && sent_ms > self.first_completed_ms
     }
 
     /// Returns true if there is a refused attempt and the store has not confirmed the entry yet.
--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -20,7 +20,7 @@
 use crate::{
     clock,
     entry::{
-        decide::ended::{ConnectionAttempt, Evidence},
+        decide::ended::{ConnectionAttempt, EntryState, Evidence},
         events::Event,
         server::Server,
         updates::followed::FollowedTable,
@@ -86,6 +86,11 @@
     /// Ends the suspicion against a server that has answered a command, unless it has ended: then a
     /// later process at the address has answered.
     pub(super) fn note_answer(&mut self, id: &str) {
+        self.remove_open(id);
+    }
+
+    /// Forgets a suspect that is not known to have ended.
+    fn remove_open(&mut self, id: &str) {
         if !self.has_ended(id) {
             self.remove(id);
         }
@@ -214,7 +219,7 @@
             }
             time::sleep(Duration::from_millis(ATTEMPT_PAUSE_MS)).await;
         }
-        self.state().suspects.remove(&server.entry.id);
+        self.state().suspects.remove_open(&server.entry.id);
     }
 
     /// Makes one connection attempt, as soon as there is a permit for it.
@@ -227,15 +232,16 @@
             Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
             Ok(Ok(_)) | Err(_) => false,
         };
-        let is_present = self.is_present(server);
+        let completed_ms = clock::now_ms();
         let may_earlier_grant = began_ms < self.entry.leadership.earlier_leases_until_ms();
         let attempt = ConnectionAttempt {
             began_ms,
+            completed_ms,
             is_refused,
             has_open_connection: server.pool.has_open() || server.orders.has_open_connection(),
             may_follow_under_name: server.entry.started_ms > 0 && may_earlier_grant,
-            is_present,
-            is_ready: is_ready(server),
+            entry: self.entry_state(server),
+            has_leave_notice: server.leaves_for_ms().is_some(),
             view_age_ms: store_age_ms(&self.entry),
             answered_ms: server.answered_ms(),
         };
@@ -244,16 +250,26 @@
         attempt
     }
 
-    /// Returns true if the registry has this incarnation of the server with an entry in the store,
-    /// and no incarnation with the same id has used another address, where its process may run.
-    fn is_present(&self, server: &Arc<Server>) -> bool {
+    /// Returns the state of the server's entry. An entry of the same incarnation with another address
+    /// shows that its process may run there.
+    fn entry_state(&self, server: &Arc<Server>) -> EntryState {
         let registry = self.entry.view.registry();
         let id = &server.entry.id;
-        let known = registry.server(id);
-        let same = known.is_some_and(|known| Arc::ptr_eq(known, server));
         let former = registry.former(id);
-        same && former.is_none_or(|former| former.address == server.entry.address)
-            && !registry.is_missing(&server.entry.name)
+        if former.is_some_and(|former| former.address != server.entry.address) {
+            return EntryState::Other;
+        }
+        match registry.server(id) {
+            None => EntryState::Absent,
+            Some(known) => {
+                let is_same = Arc::ptr_eq(known, server) && !server.leaving();
+                if is_same && !registry.is_missing(&server.entry.name) {
+                    EntryState::Ready
+                } else {
+                    EntryState::Other
+                }
+            }
+        }
     }
 
     /// Adds an attempt to the evidence against a server. Returns true if further attempts are
@@ -272,9 +288,13 @@
         let Some(suspect) = state.suspects.by_id.get_mut(id) else {
             return false;
         };
-        let may_be_absent = suspect.evidence.is_confirmed();
-        if !attempt.is_refused || !attempt.is_present && !may_be_absent {
-            state.suspects.remove(id);
+        let is_gone = match attempt.entry {
+            EntryState::Ready => false,
+            EntryState::Absent => !suspect.evidence.is_confirmed(),
+            EntryState::Other => true,
+        };
+        if !attempt.is_refused || is_gone {
+            state.suspects.remove_open(id);
             return false;
         }
         if has_grants {
@@ -297,7 +317,9 @@
         let head_received = AtomicBool::new(false);
         let feed = self.entry.store.feed(table, applied, 0, &head_received);
         let changes = match feed.await {
-            Ok(Feed::Changes(changes)) => Some(changes).filter(|c| !c.is_full_page()),
+            Ok(Feed::Changes(changes)) => {
+                Some(changes).filter(|c| !c.is_full_page() && c.version >= applied)
+            }
             Ok(Feed::HistoryGone) => None,
             Err(error) => {
                 log::debug!("cannot confirm the entries of ended servers: {error}");
@@ -316,11 +338,13 @@
         };
         let mut state = self.state();
         state.suspects.by_id.retain(|_, suspect| {
-            if suspect.ended_ms.is_some() || !suspect.evidence.needs_confirmation() {
+            let is_open = suspect.ended_ms.is_none() && suspect.evidence.needs_confirmation();
+            if !is_open || !suspect.evidence.is_open_to_confirmation(sent_ms) {
                 return true;
             }
             let server = &suspect.server;
-            let holds = is_unchanged(server) && self.is_present(server) && is_ready(server);
+            let is_ready = self.entry_state(server) == EntryState::Ready;
+            let holds = is_ready && server.leaves_for_ms().is_none() && is_unchanged(server);
             suspect.evidence.confirm(sent_ms);
             holds
         });
@@ -388,8 +412,3 @@
         }
     }
 }
-
-/// Returns true if the entry of a server is ready and no notice says that the server leaves.
-fn is_ready(server: &Server) -> bool {
-    !server.leaving() && server.leaves_for_ms().is_none()
-}
--- a/tests/entry_ended.rs
+++ b/tests/entry_ended.rs
@@ -4,17 +4,18 @@
     crashes::reports::RefusingServers,
     decide::{
         Policy,
-        ended::{ConnectionAttempt, Evidence},
+        ended::{ConnectionAttempt, EntryState, Evidence},
     },
 };
 
 const REFUSED: ConnectionAttempt = ConnectionAttempt {
     began_ms: 0,
+    completed_ms: 0,
     is_refused: true,
     has_open_connection: false,
     may_follow_under_name: false,
-    is_present: true,
-    is_ready: true,
+    entry: EntryState::Ready,
+    has_leave_notice: false,
     view_age_ms: 400,
     answered_ms: 500,
 };
@@ -22,10 +23,18 @@
 fn at(began_ms: u64) -> ConnectionAttempt {
     ConnectionAttempt {
         began_ms,
+        completed_ms: began_ms + 2,
         ..REFUSED
     }
 }
 
+fn absent_at(began_ms: u64) -> ConnectionAttempt {
+    ConnectionAttempt {
+        entry: EntryState::Absent,
+        ..at(began_ms)
+    }
+}
+
 /// Guards against two owners of a key: a server whose process may run must not count as ended.
 #[test]
 fn only_refused_connections_of_a_ready_server_prove_its_end() {
@@ -53,13 +62,13 @@
         Case {
             name: "confirmed after the first attempt",
             attempts: proof.clone(),
-            confirmed: (1, 1_001),
+            confirmed: (1, 1_003),
             has_ended: true,
         },
         Case {
-            name: "confirmed before the first attempt had begun",
+            name: "confirmed before the first attempt had been completed",
             attempts: proof.clone(),
-            confirmed: (1, 1_000),
+            confirmed: (1, 1_002),
             has_ended: false,
         },
         Case {
@@ -79,25 +88,46 @@
                 at(1_250),
                 at(1_400),
             ],
-            confirmed: (1, 1_001),
+            confirmed: (1, 1_003),
             has_ended: false,
         },
         Case {
             name: "no entry any longer after the confirmation",
+            attempts: vec![at(1_000), absent_at(1_150), absent_at(1_300)],
+            confirmed: (1, 1_003),
+            has_ended: true,
+        },
+        Case {
+            name: "no entry any longer, long after the first attempt",
+            attempts: vec![at(1_000), absent_at(1_150), absent_at(2_500)],
+            confirmed: (1, 1_003),
+            has_ended: false,
+        },
+        Case {
+            name: "a leave notice after the confirmation",
             attempts: vec![
                 at(1_000),
+                at(1_150),
                 ConnectionAttempt {
-                    is_present: false,
-                    ..at(1_150)
+                    has_leave_notice: true,
+                    ..absent_at(1_300)
                 },
+            ],
+            confirmed: (1, 1_003),
+            has_ended: false,
+        },
+        Case {
+            name: "another entry after the confirmation",
+            attempts: vec![
+                at(1_000),
+                at(1_150),
                 ConnectionAttempt {
-                    is_present: false,
-                    is_ready: false,
+                    entry: EntryState::Other,
                     ..at(1_300)
                 },
             ],
-            confirmed: (1, 1_001),
-            has_ended: true,
+            confirmed: (1, 1_003),
+            has_ended: false,
         },
         Case {
             name: "two attempts",
@@ -187,14 +217,21 @@
         (
             "no entry",
             ConnectionAttempt {
-                is_present: false,
+                entry: EntryState::Absent,
+                ..REFUSED
+            },
+        ),
+        (
+            "a leaving server, or another entry",
+            ConnectionAttempt {
+                entry: EntryState::Other,
                 ..REFUSED
             },
         ),
         (
-            "a leaving server",
+            "a leave notice",
             ConnectionAttempt {
-                is_ready: false,
+                has_leave_notice: true,
                 ..REFUSED
             },
         ),
