Comments and pages: what a first reader of the change stumbled on

A reader who had not seen the work before went through the whole change: pages that promised the host queue and the placement, conditions of ages and retry times that were missing, sentences that were hard to read. Comments, doc comments and pages only; no token of code changes.

--- a/src/entry/contention.rs
+++ b/src/entry/contention.rs
@@ -37,7 +37,8 @@
     RefusedByQueue,
     /// The request was refused because its key is being moved, or waits for a lease to expire.
     RefusedByMove,
-    /// The request was refused because the server of its key is not known or not reached.
+    /// The request was refused because the server of its key is not known, refuses connections, or
+    /// has been replaced at its address.
     RefusedWithoutServer,
     /// The request was refused for another reason.
     RefusedOther,
--- a/src/entry/decide/contended.rs
+++ b/src/entry/decide/contended.rs
@@ -1,7 +1,8 @@
 //! Decides which services are contended. Requests for a sharded service can only go to the server
 //! that holds their key, and a server with few slots is often busy by chance: one long request
-//! takes a large part of its capacity. If callers also wait well beyond the latency objective, it
-//! pays to queue their requests in the host and to schedule their retries.
+//! takes a large part of its capacity. If callers also wait well beyond the latency objective, their
+//! retries compete with new requests for the same slots, so hosts estimate the age of requests and
+//! schedule the times of retries; and keys of ended servers are worth moving before leases expire.
 
 use super::Policy;
 
--- a/src/entry/decide/crash_tally.rs
+++ b/src/entry/decide/crash_tally.rs
@@ -31,8 +31,8 @@
 /// Time in which crashes count as simultaneous, in milliseconds. Hosts detect and report a crash in
 /// 30 to 100 ms.
 const MASS_CRASH_WINDOW_MS: u64 = 1_000;
-/// Time for which a large crash counts as recent, in milliseconds. Hosts send each report of a crash
-/// again for a second, and a part of the reports does not look like a large crash.
+/// Time for which a large crash counts as recent, in milliseconds. Hosts repeat each report for about
+/// a second; reports repeated after the window would look like a small crash.
 const LARGE_CRASH_MS: u64 = 3_000;
 /// Time for which a crash counts as evidence against a request, in milliseconds. The caller of a
 /// request that causes crashes sends it again after seconds to minutes; with a longer time, more
--- a/src/entry/decide/path_tally.rs
+++ b/src/entry/decide/path_tally.rs
@@ -164,8 +164,7 @@
         }
     }
 
-    /// Drops what mass crashes have shown, because so many servers crashed that requests are not
-    /// the cause.
+    /// Drops all pending contents. Called in a large crash, which requests do not cause.
     pub fn drop_pending(&mut self) {
         self.pending.clear();
     }
--- a/src/entry/decide/retry_after.rs
+++ b/src/entry/decide/retry_after.rs
@@ -31,7 +31,8 @@
     Queue,
     /// The move of the key to another server, or the lease of a lost server.
     Move,
-    /// The key's server refuses connections or is not known, until its keys have been moved.
+    /// The key's server refuses connections, is not known, or another process answers at its
+    /// address. The time at which the keys will have moved is not known.
     Unknown,
     /// Any other cause; the retry is not scheduled.
     Other,
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -62,7 +62,7 @@
     pub service: String,
     /// Urgency of the requests: `urgent` or `other`.
     pub urgency: &'static str,
-    /// Step in the handling of the requests, such as `queued`.
+    /// Step in the handling of the requests, such as `refused_by_queue`.
     pub step: &'static str,
 }
 
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -326,6 +326,7 @@
         assigned_ranges: Vec<AssignedRange>,
     },
     /// Reports the tags of servers that refused connections of the sender while no request of the
-    /// sender was in flight there. Sent to the leader, which tries whether the servers have ended.
+    /// sender was in flight there. Sent to the leader, which then tries connections to these servers
+    /// to find out whether they have ended.
     RefusedConnections(Vec<u32>),
 }
--- a/src/entry/retry_schedules.rs
+++ b/src/entry/retry_schedules.rs
@@ -19,8 +19,8 @@
 /// longest retry time.
 const PRUNE_EVERY_MS: u64 = 10_000;
 
-/// Server and cause that a schedule is for. Causes have schedules of their own, because a lease
-/// blocks some keys of a server for seconds while its queue drains in a fraction of a second.
+/// Key of a schedule: server and cause. Causes have schedules of their own, because a lease blocks
+/// some keys of a server for seconds while its queue drains in a fraction of a second.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SchedulePlace {
     /// Tag of the server, or of the service if the server is not known.
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -152,9 +152,9 @@
     Ok(reported.is_none_or(|name| name.as_bytes() == server.as_bytes()))
 }
 
-/// Returns true if another server process than the intended one answered a command. A server of
-/// another service knows no commands: it takes a command for a caller's request without an
-/// identifier, and responds that it did not run this request.
+/// Returns true if another server process than the intended one answered a command. A server of a
+/// service without keys does not know commands: it treats a command as a caller's request without an
+/// identifier, and answers 400 with the statement that it did not run this request.
 fn is_from_other_server(response: &BufferedResponse) -> bool {
     let statuses = [StatusCode::MISDIRECTED_REQUEST, StatusCode::BAD_REQUEST];
     statuses.contains(&response.status) && says_not_run(response.status, &response.headers)
