Tests: gauge of shortages, hot keys and the new step of contention counts

Cause: `ashroad contention` prints a column for each step, so the step told_to_retry_in_shortage adds one to the table that requests_of_contended_services_are_counted_over_all_logs expects; the test failed. The gauge and the cause of hot-key refusals had no test.

Change: the expected table has the new column, with a count of its own in the log. The test with a real host sees the gauge during the shortage; a case covers the cause of hot-key refusals.

--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -227,7 +227,7 @@
             false,
             "\"refused_by_queue\":2,\"refused_other\":1,\"new_step\":6",
         ),
-        event("a", false, "\"retry\":5"),
+        event("a", false, "\"retry\":5,\"told_to_retry_in_shortage\":8"),
     ];
     let mut arguments = vec!["contention".to_owned()];
     for (name, lines) in [("first", first.join("\n")), ("second", second.join("\n"))] {
@@ -246,9 +246,9 @@
     };
     let rows: Vec<Vec<String>> = text.lines().skip(1).map(cells).collect();
     let expected = [
-        "a no 0 0 0 0 0 5 0 0 0",
-        "orders no 0 6 3 0 1 0 0 0 6",
-        "orders yes 20 0 0 0 0 0 0 0 0",
+        "a no 0 0 0 0 0 5 0 0 8 0",
+        "orders no 0 6 3 0 1 0 0 0 0 6",
+        "orders yes 20 0 0 0 0 0 0 0 0 0",
         "7 log lines were dropped by the hosts",
     ];
     assert_eq!(rows, expected.map(cells), "{text}");
--- a/tests/entry_retries.rs
+++ b/tests/entry_retries.rs
@@ -120,6 +120,10 @@
             read(callers, &id, number.wrapping_mul(7_919), CALLER_WAIT_MS).await
         })
         .collect();
+    eventually("the shortage is in the metrics", 8_000, async || {
+        host.metrics_text().contains("\nashroad_services_short 1\n")
+    })
+    .await;
     let responses = calls.join_all().await;
     let told = responses
         .iter()
--- a/tests/entry_shortage.rs
+++ b/tests/entry_shortage.rs
@@ -2,6 +2,8 @@
 
 use ashroad::entry::decide::{
     Policy,
+    hot_keys::HotKey,
+    retry_after::{BlockedBy, Refused},
     shortage::{self, ServiceLoad, Shortage, ShortageChange},
 };
 
@@ -78,6 +80,20 @@
     }
 }
 
+/// Guards against late retries of callers that a hot key blocks: their key stays hot or moves,
+/// whatever the load of the service.
+#[test]
+fn a_hot_key_is_no_queue() {
+    let hot = HotKey {
+        service_tag: 1,
+        key: 7,
+        load_per_s: 40.0,
+        capacity_per_s: 20.0,
+    };
+    let refused = Refused::hot_key(hot, 200.0, &Policy::default());
+    assert_eq!(refused.blocked_by, BlockedBy::HotKey);
+}
+
 /// Guards against a sum over hundreds of servers for each request.
 #[test]
 fn the_sum_is_due_every_100_ms() {
--- a/tests/platform_standin/hosts.rs
+++ b/tests/platform_standin/hosts.rs
@@ -107,8 +107,8 @@
         kb.map_or(0, |kb: u64| kb / 1_000)
     }
 
-    /// Returns the number of calls of a kind that the host has made to the store, from its metrics.
-    pub fn store_calls(&self, kind: &str) -> u64 {
+    /// Returns the metrics of the host as text.
+    pub fn metrics_text(&self) -> String {
         let mut stream = TcpStream::connect(self.metrics).expect("metrics");
         let request = "GET /metrics HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
         stream
@@ -116,6 +116,12 @@
             .expect("the request is sent");
         let mut text = String::new();
         stream.read_to_string(&mut text).expect("a response");
+        text
+    }
+
+    /// Returns the number of calls of a kind that the host has made to the store, from its metrics.
+    pub fn store_calls(&self, kind: &str) -> u64 {
+        let text = self.metrics_text();
         let lines = text
             .lines()
             .filter(|line| line.contains("store_calls_total{"));
