Docs: how long a shortage outlasts a burst

Cause: the note derived from the mean load that a shortage could outlast its cause with an end at 1.0.

No other figure of the simulation changes.

--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -109,7 +109,7 @@
     /// simulations of servers with two and three slots.
     pub shortage_begin: f64,
     /// Requests in flight, as a multiple of the slots, below which a shortage ends. In these
-    /// simulations the mean was 1.0 to 1.15, so that with 1.0 a shortage could outlast its cause.
+    /// simulations the mean was 1.0 to 1.15, and with 1.0 a shortage lasted until the load ended.
     pub shortage_end: f64,
     /// Fraction of the time until the latency objective within which the response to a request that
     /// is not urgent must be expected to queue while the service is short. It replaces
