Planned stop: unanswered requests get a response before the exit

A host closed the connections of requests that were unanswered at the end of the stop grace period. Callers then do not know whether to repeat a request, and a rule of the users requires a response to every request that a process has read.

Change: 50 ms before the exit, each request without a response gets 503 if it certainly was not sent to a server, and 504 otherwise. Attempts and response share a record of the sends, so that the task of an unrepeatable request sends nothing after the caller got 503.

--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -24,6 +24,14 @@
         /// Number of callers' requests in flight when the stop began.
         in_flight: u64,
     },
+    /// A request got no other response until the end of the grace period of a planned stop.
+    GracePeriodEnded {
+        /// Identifier that the caller gave the request.
+        request_id: String,
+        /// True if the request may have reached a server, so that the response is 504 instead of
+        /// 503.
+        is_sent: bool,
+    },
     /// The process is about to exit.
     Stopped {
         /// Number of callers' requests in flight that the exit of the process aborts; 0 if all
--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -214,7 +214,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
     ) -> Result<Response<Incoming>, AttemptOutcome> {
-        let mut request = match connection.send(request).await {
+        let mut request = match self.send_once(connection, request).await? {
             Err(SendError::NotWritten { request, source }) => {
                 log::debug!("request not written to {}: {source}", server.entry.id);
                 request
@@ -224,7 +224,25 @@
         *connection = self.new_connection(entry, server).await?;
         let left_ms = HeaderValue::from(self.left_ms());
         request.headers_mut().insert(headers::DEADLINE_MS, left_ms);
-        connection.send(*request).await.map_err(not_answered)
+        let sent = self.send_once(connection, *request).await?;
+        sent.map_err(not_answered)
+    }
+
+    /// Sends the request on a connection, unless the caller was told at the end of the grace period
+    /// of a planned stop that it may repeat the request.
+    async fn send_once(
+        &self,
+        connection: &mut Connection,
+        request: Request<ResponseBody>,
+    ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
+        let Some(sent_before) = self.send_state.begin_send() else {
+            return Err(AttemptOutcome::NotSent("this host stops".to_owned()));
+        };
+        let sent = connection.send(request).await;
+        if let Err(SendError::NotWritten { .. }) = &sent {
+            self.send_state.not_written(sent_before);
+        }
+        Ok(sent)
     }
 
     /// Sends the request, checks that the response is usable, and reads the body of the response as
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -9,6 +9,7 @@
     attempt::AttemptOutcome,
     body::Payload,
     head::{plain_text, refusal},
+    stop_response::SendState,
 };
 use crate::{
     clock,
@@ -90,6 +91,8 @@
     pub(super) request_id: &'a str,
     pub(super) digests: RequestDigests,
     pub(super) times: Times,
+    /// Record of whether the request may have reached a server.
+    pub(super) send_state: &'a SendState,
     /// Number of times that the request was sent without a usable response. Failed connection
     /// attempts are counted in `failed_connects` instead.
     pub(super) attempts: u32,
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -6,6 +6,7 @@
 mod forwarded_request;
 mod head;
 mod retry_time;
+mod stop_response;
 
 use std::{sync::Arc, time::Duration};
 
@@ -17,6 +18,7 @@
     body::{Payload, read_payload},
     forwarded_request::{ForwardedRequest, Times},
     head::{over_quota, plain_text, refusal, unauthorized},
+    stop_response::{SendState, respond_before_exit},
 };
 use super::{
     Entry,
@@ -47,7 +49,11 @@
 pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
     let request_guard = entry.track_request();
     let stopping_entry = entry.clone();
-    let mut response = route(entry, request).await;
+    let request_id = header_text(request.headers(), headers::REQUEST_ID.as_str());
+    let request_id = request_id.unwrap_or_default().to_owned();
+    let send_state = Arc::new(SendState::default());
+    let routing = route(entry, request, send_state.clone());
+    let mut response = respond_before_exit(&stopping_entry, &send_state, request_id, routing).await;
     if stopping_entry.stopping() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -58,7 +64,11 @@
 
 /// Finds the route of a request, checks the caller's API key, the quota of its workspace and the
 /// body size, and reads the body before the request is forwarded.
-async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
+async fn route(
+    entry: Arc<Entry>,
+    request: Request<Incoming>,
+    send_state: Arc<SendState>,
+) -> Response<ResponseBody> {
     let arrived_ms = clock::now_ms();
     let policy = entry.settings.policy;
     let Some(configuration) = entry.view.configuration() else {
@@ -118,6 +128,7 @@
         route,
         workspace,
         times,
+        send_state,
     };
     let forwarding =
         async move { forward(&entry, &configuration, &caller_request, &head, payload).await };
@@ -138,11 +149,12 @@
 }
 
 /// Route and workspace of a caller's request, with the arrival time, latency objective and deadline
-/// of the request.
+/// of the request, and the record of whether it was sent.
 struct CallerRequest {
     route: Arc<Route>,
     workspace: Option<WorkspaceKey>,
     times: Times,
+    send_state: Arc<SendState>,
 }
 
 /// Refuses a caller: with 401 if the caller's API key is not valid, with 503 if this host cannot
@@ -205,6 +217,7 @@
         route,
         workspace,
         times,
+        send_state,
     } = caller_request;
     let Some(target) = choose_target(&route.targets) else {
         let policy = &entry.settings.policy;
@@ -243,6 +256,7 @@
         request_id,
         digests,
         times: times.with_age(age),
+        send_state,
         attempts: 0,
         failed_connects: 0,
         tried: Vec::new(),
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -57,7 +57,7 @@
 };
 
 use rand::Rng;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch as watch_channel};
 
 use self::{
     broadcast::Broadcast,
@@ -148,9 +148,9 @@
     registered: AtomicBool,
     /// True once a planned stop has begun.
     stopping: AtomicBool,
-    /// Latest time at which the process exits in a planned stop, on the clock of this process;
-    /// `u64::MAX` before a stop. The process exits earlier if no request is in flight any longer.
-    stop_deadline_ms: AtomicU64,
+    /// Latest time, in milliseconds, at which the process exits in a planned stop, on the clock of
+    /// this process; `u64::MAX` before a stop. The process exits earlier if no request is in flight any longer.
+    stop_deadline: watch_channel::Sender<u64>,
     /// Number of callers' requests that this host has not answered yet.
     in_flight: AtomicU64,
     /// Number of requests answered since the start, by which the answered requests to be logged are
@@ -200,7 +200,7 @@
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            stop_deadline_ms: AtomicU64::new(u64::MAX),
+            stop_deadline: watch_channel::Sender::new(u64::MAX),
             in_flight: AtomicU64::new(0),
             answered: AtomicU64::new(0),
             settings,
@@ -243,7 +243,7 @@
     /// Returns the latest time at which the process exits in a planned stop; `u64::MAX` before a
     /// stop.
     pub fn stop_deadline_ms(&self) -> u64 {
-        self.stop_deadline_ms.load(Ordering::Relaxed)
+        *self.stop_deadline.borrow()
     }
 
     /// Counts an answered request and returns true if it is to be logged.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -26,7 +26,8 @@
 /// readiness every second and removes a host after two failed probes.
 const READINESS_NOTICE_MS: u64 = 2_300;
 /// Time before the end of the stop grace period at which a stopping host aborts the remaining
-/// requests, so that the process exits before the platform sends SIGKILL.
+/// responses, so that the process exits before the platform sends SIGKILL. Unanswered requests get
+/// a response shortly before (`forward::stop_response`).
 const GRACE_MARGIN_MS: u64 = 250;
 /// Timeout for receiving the head of a request, which is also the idle timeout of a caller's
 /// connection. It is longer than the callers' own idle timeout, so that callers close idle
@@ -262,9 +263,7 @@
 ) {
     let grace_ms = entry.settings.bounds.stop_grace_ms;
     let stop_deadline_ms = clock::now_ms() + grace_ms - GRACE_MARGIN_MS;
-    entry
-        .stop_deadline_ms
-        .store(stop_deadline_ms, Ordering::Relaxed);
+    entry.stop_deadline.send_replace(stop_deadline_ms);
     entry.stopping.store(true, Ordering::Relaxed);
     let in_flight = entry.in_flight.load(Ordering::Relaxed);
     Event::Stopping { in_flight }.log();
--- /dev/null
+++ b/tests/entry_stop.rs
@@ -0,0 +1,137 @@
+//! Tests the responses to requests that are unanswered at the end of the stop grace period.
+
+mod platform_standin;
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use http::StatusCode;
+use serde_json::json;
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    time,
+};
+
+use self::platform_standin::{
+    caller::{CallerResponse, TestRequest, send_once},
+    hosts::Host,
+    next_address,
+    site::{configuration, eventually},
+    store::Store,
+};
+
+/// Server that gives no response.
+#[derive(Debug)]
+struct Unresponsive {
+    listener: TcpListener,
+    /// Connections that fill the accept queue, so that no further connection can be opened.
+    #[allow(dead_code, reason = "closed when the server is dropped")]
+    queued: Vec<TcpStream>,
+}
+
+impl Unresponsive {
+    /// Starts a server whose operating system accepts connections, which nobody reads from, or that
+    /// lets all connection attempts time out.
+    async fn start(is_reachable: bool) -> Self {
+        let socket = TcpSocket::new_v4().expect("socket");
+        socket.bind(next_address(0)).expect("address");
+        let listener = socket
+            .listen(if is_reachable { 64 } else { 0 })
+            .expect("listener");
+        let address = listener.local_addr().expect("address");
+        let mut queued = Vec::new();
+        if !is_reachable {
+            let connect = || time::timeout(Duration::from_millis(200), TcpStream::connect(address));
+            while let Ok(stream) = connect().await {
+                queued.push(stream.expect("connection"));
+            }
+        }
+        Self { listener, queued }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("address")
+    }
+}
+
+async fn send(host: SocketAddr, method: &str, path: &str) -> Option<CallerResponse> {
+    let ask = TestRequest {
+        method,
+        path,
+        id: path,
+        key: None,
+        deadline_ms: 5_000,
+    };
+    send_once(host, ask).await
+}
+
+/// Guards against closing a connection without a response at the end of the grace period, and
+/// against a 503 response, which allows a caller to repeat the request, after the request was sent.
+#[tokio::test]
+async fn requests_get_a_response_at_the_end_of_the_grace_period() {
+    struct Case {
+        is_reachable: bool,
+        status: StatusCode,
+    }
+    let cases = [
+        Case {
+            is_reachable: true,
+            status: StatusCode::GATEWAY_TIMEOUT,
+        },
+        Case {
+            is_reachable: false,
+            status: StatusCode::SERVICE_UNAVAILABLE,
+        },
+    ];
+    for case in cases {
+        let server = Unresponsive::start(case.is_reachable).await;
+        let store = Store::start().await;
+        let mut settings = configuration(1, &["/reads/"]);
+        for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
+            path["timeout"] = json!("5000ms");
+        }
+        store.put("op", "config", &settings);
+        // Further servers at the address are tried after the first failed connection attempt.
+        for id in ["i-0000000001", "i-0000000002", "i-0000000003"] {
+            let entry = json!({
+                "addr": server.address().to_string(),
+                "info": {"service": "orders", "version": "v1", "zone": "a", "slots": 4},
+                "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
+            });
+            store.put("servers", id, &entry);
+        }
+        let mut host = Host::start_with(store.address, "  stop_grace: 1s\n");
+        eventually("the host is ready", 8_000, async || {
+            let ready = send(host.readiness, "GET", "/readyz").await;
+            ready.is_some_and(|ready| ready.status == StatusCode::OK)
+        })
+        .await;
+        let callers = host.callers;
+        let requests = [("GET", "/reads/1"), ("POST", "/orders/1")];
+        let sent = requests.map(|(method, path)| tokio::spawn(send(callers, method, path)));
+        time::sleep(Duration::from_millis(50)).await;
+        let stop_began = Instant::now();
+        host.signal("TERM");
+        for ((method, _), response) in requests.into_iter().zip(sent) {
+            let response = response.await.expect("task");
+            let response = response.unwrap_or_else(|| panic!("no response to {method}"));
+            assert_eq!(
+                response.status, case.status,
+                "{method}: {:?}",
+                response.body
+            );
+            assert_eq!(response.headers["connection"], "close");
+            let has_retry_time = response.headers.contains_key("retry-after");
+            assert_eq!(
+                has_retry_time,
+                case.status == StatusCode::SERVICE_UNAVAILABLE
+            );
+            assert!(stop_began.elapsed() >= Duration::from_millis(600), "early");
+        }
+        eventually("the process exits", 1_000, async || host.has_exited()).await;
+        assert!(stop_began.elapsed() < Duration::from_millis(1_000));
+        assert_eq!(host.events("grace_period_ended").len(), 2);
+    }
+}
--- a/tests/platform_standin/hosts.rs
+++ b/tests/platform_standin/hosts.rs
@@ -41,7 +41,8 @@
         Self::start_with(store_address, "")
     }
 
-    /// Starts a host with additional lines in the `bounds` section of its settings.
+    /// Starts a host with additional lines in the `bounds` section of its settings, which may
+    /// replace the stop grace period.
     pub fn start_with(store_address: SocketAddr, more_bounds: &str) -> Self {
         let ip = next_ip();
         let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
@@ -49,12 +50,17 @@
         fs::create_dir_all(&directory).expect("directory");
         let settings = directory.join(format!("host-{number}.yaml"));
         let log = directory.join(format!("host-{number}.log"));
+        let stop_grace = if more_bounds.contains("stop_grace:") {
+            ""
+        } else {
+            "  stop_grace: 6s\n"
+        };
         let text = format!(
             "name: host-{number}\navailability_zone: a\n\
              listen:\n  callers: {ip}:{CALLERS_PORT}\n  readiness: {ip}:{READINESS_PORT}\n  \
              peers: {ip}:{PEERS_PORT}\n  metrics: {ip}:{METRICS_PORT}\n\
              store:\n  address: {store_address}\n  server_heartbeat: 800ms\n\
-             bounds:\n  stop_grace: 6s\n  lease_max: 10s\n  retry_window: 10s\n  \
+             bounds:\n{stop_grace}  lease_max: 10s\n  retry_window: 10s\n  \
              retry_ratio: 0.2\n  retry_allowance: 60\n{more_bounds}"
         );
         fs::write(&settings, text).expect("settings");
