Idle connections: reuse is bounded after reused connections fail

Servers forgot connections that had been idle for 210 ms or longer. Requests sent on such connections were reset or got no response, and unrepeatable requests ended with 502 or 504 although they had reached no server.

Change: the idle time of a reused connection that fails without a response bounds the reuse of connections to the servers of its service for 10 s, for unrepeatable requests after one failure and for repeatable ones after two. Failures at servers that have crashed or leave do not count.

--- a/src/entry/crashes/broken_connections.rs
+++ b/src/entry/crashes/broken_connections.rs
@@ -45,6 +45,12 @@
         }
     }
 
+    /// Returns true if a probe found that the server had crashed, and the server has not answered
+    /// this host since; `answered_ms` is the time of its latest answer.
+    pub fn is_crash_known(&self, answered_ms: u64) -> bool {
+        self.state().crashed_ms > answered_ms
+    }
+
     /// Returns the number of broken connections so far, which wraps around. A change of the number
     /// during a probe shows that connections continue to break.
     pub fn count(&self) -> u32 {
--- a/src/entry/crashes/probe.rs
+++ b/src/entry/crashes/probe.rs
@@ -39,6 +39,7 @@
                 if has_crashed || server.broken_connections.count() == seen {
                     server.broken_connections.end_probe(has_crashed);
                     if has_crashed {
+                        entry.idle_reuses.withdraw(&server);
                         entry.note_crash(&server);
                     }
                     return;
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -27,6 +27,7 @@
 //! | [`request_age`] | retries, whose callers have waited since their first attempt |
 //! | [`budget`] | retries that would amplify an overload |
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
+//! | [`idle_reuse`] | servers that forget idle connections without closing them |
 //! | [`ended`] | servers whose process has ended while their leases still run |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
@@ -47,6 +48,7 @@
 pub mod first;
 pub mod hold;
 pub mod hot_keys;
+pub mod idle_reuse;
 pub mod key_loads;
 pub mod notices;
 pub mod pacer;
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -98,6 +98,18 @@
         /// Reason that the response to the caller states.
         reason: &'static str,
     },
+    /// A connection to a server that was reused after an idle time gave no response.
+    IdleConnectionFailed {
+        /// Incarnation id of the server.
+        server: Arc<str>,
+        /// Service of the server.
+        service: Arc<str>,
+        /// Idle time that the connection had when it was reused.
+        idle_ms: u64,
+        /// Idle time from which connections to servers of the service are not reused for repeatable
+        /// requests; `None` without a bound. Unrepeatable requests may have a lower bound.
+        bound_ms: Option<u64>,
+    },
     /// A workspace started or stopped exceeding its quota. Logged by the leader.
     Quota {
         /// Name of the workspace, as in the configuration.
--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -92,7 +92,12 @@
                 }
                 return attempt;
             }
-            Err(_) => return AttemptOutcome::TimedOut,
+            Err(_) => {
+                if let Some(idle_ms) = connection.unanswered_idle_ms() {
+                    entry.note_reuse_timed_out(server, idle_ms, sent_ms);
+                }
+                return AttemptOutcome::TimedOut;
+            }
         };
         in_flight.answered();
         if head.status.is_success() {
@@ -138,7 +143,9 @@
         if server.backoff_ms() > 0 {
             return Err(AttemptOutcome::InBackoff);
         }
-        if let Some(connection) = server.pool.take() {
+        let repeatable = self.route.repeatable;
+        let bound_ms = entry.idle_reuses.bound_ms(&self.service, repeatable);
+        if let Some(connection) = server.pool.take(bound_ms) {
             return Ok(connection);
         }
         self.new_connection(entry, server).await
@@ -214,7 +221,11 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
     ) -> Result<Response<Incoming>, AttemptOutcome> {
-        let mut request = match self.send_once(connection, request).await? {
+        let sent = self.send_once(connection, request).await?;
+        if let Some(idle_ms) = connection.unanswered_idle_ms() {
+            entry.note_reuse_failed(server, idle_ms);
+        }
+        let mut request = match sent {
             Err(SendError::NotWritten { request, source }) => {
                 log::debug!("request not written to {}: {source}", server.entry.id);
                 request
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -75,6 +75,7 @@
     retries: Counter,
     servers_ended: Counter,
     server_processes_ended: Counter,
+    idle_connection_failures: Counter,
     orders: Family<OrderLabels, Counter>,
     moves: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
@@ -111,6 +112,7 @@
             retries: Counter::default(),
             servers_ended: Counter::default(),
             server_processes_ended: Counter::default(),
+            idle_connection_failures: Counter::default(),
             orders: Family::default(),
             moves: Counter::default(),
             store_calls: Family::default(),
@@ -171,6 +173,12 @@
             help,
             self.server_processes_ended.clone(),
         );
+        let help = "Reused connections to servers that gave no response";
+        registry.register(
+            "idle_connection_failures",
+            help,
+            self.idle_connection_failures.clone(),
+        );
         let help = "Requests that no server gets, since several have ended under them";
         registry.register(
             "quarantined_requests",
@@ -210,6 +218,11 @@
         self.server_processes_ended.inc();
     }
 
+    /// Counts a reused connection to a server that gave no response.
+    pub fn idle_connection_failed(&self) {
+        self.idle_connection_failures.inc();
+    }
+
     /// Counts a command (grant or release of keys) to a server when the outcome of the command is
     /// known.
     pub fn order(&self, order: &'static str, outcome: &'static str) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod events;
 pub mod explain;
 mod forward;
+mod idle_reuses;
 mod join;
 pub mod keys;
 mod leadership;
@@ -68,6 +69,7 @@
         run_shares::RunShares,
     },
     forward::body::BodyMemory,
+    idle_reuses::IdleReuses,
     join::Join,
     leadership::Leadership,
     limits::Timings,
@@ -142,6 +144,8 @@
     request_ages: RequestAges,
     /// Places for the retries of callers that were refused at contended services.
     retry_schedules: RetrySchedules,
+    /// Bounds on the reuse of idle connections to the servers of a service.
+    idle_reuses: IdleReuses,
     /// Counters, gauges and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// True once the host row of this host in the store states the incarnation of this process.
@@ -197,6 +201,7 @@
             contention: Contention::default(),
             request_ages: RequestAges::default(),
             retry_schedules: RetrySchedules::default(),
+            idle_reuses: IdleReuses::default(),
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -93,6 +93,9 @@
     /// Idle time up to which the connection is reused.
     idle_limit_ms: u64,
     idle_since_ms: u64,
+    /// Idle time that the connection had when it was taken for reuse; `None` for a new connection,
+    /// and once the connection has given a response.
+    unanswered_idle_ms: Option<u64>,
 }
 
 impl Drop for Connection {
@@ -119,13 +122,19 @@
     }
 
     /// Takes the most recently used connection that can be reused; `None` if no idle connection can
-    /// be reused. Closes the more recently used connections, which cannot be reused.
-    pub fn take(&self) -> Option<Connection> {
+    /// be reused. Closes the more recently used connections, which cannot be reused, but keeps those
+    /// that have been idle for `bound_ms` or longer, because the bound may not apply to the next
+    /// request.
+    pub fn take(&self, bound_ms: Option<u64>) -> Option<Connection> {
         let now_ms = clock::now_ms();
+        let bound_ms = bound_ms.unwrap_or(u64::MAX);
         let mut idle = self.idle();
-        while let Some(connection) = idle.pop() {
-            let fresh = now_ms < connection.idle_since_ms + connection.idle_limit_ms;
-            if fresh && connection.sender.is_ready() {
+        while let Some(mut connection) =
+            idle.pop_if(|connection| connection.idle_ms(now_ms) < bound_ms)
+        {
+            let idle_ms = connection.idle_ms(now_ms);
+            if idle_ms < connection.idle_limit_ms && connection.sender.is_ready() {
+                connection.unanswered_idle_ms = Some(idle_ms);
                 return Some(connection);
             }
         }
@@ -186,6 +195,16 @@
 }
 
 impl Connection {
+    /// Returns the idle time that the connection had when it was reused, until it gives a response;
+    /// `None` for a new connection.
+    pub fn unanswered_idle_ms(&self) -> Option<u64> {
+        self.unanswered_idle_ms
+    }
+
+    fn idle_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.idle_since_ms)
+    }
+
     /// Sends a request and waits for the head of the response. The body of the response is still to
     /// be read.
     pub async fn send(
@@ -193,6 +212,9 @@
         request: Request<ResponseBody>,
     ) -> Result<Response<Incoming>, SendError> {
         let sent = self.sender.try_send_request(request).await;
+        if sent.is_ok() {
+            self.unanswered_idle_ms = None;
+        }
         sent.map_err(|mut error| match error.take_message() {
             // The library returns the request only if it has written no part of it.
             Some(request) => SendError::NotWritten {
@@ -222,6 +244,7 @@
         task: task.abort_handle(),
         idle_limit_ms: IDLE_DEFAULT_MS,
         idle_since_ms: clock::now_ms(),
+        unanswered_idle_ms: None,
     })
 }
 
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -350,6 +350,11 @@
         self.answered_ms() > self.broken_connections.latest_ms()
     }
 
+    /// Returns true if a liveness probe of this host found that the server has crashed.
+    pub fn is_known_crashed(&self) -> bool {
+        self.broken_connections.is_crash_known(self.answered_ms())
+    }
+
     /// Returns the average run time of requests at the server, in milliseconds, from the
     /// measurements of this host and of the other hosts; 0 if unknown.
     pub fn run_ms(&self) -> f64 {
--- a/tests/entry_connections.rs
+++ b/tests/entry_connections.rs
@@ -11,10 +11,13 @@
         mpsc::{self, Receiver, Sender},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
-use ashroad::entry::pool::{Pool, SendError};
+use ashroad::entry::{
+    decide::idle_reuse::IdleReuse,
+    pool::{Pool, SendError},
+};
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Bytes;
@@ -24,7 +27,8 @@
 use self::platform_standin::{
     caller::{Caller, TestRequest},
     hosts::Host,
-    site::{configuration, eventually},
+    server::{RunRecord, Server},
+    site::{ORDERS, configuration, eventually},
     store::Store,
 };
 
@@ -89,7 +93,7 @@
         pool.give_back(connection, &head.headers);
         // The connection task polls the connection until it is ready again.
         time::sleep(Duration::from_millis(20)).await;
-        let mut connection = pool.take().expect("idle connection");
+        let mut connection = pool.take(None).expect("idle connection");
         close.send(()).expect("server");
         if closes == Closes::WhileIdle {
             assert_eq!(bytes_read.recv(), Ok(0));
@@ -113,9 +117,26 @@
     }
 }
 
-/// Fake server that answers all requests, and closes its idle connections when it is told so.
+/// Idle time in milliseconds after which a forgetful fake server no longer knows a connection.
+const FORGET_AFTER_MS: u64 = 200;
+
+/// Response of a fake server to a request on a connection that has been idle for
+/// [`FORGET_AFTER_MS`] or longer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+enum AfterIdle {
+    #[default]
+    Answers,
+    Closes,
+    StaysSilent,
+}
+
+/// Fake server that answers all requests on connections that it has not forgotten, and closes its
+/// idle connections when it is told so.
 #[derive(Default)]
 struct ClosingServer {
+    after_idle: AfterIdle,
+    /// Number of connections that the server has accepted.
+    connections: AtomicU32,
     /// Number of times that the server was told to close its idle connections.
     closings: AtomicU32,
     /// Identifiers of the requests that the server has read.
@@ -123,26 +144,36 @@
 }
 
 impl ClosingServer {
-    fn start() -> (Arc<Self>, SocketAddr) {
+    fn start(after_idle: AfterIdle) -> (Arc<Self>, SocketAddr) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("listener");
         let address = listener.local_addr().expect("address");
-        let server = Arc::new(Self::default());
+        let server = Arc::new(Self {
+            after_idle,
+            ..Self::default()
+        });
         let accepting = server.clone();
         thread::spawn(move || {
             for stream in listener.incoming() {
                 let (server, stream) = (accepting.clone(), stream.expect("connection"));
+                server.connections.fetch_add(1, Ordering::Relaxed);
                 thread::spawn(move || server.serve(stream));
             }
         });
         (server, address)
     }
 
+    /// Returns the number of requests that the server has answered.
+    fn runs(&self) -> usize {
+        self.ids.lock().expect("ids").len()
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let closings = self.closings.load(Ordering::Relaxed);
         let pause = Some(Duration::from_millis(2));
         stream.set_read_timeout(pause).expect("timeout");
         let mut head = String::new();
         let mut buffer = [0; 4_096];
+        let mut idle_since = Instant::now();
         while self.closings.load(Ordering::Relaxed) == closings {
             match stream.read(&mut buffer) {
                 Ok(0) => return,
@@ -153,6 +184,12 @@
             if !head.contains("\r\n\r\n") {
                 continue;
             }
+            let is_forgotten = idle_since.elapsed() >= Duration::from_millis(FORGET_AFTER_MS);
+            match self.after_idle {
+                AfterIdle::Closes if is_forgotten => return,
+                AfterIdle::StaysSilent if is_forgotten => continue,
+                _ => {}
+            }
             let id = head
                 .lines()
                 .find_map(|line| line.strip_prefix("request-id: "));
@@ -166,10 +203,20 @@
             if stream.write_all(response.as_bytes()).is_err() {
                 return;
             }
+            idle_since = Instant::now();
         }
     }
 }
 
+fn put_entry(store: &Store, id: &str, address: SocketAddr) {
+    let entry = json!({
+        "addr": address.to_string(),
+        "info": {"service": "orders", "version": "v1", "zone": "a", "slots": 4},
+        "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
+    });
+    store.put("servers", id, &entry);
+}
+
 async fn send_order(caller: Option<Caller>, id: &str) -> Option<StatusCode> {
     let order = TestRequest {
         method: "POST",
@@ -188,13 +235,8 @@
 async fn orders_run_at_most_once_when_the_server_closes_idle_connections() {
     let store = Store::start().await;
     store.put("op", "config", &configuration(1, &[]));
-    let (server, server_address) = ClosingServer::start();
-    let entry = json!({
-        "addr": server_address.to_string(),
-        "info": {"service": "orders", "version": "v1", "zone": "a", "slots": 4},
-        "status": {"state": "ready", "seq": 1, "warmupLeft": "0ms"},
-    });
-    store.put("servers", "i-0000000001", &entry);
+    let (server, server_address) = ClosingServer::start(AfterIdle::Answers);
+    put_entry(&store, "i-0000000001", server_address);
     let host = Host::start(&store);
     let callers = host.callers;
     eventually("the host serves orders", 8_000, async || {
@@ -225,3 +267,181 @@
         }
     }
 }
+
+/// Guards against a bound after a single failure of a repeatable request, and against a bound that
+/// outlasts its failures or that a crashed server has caused.
+#[test]
+fn failures_bound_the_idle_time() {
+    struct Case {
+        what: &'static str,
+        /// Server, idle time and time of each failure, in milliseconds.
+        failures: &'static [(u32, u64, u64)],
+        crashed: Option<u32>,
+        now_ms: u64,
+        /// Bounds for unrepeatable and repeatable requests.
+        bounds_ms: (Option<u64>, Option<u64>),
+    }
+    let cases = [
+        Case {
+            what: "no failure",
+            failures: &[],
+            crashed: None,
+            now_ms: 5_000,
+            bounds_ms: (None, None),
+        },
+        Case {
+            what: "one failure",
+            failures: &[(1, 300, 5_000)],
+            crashed: None,
+            now_ms: 5_000,
+            bounds_ms: (Some(300), None),
+        },
+        Case {
+            what: "two servers",
+            failures: &[(1, 300, 5_000), (2, 400, 5_000)],
+            crashed: None,
+            now_ms: 14_999,
+            bounds_ms: (Some(300), Some(400)),
+        },
+        Case {
+            what: "the bound has ended",
+            failures: &[(1, 300, 5_000), (2, 400, 5_000)],
+            crashed: None,
+            now_ms: 15_000,
+            bounds_ms: (None, None),
+        },
+        Case {
+            what: "more than 10 s between the failures",
+            failures: &[(1, 300, 5_000), (2, 400, 15_000)],
+            crashed: None,
+            now_ms: 15_000,
+            bounds_ms: (Some(400), None),
+        },
+        Case {
+            what: "several connections of one server at once",
+            failures: &[(1, 300, 5_000), (1, 210, 5_040), (1, 250, 5_090)],
+            crashed: None,
+            now_ms: 5_100,
+            bounds_ms: (Some(210), None),
+        },
+        Case {
+            what: "one server twice",
+            failures: &[(1, 300, 5_000), (1, 210, 5_100)],
+            crashed: None,
+            now_ms: 5_100,
+            bounds_ms: (Some(210), Some(300)),
+        },
+        Case {
+            what: "one of two servers has crashed",
+            failures: &[(1, 100, 5_000), (2, 300, 5_010), (1, 90, 5_200)],
+            crashed: Some(1),
+            now_ms: 5_200,
+            bounds_ms: (Some(300), None),
+        },
+        Case {
+            what: "short idle times",
+            failures: &[(1, 0, 5_000), (2, 20, 5_000)],
+            crashed: None,
+            now_ms: 5_000,
+            bounds_ms: (Some(50), Some(50)),
+        },
+    ];
+    for case in cases {
+        let mut idle_reuse = IdleReuse::default();
+        for (server, idle_ms, at_ms) in case.failures {
+            idle_reuse.note_failure(*server, *idle_ms, *at_ms);
+        }
+        if let Some(server) = case.crashed {
+            idle_reuse.withdraw(server);
+        }
+        let bound_ms = |is_repeatable| idle_reuse.bound_ms(is_repeatable, case.now_ms);
+        let bounds_ms = (bound_ms(false), bound_ms(true));
+        assert_eq!(bounds_ms, case.bounds_ms, "{}", case.what);
+    }
+    let mut many = IdleReuse::default();
+    for server in 0..100 {
+        many.note_failure(server, 200 + u64::from(server), 5_000);
+    }
+    let bounds_ms = (many.bound_ms(false, 5_000), many.bound_ms(true, 5_000));
+    assert_eq!(bounds_ms, (Some(200), Some(201)), "many failures");
+}
+
+/// Sends orders at the same time on connections of their own and returns their statuses.
+async fn send_orders(callers: SocketAddr, count: usize) -> Vec<Option<StatusCode>> {
+    let orders: Vec<_> = (0..count)
+        .map(|_| {
+            let id = format!("{:016x}", rand::random::<u64>());
+            tokio::spawn(async move { send_order(Caller::connect(callers).await, &id).await })
+        })
+        .collect();
+    let mut statuses = Vec::new();
+    for order in orders {
+        statuses.push(order.await.expect("task"));
+    }
+    statuses
+}
+
+/// Guards against sending order after order on connections that servers have forgotten.
+#[tokio::test]
+async fn orders_avoid_connections_that_servers_forget() {
+    for after_idle in [AfterIdle::Closes, AfterIdle::StaysSilent] {
+        let store = Store::start().await;
+        store.put("op", "config", &configuration(1, &[]));
+        let servers = [(); 2].map(|()| ClosingServer::start(after_idle));
+        for (id, (_, address)) in ["i-0000000001", "i-0000000002"].into_iter().zip(&servers) {
+            put_entry(&store, id, *address);
+        }
+        let host = Host::start(&store);
+        eventually("the host uses both servers", 8_000, async || {
+            let runs = || servers.each_ref().map(|(server, _)| server.runs());
+            let before = runs();
+            send_orders(host.callers, 4).await;
+            runs()
+                .iter()
+                .zip(before)
+                .all(|(after, before)| *after > before)
+        })
+        .await;
+        time::sleep(Duration::from_millis(300)).await;
+        // The connections to both servers have been idle for about as long.
+        let statuses = send_orders(host.callers, 8).await;
+        let is_ok = |status: &Option<StatusCode>| *status == Some(StatusCode::OK);
+        assert!(!statuses.iter().all(is_ok), "{after_idle:?}: no failure");
+        assert!(statuses.iter().any(is_ok), "{after_idle:?}: {statuses:?}");
+        for round in 0..5 {
+            time::sleep(Duration::from_millis(800)).await;
+            let statuses = send_orders(host.callers, 2).await;
+            let all_ok = statuses.iter().all(is_ok);
+            assert!(all_ok, "{after_idle:?}, round {round}: {statuses:?}");
+        }
+        assert!(!host.events("idle_connection_failed").is_empty());
+    }
+}
+
+/// Guards against opening connections to all servers of a service because one of them has crashed.
+#[tokio::test]
+async fn a_crash_does_not_change_the_reuse_of_connections_to_others() {
+    let store = Store::start().await;
+    store.put("op", "config", &configuration(1, &[]));
+    let record = Arc::new(RunRecord::default());
+    let crashing = Server::start_crashable(&store, &record, ORDERS).await;
+    let host = Host::start(&store);
+    let is_served = async || send_orders(host.callers, 1).await == [Some(StatusCode::OK)];
+    eventually("the host serves orders", 8_000, is_served).await;
+    crashing.set_work_ms(400);
+    time::sleep(Duration::from_millis(100)).await;
+    let orders = tokio::spawn(send_orders(host.callers, 1));
+    time::sleep(Duration::from_millis(200)).await;
+    crashing.end_process();
+    assert_eq!(orders.await.expect("task"), [Some(StatusCode::BAD_GATEWAY)]);
+    let (other, address) = ClosingServer::start(AfterIdle::Answers);
+    put_entry(&store, "i-0000000001", address);
+    eventually("the host uses the other server", 8_000, is_served).await;
+    let connections = other.connections.load(Ordering::Relaxed);
+    for _ in 0..4 {
+        time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(send_orders(host.callers, 1).await, [Some(StatusCode::OK)]);
+    }
+    assert_eq!(other.connections.load(Ordering::Relaxed), connections);
+    assert!(!host.events("idle_connection_failed").is_empty());
+}
