Planned stop: the exit keeps to the stop deadline

The time to drain was counted from the end of the notice to the load balancer. Giving up the leadership can take longer than the notice, and the process then exited after its stop deadline.

Change: the drain time is counted up to the stop deadline.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -274,7 +274,8 @@
     if stop_callers.send(true).is_err() {
         log::debug!("the callers' listener has already stopped");
     }
-    let left_ms = grace_ms.saturating_sub(notice_ms + GRACE_MARGIN_MS);
+    // Giving up the leadership may have taken longer than the notice.
+    let left_ms = stop_deadline_ms.saturating_sub(clock::now_ms());
     let drained = time::timeout(Duration::from_millis(left_ms), callers_done).await;
     let in_flight = entry.in_flight.load(Ordering::Relaxed);
     if drained.is_err() {
