--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -24,6 +24,14 @@
         /// Number of callers' requests in flight when the stop began.
         in_flight: u64,
     },
+    /// A request got no other response until the end of the grace period of a planned stop.
+    GracePeriodEnded {
+        /// Identifier that the caller gave the request.
+        request_id: String,
+        /// True if the request may have reached a server, so that the response is 504 instead of
+        /// 503.
+        is_sent: bool,
+    },
     /// The process is about to exit.
     Stopped {
         /// Number of callers' requests in flight that the exit of the process aborts; 0 if all
@@ -103,6 +111,18 @@
         /// Reason that the response to the caller states.
         reason: &'static str,
     },
+    /// A connection to a server that was reused after an idle time gave no response.
+    IdleConnectionFailed {
+        /// Incarnation id of the server.
+        server: Arc<str>,
+        /// Service of the server.
+        service: Arc<str>,
+        /// Idle time that the connection had when it was reused.
+        idle_ms: u64,
+        /// Idle time from which connections to servers of the service are not reused for repeatable
+        /// requests; `None` without a bound. Unrepeatable requests may have a lower bound.
+        bound_ms: Option<u64>,
+    },
     /// A workspace started or stopped exceeding its quota. Logged by the leader.
     Quota {
         /// Name of the workspace, as in the configuration.
