--- a/tests/platform_standin/hosts.rs
+++ b/tests/platform_standin/hosts.rs
@@ -107,6 +107,20 @@
         kb.map_or(0, |kb: u64| kb / 1_000)
     }
 
+    /// Returns the time in milliseconds for which the threads of the process together were ready to
+    /// run but had no processor.
+    pub fn processor_wait_ms(&self) -> u64 {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let waits = threads
+            .expect("threads of the process")
+            .filter_map(|thread| {
+                // A thread may end while the others are read.
+                let text = fs::read_to_string(thread.ok()?.path().join("schedstat")).ok()?;
+                text.split(' ').nth(1)?.parse::<u64>().ok()
+            });
+        waits.sum::<u64>() / 1_000_000
+    }
+
     /// Returns the number of calls of a kind that the host has made to the store, from its metrics.
     pub fn store_calls(&self, kind: &str) -> u64 {
         let mut stream = TcpStream::connect(self.metrics).expect("metrics");
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -2,6 +2,7 @@
 //! a configuration.
 
 use std::{
+    collections::BTreeMap,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -135,6 +136,60 @@
     }
 }
 
+/// Number of spans in which [`check_call_count`] counts calls at most.
+const COUNTED_SPANS: usize = 3;
+/// Time in milliseconds for which the threads of a host may wait for a processor in a span whose
+/// calls are counted only once. Among 24 hosts it is 330 ms on a calm machine; in a span with too
+/// many calls beside busy processes it was 4,000 ms. Hosts call the store themselves once the
+/// leader's reports are 1.4 s old.
+const PROCESSOR_WAIT_MAX_MS: u64 = 500;
+
+/// Calls to the store that were made in a span.
+#[derive(Debug)]
+pub struct CountedCalls {
+    /// Number of calls that the test bounds.
+    pub calls: u64,
+    /// Calls of all kinds by path and table.
+    pub by_kind: BTreeMap<String, u64>,
+    /// Longest time for which the threads of a host waited for a processor.
+    pub processor_wait_ms: u64,
+}
+
+/// Fails if the hosts make more than `calls_max` calls in a span. `run_span` runs the span with the
+/// given number and returns the count. A span with more calls is repeated only if hosts lacked
+/// processor time in it, since hosts that hear the leader late must call the store themselves.
+pub async fn check_call_count(
+    site: &mut Site,
+    calls_max: u64,
+    mut run_span: impl AsyncFnMut(&mut Site, usize) -> u64,
+) {
+    let mut spans = Vec::new();
+    for span in 0..COUNTED_SPANS {
+        let kinds_before = site.store.calls_by_kind();
+        let waits_before: Vec<u64> = site.hosts.iter().map(Host::processor_wait_ms).collect();
+        let calls = run_span(site, span).await;
+        let waits = site.hosts.iter().zip(waits_before);
+        let waits = waits.map(|(host, before)| host.processor_wait_ms().saturating_sub(before));
+        let processor_wait_ms = waits.max().unwrap_or(0);
+        let mut by_kind = site.store.calls_by_kind();
+        for (kind, calls) in &mut by_kind {
+            *calls -= kinds_before.get(kind).copied().unwrap_or(0);
+        }
+        spans.push(CountedCalls {
+            calls,
+            by_kind,
+            processor_wait_ms,
+        });
+        if calls <= calls_max {
+            return;
+        }
+        if processor_wait_ms < PROCESSOR_WAIT_MAX_MS {
+            break;
+        }
+    }
+    panic!("more than {calls_max} calls in each span: {spans:#?}");
+}
+
 /// Builds a configuration with the routes `/keyed/` and `/orders/` and one more route to the
 /// service `orders` for each prefix in `more_prefixes`.
 pub fn configuration(version: u32, more_prefixes: &[&str]) -> Value {
