Leadership: writes of moves have the timeout of confirmations

A write is abandoned when an outage ends and repeated at once, and its timeout is 1 s plus 30 ms for each row in place of 2 s, so that a hung write delays a confirmation no longer than a hung confirmation does.

--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -275,32 +275,26 @@
         }
     }
 
-    /// Confirms the leadership in the store, see [`Self::write_confirmation`].
+    /// Confirms the leadership in the store. If the store stops answering during the call, this
+    /// host abandons the call and repeats it as soon as the store answers again, so that the
+    /// confirmation arrives before another host takes over the leadership.
     async fn confirm_leadership_through_outages(&self) {
-        let mut writer = self.leadership.writer.lock().await;
-        self.write_confirmation_through_outages(&mut writer).await;
-    }
-
-    /// Confirms the leadership. If the store stops answering during the call, this host abandons
-    /// the call and repeats it as soon as the store answers again, so that the confirmation arrives
-    /// before another host takes over the leadership.
-    async fn write_confirmation_through_outages(&self, writer: &mut Writer) -> bool {
         loop {
             tokio::select! {
-                is_confirmed = self.write_confirmation(writer) => return is_confirmed,
+                () = self.confirm_leadership() => return,
                 () = self.view.wait_for_outage_end() => {}
             }
         }
     }
 
     /// Confirms the leadership by a write of the leadership row. If the write fails, reads the row,
-    /// and gives up the leadership if the row names another process or term. Returns true if the
-    /// store has confirmed the write.
-    async fn write_confirmation(&self, writer: &mut Writer) -> bool {
+    /// and gives up the leadership if the row names another process or term.
+    async fn confirm_leadership(&self) {
         let sent_ms = clock::now_ms();
+        let mut writer = self.leadership.writer.lock().await;
         let term = self.leadership.term();
         if term == 0 {
-            return false;
+            return;
         }
         let releasing = self.leadership.giving_up.load(Ordering::Relaxed);
         let next = LeadershipRow {
@@ -317,21 +311,19 @@
                 .confirmed_ms
                 .store(sent_ms, Ordering::Relaxed);
             self.note_store_response(clock::now_ms());
-            return true;
+            return;
         }
         // The write may have failed, or have taken effect without a response, or another host may
         // have written the row. Reading the row shows whether this host is still the leader.
         let Some((Some(row), version)) = self.read_leadership_row().await else {
-            return false;
+            return;
         };
         if row.leader_incarnation != next.leader_incarnation || row.term != term {
             self.leadership.lose("another host has taken it");
-            return false;
+            return;
         }
         writer.row_version = version;
         writer.confirmation = writer.confirmation.max(row.confirmation);
-        // The row may be that of an earlier confirmation, so it does not show that this one arrived.
-        false
     }
 
     /// Gives up the leadership during a planned stop of this host. The leadership row then names no
@@ -341,9 +333,7 @@
             return;
         }
         self.leadership.giving_up.store(true, Ordering::Relaxed);
-        let mut writer = self.leadership.writer.lock().await;
-        self.write_confirmation(&mut writer).await;
-        drop(writer);
+        self.confirm_leadership().await;
         self.leadership.lose("planned stop");
     }
 }
--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -1,12 +1,7 @@
 //! Records changes of assigned ranges in the store. Each write is conditional on the version of the
 //! leadership row, so it takes effect only while this host is the leader.
 
-use std::{
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
-
-use tokio::time;
+use std::sync::{Arc, atomic::Ordering};
 
 use super::{Change, LEADERSHIP_KEY, LEADERSHIP_TABLE, LeadershipRow, Writer};
 use crate::{
@@ -42,6 +37,14 @@
 /// write, and the leadership row needs a condition; the store accepts up to 100 conditions and
 /// writes in one transaction.
 const ROWS_MAX: usize = 32;
+/// Timeout of a write of assigned ranges, without the time for its rows. Confirmations of the
+/// leadership wait for the write, and another host takes over the leadership if the leadership row
+/// stays unchanged for 1.6 s while the store answers. With a timeout of 2 s, a call that the store
+/// had dropped delayed the confirmation after an outage until then.
+const WRITE_TIMEOUT_MS: u64 = 1_000;
+/// Additional timeout of a write of assigned ranges for each row. A row takes up to 30 KB, which a
+/// link of 20 Mbit/s transfers in 12 ms.
+const WRITE_TIMEOUT_MS_PER_ROW: u64 = 30;
 
 /// Row with the assigned ranges of one key partition of a service. The row is written on the
 /// condition that the stored row still has the expected version.
@@ -89,7 +92,8 @@
     }
 }
 
-/// Outcome of a transaction that writes rows with assigned ranges.
+/// Outcome of a transaction that writes rows with assigned ranges. A transaction whose effect is
+/// unknown is retried, and this type describes only the outcome after the last attempt.
 enum WriteOutcome {
     /// The transaction took effect. Contains the version of the written rows.
     Done(u64),
@@ -98,8 +102,9 @@
     Conflict(Vec<Row>),
     /// The store rejects the transaction with an error that would occur again on each retry.
     Refused,
-    /// The store did not answer, so the effect of the transaction is unknown.
-    Unknown,
+    /// The effect of the transaction is unknown, and the transaction is not retried because this
+    /// host may no longer grant leases.
+    LeadershipLost,
 }
 
 /// Reason why the store reported a conflict: the conditions of a transaction were not met.
@@ -167,10 +172,7 @@
         loop {
             let version = match self.write_assignment_rows(&rows, writer.row_version).await {
                 WriteOutcome::Done(version) => version,
-                WriteOutcome::Unknown => {
-                    self.confirm_before_retry(writer).await?;
-                    continue;
-                }
+                WriteOutcome::LeadershipLost => return Err(WriteFailure::LeadershipLost),
                 WriteOutcome::Refused => return Err(WriteFailure::Refused),
                 WriteOutcome::Conflict(found) => {
                     match self.classify_conflict(&found, &rows, writer) {
@@ -247,56 +249,36 @@
             puts: rows.iter().map(PendingRow::put).collect(),
             ..Transaction::default()
         };
-        let sent_ms = clock::now_ms();
-        let written = tokio::select! {
-            written = self.store.transact(&transaction) => written,
-            () = self.view.wait_for_outage_end() => return WriteOutcome::Unknown,
-        };
-        match written {
-            Ok(TransactionOutcome::Done { version }) => {
-                // The transaction is conditional on the leadership row, so its success shows that
-                // this host was still the leader when the transaction was sent.
-                self.leadership
-                    .confirmed_ms
-                    .store(sent_ms, Ordering::Relaxed);
-                WriteOutcome::Done(version)
-            }
-            Ok(TransactionOutcome::Conflict { rows }) => WriteOutcome::Conflict(rows),
-            Err(error) if error.is_final() => {
-                log::error!("the store rejects a write of assigned ranges: {error}");
-                WriteOutcome::Refused
-            }
-            Err(error) => {
-                log::debug!("cannot write assigned ranges, retrying: {error}");
-                WriteOutcome::Unknown
-            }
-        }
-    }
-
-    /// Confirms the leadership after a write whose effect is unknown, and returns once the store
-    /// has answered, so that the write can be retried. No other task can confirm the leadership
-    /// while this task holds the writer, and a retry that hung until after an outage would delay
-    /// the confirmation until another host had taken over the leadership. Fails if this host may no
-    /// longer grant leases or gives up the leadership.
-    async fn confirm_before_retry(&self, writer: &mut Writer) -> Result<(), WriteFailure> {
-        let leases = self.settings.leases;
-        let every_ms = self.limits.confirm_every_ms(leases.confirm_every_ms);
-        pause().await;
+        let timeout_ms = WRITE_TIMEOUT_MS + WRITE_TIMEOUT_MS_PER_ROW * rows.len() as u64;
         loop {
-            if !self.leadership.may_lease(leases.outage_ms) {
-                self.leadership.lose("the store did not answer");
-                return Err(WriteFailure::LeadershipLost);
-            }
-            if self.leadership.giving_up.load(Ordering::Relaxed) {
-                return Err(WriteFailure::LeadershipLost);
-            }
-            if self.write_confirmation_through_outages(writer).await {
-                return Ok(());
+            let sent_ms = clock::now_ms();
+            let written = tokio::select! {
+                written = self.store.transact_within(&transaction, timeout_ms) => written,
+                // The store has dropped the call. Confirmations of the leadership wait for this
+                // write, so the write is repeated as soon as the store answers again.
+                () = self.view.wait_for_outage_end() => continue,
+            };
+            match written {
+                Ok(TransactionOutcome::Done { version }) => {
+                    // The transaction is conditional on the leadership row, so its success shows
+                    // that this host was still the leader when the transaction was sent.
+                    self.leadership
+                        .confirmed_ms
+                        .store(sent_ms, Ordering::Relaxed);
+                    return WriteOutcome::Done(version);
+                }
+                Ok(TransactionOutcome::Conflict { rows }) => return WriteOutcome::Conflict(rows),
+                Err(error) if error.is_final() => {
+                    log::error!("the store rejects a write of assigned ranges: {error}");
+                    return WriteOutcome::Refused;
+                }
+                Err(error) => log::debug!("cannot write assigned ranges, retrying: {error}"),
             }
-            tokio::select! {
-                () = time::sleep(Duration::from_millis(every_ms)) => {}
-                () = self.view.wait_for_outage_end() => {}
+            if !self.leadership.may_lease(self.settings.leases.outage_ms) {
+                self.leadership.lose("the store did not answer");
+                return WriteOutcome::LeadershipLost;
             }
+            pause().await;
         }
     }
 }
