--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -37,6 +37,14 @@
 /// write, and the leadership row needs a condition; the store accepts up to 100 conditions and
 /// writes in one transaction.
 const ROWS_MAX: usize = 32;
+/// Timeout of a write of assigned ranges, without the time for its rows. Confirmations of the
+/// leadership wait for the write, and another host takes over the leadership if the leadership row
+/// stays unchanged for 1.6 s while the store answers. With a timeout of 2 s, a call that the store
+/// had dropped delayed the confirmation after an outage until then.
+const WRITE_TIMEOUT_MS: u64 = 1_000;
+/// Additional timeout of a write of assigned ranges for each row. A row takes up to 30 KB, which a
+/// link of 20 Mbit/s transfers in 12 ms.
+const WRITE_TIMEOUT_MS_PER_ROW: u64 = 30;
 
 /// Row with the assigned ranges of one key partition of a service. The row is written on the
 /// condition that the stored row still has the expected version.
@@ -241,9 +249,16 @@
             puts: rows.iter().map(PendingRow::put).collect(),
             ..Transaction::default()
         };
+        let timeout_ms = WRITE_TIMEOUT_MS + WRITE_TIMEOUT_MS_PER_ROW * rows.len() as u64;
         loop {
             let sent_ms = clock::now_ms();
-            match self.store.transact(&transaction).await {
+            let written = tokio::select! {
+                written = self.store.transact_within(&transaction, timeout_ms) => written,
+                // The store has dropped the call. Confirmations of the leadership wait for this
+                // write, so the write is repeated as soon as the store answers again.
+                () = self.view.wait_for_outage_end() => continue,
+            };
+            match written {
                 Ok(TransactionOutcome::Done { version }) => {
                     // The transaction is conditional on the leadership row, so its success shows
                     // that this host was still the leader when the transaction was sent.
