Transport: pipelined requests of callers run concurrently

The callers' listener of entry hosts reads ahead on its connections and starts the handlers of up to 8 requests before their turn; hyper still parses all requests and writes the responses in their order. A response says Connection: close only when no started request is left on its connection. New counter ashroad_pipelined_requests.

--- a/src/entry/forward/body.rs
+++ b/src/entry/forward/body.rs
@@ -140,15 +140,16 @@
 
 /// Reads the body of a caller's request into memory. A body that exceeds [`BUFFERED_BYTES_MAX`] or
 /// the memory budget is left partly unread, to be streamed to the server. `reserved` is the memory
-/// that was reserved for the body according to the size that the request announced.
+/// that was reserved for the body according to the size that the request announced. `None` is the
+/// body of a request that was started ahead, which is empty.
 pub async fn read_payload(
-    body: Incoming,
+    body: Option<Incoming>,
     reserved: MemoryReservation,
     memory: &BodyMemory,
 ) -> hyper::Result<Payload> {
-    if body.is_end_stream() {
+    let Some(body) = body.filter(|body| !body.is_end_stream()) else {
         return Ok(Payload::Whole(BufferedBody::default()));
-    }
+    };
     match receive(body, reserved, memory).await? {
         Received::Whole(bytes) => Ok(Payload::Whole(bytes)),
         Received::Partial(first, rest) => Ok(Payload::Stream(Some((first, rest)))),
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -9,7 +9,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderValue, Request, Response, StatusCode, header, request};
+use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use tokio::time;
 
@@ -32,7 +32,7 @@
 use crate::{
     clock,
     platform::headers,
-    transport::{ResponseBody, header_number, header_text},
+    transport::{ResponseBody, header_number, header_text, pipeline::PipelinedHandler},
 };
 
 /// Time from the arrival of a request without a deadline header to its deadline, unless the timeout
@@ -42,24 +42,61 @@
 /// if its deadline is closer to the stop than this time, or after the stop.
 const STOP_MARGIN_MS: u64 = 100;
 
-/// Handles one request of a caller and returns the response. While the host is stopping, the
-/// response carries `Connection: close`.
-pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let request_guard = entry.track_request();
-    let stopping_entry = entry.clone();
-    let mut response = route(entry, request).await;
-    if stopping_entry.stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+/// Handler of the callers' requests.
+#[derive(Clone)]
+pub struct CallerHandler {
+    entry: Arc<Entry>,
+}
+
+impl CallerHandler {
+    /// Returns the handler of the host `entry`.
+    pub fn new(entry: Arc<Entry>) -> Self {
+        Self { entry }
+    }
+}
+
+impl PipelinedHandler for CallerHandler {
+    fn answer(
+        &self,
+        request: Request<Option<Incoming>>,
+    ) -> impl Future<Output = Response<ResponseBody>> + Send + use<> + 'static {
+        // A request that is started ahead runs in a task, which may be polled much later on a host
+        // with little processor time.
+        let arrived_ms = clock::now_ms();
+        let entry = self.entry.clone();
+        async move {
+            let request_guard = entry.track_request();
+            let response = route(entry, request, arrived_ms).await;
+            drop(request_guard);
+            response
+        }
+    }
+
+    fn is_repeatable(&self, head: &request::Parts) -> bool {
+        let Some(configuration) = self.entry.view.configuration() else {
+            return false;
+        };
+        let host = header_text(&head.headers, "host").unwrap_or_default();
+        let route = configuration.route(host, head.uri.path());
+        route.is_some_and(|route| route.repeatable)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.entry.stopping()
+    }
+
+    fn count_started(&self) {
+        self.entry.metrics.pipelined_request();
     }
-    drop(request_guard);
-    response
 }
 
 /// Finds the route of a request, checks the caller's API key, the quota of its workspace and the
 /// body size, and reads the body before the request is forwarded.
-async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let arrived_ms = clock::now_ms();
+async fn route(
+    entry: Arc<Entry>,
+    request: Request<Option<Incoming>>,
+    arrived_ms: u64,
+) -> Response<ResponseBody> {
     let policy = entry.settings.policy;
     let Some(configuration) = entry.view.configuration() else {
         return refusal(&Refused::starting("no configuration is known yet"));
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -73,6 +73,7 @@
     requests: Family<RequestLabels, Counter>,
     latency: Family<RequestLabels, Histogram>,
     retries: Counter,
+    pipelined_requests: Counter,
     servers_ended: Counter,
     server_processes_ended: Counter,
     orders: Family<OrderLabels, Counter>,
@@ -109,6 +110,7 @@
             requests: Family::default(),
             latency,
             retries: Counter::default(),
+            pipelined_requests: Counter::default(),
             servers_ended: Counter::default(),
             server_processes_ended: Counter::default(),
             orders: Family::default(),
@@ -141,6 +143,9 @@
         registry.register("request_duration_seconds", help, self.latency.clone());
         let help = "Attempts beyond the first";
         registry.register("request_repeats", help, self.retries.clone());
+        let help = "Pipelined requests that were started before their turn";
+        let counter = self.pipelined_requests.clone();
+        registry.register("pipelined_requests", help, counter);
         let help = "Grants and releases by outcome";
         registry.register("server_orders", help, self.orders.clone());
         registry.register("key_moves", "Moves of keys", self.moves.clone());
@@ -199,6 +204,11 @@
         self.retries.inc();
     }
 
+    /// Counts a pipelined request that was started before the response of the request before it.
+    pub fn pipelined_request(&self) {
+        self.pipelined_requests.inc();
+    }
+
     /// Counts a server that crashed with requests of this host in flight.
     pub fn server_ended(&self) {
         self.servers_ended.inc();
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,7 @@
     time,
 };
 
-use super::{Entry, Settings, events::Event, forward, log_writer, watch};
+use super::{Entry, Settings, events::Event, forward::CallerHandler, log_writer, watch};
 use crate::{
     clock,
     transport::{self, ListenerLimits, ResponseBody},
@@ -32,6 +32,12 @@
 /// connection. It is longer than the callers' own idle timeout, so that callers close idle
 /// connections first.
 const HEAD_TIMEOUT_MS: u64 = 16_000;
+/// Maximum number of requests that are started ahead on a caller's connection. It bounds the share of
+/// a host that one connection takes.
+const PIPELINED_REQUESTS: usize = 8;
+/// Maximum number of bytes that are read ahead on a caller's connection. One head of the maximum size
+/// fits.
+const PIPELINED_BYTES: usize = 64 * 1024;
 /// Content type of the metrics' text exposition format.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which closed and expired idle connections to servers are removed from the pools.
@@ -170,10 +176,12 @@
         head_timeout_ms: HEAD_TIMEOUT_MS,
         head_bytes: 64 * 1024,
         drain_ms: entry.settings.bounds.stop_grace_ms,
+        pipelined_requests: PIPELINED_REQUESTS,
+        pipelined_bytes: PIPELINED_BYTES,
         ..ListenerLimits::default()
     };
-    let handler = move |request| forward::answer(entry.clone(), request);
-    transport::serve(listener, limits, stopped, handler).await;
+    let handler = CallerHandler::new(entry);
+    transport::serve_pipelined(listener, limits, stopped, handler).await;
 }
 
 async fn serve_readiness(entry: Arc<Entry>, listener: TcpListener, stop: stop::Receiver<bool>) {
--- /dev/null
+++ b/src/transport/listener.rs
@@ -0,0 +1,163 @@
+//! HTTP/1 listeners with limits on connections, heads and time.
+
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+use http::{Request, Response};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+    time,
+};
+
+use super::{
+    ResponseBody,
+    pipeline::{PipelinedHandler, serve_connection},
+};
+
+/// Limits of one listener. The limits bound the memory and the time that clients can take up.
+#[derive(Clone, Copy, Debug)]
+pub struct ListenerLimits {
+    /// Maximum number of open connections. Further connections wait in the accept queue of the
+    /// operating system.
+    pub connections: usize,
+    /// Timeout in milliseconds within which a client must send the complete head of a request.
+    pub head_timeout_ms: u64,
+    /// Size in bytes of the read buffer of a connection. The head of a request must fit into the
+    /// buffer.
+    pub head_bytes: usize,
+    /// Maximum time in milliseconds for which [`serve`] waits for requests in flight to complete
+    /// after the listener was closed.
+    pub drain_ms: u64,
+    /// Maximum number of requests of a connection that [`serve_pipelined`] reads ahead and starts
+    /// before the response of the first unanswered request is written; 0 turns reading ahead off.
+    pub pipelined_requests: usize,
+    /// Maximum number of bytes of a connection that [`serve_pipelined`] reads ahead; 0 turns reading
+    /// ahead off.
+    pub pipelined_bytes: usize,
+}
+
+impl Default for ListenerLimits {
+    fn default() -> Self {
+        Self {
+            connections: 10_000,
+            head_timeout_ms: 10_000,
+            head_bytes: 32 * 1024,
+            drain_ms: 30_000,
+            pipelined_requests: 0,
+            pipelined_bytes: 0,
+        }
+    }
+}
+
+/// IP address of the client that sent a request. [`serve`] adds the address to the extensions of
+/// each request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerAddress(pub IpAddr);
+
+/// Accepts connections on `listener` and answers each request with `handler` until `stop` becomes
+/// true. Then [`serve`] closes the listener, lets the requests in flight complete for at most
+/// [`ListenerLimits::drain_ms`], and returns. Nothing is read ahead on the connections.
+pub async fn serve<H, F>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    accept(listener, &permits, stop, |stream, caller, permit| {
+        let handler = handler.clone();
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            request.extensions_mut().insert(CallerAddress(caller.ip()));
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        });
+        let connection =
+            connection_builder(&limits).serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(permit);
+        });
+    })
+    .await;
+    let drain = Duration::from_millis(limits.drain_ms);
+    let _ = time::timeout(drain, graceful.shutdown()).await;
+}
+
+/// Does the same as [`serve`], and starts pipelined requests before their turn, within
+/// [`ListenerLimits::pipelined_requests`] and [`ListenerLimits::pipelined_bytes`].
+pub async fn serve_pipelined<H: PipelinedHandler>(
+    listener: TcpListener,
+    limits: ListenerLimits,
+    stop: watch::Receiver<bool>,
+    handler: H,
+) {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    let stopping = stop.clone();
+    accept(listener, &permits, stop, |stream, caller, permit| {
+        let address = CallerAddress(caller.ip());
+        let connection =
+            serve_connection(stream, address, limits, stopping.clone(), handler.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    })
+    .await;
+    // All permits are back when all connections have ended.
+    let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
+    let drain = Duration::from_millis(limits.drain_ms);
+    let _ = time::timeout(drain, permits.acquire_many(all)).await;
+}
+
+/// Accepts connections until `stop` becomes true, passes each to `serve_connection` with one of the
+/// `permits`, and closes the listener.
+async fn accept(
+    listener: TcpListener,
+    permits: &Arc<Semaphore>,
+    mut stop: watch::Receiver<bool>,
+    serve_connection: impl Fn(TcpStream, SocketAddr, OwnedSemaphorePermit),
+) {
+    loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stopped| *stopped) => return,
+        };
+        let Ok((stream, caller)) = accepted else {
+            // `accept` usually fails because of a lack of file descriptors. The delay before the
+            // next attempt gives open connections time to close.
+            time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        serve_connection(stream, caller, permit);
+    }
+}
+
+/// Returns the settings of the HTTP library for connections with these limits.
+pub(super) fn connection_builder(limits: &ListenerLimits) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(limits.head_timeout_ms))
+        .max_buf_size(limits.head_bytes);
+    builder
+}
--- /dev/null
+++ b/src/transport/pipeline/mod.rs
@@ -0,0 +1,170 @@
+//! Connections on which pipelined requests run concurrently. The HTTP library parses the requests,
+//! calls the service in their order and writes the responses; this module reads ahead and starts
+//! the handlers of requests before their turn. See docs/design/pipelined-requests.md.
+
+mod head;
+mod read_ahead;
+
+use std::{
+    convert::Infallible,
+    future::{Future, poll_fn},
+    io::{self, IoSlice},
+    pin::{Pin, pin},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    task::{Context, Poll},
+};
+
+use http::{HeaderValue, Request, Response, header, request};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+    sync::watch,
+};
+
+use self::read_ahead::ReadAhead;
+use super::{CallerAddress, ListenerLimits, ResponseBody, listener::connection_builder};
+
+/// Answers the requests of a listener's connections, some of them before their turn.
+pub trait PipelinedHandler: Clone + Send + Sync + 'static {
+    /// Answers a request, which arrives when this function is called. The body is `None` if the
+    /// request is started ahead; it then has no body.
+    fn answer(
+        &self,
+        request: Request<Option<Incoming>>,
+    ) -> impl Future<Output = Response<ResponseBody>> + Send + use<Self> + 'static;
+
+    /// Returns true if the handler may be aborted while it handles the request, and the request
+    /// handled again.
+    fn is_repeatable(&self, head: &request::Parts) -> bool;
+
+    /// Returns true once the process stops. From then on, no request is started ahead, and responses
+    /// carry `Connection: close` as soon as no started request is left on their connection.
+    fn is_stopping(&self) -> bool;
+
+    /// Counts a request that is started ahead.
+    fn count_started(&self);
+}
+
+type SharedReadAhead<H> = Arc<Mutex<ReadAhead<H>>>;
+
+fn lock<H>(read_ahead: &SharedReadAhead<H>) -> MutexGuard<'_, ReadAhead<H>> {
+    read_ahead.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Serves one connection until it ends. After `stop` has become true, the connection is closed
+/// behind the last request that is in progress or was started ahead.
+pub(super) async fn serve_connection<H: PipelinedHandler>(
+    stream: TcpStream,
+    caller: CallerAddress,
+    limits: ListenerLimits,
+    mut stop: watch::Receiver<bool>,
+    handler: H,
+) {
+    let read_ahead = ReadAhead::new(stream, caller, limits, handler.clone());
+    let read_ahead = Arc::new(Mutex::new(read_ahead));
+    let shared = read_ahead.clone();
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(caller);
+        let (shared, handler) = (shared.clone(), handler.clone());
+        async move { Ok::<_, Infallible>(respond(&shared, &handler, request).await) }
+    });
+    let io = TokioIo::new(PipelinedStream(read_ahead.clone()));
+    let mut connection = pin!(connection_builder(&limits).serve_connection(io, service));
+    let mut stopped = pin!(stop.wait_for(|stopped| *stopped));
+    let mut is_stopped = false;
+    let mut is_closing = false;
+    poll_fn(|context| {
+        if !is_stopped && stopped.as_mut().poll(context).is_ready() {
+            is_stopped = true;
+            lock(&read_ahead).end();
+        }
+        lock(&read_ahead).is_reader_waiting = false;
+        if connection.as_mut().poll(context).is_ready() {
+            return Poll::Ready(());
+        }
+        // The HTTP library closes the connection behind the request that it handles now, so it is
+        // told to do so only when no started request is left behind this one.
+        if is_stopped && !is_closing && !lock(&read_ahead).has_started() {
+            is_closing = true;
+            connection.as_mut().graceful_shutdown();
+            if connection.as_mut().poll(context).is_ready() {
+                return Poll::Ready(());
+            }
+        }
+        lock(&read_ahead).poll_read_ahead(context)
+    })
+    .await;
+}
+
+/// Answers the request whose turn has come: with the response of its handler if it was started
+/// ahead, otherwise by calling the handler now.
+async fn respond<H: PipelinedHandler>(
+    read_ahead: &SharedReadAhead<H>,
+    handler: &H,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let started = lock(read_ahead).begin(&request);
+    let early = match started {
+        Some(mut task) => task.join_next().await.and_then(Result::ok),
+        None => None,
+    };
+    let mut response = match early {
+        Some(response) => response,
+        None => handler.answer(request.map(Some)).await,
+    };
+    let mut read_ahead = lock(read_ahead);
+    read_ahead.finish();
+    if read_ahead.has_started() {
+        response.headers_mut().remove(header::CONNECTION);
+    } else if handler.is_stopping() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+/// Byte stream that the HTTP library reads and writes: a connection whose bytes are scanned while
+/// they pass.
+struct PipelinedStream<H>(SharedReadAhead<H>);
+
+impl<H: PipelinedHandler> AsyncRead for PipelinedStream<H> {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        output: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        lock(&self.0).poll_read(context, output)
+    }
+}
+
+impl<H: PipelinedHandler> AsyncWrite for PipelinedStream<H> {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut lock(&self.0).stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut lock(&self.0).stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        lock(&self.0).stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut lock(&self.0).stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut lock(&self.0).stream).poll_shutdown(context)
+    }
+}
