--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -3,7 +3,8 @@
 
 use std::{
     collections::VecDeque,
-    io,
+    io, mem,
+    pin::Pin,
     task::{Context, Poll, ready},
 };
 
@@ -21,7 +22,7 @@
 };
 use crate::transport::{CallerAddress, ListenerLimits, ResponseBody};
 
-/// Number of bytes that one read from the socket adds to the buffer of the bytes read ahead.
+/// Maximum number of bytes that one read from the socket adds to the buffer. Most heads fit.
 const READ_BYTES: usize = 4_096;
 
 /// Task that handles a request which was started ahead. Dropping it aborts the handler.
@@ -167,7 +168,7 @@
             }
             if self.buffer.is_empty() {
                 let before = output.filled().len();
-                ready!(std::pin::Pin::new(&mut self.stream).poll_read(context, output))?;
+                ready!(Pin::new(&mut self.stream).poll_read(context, output))?;
                 let bytes = &output.filled()[before..];
                 self.has_ended = bytes.is_empty();
                 let scanned_bytes = self.scan(bytes);
@@ -216,7 +217,7 @@
         !self.is_reader_waiting
             && !matches!(self.position, Position::Unscanned)
             && self.waiting.len() < self.limits.pipelined_requests
-            && self.buffer.len() < self.limits.pipelined_bytes
+            && self.buffer.len() + READ_BYTES <= self.limits.pipelined_bytes
             && self.allows_start()
     }
 
@@ -231,6 +232,7 @@
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.stream.poll_read_ready(context))?;
+            self.buffer.reserve(READ_BYTES);
             match self
                 .stream
                 .try_read_buf(&mut (&mut self.buffer).limit(READ_BYTES))
@@ -239,7 +241,11 @@
                     self.has_ended = bytes == 0;
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    if self.buffer.is_empty() {
+                        self.buffer = BytesMut::new();
+                    }
+                }
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -249,10 +255,10 @@
         if self.scanned_bytes == self.buffer.len() {
             return;
         }
-        let mut buffer = std::mem::take(&mut self.buffer);
+        let mut buffer = mem::take(&mut self.buffer);
         let scanned_bytes = self.scan(&buffer[self.scanned_bytes..]);
         self.scanned_bytes += scanned_bytes;
-        std::mem::swap(&mut self.buffer, &mut buffer);
+        mem::swap(&mut self.buffer, &mut buffer);
     }
 
     /// Scans bytes that follow those scanned before, and starts requests. Returns the number of
