Transport: the parsed head of a pipelined request is boxed

Change: the copied head is behind a Box, and is allocated only for requests that may be started ahead.

--- a/src/transport/pipeline/head.rs
+++ b/src/transport/pipeline/head.rs
@@ -26,7 +26,7 @@
     pub(super) is_blocking: bool,
     /// Method, target and headers, if they were asked for and the request is a GET or HEAD without a
     /// body.
-    pub(super) request: Option<request::Parts>,
+    pub(super) request: Option<Box<request::Parts>>,
 }
 
 /// Parses the head at the beginning of `bytes`, and copies it if `with_request` is true.
@@ -66,7 +66,7 @@
         let Some(copied) = copy(&request) else {
             return Parsed::Unclear;
         };
-        Some(copied)
+        Some(Box::new(copied))
     } else {
         None
     };
--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -308,7 +308,7 @@
             }
             let (method, target) = (parts.method.clone(), parts.uri.clone());
             let headers = parts.headers.clone();
-            let mut request = Request::from_parts(parts, None);
+            let mut request = Request::from_parts(*parts, None);
             request.extensions_mut().insert(self.caller);
             let mut task = JoinSet::new();
             task.spawn(self.handler.answer(request));
