--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -28,6 +28,7 @@
 //! | [`budget`] | retries that would amplify an overload |
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
 //! | [`ended`] | servers whose process has ended while their leases still run |
+//! | [`lease_expiry`] | servers that are frozen or disconnected from the leader and may hold leases |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
 //! | [`backoffs`] | servers that ask many hosts for a backoff at the same time |
@@ -48,6 +49,7 @@
 pub mod hold;
 pub mod hot_keys;
 pub mod key_loads;
+pub mod lease_expiry;
 pub mod notices;
 pub mod pacer;
 pub mod path_tally;
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -26,7 +26,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
 
-use super::{Entry, events::Event};
+use super::{Entry, decide::lease_expiry, events::Event};
 use crate::{
     clock,
     platform::store::{Expect, Put, Transaction, TransactionOutcome},
@@ -129,7 +129,7 @@
     /// successful confirmation of the leadership to the store less than `outage_ms` ago.
     pub fn may_lease(&self, outage_ms: u64) -> bool {
         let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
-        self.term() > 0 && clock::now_ms() < confirmed_ms + outage_ms
+        self.term() > 0 && lease_expiry::may_grant(confirmed_ms, outage_ms, clock::now_ms())
     }
 
     /// Returns true if this host is the leader and its last successful confirmation is recent
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -15,6 +15,7 @@
     clock,
     entry::{
         Entry,
+        decide::lease_expiry::EarlierLeaders,
         events::Event,
         rows::decode_assignment_rows,
         updates::own_rows::{HOST_PREFIX, HOSTS_PARTITION, TABLE},
@@ -193,12 +194,12 @@
     ) {
         let sent_ms = clock::now_ms();
         let term = row.as_ref().map_or(0, |row| row.term) + 1;
-        let before_predecessor_until_ms = seen_ms + row.as_ref().map_or(0, |row| row.earlier_ms);
-        let leases_until_ms = if handed_over {
-            before_predecessor_until_ms
-        } else {
-            before_predecessor_until_ms.max(seen_ms + self.settings.leases.outage_ms)
-        };
+        let row_earlier_ms = row.as_ref().map_or(0, |row| row.earlier_ms);
+        let outage_ms = self.settings.leases.outage_ms;
+        let EarlierLeaders {
+            before_predecessor_until_ms,
+            until_ms: leases_until_ms,
+        } = EarlierLeaders::new(seen_ms, row_earlier_ms, outage_ms, handed_over);
         let mut writer = self.leadership.writer.lock().await;
         *writer = Writer {
             row_version: version,
--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -284,7 +284,7 @@
         let has_grants = state
             .servers
             .get(id)
-            .is_some_and(|s| s.grants_in_flight > 0);
+            .is_some_and(|s| s.grants.is_any_in_flight());
         let Some(suspect) = state.suspects.by_id.get_mut(id) else {
             return false;
         };
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -33,6 +33,7 @@
         first::{self, FirstAssignmentWait},
         hot_keys,
         key_loads::KeyCounts,
+        lease_expiry::SentGrants,
         plan::{self, Inputs, PlanServer},
     },
     keys::{AssignedRange, KeyRange},
@@ -48,11 +49,6 @@
 /// Number of rounds after which the leader plans moves of keys that balance load. Hosts report
 /// their request counts by key to the leader at a similar interval.
 const BALANCE_EVERY_ROUNDS: u64 = 2;
-/// Timeout of a grant command to a server. A server usually answers within a few milliseconds, and
-/// a lost packet is retransmitted within the timeout. Nine grants fit into the time from the
-/// renewal of a lease to its expiry: if half of the responses are lost, two leases in a thousand
-/// expire.
-const GRANT_TIMEOUT_MS: u64 = 300;
 /// Number of consecutive failed grant commands after which the leader probes whether the server is
 /// alive.
 const FAILURES_BEFORE_PROBE: u32 = 2;
@@ -62,13 +58,6 @@
 /// Number of servers of a service for each move of keys that may be in progress at the same time. A
 /// service with many servers may thus have more moves in progress than [`CONCURRENT_MOVES_MIN`].
 const SERVERS_PER_MOVE: usize = 4;
-/// Factor by which the leader's wait for the expiry of a lease is longer than the lease. The clock
-/// of a server may run up to 2% slow, so the server may serve the keys that much longer than the
-/// lease on the leader's clock. [`LEASE_MARGIN_MS`] is added to the wait, since a grant command may
-/// arrive at the server until the timeout of the command, [`GRANT_TIMEOUT_MS`].
-const LEASE_CLOCK_FACTOR: f64 = 1.03;
-/// Time that is added to the wait for the expiry of a lease, see [`LEASE_CLOCK_FACTOR`].
-const LEASE_MARGIN_MS: u64 = GRANT_TIMEOUT_MS + 250;
 /// Number of rounds per second. The leader adds up the reported request counts once per round, so
 /// this number converts a count per round into a rate.
 const ROUNDS_PER_S: f32 = 1_000.0 / ROUND_MS as f32;
@@ -80,12 +69,7 @@
 /// answers them.
 #[derive(Clone, Copy, Debug, Default)]
 struct ServerLeaseState {
-    /// Time at which the leader sent the last grant that may have arrived at the server; 0 if there
-    /// was no such grant.
-    granted_ms: u64,
-    /// Number of grants to the server that the leader has sent and that have neither been answered
-    /// nor timed out. Each of them may still extend the lease of the server.
-    grants_in_flight: u32,
+    grants: SentGrants,
     /// Number of consecutive failed grants to the server. From [`FAILURES_BEFORE_PROBE`] failures
     /// on, the leader probes whether the server is alive.
     failures: u32,
@@ -103,18 +87,6 @@
     is_in_flight: bool,
 }
 
-impl ServerLeaseState {
-    /// Returns the time of the last grant that may have extended the lease of the server: `now_ms`
-    /// while a grant is in flight, else the time at which the last grant was sent.
-    fn last_grant_ms(&self, now_ms: u64) -> u64 {
-        if self.grants_in_flight > 0 {
-            now_ms
-        } else {
-            self.granted_ms
-        }
-    }
-}
-
 /// Move of keys to another server that the leader is carrying out. No other move of the same keys
 /// begins meanwhile.
 #[derive(Clone, Debug)]
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -5,12 +5,13 @@
 
 use tokio::{task::JoinSet, time};
 
-use super::{LEASE_CLOCK_FACTOR, LEASE_MARGIN_MS, Term, renewal::LeaseOrder};
+use super::{Term, renewal::LeaseOrder};
 use crate::{
     clock,
     entry::{
         decide::{
             hold::{MoveTimeLeft, MoveWait},
+            lease_expiry::{self, FormerServer, MoveStep, RELEASE_TIMEOUT_MS},
             plan::Move,
         },
         events::Event,
@@ -28,13 +29,6 @@
 /// Minimum interval between two writes by which the leader records the completion of moves. One
 /// write covers all moves of a service that were completed since the last write.
 const RECORD_COMPLETED_EVERY_MS: u64 = 1_000;
-/// Minimum timeout of a release command. This timeout applies when the lease of the server is about
-/// to expire or has expired; otherwise the timeout is the remaining time of the lease, at most
-/// [`RELEASE_TIMEOUT_MS`].
-const RELEASE_TIMEOUT_MIN_MS: u64 = 300;
-/// Maximum timeout of a release command. The timeout is long because a server responds only after
-/// its running requests for the keys have ended.
-const RELEASE_TIMEOUT_MS: u64 = 2_500;
 /// Delay after which the leader sends an unanswered release command again, while it goes on waiting
 /// for the response to the first command. That response may be lost, and no server holds the keys
 /// until a response arrives. A server responds once its running requests for the keys have ended,
@@ -322,29 +316,32 @@
             (None, Some(former), Some(link)) => Some((link, &former.name)),
             _ => None,
         };
-        let mut asked = server.is_none();
+        let mut is_asked = server.is_none();
         loop {
             if !self.may_send_orders() {
                 return None;
             }
-            if self.has_ended(id) {
-                return Some(None);
-            }
             let free_ms = self.lease_end_ms(id);
             let now_ms = clock::now_ms();
-            // A server with an entry in the registry gets the release command at least once, even
-            // if its leases have expired, since the handover token in its response warms up the new
-            // server.
-            if now_ms >= free_ms && std::mem::replace(&mut asked, true) {
-                return Some(None);
-            }
+            let former_server = FormerServer {
+                has_ended: self.has_ended(id),
+                lease_end_ms: free_ms,
+                is_asked,
+                has_address: link.is_some(),
+            };
+            is_asked |= now_ms >= free_ms;
+            let timeout_ms = match former_server.next_step(now_ms) {
+                MoveStep::Grant => return Some(None),
+                MoveStep::Release { timeout_ms } => timeout_ms,
+                MoveStep::Wait { wait_ms } => {
+                    self.mark_waiting_for_lease(range);
+                    self.wait_or_ended(id, wait_ms).await;
+                    continue;
+                }
+            };
             let Some((link, name)) = link else {
-                self.mark_waiting_for_lease(range);
-                self.wait_or_ended(id, free_ms.saturating_sub(now_ms)).await;
                 continue;
             };
-            let left_ms = free_ms.saturating_sub(now_ms);
-            let timeout_ms = left_ms.clamp(RELEASE_TIMEOUT_MIN_MS, RELEASE_TIMEOUT_MS);
             let order = Release {
                 server: name,
                 range,
@@ -385,10 +382,9 @@
             .state()
             .servers
             .get(id)
-            .map_or(0, |record| record.last_grant_ms(now_ms));
+            .map_or(0, |record| record.grants.last_ms(now_ms));
         let others_ms = self.entry.leadership.earlier_leases_until_ms();
-        let lease_ms = self.entry.settings.leases.lease_ms as f64 * LEASE_CLOCK_FACTOR;
-        own_ms.max(others_ms) + lease_ms as u64 + LEASE_MARGIN_MS
+        lease_expiry::lease_end_ms(own_ms, others_ms, self.entry.settings.leases.lease_ms)
     }
 }
 
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -9,10 +9,11 @@
 
 use tokio::task::JoinSet;
 
-use super::{FAILURES_BEFORE_PROBE, GRANT_TIMEOUT_MS, Term};
+use super::{FAILURES_BEFORE_PROBE, Term};
 use crate::{
     clock,
     entry::{
+        decide::lease_expiry::GRANT_TIMEOUT_MS,
         events::Event,
         keys::{AssignedRange, Assignment, KeyRange},
         leadership::Change,
@@ -121,7 +122,7 @@
             };
             // After twice the lease time, the last lease of the server has expired and its keys
             // have moved to other servers.
-            if record.is_silent && now_ms > record.last_grant_ms(now_ms) + 2 * lease_ms {
+            if record.is_silent && now_ms > record.grants.last_ms(now_ms) + 2 * lease_ms {
                 record.failures = 0;
                 record.is_silent = false;
             }
@@ -188,7 +189,7 @@
             if record.is_silent {
                 return None;
             }
-            record.grants_in_flight += 1;
+            record.grants.begin();
         }
         let grant = Grant {
             server: &server.entry.name,
@@ -229,13 +230,8 @@
     ) -> bool {
         let mut state = self.state();
         let record = state.servers.entry(id.clone()).or_default();
-        record.grants_in_flight -= 1;
-        // A grant that certainly did not reach the server extends no lease, so its time is not
-        // recorded and the keys become free earlier.
-        let sent = answer.as_ref().err().is_none_or(Error::may_have_run);
-        if sent {
-            record.granted_ms = record.granted_ms.max(sent_ms);
-        }
+        let may_have_arrived = answer.as_ref().err().is_none_or(Error::may_have_run);
+        record.grants.complete(sent_ms, may_have_arrived);
         let Ok(granted) = answer else {
             record.failures += 1;
             return record.failures >= FAILURES_BEFORE_PROBE && !record.is_silent;
