--- a/tests/lease_model/mod.rs
+++ b/tests/lease_model/mod.rs
@@ -640,15 +640,15 @@
                 }
             }
         }
-        if self.config.no_other_faults {
-            return;
-        }
         if self.config.isolates_after_record && self.chance(0.1) {
             self.faults.is_isolated_after_record = true;
             if let Some((leader, _)) = self.store.row.leader {
                 self.cut_hosts(leader);
             }
         }
+        if self.config.no_other_faults {
+            return;
+        }
         let kind = self.between(0, 17);
         self.log(|| format!("fault {kind}: host {host}, address {address}, {until}, {long}"));
         match kind {
