--- a/tests/entry_lease_model.rs
+++ b/tests/entry_lease_model.rs
@@ -231,6 +231,14 @@
                 ..isolated
             },
         ),
+        (
+            "only isolated after a record, rule off",
+            Config {
+                no_other_faults: true,
+                moves_ended_early: false,
+                ..isolated
+            },
+        ),
         (
             "only isolated after a record",
             Config {
