--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -30,6 +30,7 @@
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
 //! | [`idle_reuse`] | servers that forget idle connections without closing them |
 //! | [`ended`] | servers whose process has ended while their leases still run |
+//! | [`lease_expiry`] | servers that are frozen or disconnected from the leader and may hold leases |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
 //! | [`backoffs`] | servers that ask many hosts for a backoff at the same time |
@@ -51,6 +52,7 @@
 pub mod hot_keys;
 pub mod idle_reuse;
 pub mod key_loads;
+pub mod lease_expiry;
 pub mod notices;
 pub mod pacer;
 pub mod path_tally;
