Leadership: only confirmations extend the time in which a leader may grant

A write of assigned ranges restarted the 9 s in which the leader may grant leases, and so did a confirmation of which an earlier attempt had taken effect. Neither changes the version of the leadership row at that time, from which a successor counts the same 9 s, so the successor granted keys while leases of its predecessor could still run. Change: confirmed_ms is set only by a confirmation that its own attempt has written. Other writes are kept as written_ms and still count for heartbeats.

--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -87,6 +87,14 @@
     before_predecessor_until_ms: u64,
 }
 
+/// Leadership row as this host has written it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct WrittenRow {
+    version: u64,
+    /// True if an earlier attempt of the same write has taken effect, whose response was lost.
+    is_by_earlier_attempt: bool,
+}
+
 /// State of the leadership on this host: the term and confirmations of this host as the leader, and
 /// the previous leader.
 #[derive(Debug, Default)]
@@ -96,6 +104,9 @@
     /// Time at which this host sent its last successful confirmation of the leadership, taken
     /// before the call to the store.
     confirmed_ms: AtomicU64,
+    /// Time at which this host sent its last successful write of any rows on condition of the
+    /// leadership row, taken before the call to the store.
+    written_ms: AtomicU64,
     /// Time up to which leaders of earlier terms may have granted leases.
     earlier_leases_until_ms: AtomicU64,
     predecessor: StdMutex<Option<Predecessor>>,
@@ -132,11 +143,13 @@
         self.term() > 0 && lease_expiry::may_grant(confirmed_ms, outage_ms, clock::now_ms())
     }
 
-    /// Returns true if this host is the leader and its last successful confirmation is recent
-    /// enough (`CONFIRMED_MS`) for this host to send heartbeats and to write the other rows of the
-    /// leader.
+    /// Returns true if this host is the leader and its last successful confirmation, or another
+    /// write on condition of the leadership row, is recent enough (`CONFIRMED_MS`) for this host to
+    /// send heartbeats and to write the other rows of the leader.
     pub fn is_confirmed(&self) -> bool {
-        self.may_lease(CONFIRMED_MS)
+        let written_ms = self.written_ms.load(Ordering::Relaxed);
+        let is_written = lease_expiry::may_grant(written_ms, CONFIRMED_MS, clock::now_ms());
+        self.may_lease(CONFIRMED_MS) || self.term() > 0 && is_written
     }
 
     /// Returns the time up to which leaders of earlier terms may have granted leases.
@@ -242,9 +255,9 @@
         }
     }
 
-    /// Writes the leadership row if the stored row still has `version`. Returns the new version, or
-    /// `None` if the write failed or its outcome is unknown.
-    async fn write_leadership_row(&self, row: &LeadershipRow, version: u64) -> Option<u64> {
+    /// Writes the leadership row if the stored row still has `version`. Returns `None` if the write
+    /// failed or its outcome is unknown.
+    async fn write_leadership_row(&self, row: &LeadershipRow, version: u64) -> Option<WrittenRow> {
         let value = serde_json::to_vec(row).ok()?;
         let transaction = Transaction {
             expect: vec![Expect {
@@ -261,12 +274,18 @@
         };
         let written = self.store.transact_within(&transaction, CONFIRM_TIMEOUT_MS);
         match written.await {
-            Ok(TransactionOutcome::Done { version }) => Some(version),
+            Ok(TransactionOutcome::Done { version }) => Some(WrittenRow {
+                version,
+                is_by_earlier_attempt: false,
+            }),
             Ok(TransactionOutcome::Conflict { rows }) => {
                 // An earlier attempt of this write may have taken effect although its response was
                 // lost.
                 let found = rows.into_iter().find(|r| r.key == LEADERSHIP_KEY)?;
-                (found.value == value).then_some(found.version)
+                (found.value == value).then_some(WrittenRow {
+                    version: found.version,
+                    is_by_earlier_attempt: true,
+                })
             }
             Err(error) => {
                 log::debug!("cannot write the leadership row: {error}");
@@ -304,12 +323,16 @@
             address: Some(self.settings.listen.peers),
             earlier_ms: self.leadership.earlier_ms(),
         };
-        if let Some(version) = self.write_leadership_row(&next, writer.row_version).await {
-            writer.row_version = version;
+        if let Some(written) = self.write_leadership_row(&next, writer.row_version).await {
+            writer.row_version = written.version;
             writer.confirmation += 1;
-            self.leadership
-                .confirmed_ms
-                .store(sent_ms, Ordering::Relaxed);
+            // A successor counts from the time at which it first read the row, so a row that was in
+            // the store before this attempt does not extend the time in which this host may grant.
+            if !written.is_by_earlier_attempt {
+                self.leadership
+                    .confirmed_ms
+                    .store(sent_ms, Ordering::Relaxed);
+            }
             self.note_store_response(clock::now_ms());
             return;
         }
--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -260,11 +260,10 @@
             };
             match written {
                 Ok(TransactionOutcome::Done { version }) => {
-                    // The transaction is conditional on the leadership row, so its success shows
-                    // that this host was still the leader when the transaction was sent.
-                    self.leadership
-                        .confirmed_ms
-                        .store(sent_ms, Ordering::Relaxed);
+                    // The write shows that this host is still the leader. It does not extend the time
+                    // in which this host may grant leases: a successor counts that time from the
+                    // version of the leadership row, which the write leaves as it is.
+                    self.leadership.written_ms.store(sent_ms, Ordering::Relaxed);
                     return WriteOutcome::Done(version);
                 }
                 Ok(TransactionOutcome::Conflict { rows }) => return WriteOutcome::Conflict(rows),
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -212,10 +212,10 @@
             address: Some(self.settings.listen.peers),
             earlier_ms: leases_until_ms.saturating_sub(sent_ms),
         };
-        let Some(version) = self.write_leadership_row(&next, version).await else {
+        let Some(written) = self.write_leadership_row(&next, version).await else {
             return;
         };
-        writer.row_version = version;
+        writer.row_version = written.version;
         writer.confirmation = 1;
         drop(writer);
         // The assigned ranges are read only after the leadership row is written, because no other
