--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -19,6 +19,7 @@
 //! | [`run_shares`] | services that serve short and long requests |
 //! | [`admission`] | more requests for a server than it can answer in time |
 //! | [`contended`] | services whose requests compete for few slots |
+//! | [`shortage`] | a service whose servers together get more requests than they can run |
 //! | [`choice`] | requests that any server of a service may run |
 //! | [`hot_keys`] | a key with more requests than its server can run |
 //! | [`hold`] | requests for keys that are being moved between servers |
@@ -27,7 +28,9 @@
 //! | [`request_age`] | retries, whose callers have waited since their first attempt |
 //! | [`budget`] | retries that would amplify an overload |
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
+//! | [`idle_reuse`] | servers that forget idle connections without closing them |
 //! | [`ended`] | servers whose process has ended while their leases still run |
+//! | [`lease_expiry`] | servers that are frozen or disconnected from the leader and may hold leases |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
 //! | [`backoffs`] | servers that ask many hosts for a backoff at the same time |
@@ -47,7 +50,9 @@
 pub mod first;
 pub mod hold;
 pub mod hot_keys;
+pub mod idle_reuse;
 pub mod key_loads;
+pub mod lease_expiry;
 pub mod notices;
 pub mod pacer;
 pub mod path_tally;
@@ -62,6 +67,7 @@
 pub mod retry_after;
 pub mod retry_schedule;
 pub mod run_shares;
+pub mod shortage;
 pub mod slowdown;
 pub mod trials;
 pub mod warmup;
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -24,6 +24,14 @@
         /// Number of callers' requests in flight when the stop began.
         in_flight: u64,
     },
+    /// A request got no other response until the end of the grace period of a planned stop.
+    GracePeriodEnded {
+        /// Identifier that the caller gave the request.
+        request_id: String,
+        /// True if the request may have reached a server, so that the response is 504 instead of
+        /// 503.
+        is_sent: bool,
+    },
     /// The process is about to exit.
     Stopped {
         /// Number of callers' requests in flight that the exit of the process aborts; 0 if all
@@ -64,6 +72,19 @@
         /// Number of requests by step, without the steps that no request took.
         steps: BTreeMap<&'static str, u64>,
     },
+    /// A contended service became short of capacity, or the shortage ended, as this host knows the
+    /// loads.
+    Shortage {
+        /// Service whose servers together have more requests than they can run.
+        service: Arc<str>,
+        /// True if the shortage began; false if it ended.
+        begins: bool,
+        /// Requests of all hosts in flight at the servers that get new work, for each server at most
+        /// four times its slots.
+        in_flight: u64,
+        /// Slots of these servers.
+        slots: u64,
+    },
     /// The evacuation of an availability zone began or ended.
     Evacuation {
         /// Availability zone that operators evacuate or restore.
@@ -90,6 +111,18 @@
         /// Reason that the response to the caller states.
         reason: &'static str,
     },
+    /// A connection to a server that was reused after an idle time gave no response.
+    IdleConnectionFailed {
+        /// Incarnation id of the server.
+        server: Arc<str>,
+        /// Service of the server.
+        service: Arc<str>,
+        /// Idle time that the connection had when it was reused.
+        idle_ms: u64,
+        /// Idle time from which connections to servers of the service are not reused for repeatable
+        /// requests; `None` without a bound. Unrepeatable requests may have a lower bound.
+        bound_ms: Option<u64>,
+    },
     /// A workspace started or stopped exceeding its quota. Logged by the leader.
     Quota {
         /// Name of the workspace, as in the configuration.
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -6,10 +6,11 @@
 mod forwarded_request;
 mod head;
 mod retry_time;
+mod stop_response;
 
 use std::{sync::Arc, time::Duration};
 
-use http::{HeaderValue, Request, Response, StatusCode, header, request};
+use http::{Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 use tokio::time;
 
@@ -17,6 +18,7 @@
     body::{Payload, read_payload},
     forwarded_request::{ForwardedRequest, Times},
     head::{over_quota, plain_text, refusal, unauthorized},
+    stop_response::{SendState, respond_before_exit},
 };
 use super::{
     Entry,
@@ -32,7 +34,7 @@
 use crate::{
     clock,
     platform::headers,
-    transport::{ResponseBody, header_number, header_text},
+    transport::{ResponseBody, header_number, header_text, pipeline::PipelinedHandler},
 };
 
 /// Time from the arrival of a request without a deadline header to its deadline, unless the timeout
@@ -42,24 +44,66 @@
 /// if its deadline is closer to the stop than this time, or after the stop.
 const STOP_MARGIN_MS: u64 = 100;
 
-/// Handles one request of a caller and returns the response. While the host is stopping, the
-/// response carries `Connection: close`.
-pub async fn answer(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let request_guard = entry.track_request();
-    let stopping_entry = entry.clone();
-    let mut response = route(entry, request).await;
-    if stopping_entry.stopping() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+/// Handler of the callers' requests.
+#[derive(Clone)]
+pub struct CallerHandler {
+    entry: Arc<Entry>,
+}
+
+impl CallerHandler {
+    /// Returns the handler of the host `entry`.
+    pub fn new(entry: Arc<Entry>) -> Self {
+        Self { entry }
+    }
+}
+
+impl PipelinedHandler for CallerHandler {
+    fn answer(
+        &self,
+        request: Request<Option<Incoming>>,
+    ) -> impl Future<Output = Response<ResponseBody>> + Send + use<> + 'static {
+        // A request that is started ahead runs in a task, which may be polled much later on a host
+        // with little processor time.
+        let arrived_ms = clock::now_ms();
+        let entry = self.entry.clone();
+        async move {
+            let request_guard = entry.track_request();
+            let request_id = header_text(request.headers(), headers::REQUEST_ID.as_str());
+            let request_id = request_id.unwrap_or_default().to_owned();
+            let send_state = Arc::new(SendState::default());
+            let routing = route(entry.clone(), request, arrived_ms, send_state.clone());
+            let response = respond_before_exit(&entry, &send_state, request_id, routing).await;
+            drop(request_guard);
+            response
+        }
+    }
+
+    fn is_repeatable(&self, head: &request::Parts) -> bool {
+        let Some(configuration) = self.entry.view.configuration() else {
+            return false;
+        };
+        let host = header_text(&head.headers, "host").unwrap_or_default();
+        let route = configuration.route(host, head.uri.path());
+        route.is_some_and(|route| route.repeatable)
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.entry.stopping()
+    }
+
+    fn count_started(&self) {
+        self.entry.metrics.pipelined_request();
     }
-    drop(request_guard);
-    response
 }
 
 /// Finds the route of a request, checks the caller's API key, the quota of its workspace and the
 /// body size, and reads the body before the request is forwarded.
-async fn route(entry: Arc<Entry>, request: Request<Incoming>) -> Response<ResponseBody> {
-    let arrived_ms = clock::now_ms();
+async fn route(
+    entry: Arc<Entry>,
+    request: Request<Option<Incoming>>,
+    arrived_ms: u64,
+    send_state: Arc<SendState>,
+) -> Response<ResponseBody> {
     let policy = entry.settings.policy;
     let Some(configuration) = entry.view.configuration() else {
         return refusal(&Refused::starting("no configuration is known yet"));
@@ -118,6 +162,7 @@
         route,
         workspace,
         times,
+        send_state,
     };
     let forwarding =
         async move { forward(&entry, &configuration, &caller_request, &head, payload).await };
@@ -138,11 +183,12 @@
 }
 
 /// Route and workspace of a caller's request, with the arrival time, latency objective and deadline
-/// of the request.
+/// of the request, and the record of whether it was sent.
 struct CallerRequest {
     route: Arc<Route>,
     workspace: Option<WorkspaceKey>,
     times: Times,
+    send_state: Arc<SendState>,
 }
 
 /// Refuses a caller: with 401 if the caller's API key is not valid, with 503 if this host cannot
@@ -205,6 +251,7 @@
         route,
         workspace,
         times,
+        send_state,
     } = caller_request;
     let Some(target) = choose_target(&route.targets) else {
         let policy = &entry.settings.policy;
@@ -243,6 +290,7 @@
         request_id,
         digests,
         times: times.with_age(age),
+        send_state,
         attempts: 0,
         failed_connects: 0,
         tried: Vec::new(),
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -73,8 +73,10 @@
     requests: Family<RequestLabels, Counter>,
     latency: Family<RequestLabels, Histogram>,
     retries: Counter,
+    pipelined_requests: Counter,
     servers_ended: Counter,
     server_processes_ended: Counter,
+    idle_connection_failures: Counter,
     orders: Family<OrderLabels, Counter>,
     moves: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
@@ -96,6 +98,8 @@
     /// Number of servers that are cold (still warm up), to which the rate limits of cold servers
     /// may apply.
     pub cold_servers: Gauge,
+    /// Number of contended services that are short of capacity.
+    pub services_short: Gauge,
     /// Number of log lines that were dropped since the start of the process because too many lines
     /// waited to be written.
     pub log_lines_dropped: Gauge,
@@ -109,8 +113,10 @@
             requests: Family::default(),
             latency,
             retries: Counter::default(),
+            pipelined_requests: Counter::default(),
             servers_ended: Counter::default(),
             server_processes_ended: Counter::default(),
+            idle_connection_failures: Counter::default(),
             orders: Family::default(),
             moves: Counter::default(),
             store_calls: Family::default(),
@@ -122,6 +128,7 @@
             evacuated_zones: Gauge::default(),
             quarantined_requests: Gauge::default(),
             cold_servers: Gauge::default(),
+            services_short: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
         metrics.register();
@@ -141,6 +148,9 @@
         registry.register("request_duration_seconds", help, self.latency.clone());
         let help = "Attempts beyond the first";
         registry.register("request_repeats", help, self.retries.clone());
+        let help = "Pipelined requests that were started before their turn";
+        let counter = self.pipelined_requests.clone();
+        registry.register("pipelined_requests", help, counter);
         let help = "Grants and releases by outcome";
         registry.register("server_orders", help, self.orders.clone());
         registry.register("key_moves", "Moves of keys", self.moves.clone());
@@ -171,6 +181,12 @@
             help,
             self.server_processes_ended.clone(),
         );
+        let help = "Reused connections to servers that gave no response";
+        registry.register(
+            "idle_connection_failures",
+            help,
+            self.idle_connection_failures.clone(),
+        );
         let help = "Requests that no server gets, since several have ended under them";
         registry.register(
             "quarantined_requests",
@@ -179,6 +195,8 @@
         );
         let help = "Servers that are cold";
         registry.register("cold_servers", help, self.cold_servers.clone());
+        let help = "Contended services whose servers have more requests than they can run";
+        registry.register("services_short", help, self.services_short.clone());
         let help = "Log lines that were dropped";
         registry.register("log_lines_dropped", help, self.log_lines_dropped.clone());
     }
@@ -199,6 +217,11 @@
         self.retries.inc();
     }
 
+    /// Counts a pipelined request that was started before the response of the request before it.
+    pub fn pipelined_request(&self) {
+        self.pipelined_requests.inc();
+    }
+
     /// Counts a server that crashed with requests of this host in flight.
     pub fn server_ended(&self) {
         self.servers_ended.inc();
@@ -210,6 +233,11 @@
         self.server_processes_ended.inc();
     }
 
+    /// Counts a reused connection to a server that gave no response.
+    pub fn idle_connection_failed(&self) {
+        self.idle_connection_failures.inc();
+    }
+
     /// Counts a command (grant or release of keys) to a server when the outcome of the command is
     /// known.
     pub fn order(&self, order: &'static str, outcome: &'static str) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod events;
 pub mod explain;
 mod forward;
+mod idle_reuses;
 mod join;
 pub mod keys;
 mod leadership;
@@ -40,6 +41,7 @@
 pub mod server;
 pub mod settings;
 pub mod shared_rate;
+mod shortages;
 mod store_confirmation;
 pub mod updates;
 pub mod view;
@@ -57,7 +59,7 @@
 };
 
 use rand::Rng;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch as watch_channel};
 
 use self::{
     broadcast::Broadcast,
@@ -68,6 +70,7 @@
         run_shares::RunShares,
     },
     forward::body::BodyMemory,
+    idle_reuses::IdleReuses,
     join::Join,
     leadership::Leadership,
     limits::Timings,
@@ -79,6 +82,7 @@
     retry_schedules::RetrySchedules,
     server::WarmupLimit,
     shared_rate::ServicePacers,
+    shortages::Shortages,
     updates::{confirmation::ConfigurationConfirmation, freshness::Freshness},
     view::View,
 };
@@ -142,15 +146,19 @@
     request_ages: RequestAges,
     /// Places for the retries of callers that were refused at contended services.
     retry_schedules: RetrySchedules,
+    /// Contended services that are short of capacity.
+    shortages: Shortages,
+    /// Bounds on the reuse of idle connections to the servers of a service.
+    idle_reuses: IdleReuses,
     /// Counters, gauges and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// True once the host row of this host in the store states the incarnation of this process.
     registered: AtomicBool,
     /// True once a planned stop has begun.
     stopping: AtomicBool,
-    /// Latest time at which the process exits in a planned stop, on the clock of this process;
-    /// `u64::MAX` before a stop. The process exits earlier if no request is in flight any longer.
-    stop_deadline_ms: AtomicU64,
+    /// Latest time, in milliseconds, at which the process exits in a planned stop, on the clock of
+    /// this process; `u64::MAX` before a stop. The process exits earlier if no request is in flight any longer.
+    stop_deadline: watch_channel::Sender<u64>,
     /// Number of callers' requests that this host has not answered yet.
     in_flight: AtomicU64,
     /// Number of requests answered since the start, by which the answered requests to be logged are
@@ -197,10 +205,12 @@
             contention: Contention::default(),
             request_ages: RequestAges::default(),
             retry_schedules: RetrySchedules::default(),
+            shortages: Shortages::default(),
+            idle_reuses: IdleReuses::default(),
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
-            stop_deadline_ms: AtomicU64::new(u64::MAX),
+            stop_deadline: watch_channel::Sender::new(u64::MAX),
             in_flight: AtomicU64::new(0),
             answered: AtomicU64::new(0),
             settings,
@@ -243,7 +253,7 @@
     /// Returns the latest time at which the process exits in a planned stop; `u64::MAX` before a
     /// stop.
     pub fn stop_deadline_ms(&self) -> u64 {
-        self.stop_deadline_ms.load(Ordering::Relaxed)
+        *self.stop_deadline.borrow()
     }
 
     /// Counts an answered request and returns true if it is to be logged.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,7 @@
     time,
 };
 
-use super::{Entry, Settings, events::Event, forward, log_writer, watch};
+use super::{Entry, Settings, events::Event, forward::CallerHandler, log_writer, watch};
 use crate::{
     clock,
     transport::{self, ListenerLimits, ResponseBody},
@@ -26,12 +26,19 @@
 /// readiness every second and removes a host after two failed probes.
 const READINESS_NOTICE_MS: u64 = 2_300;
 /// Time before the end of the stop grace period at which a stopping host aborts the remaining
-/// requests, so that the process exits before the platform sends SIGKILL.
+/// responses, so that the process exits before the platform sends SIGKILL. Unanswered requests get
+/// a response shortly before (`forward::stop_response`).
 const GRACE_MARGIN_MS: u64 = 250;
 /// Timeout for receiving the head of a request, which is also the idle timeout of a caller's
 /// connection. It is longer than the callers' own idle timeout, so that callers close idle
 /// connections first.
 const HEAD_TIMEOUT_MS: u64 = 16_000;
+/// Maximum number of requests that are started ahead on a caller's connection. It bounds the share of
+/// a host that one connection takes.
+const PIPELINED_REQUESTS: usize = 8;
+/// Maximum number of bytes that are read ahead on a caller's connection. One head of the maximum size
+/// fits.
+const PIPELINED_BYTES: usize = 64 * 1024;
 /// Content type of the metrics' text exposition format.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which closed and expired idle connections to servers are removed from the pools.
@@ -170,10 +177,12 @@
         head_timeout_ms: HEAD_TIMEOUT_MS,
         head_bytes: 64 * 1024,
         drain_ms: entry.settings.bounds.stop_grace_ms,
+        pipelined_requests: PIPELINED_REQUESTS,
+        pipelined_bytes: PIPELINED_BYTES,
         ..ListenerLimits::default()
     };
-    let handler = move |request| forward::answer(entry.clone(), request);
-    transport::serve(listener, limits, stopped, handler).await;
+    let handler = CallerHandler::new(entry);
+    transport::serve_pipelined(listener, limits, stopped, handler).await;
 }
 
 async fn serve_readiness(entry: Arc<Entry>, listener: TcpListener, stop: stop::Receiver<bool>) {
@@ -210,6 +219,7 @@
         .servers()
         .filter(|server| server.cold_remaining_ms() > 0);
     metrics.cold_servers.set(cold.count() as i64);
+    metrics.services_short.set(entry.services_short() as i64);
     let dropped = log_writer::dropped_in_total();
     metrics.log_lines_dropped.set(dropped as i64);
     for (key, counts) in entry.contention.counts() {
@@ -262,9 +272,7 @@
 ) {
     let grace_ms = entry.settings.bounds.stop_grace_ms;
     let stop_deadline_ms = clock::now_ms() + grace_ms - GRACE_MARGIN_MS;
-    entry
-        .stop_deadline_ms
-        .store(stop_deadline_ms, Ordering::Relaxed);
+    entry.stop_deadline.send_replace(stop_deadline_ms);
     entry.stopping.store(true, Ordering::Relaxed);
     let in_flight = entry.in_flight.load(Ordering::Relaxed);
     Event::Stopping { in_flight }.log();
@@ -275,7 +283,8 @@
     if stop_callers.send(true).is_err() {
         log::debug!("the callers' listener has already stopped");
     }
-    let left_ms = grace_ms.saturating_sub(notice_ms + GRACE_MARGIN_MS);
+    // Giving up the leadership may have taken longer than the notice.
+    let left_ms = stop_deadline_ms.saturating_sub(clock::now_ms());
     let drained = time::timeout(Duration::from_millis(left_ms), callers_done).await;
     let in_flight = entry.in_flight.load(Ordering::Relaxed);
     if drained.is_err() {
--- a/tests/platform_standin/hosts.rs
+++ b/tests/platform_standin/hosts.rs
@@ -41,7 +41,8 @@
         Self::start_with(store_address, "")
     }
 
-    /// Starts a host with additional lines in the `bounds` section of its settings.
+    /// Starts a host with additional lines in the `bounds` section of its settings, which may
+    /// replace the stop grace period.
     pub fn start_with(store_address: SocketAddr, more_bounds: &str) -> Self {
         let ip = next_ip();
         let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
@@ -49,12 +50,17 @@
         fs::create_dir_all(&directory).expect("directory");
         let settings = directory.join(format!("host-{number}.yaml"));
         let log = directory.join(format!("host-{number}.log"));
+        let stop_grace = if more_bounds.contains("stop_grace:") {
+            ""
+        } else {
+            "  stop_grace: 6s\n"
+        };
         let text = format!(
             "name: host-{number}\navailability_zone: a\n\
              listen:\n  callers: {ip}:{CALLERS_PORT}\n  readiness: {ip}:{READINESS_PORT}\n  \
              peers: {ip}:{PEERS_PORT}\n  metrics: {ip}:{METRICS_PORT}\n\
              store:\n  address: {store_address}\n  server_heartbeat: 800ms\n\
-             bounds:\n  stop_grace: 6s\n  lease_max: 10s\n  retry_window: 10s\n  \
+             bounds:\n{stop_grace}  lease_max: 10s\n  retry_window: 10s\n  \
              retry_ratio: 0.2\n  retry_allowance: 60\n{more_bounds}"
         );
         fs::write(&settings, text).expect("settings");
@@ -107,8 +113,22 @@
         kb.map_or(0, |kb: u64| kb / 1_000)
     }
 
-    /// Returns the number of calls of a kind that the host has made to the store, from its metrics.
-    pub fn store_calls(&self, kind: &str) -> u64 {
+    /// Returns the time in milliseconds for which the threads of the process together were ready to
+    /// run but had no processor.
+    pub fn processor_wait_ms(&self) -> u64 {
+        let threads = fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        let waits = threads
+            .expect("threads of the process")
+            .filter_map(|thread| {
+                // A thread may end while the others are read.
+                let text = fs::read_to_string(thread.ok()?.path().join("schedstat")).ok()?;
+                text.split(' ').nth(1)?.parse::<u64>().ok()
+            });
+        waits.sum::<u64>() / 1_000_000
+    }
+
+    /// Returns the metrics of the host as text.
+    pub fn metrics_text(&self) -> String {
         let mut stream = TcpStream::connect(self.metrics).expect("metrics");
         let request = "GET /metrics HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
         stream
@@ -116,6 +136,12 @@
             .expect("the request is sent");
         let mut text = String::new();
         stream.read_to_string(&mut text).expect("a response");
+        text
+    }
+
+    /// Returns the number of calls of a kind that the host has made to the store, from its metrics.
+    pub fn store_calls(&self, kind: &str) -> u64 {
+        let text = self.metrics_text();
         let lines = text
             .lines()
             .filter(|line| line.contains("store_calls_total{"));
