--- a/src/entry/decide/idle_reuse.rs
+++ b/src/entry/decide/idle_reuse.rs
@@ -7,11 +7,11 @@
 //! it a bound needs two failures: a single one is a server's crash, or a server that closes the
 //! connection at the moment of its reuse. An unrepeatable request follows the first failure.
 
-/// Time, in milliseconds, for which a failure bounds the reuse of connections. Servers were seen to
-/// forget connections for periods of 6 s.
+/// Time, in milliseconds, for which a failure bounds the reuse of connections. Afterwards longer idle
+/// connections are tried again, since new connections are billed.
 const FAILURE_MEMORY_MS: u64 = 10_000;
-/// Lowest bound, in milliseconds. Servers were seen to forget connections that had been idle for 210
-/// ms or longer; a connection that fails after a much shorter idle time fails for another reason.
+/// Lowest bound, in milliseconds. A connection that fails after a shorter idle time fails for another
+/// reason: nothing forgets connections between two requests in quick succession.
 const BOUND_MIN_MS: u64 = 50;
 /// Time, in milliseconds, within which failures at one server count as one: a crash breaks all
 /// connections to the server at once.
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -105,16 +105,17 @@
     pub schedules_retries: bool,
     /// Requests in flight at the servers of a contended service, as a multiple of their slots, above
     /// which the service counts as short of capacity. A large value switches the handling of
-    /// shortages off. At a load of 0.8 of the capacity, queues that form by chance reached 1.45 in
-    /// simulations of servers with two and three slots.
+    /// shortages off. Balanced servers with two slots reach 1.45 by chance at a load of 0.8 of their
+    /// capacity.
     pub shortage_begin: f64,
-    /// Requests in flight, as a multiple of the slots, below which a shortage ends. In these
-    /// simulations the mean was 1.0 to 1.15, and with 1.0 a shortage lasted until the load ended.
+    /// Requests in flight, as a multiple of the slots, below which a shortage ends. It is above the
+    /// mean of balanced servers at a load of 0.8 of their capacity, 1.0 to 1.15, so that a shortage
+    /// does not outlast its cause.
     pub shortage_end: f64,
     /// Fraction of the time until the latency objective within which the response to a request that
     /// is not urgent must be expected to queue while the service is short. It replaces
     /// `queue_share` if it is smaller: estimates from reported loads are too low while the load
-    /// grows. A share of 0.75 left slots idle in simulations, so that fewer callers were answered.
+    /// grows. With a much smaller share, slots are idle when a queue drains earlier than expected.
     pub shortage_queue_share: f64,
     /// Number of refused connection attempts after which a server of a contended service counts as
     /// ended. One attempt may meet a process that is just being replaced.
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -157,7 +157,8 @@
     /// True once a planned stop has begun.
     stopping: AtomicBool,
     /// Latest time, in milliseconds, at which the process exits in a planned stop, on the clock of
-    /// this process; `u64::MAX` before a stop. The process exits earlier if no request is in flight any longer.
+    /// this process; `u64::MAX` before a stop. The process exits earlier if no request is in flight
+    /// any longer.
     stop_deadline: watch_channel::Sender<u64>,
     /// Number of callers' requests that this host has not answered yet.
     in_flight: AtomicU64,
