Pipelined requests: notice disconnects while nothing can be started; parse partial heads less

Reading ahead paused when 8 requests waited, behind a blocking head and after scanning had ended, so nobody read the socket and started requests ran on after the caller had closed. The socket is now read as long as a started request waits for its turn, up to the limit of bytes.

An incomplete head was parsed from its start on every wake-up, which is quadratic for a large head in small segments. It is parsed again only if the new bytes contain the end of a head or the limit is reached. Several empty lines before a head end scanning, since each looks like such an end.

--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -36,8 +36,8 @@
 /// Maximum number of requests that are started ahead on a caller's connection. It bounds the share of
 /// a host that one connection takes.
 const PIPELINED_REQUESTS: usize = 8;
-/// Maximum number of bytes that are read ahead on a caller's connection. One head of the maximum size
-/// fits.
+/// Maximum number of bytes that are read ahead on a caller's connection. Reading ahead stops when
+/// less than one read of 4 KB is left of them; a head that does not fit is read in its turn.
 const PIPELINED_BYTES: usize = 64 * 1024;
 /// Content type of the metrics' text exposition format.
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
--- a/src/transport/pipeline/head.rs
+++ b/src/transport/pipeline/head.rs
@@ -29,8 +29,35 @@
     pub(super) request: Option<Box<request::Parts>>,
 }
 
+/// Returns false if the head at the beginning of `bytes` cannot be complete, because its first
+/// `partial_bytes` bytes were parsed as incomplete and no end of a head has come since. Parsing a
+/// large head that arrives in small pieces again for each piece takes quadratic time.
+pub(super) fn may_be_complete(bytes: &[u8], partial_bytes: usize) -> bool {
+    if partial_bytes == 0 {
+        return true;
+    }
+    if bytes.len() <= partial_bytes {
+        return false;
+    }
+    // The end of the head may have begun in the bytes that were parsed.
+    let added = &bytes[partial_bytes.saturating_sub(3)..];
+    added.windows(2).any(|window| window == b"\n\n")
+        || added.windows(3).any(|window| window == b"\n\r\n")
+}
+
 /// Parses the head at the beginning of `bytes`, and copies it if `with_request` is true.
 pub(super) fn parse(bytes: &[u8], with_request: bool) -> Parsed {
+    // Each further empty line looks like the end of a head, so that it would be parsed again.
+    if let [
+        b'\r' | b'\n',
+        b'\r' | b'\n',
+        b'\r' | b'\n',
+        b'\r' | b'\n',
+        ..,
+    ] = bytes
+    {
+        return Parsed::Unclear;
+    }
     let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
     let mut request = httparse::Request::new(&mut headers);
     let head_bytes = match request.parse(bytes) {
@@ -98,3 +125,45 @@
     }
     Some(parts)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a complete head that is never parsed, and against parsing an incomplete head
+    /// for each piece of it.
+    #[test]
+    fn a_head_in_pieces_is_parsed_at_its_beginning_and_end() {
+        let ends = ["\r\n\r\n", "\n\n", "\n\r\n", "\r\n\n"];
+        for end in ends {
+            let head = format!("GET /a HTTP/1.1\r\nhost: site\nx: y{end}");
+            for piece_bytes in 1..=head.len() {
+                let (mut partial_bytes, mut parses, mut is_complete) = (0, 0, false);
+                for length in (piece_bytes..head.len())
+                    .step_by(piece_bytes)
+                    .chain([head.len()])
+                {
+                    let bytes = &head.as_bytes()[..length];
+                    if may_be_complete(bytes, partial_bytes) {
+                        parses += 1;
+                        is_complete = matches!(parse(bytes, false), Parsed::Complete(_));
+                        partial_bytes = length;
+                    }
+                    assert!(is_complete || !may_be_complete(bytes, partial_bytes));
+                }
+                assert!(is_complete, "{end:?} in pieces of {piece_bytes} bytes");
+                assert!(
+                    parses <= 2,
+                    "{parses} parses in pieces of {piece_bytes} bytes"
+                );
+            }
+        }
+    }
+
+    /// Guards against parsing again for each of many empty lines before a head.
+    #[test]
+    fn several_empty_lines_before_a_head_are_unclear() {
+        assert!(matches!(parse(b"\r\n\r\n", false), Parsed::Unclear));
+        assert!(matches!(parse(b"\r\nGET", false), Parsed::Partial));
+    }
+}
--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -66,6 +66,9 @@
     buffer: BytesMut,
     /// Number of bytes at the beginning of `buffer` that were scanned.
     scanned_bytes: usize,
+    /// Length of the incomplete head behind the scanned bytes when it was last parsed; 0 if there is
+    /// none.
+    partial_bytes: usize,
     /// True if the caller has closed its side of the connection.
     has_ended: bool,
     /// Requests that were scanned and not passed to the service yet, in their order.
@@ -95,6 +98,7 @@
             },
             buffer: BytesMut::new(),
             scanned_bytes: 0,
+            partial_bytes: 0,
             has_ended: false,
             waiting: VecDeque::new(),
             current: None,
@@ -105,6 +109,7 @@
     pub(super) fn end(&mut self) {
         self.position = Position::Unscanned;
         self.scanned_bytes = self.buffer.len();
+        self.partial_bytes = 0;
     }
 
     /// Returns true if requests were started ahead whose turn has not come.
@@ -161,6 +166,7 @@
             if self.has_ended {
                 // Nothing will complete the last head.
                 self.scanned_bytes = self.buffer.len();
+                self.partial_bytes = 0;
             }
             if self.scanned_bytes > 0 || self.has_ended {
                 self.pass_on(output);
@@ -212,13 +218,14 @@
         }
     }
 
-    /// Returns true if further requests could be started, and nobody else reads the socket.
+    /// Returns true if the socket is read ahead: nothing else reads it, and further requests could
+    /// be started or started ones wait for their turn. The latter are cancelled when the caller
+    /// disconnects, which only a read shows.
     fn reads_ahead(&self) -> bool {
+        let is_scanned = !matches!(self.position, Position::Unscanned);
         !self.is_reader_waiting
-            && !matches!(self.position, Position::Unscanned)
-            && self.waiting.len() < self.limits.pipelined_requests
             && self.buffer.len() + READ_BYTES <= self.limits.pipelined_bytes
-            && self.allows_start()
+            && (self.has_started() || (is_scanned && self.allows_start()))
     }
 
     /// Returns true if there are unanswered requests, and none of them is blocking.
@@ -284,8 +291,15 @@
                     if rest.is_empty() || is_full {
                         return scanned_bytes;
                     }
-                    match head::parse(rest, self.allows_start()) {
-                        Parsed::Partial if rest.len() < self.limits.head_bytes => {
+                    let is_at_limit = rest.len() >= self.limits.head_bytes;
+                    if !is_at_limit && !head::may_be_complete(rest, self.partial_bytes) {
+                        return scanned_bytes;
+                    }
+                    let parsed = head::parse(rest, self.allows_start());
+                    self.partial_bytes = 0;
+                    match parsed {
+                        Parsed::Partial if !is_at_limit => {
+                            self.partial_bytes = rest.len();
                             return scanned_bytes;
                         }
                         Parsed::Partial | Parsed::Unclear => self.position = Position::Unscanned,
--- a/tests/pipelined_requests.rs
+++ b/tests/pipelined_requests.rs
@@ -425,16 +425,27 @@
 /// Guards against requests that run on at servers after their caller has gone.
 #[tokio::test]
 async fn a_caller_that_closes_its_connection_cancels() {
+    let gets = |count: usize| vec![get("/5000", "a"); count];
+    let two_gets_and = |text: &str| [gets(2), vec![text.to_owned()]].concat();
+    let chunked = "POST /5000 HTTP/1.1\r\nhost: site\r\ntransfer-encoding: chunked\r\n\r\n\
+                   2\r\nab\r\n0\r\n\r\n";
+    let expecting = get("/5000", "c").replace("host", "expect: 100-continue\r\nhost");
+    // Requests, and the number of those that are handled before the caller closes its connection.
     let cases = [
-        vec![get("/5000", "a")],
-        vec![get("/5000", "a"), get("/5000", "b"), get("/5000", "c")],
-        vec![get("/5000", "a"), get("/5000", "b"), "GET /par".to_owned()],
+        (gets(1), 1),
+        (gets(3), 3),
+        (two_gets_and("GET /par"), 2),
+        (gets(9), 9),
+        (gets(12), 9),
+        (two_gets_and(&post("/5000", "c", "body")), 2),
+        (two_gets_and(chunked), 2),
+        (two_gets_and(&expecting), 2),
+        (
+            two_gets_and(&get("/5000", "c").replace("1.1\r", "1.0\r")),
+            2,
+        ),
     ];
-    for requests in cases {
-        let complete = requests
-            .iter()
-            .filter(|text| text.ends_with("\r\n\r\n"))
-            .count();
+    for (requests, handled) in cases {
         let listener = TestListener::start().await;
         let mut connection = listener.connect().await;
         for request in &requests {
@@ -442,10 +453,19 @@
             time::sleep(Duration::from_millis(20)).await;
         }
         time::sleep(Duration::from_millis(100)).await;
-        assert_eq!(listener.seen.running.load(Ordering::Relaxed), complete);
+        assert_eq!(
+            listener.seen.running.load(Ordering::Relaxed),
+            handled,
+            "{requests:?}"
+        );
         drop(connection);
         time::sleep(Duration::from_millis(200)).await;
-        assert_eq!(listener.seen.cancelled.load(Ordering::Relaxed), complete);
+        assert_eq!(listener.seen.targets().len(), handled, "{requests:?}");
+        assert_eq!(
+            listener.seen.cancelled.load(Ordering::Relaxed),
+            handled,
+            "{requests:?}"
+        );
     }
 }
 
