Pipelined requests: replace the handler trait by a struct of functions

The project has plain structs and function pointers and no traits of its own. PipelinedHandler is now a struct with a context and functions; the entry's handler functions move to entry::forward::caller_handler.

--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 pub(super) mod body;
+pub(super) mod caller_handler;
 mod choose;
 mod forwarded_request;
 mod head;
@@ -18,7 +19,7 @@
     body::{Payload, read_payload},
     forwarded_request::{ForwardedRequest, Times},
     head::{over_quota, plain_text, refusal, unauthorized},
-    stop_response::{SendState, respond_before_exit},
+    stop_response::SendState,
 };
 use super::{
     Entry,
@@ -34,7 +35,7 @@
 use crate::{
     clock,
     platform::headers,
-    transport::{ResponseBody, header_number, header_text, pipeline::PipelinedHandler},
+    transport::{ResponseBody, header_number, header_text},
 };
 
 /// Time from the arrival of a request without a deadline header to its deadline, unless the timeout
@@ -44,58 +45,6 @@
 /// if its deadline is closer to the stop than this time, or after the stop.
 const STOP_MARGIN_MS: u64 = 100;
 
-/// Handler of the callers' requests.
-#[derive(Clone)]
-pub struct CallerHandler {
-    entry: Arc<Entry>,
-}
-
-impl CallerHandler {
-    /// Returns the handler of the host `entry`.
-    pub fn new(entry: Arc<Entry>) -> Self {
-        Self { entry }
-    }
-}
-
-impl PipelinedHandler for CallerHandler {
-    fn answer(
-        &self,
-        request: Request<Option<Incoming>>,
-    ) -> impl Future<Output = Response<ResponseBody>> + Send + use<> + 'static {
-        // A request that is started ahead runs in a task, which may be polled much later on a host
-        // with little processor time.
-        let arrived_ms = clock::now_ms();
-        let entry = self.entry.clone();
-        async move {
-            let request_guard = entry.track_request();
-            let request_id = header_text(request.headers(), headers::REQUEST_ID.as_str());
-            let request_id = request_id.unwrap_or_default().to_owned();
-            let send_state = Arc::new(SendState::default());
-            let routing = route(entry.clone(), request, arrived_ms, send_state.clone());
-            let response = respond_before_exit(&entry, &send_state, request_id, routing).await;
-            drop(request_guard);
-            response
-        }
-    }
-
-    fn is_repeatable(&self, head: &request::Parts) -> bool {
-        let Some(configuration) = self.entry.view.configuration() else {
-            return false;
-        };
-        let host = header_text(&head.headers, "host").unwrap_or_default();
-        let route = configuration.route(host, head.uri.path());
-        route.is_some_and(|route| route.repeatable)
-    }
-
-    fn is_stopping(&self) -> bool {
-        self.entry.stopping()
-    }
-
-    fn count_started(&self) {
-        self.entry.metrics.pipelined_request();
-    }
-}
-
 /// Finds the route of a request, checks the caller's API key, the quota of its workspace and the
 /// body size, and reads the body before the request is forwarded.
 async fn route(
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -13,7 +13,9 @@
     time,
 };
 
-use super::{Entry, Settings, events::Event, forward::CallerHandler, log_writer, watch};
+use super::{
+    Entry, Settings, events::Event, forward::caller_handler::caller_handler, log_writer, watch,
+};
 use crate::{
     clock,
     transport::{self, ListenerLimits, ResponseBody},
@@ -181,8 +183,7 @@
         pipelined_bytes: PIPELINED_BYTES,
         ..ListenerLimits::default()
     };
-    let handler = CallerHandler::new(entry);
-    transport::serve_pipelined(listener, limits, stopped, handler).await;
+    transport::serve_pipelined(listener, limits, stopped, caller_handler(entry)).await;
 }
 
 async fn serve_readiness(entry: Arc<Entry>, listener: TcpListener, stop: stop::Receiver<bool>) {
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -101,12 +101,15 @@
 
 /// Does the same as [`serve`], and starts pipelined requests before their turn, within
 /// [`ListenerLimits::pipelined_requests`] and [`ListenerLimits::pipelined_bytes`].
-pub async fn serve_pipelined<H: PipelinedHandler>(
+pub async fn serve_pipelined<C, F>(
     listener: TcpListener,
     limits: ListenerLimits,
     stop: watch::Receiver<bool>,
-    handler: H,
-) {
+    handler: PipelinedHandler<C, F>,
+) where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     let permits = Arc::new(Semaphore::new(limits.connections));
     let stopping = stop.clone();
     accept(listener, &permits, stop, |stream, caller, permit| {
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -26,42 +26,51 @@
 use self::read_ahead::ReadAhead;
 use super::{CallerAddress, ListenerLimits, ResponseBody, listener::connection_builder};
 
-/// Answers the requests of a listener's connections, some of them before their turn.
-pub trait PipelinedHandler: Clone + Send + Sync + 'static {
+/// Functions that answer the requests of a listener's connections, some of them before their turn.
+pub struct PipelinedHandler<C, F> {
+    /// Value that is passed to the functions.
+    pub context: C,
     /// Answers a request, which arrives when this function is called. The body is `None` if the
-    /// request is started ahead; it then has no body.
-    fn answer(
-        &self,
-        request: Request<Option<Incoming>>,
-    ) -> impl Future<Output = Response<ResponseBody>> + Send + use<Self> + 'static;
-
+    /// request is started ahead; it then has no body. The function is called under the lock of a
+    /// connection, so it must not block.
+    pub answer: fn(C, Request<Option<Incoming>>) -> F,
     /// Returns true if the handler may be aborted while it handles the request, and the request
     /// handled again.
-    fn is_repeatable(&self, head: &request::Parts) -> bool;
-
+    pub is_repeatable: fn(&C, &request::Parts) -> bool,
     /// Returns true once the process stops. From then on, no request is started ahead, and responses
     /// carry `Connection: close` as soon as no started request is left on their connection.
-    fn is_stopping(&self) -> bool;
-
+    pub is_stopping: fn(&C) -> bool,
     /// Counts a request that is started ahead.
-    fn count_started(&self);
+    pub count_started: fn(&C),
+}
+
+impl<C: Clone, F> Clone for PipelinedHandler<C, F> {
+    fn clone(&self) -> Self {
+        Self {
+            context: self.context.clone(),
+            ..*self
+        }
+    }
 }
 
-type SharedReadAhead<H> = Arc<Mutex<ReadAhead<H>>>;
+type SharedReadAhead<C, F> = Arc<Mutex<ReadAhead<C, F>>>;
 
-fn lock<H>(read_ahead: &SharedReadAhead<H>) -> MutexGuard<'_, ReadAhead<H>> {
+fn lock<C, F>(read_ahead: &SharedReadAhead<C, F>) -> MutexGuard<'_, ReadAhead<C, F>> {
     read_ahead.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 /// Serves one connection until it ends. After `stop` has become true, the connection is closed
 /// behind the last request that is in progress or was started ahead.
-pub(super) async fn serve_connection<H: PipelinedHandler>(
+pub(super) async fn serve_connection<C, F>(
     stream: TcpStream,
     caller: CallerAddress,
     limits: ListenerLimits,
     mut stop: watch::Receiver<bool>,
-    handler: H,
-) {
+    handler: PipelinedHandler<C, F>,
+) where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     let read_ahead = ReadAhead::new(stream, caller, limits, handler.clone());
     let read_ahead = Arc::new(Mutex::new(read_ahead));
     let shared = read_ahead.clone();
@@ -100,11 +109,15 @@
 
 /// Answers the request whose turn has come: with the response of its handler if it was started
 /// ahead, otherwise by calling the handler now.
-async fn respond<H: PipelinedHandler>(
-    read_ahead: &SharedReadAhead<H>,
-    handler: &H,
+async fn respond<C, F>(
+    read_ahead: &SharedReadAhead<C, F>,
+    handler: &PipelinedHandler<C, F>,
     request: Request<Incoming>,
-) -> Response<ResponseBody> {
+) -> Response<ResponseBody>
+where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     let started = lock(read_ahead).begin(&request);
     let early = match started {
         Some(mut task) => task.join_next().await.and_then(Result::ok),
@@ -112,13 +125,13 @@
     };
     let mut response = match early {
         Some(response) => response,
-        None => handler.answer(request.map(Some)).await,
+        None => (handler.answer)(handler.context.clone(), request.map(Some)).await,
     };
     let mut read_ahead = lock(read_ahead);
     read_ahead.finish();
     if read_ahead.has_started() {
         response.headers_mut().remove(header::CONNECTION);
-    } else if handler.is_stopping() {
+    } else if (handler.is_stopping)(&handler.context) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -127,9 +140,13 @@
 
 /// Byte stream that the HTTP library reads and writes: a connection whose bytes are scanned while
 /// they pass.
-struct PipelinedStream<H>(SharedReadAhead<H>);
+struct PipelinedStream<C, F>(SharedReadAhead<C, F>);
 
-impl<H: PipelinedHandler> AsyncRead for PipelinedStream<H> {
+impl<C, F> AsyncRead for PipelinedStream<C, F>
+where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -139,7 +156,11 @@
     }
 }
 
-impl<H: PipelinedHandler> AsyncWrite for PipelinedStream<H> {
+impl<C, F> AsyncWrite for PipelinedStream<C, F>
+where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     fn poll_write(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::VecDeque,
+    future::Future,
     io, mem,
     pin::Pin,
     task::{Context, Poll, ready},
@@ -53,12 +54,12 @@
 
 /// State of one connection. The HTTP library reads the connection's bytes from here; it gets the
 /// bytes of a head only when the head is complete and scanned.
-pub(super) struct ReadAhead<H> {
+pub(super) struct ReadAhead<C, F> {
     pub(super) stream: TcpStream,
     /// True if the HTTP library waits for bytes since it was last polled. It then reads the socket
     /// itself.
     pub(super) is_reader_waiting: bool,
-    handler: H,
+    handler: PipelinedHandler<C, F>,
     caller: CallerAddress,
     limits: ListenerLimits,
     position: Position,
@@ -77,12 +78,16 @@
     current: Option<bool>,
 }
 
-impl<H: PipelinedHandler> ReadAhead<H> {
+impl<C, F> ReadAhead<C, F>
+where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     pub(super) fn new(
         stream: TcpStream,
         caller: CallerAddress,
         limits: ListenerLimits,
-        handler: H,
+        handler: PipelinedHandler<C, F>,
     ) -> Self {
         let is_on = limits.pipelined_requests > 0 && limits.pipelined_bytes > 0;
         Self {
@@ -317,7 +322,9 @@
     /// Adds a request to those that wait for their turn, and starts it if it may be started.
     fn add(&mut self, head: Head) {
         let started = head.request.and_then(|parts| {
-            if self.handler.is_stopping() || !self.handler.is_repeatable(&parts) {
+            let handler = &self.handler;
+            let context = &handler.context;
+            if (handler.is_stopping)(context) || !(handler.is_repeatable)(context, &parts) {
                 return None;
             }
             let (method, target) = (parts.method.clone(), parts.uri.clone());
@@ -325,8 +332,8 @@
             let mut request = Request::from_parts(*parts, None);
             request.extensions_mut().insert(self.caller);
             let mut task = JoinSet::new();
-            task.spawn(self.handler.answer(request));
-            self.handler.count_started();
+            task.spawn((handler.answer)(context.clone(), request));
+            (handler.count_started)(context);
             Some(Box::new(StartedRequest {
                 method,
                 target,
--- a/tests/pipelined_requests.rs
+++ b/tests/pipelined_requests.rs
@@ -13,7 +13,7 @@
     ListenerLimits, ResponseBody, buffered, header_text, pipeline::PipelinedHandler,
     serve_pipelined,
 };
-use http::{Request, Response, StatusCode, request};
+use http::{Request, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -84,47 +84,31 @@
 
 /// Handler that waits for the milliseconds at the end of the target, and then returns the method,
 /// the target, the request id and the body of the request. Targets below `/once/` are unrepeatable.
-#[derive(Clone, Default)]
-struct Waiting(Arc<Seen>);
-
-impl PipelinedHandler for Waiting {
-    fn answer(
-        &self,
-        request: Request<Option<Incoming>>,
-    ) -> impl Future<Output = Response<ResponseBody>> + Send + use<> + 'static {
-        let target = request.uri().to_string();
-        let mut calls = self.0.calls.lock().expect("calls");
-        calls.push((target.clone(), Instant::now()));
-        let running = Running::begin(self.0.clone());
-        async move {
-            let wait_ms = target.rsplit('/').next().and_then(|text| text.parse().ok());
-            time::sleep(Duration::from_millis(wait_ms.unwrap_or(0))).await;
-            let (head, body) = request.into_parts();
-            let body = match body {
-                Some(body) => body.collect().await.expect("body").to_bytes(),
-                None => "".into(),
-            };
-            running.end();
-            let id = header_text(&head.headers, "request-id").unwrap_or("none");
-            let text = format!(
-                "{} {target} {id} {}",
-                head.method,
-                String::from_utf8_lossy(&body)
-            );
-            buffered(StatusCode::OK, "text/plain", text.into())
-        }
-    }
-
-    fn is_repeatable(&self, head: &request::Parts) -> bool {
-        !head.uri.path().starts_with("/once/")
-    }
-
-    fn is_stopping(&self) -> bool {
-        self.0.stopping.load(Ordering::Relaxed)
-    }
-
-    fn count_started(&self) {
-        self.0.started.fetch_add(1, Ordering::Relaxed);
+fn answer(
+    seen: Arc<Seen>,
+    request: Request<Option<Incoming>>,
+) -> impl Future<Output = Response<ResponseBody>> + Send + 'static {
+    let target = request.uri().to_string();
+    let mut calls = seen.calls.lock().expect("calls");
+    calls.push((target.clone(), Instant::now()));
+    drop(calls);
+    let running = Running::begin(seen);
+    async move {
+        let wait_ms = target.rsplit('/').next().and_then(|text| text.parse().ok());
+        time::sleep(Duration::from_millis(wait_ms.unwrap_or(0))).await;
+        let (head, body) = request.into_parts();
+        let body = match body {
+            Some(body) => body.collect().await.expect("body").to_bytes(),
+            None => "".into(),
+        };
+        running.end();
+        let id = header_text(&head.headers, "request-id").unwrap_or("none");
+        let text = format!(
+            "{} {target} {id} {}",
+            head.method,
+            String::from_utf8_lossy(&body)
+        );
+        buffered(StatusCode::OK, "text/plain", text.into())
     }
 }
 
@@ -146,8 +130,16 @@
             pipelined_bytes: 64 * 1024,
             ..ListenerLimits::default()
         };
-        let handler = Waiting::default();
-        let seen = handler.0.clone();
+        let seen = Arc::new(Seen::default());
+        let handler = PipelinedHandler {
+            context: seen.clone(),
+            answer,
+            is_repeatable: |_, head| !head.uri.path().starts_with("/once/"),
+            is_stopping: |seen| seen.stopping.load(Ordering::Relaxed),
+            count_started: |seen| {
+                seen.started.fetch_add(1, Ordering::Relaxed);
+            },
+        };
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(serve_pipelined(listener, limits, stopped, handler));
         Self {
