Pipelined requests: refuse one whose route became unrepeatable

Whether a request may be started ahead and its route are decided one after the other, possibly with different configurations. A request that was started ahead may be aborted, so it must not be forwarded on an unrepeatable route.

--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -62,6 +62,12 @@
         return plain_text(StatusCode::NOT_FOUND, "no route");
     };
     let (head, body) = request.into_parts();
+    if body.is_none() && !route.repeatable {
+        // The request was started ahead, so it may be aborted, and the configuration has changed
+        // since its route was found to be repeatable.
+        let reason = "the route has become unrepeatable";
+        return refusal(&Refused::soon(reason, &policy));
+    }
     let workspace = match entry.workspace_of(&configuration, &route, &head.headers) {
         Ok(workspace) => workspace,
         Err(denied) => return deny(&head, &route, denied, &policy),
