Pipelined requests: clearer names of the read ahead

ReadAhead::end stopped scanning while has_ended meant the end of the file; they are now stop_scanning and is_eof, and begin and finish are begin_request and finish_request.

--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -87,7 +87,7 @@
     poll_fn(|context| {
         if !is_stopped && stopped.as_mut().poll(context).is_ready() {
             is_stopped = true;
-            lock(&read_ahead).end();
+            lock(&read_ahead).stop_scanning();
         }
         lock(&read_ahead).is_reader_waiting = false;
         if connection.as_mut().poll(context).is_ready() {
@@ -118,7 +118,7 @@
     C: Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let started = lock(read_ahead).begin(&request);
+    let started = lock(read_ahead).begin_request(&request);
     let early = match started {
         Some(mut task) => task.join_next().await.and_then(Result::ok),
         None => None,
@@ -128,7 +128,7 @@
         None => (handler.answer)(handler.context.clone(), request.map(Some)).await,
     };
     let mut read_ahead = lock(read_ahead);
-    read_ahead.finish();
+    read_ahead.finish_request();
     if read_ahead.has_started() {
         response.headers_mut().remove(header::CONNECTION);
     } else if (handler.is_stopping)(&handler.context) {
--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -71,7 +71,7 @@
     /// none.
     partial_bytes: usize,
     /// True if the caller has closed its side of the connection.
-    has_ended: bool,
+    is_eof: bool,
     /// Requests that were scanned and not passed to the service yet, in their order.
     waiting: VecDeque<WaitingRequest>,
     /// Request that the service handles; the value tells whether it is blocking.
@@ -104,14 +104,14 @@
             buffer: BytesMut::new(),
             scanned_bytes: 0,
             partial_bytes: 0,
-            has_ended: false,
+            is_eof: false,
             waiting: VecDeque::new(),
             current: None,
         }
     }
 
     /// Stops scanning: from now on, all bytes are passed on, and no request is started ahead.
-    pub(super) fn end(&mut self) {
+    pub(super) fn stop_scanning(&mut self) {
         self.position = Position::Unscanned;
         self.scanned_bytes = self.buffer.len();
         self.partial_bytes = 0;
@@ -124,10 +124,10 @@
 
     /// Notes that the HTTP library has passed a request to the service. Returns its handler if the
     /// request was started ahead.
-    pub(super) fn begin<B>(&mut self, request: &Request<B>) -> Option<HandlerTask> {
+    pub(super) fn begin_request<B>(&mut self, request: &Request<B>) -> Option<HandlerTask> {
         let Some(scanned) = self.waiting.pop_front() else {
             // The HTTP library found a request where the scan found none.
-            self.end();
+            self.stop_scanning();
             self.current = Some(true);
             return None;
         };
@@ -141,12 +141,12 @@
         }
         // The HTTP library judges this head differently, so it may disagree about later ones too.
         self.waiting.clear();
-        self.end();
+        self.stop_scanning();
         None
     }
 
     /// Notes that the request that was passed to the service last has a response.
-    pub(super) fn finish(&mut self) {
+    pub(super) fn finish_request(&mut self) {
         self.current = None;
     }
 
@@ -168,12 +168,12 @@
     ) -> Poll<io::Result<()>> {
         loop {
             self.scan_buffer();
-            if self.has_ended {
+            if self.is_eof {
                 // Nothing will complete the last head.
                 self.scanned_bytes = self.buffer.len();
                 self.partial_bytes = 0;
             }
-            if self.scanned_bytes > 0 || self.has_ended {
+            if self.scanned_bytes > 0 || self.is_eof {
                 self.pass_on(output);
                 return Poll::Ready(Ok(()));
             }
@@ -181,7 +181,7 @@
                 let before = output.filled().len();
                 ready!(Pin::new(&mut self.stream).poll_read(context, output))?;
                 let bytes = &output.filled()[before..];
-                self.has_ended = bytes.is_empty();
+                self.is_eof = bytes.is_empty();
                 let scanned_bytes = self.scan(bytes);
                 self.buffer.extend_from_slice(&bytes[scanned_bytes..]);
                 output.set_filled(before + scanned_bytes);
@@ -191,7 +191,7 @@
             } else if self.waiting.len() >= self.limits.pipelined_requests {
                 // The HTTP library has all bytes of the waiting requests and reads on, so it takes
                 // them for something else.
-                self.end();
+                self.stop_scanning();
             } else {
                 ready!(self.poll_fill(context))?;
             }
@@ -217,7 +217,7 @@
             if !self.reads_ahead() {
                 return Poll::Pending;
             }
-            if self.has_ended || ready!(self.poll_fill(context)).is_err() {
+            if self.is_eof || ready!(self.poll_fill(context)).is_err() {
                 return Poll::Ready(());
             }
         }
@@ -250,7 +250,7 @@
                 .try_read_buf(&mut (&mut self.buffer).limit(READ_BYTES))
             {
                 Ok(bytes) => {
-                    self.has_ended = bytes == 0;
+                    self.is_eof = bytes == 0;
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
