--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::VecDeque,
+    future::Future,
     io, mem,
     pin::Pin,
     task::{Context, Poll, ready},
@@ -53,12 +54,12 @@
 
 /// State of one connection. The HTTP library reads the connection's bytes from here; it gets the
 /// bytes of a head only when the head is complete and scanned.
-pub(super) struct ReadAhead<H> {
+pub(super) struct ReadAhead<C, F> {
     pub(super) stream: TcpStream,
     /// True if the HTTP library waits for bytes since it was last polled. It then reads the socket
     /// itself.
     pub(super) is_reader_waiting: bool,
-    handler: H,
+    handler: PipelinedHandler<C, F>,
     caller: CallerAddress,
     limits: ListenerLimits,
     position: Position,
@@ -66,20 +67,27 @@
     buffer: BytesMut,
     /// Number of bytes at the beginning of `buffer` that were scanned.
     scanned_bytes: usize,
+    /// Length of the incomplete head behind the scanned bytes when it was last parsed; 0 if there is
+    /// none.
+    partial_bytes: usize,
     /// True if the caller has closed its side of the connection.
-    has_ended: bool,
+    is_eof: bool,
     /// Requests that were scanned and not passed to the service yet, in their order.
     waiting: VecDeque<WaitingRequest>,
     /// Request that the service handles; the value tells whether it is blocking.
     current: Option<bool>,
 }
 
-impl<H: PipelinedHandler> ReadAhead<H> {
+impl<C, F> ReadAhead<C, F>
+where
+    C: Clone + Send + Sync + 'static,
+    F: Future<Output = Response<ResponseBody>> + Send + 'static,
+{
     pub(super) fn new(
         stream: TcpStream,
         caller: CallerAddress,
         limits: ListenerLimits,
-        handler: H,
+        handler: PipelinedHandler<C, F>,
     ) -> Self {
         let is_on = limits.pipelined_requests > 0 && limits.pipelined_bytes > 0;
         Self {
@@ -95,16 +103,18 @@
             },
             buffer: BytesMut::new(),
             scanned_bytes: 0,
-            has_ended: false,
+            partial_bytes: 0,
+            is_eof: false,
             waiting: VecDeque::new(),
             current: None,
         }
     }
 
     /// Stops scanning: from now on, all bytes are passed on, and no request is started ahead.
-    pub(super) fn end(&mut self) {
+    pub(super) fn stop_scanning(&mut self) {
         self.position = Position::Unscanned;
         self.scanned_bytes = self.buffer.len();
+        self.partial_bytes = 0;
     }
 
     /// Returns true if requests were started ahead whose turn has not come.
@@ -114,10 +124,10 @@
 
     /// Notes that the HTTP library has passed a request to the service. Returns its handler if the
     /// request was started ahead.
-    pub(super) fn begin<B>(&mut self, request: &Request<B>) -> Option<HandlerTask> {
+    pub(super) fn begin_request<B>(&mut self, request: &Request<B>) -> Option<HandlerTask> {
         let Some(scanned) = self.waiting.pop_front() else {
             // The HTTP library found a request where the scan found none.
-            self.end();
+            self.stop_scanning();
             self.current = Some(true);
             return None;
         };
@@ -131,12 +141,12 @@
         }
         // The HTTP library judges this head differently, so it may disagree about later ones too.
         self.waiting.clear();
-        self.end();
+        self.stop_scanning();
         None
     }
 
     /// Notes that the request that was passed to the service last has a response.
-    pub(super) fn finish(&mut self) {
+    pub(super) fn finish_request(&mut self) {
         self.current = None;
     }
 
@@ -158,11 +168,12 @@
     ) -> Poll<io::Result<()>> {
         loop {
             self.scan_buffer();
-            if self.has_ended {
+            if self.is_eof {
                 // Nothing will complete the last head.
                 self.scanned_bytes = self.buffer.len();
+                self.partial_bytes = 0;
             }
-            if self.scanned_bytes > 0 || self.has_ended {
+            if self.scanned_bytes > 0 || self.is_eof {
                 self.pass_on(output);
                 return Poll::Ready(Ok(()));
             }
@@ -170,7 +181,7 @@
                 let before = output.filled().len();
                 ready!(Pin::new(&mut self.stream).poll_read(context, output))?;
                 let bytes = &output.filled()[before..];
-                self.has_ended = bytes.is_empty();
+                self.is_eof = bytes.is_empty();
                 let scanned_bytes = self.scan(bytes);
                 self.buffer.extend_from_slice(&bytes[scanned_bytes..]);
                 output.set_filled(before + scanned_bytes);
@@ -180,7 +191,7 @@
             } else if self.waiting.len() >= self.limits.pipelined_requests {
                 // The HTTP library has all bytes of the waiting requests and reads on, so it takes
                 // them for something else.
-                self.end();
+                self.stop_scanning();
             } else {
                 ready!(self.poll_fill(context))?;
             }
@@ -206,19 +217,20 @@
             if !self.reads_ahead() {
                 return Poll::Pending;
             }
-            if self.has_ended || ready!(self.poll_fill(context)).is_err() {
+            if self.is_eof || ready!(self.poll_fill(context)).is_err() {
                 return Poll::Ready(());
             }
         }
     }
 
-    /// Returns true if further requests could be started, and nobody else reads the socket.
+    /// Returns true if the socket is read ahead: nothing else reads it, and further requests could
+    /// be started or started ones wait for their turn. The latter are cancelled when the caller
+    /// disconnects, which only a read shows.
     fn reads_ahead(&self) -> bool {
+        let is_scanned = !matches!(self.position, Position::Unscanned);
         !self.is_reader_waiting
-            && !matches!(self.position, Position::Unscanned)
-            && self.waiting.len() < self.limits.pipelined_requests
             && self.buffer.len() + READ_BYTES <= self.limits.pipelined_bytes
-            && self.allows_start()
+            && (self.has_started() || (is_scanned && self.allows_start()))
     }
 
     /// Returns true if there are unanswered requests, and none of them is blocking.
@@ -238,7 +250,7 @@
                 .try_read_buf(&mut (&mut self.buffer).limit(READ_BYTES))
             {
                 Ok(bytes) => {
-                    self.has_ended = bytes == 0;
+                    self.is_eof = bytes == 0;
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
@@ -284,8 +296,15 @@
                     if rest.is_empty() || is_full {
                         return scanned_bytes;
                     }
-                    match head::parse(rest, self.allows_start()) {
-                        Parsed::Partial if rest.len() < self.limits.head_bytes => {
+                    let is_at_limit = rest.len() >= self.limits.head_bytes;
+                    if !is_at_limit && !head::may_be_complete(rest, self.partial_bytes) {
+                        return scanned_bytes;
+                    }
+                    let parsed = head::parse(rest, self.allows_start());
+                    self.partial_bytes = 0;
+                    match parsed {
+                        Parsed::Partial if !is_at_limit => {
+                            self.partial_bytes = rest.len();
                             return scanned_bytes;
                         }
                         Parsed::Partial | Parsed::Unclear => self.position = Position::Unscanned,
@@ -303,7 +322,9 @@
     /// Adds a request to those that wait for their turn, and starts it if it may be started.
     fn add(&mut self, head: Head) {
         let started = head.request.and_then(|parts| {
-            if self.handler.is_stopping() || !self.handler.is_repeatable(&parts) {
+            let handler = &self.handler;
+            let context = &handler.context;
+            if (handler.is_stopping)(context) || !(handler.is_repeatable)(context, &parts) {
                 return None;
             }
             let (method, target) = (parts.method.clone(), parts.uri.clone());
@@ -311,8 +332,8 @@
             let mut request = Request::from_parts(*parts, None);
             request.extensions_mut().insert(self.caller);
             let mut task = JoinSet::new();
-            task.spawn(self.handler.answer(request));
-            self.handler.count_started();
+            task.spawn((handler.answer)(context.clone(), request));
+            (handler.count_started)(context);
             Some(Box::new(StartedRequest {
                 method,
                 target,
