--- a/src/transport/pipeline/head.rs
+++ b/src/transport/pipeline/head.rs
@@ -6,7 +6,7 @@
 const HEADERS_MAX: usize = 100;
 
 /// Result of parsing the head of a request.
-pub(super) enum Parsed {
+pub enum Parsed {
     /// The head is not complete yet.
     Partial,
     /// The position of the next request is not certain: the head is invalid, or what follows it
@@ -17,22 +17,22 @@
 }
 
 /// Properties of a request that decide whether requests are started ahead.
-pub(super) struct Head {
+pub struct Head {
     /// Length of the head in bytes.
-    pub(super) head_bytes: usize,
+    pub head_bytes: usize,
     /// Length of the body in bytes.
-    pub(super) body_bytes: u64,
+    pub body_bytes: u64,
     /// True if no request behind this one may be started ahead while this one is unanswered.
-    pub(super) is_blocking: bool,
+    pub is_blocking: bool,
     /// Method, target and headers, if they were asked for and the request is a GET or HEAD without a
     /// body.
-    pub(super) request: Option<Box<request::Parts>>,
+    pub request: Option<Box<request::Parts>>,
 }
 
 /// Returns false if the head at the beginning of `bytes` cannot be complete, because its first
 /// `partial_bytes` bytes were parsed as incomplete and no end of a head has come since. Parsing a
 /// large head that arrives in small pieces again for each piece takes quadratic time.
-pub(super) fn may_be_complete(bytes: &[u8], partial_bytes: usize) -> bool {
+pub fn may_be_complete(bytes: &[u8], partial_bytes: usize) -> bool {
     if partial_bytes == 0 {
         return true;
     }
@@ -46,7 +46,7 @@
 }
 
 /// Parses the head at the beginning of `bytes`, and copies it if `with_request` is true.
-pub(super) fn parse(bytes: &[u8], with_request: bool) -> Parsed {
+pub fn parse(bytes: &[u8], with_request: bool) -> Parsed {
     // Each further empty line looks like the end of a head, so that it would be parsed again.
     if let [
         b'\r' | b'\n',
@@ -125,45 +125,3 @@
     }
     Some(parts)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a complete head that is never parsed, and against parsing an incomplete head
-    /// for each piece of it.
-    #[test]
-    fn a_head_in_pieces_is_parsed_at_its_beginning_and_end() {
-        let ends = ["\r\n\r\n", "\n\n", "\n\r\n", "\r\n\n"];
-        for end in ends {
-            let head = format!("GET /a HTTP/1.1\r\nhost: site\nx: y{end}");
-            for piece_bytes in 1..=head.len() {
-                let (mut partial_bytes, mut parses, mut is_complete) = (0, 0, false);
-                for length in (piece_bytes..head.len())
-                    .step_by(piece_bytes)
-                    .chain([head.len()])
-                {
-                    let bytes = &head.as_bytes()[..length];
-                    if may_be_complete(bytes, partial_bytes) {
-                        parses += 1;
-                        is_complete = matches!(parse(bytes, false), Parsed::Complete(_));
-                        partial_bytes = length;
-                    }
-                    assert!(is_complete || !may_be_complete(bytes, partial_bytes));
-                }
-                assert!(is_complete, "{end:?} in pieces of {piece_bytes} bytes");
-                assert!(
-                    parses <= 2,
-                    "{parses} parses in pieces of {piece_bytes} bytes"
-                );
-            }
-        }
-    }
-
-    /// Guards against parsing again for each of many empty lines before a head.
-    #[test]
-    fn several_empty_lines_before_a_head_are_unclear() {
-        assert!(matches!(parse(b"\r\n\r\n", false), Parsed::Unclear));
-        assert!(matches!(parse(b"\r\nGET", false), Parsed::Partial));
-    }
-}
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -2,7 +2,7 @@
 //! calls the service in their order and writes the responses; this module reads ahead and starts
 //! the handlers of requests before their turn. See docs/design/pipelined-requests.md.
 
-mod head;
+pub mod head;
 mod read_ahead;
 
 use std::{
