Comments and pages: what a first reader of the change stumbled on

Cause: a reader who knew no other document found names and sentences that mislead, pages that contradicted each other or the code, and a comment that told of tuning. Change: their wording, three local names, one function's name; no behaviour.

--- a/src/entry/decide/idle_reuse.rs
+++ b/src/entry/decide/idle_reuse.rs
@@ -5,19 +5,20 @@
 //! A reused connection that fails without a response shows that connections which were idle for as
 //! long or longer may be forgotten. A repeatable request is sent again after a failure, so that for
 //! it a bound needs two failures: a single one is a server's crash, or a server that closes the
-//! connection at the moment of its reuse. An unrepeatable request follows the first failure.
+//! connection at the moment of its reuse. For an unrepeatable request one failure suffices, because
+//! it cannot be sent again.
 
 /// Time, in milliseconds, for which a failure bounds the reuse of connections. Afterwards longer idle
 /// connections are tried again, since new connections are billed.
 const FAILURE_MEMORY_MS: u64 = 10_000;
-/// Lowest bound, in milliseconds. A connection that fails after a shorter idle time fails for another
-/// reason: nothing forgets connections between two requests in quick succession.
+/// Lowest bound, in milliseconds. A failure after a shorter idle time still counts, but connections
+/// that were idle for less than this stay in use: requests in quick succession need no new ones.
 const BOUND_MIN_MS: u64 = 50;
 /// Time, in milliseconds, within which failures at one server count as one: a crash breaks all
 /// connections to the server at once.
 const SAME_CAUSE_MS: u64 = 100;
-/// Number of failures that are kept for a service; those after the shortest idle times are kept,
-/// because only these determine the bound.
+/// Number of failures that are kept for a service. Those after the shortest idle times are kept: the
+/// two shortest determine the bound, and the others take their place when these are withdrawn.
 const FAILURES_MAX: usize = 16;
 
 /// Recent failures of reused connections to the servers of one service, as one host saw them.
@@ -57,7 +58,8 @@
         self.failures.truncate(FAILURES_MAX);
     }
 
-    /// Removes the failures at a server that has crashed, because the crash has caused them.
+    /// Removes all failures at a server that has crashed. The crash has caused the latest ones, and
+    /// earlier ones are not told apart.
     pub fn withdraw(&mut self, server: u32) {
         self.failures.retain(|failure| failure.server != server);
     }
--- a/src/entry/decide/lease_expiry.rs
+++ b/src/entry/decide/lease_expiry.rs
@@ -114,8 +114,8 @@
     pub has_ended: bool,
     /// Time after which the server holds no lease, see [`lease_end_ms`].
     pub lease_end_ms: u64,
-    /// True if a server in the registry has got a release command after the end of its leases, or
-    /// need not get one because it is not in the registry.
+    /// True if no release command is due once the leases have ended: one was sent then, or the server
+    /// is not in the registry.
     pub is_asked: bool,
     /// True if an address of the server is known.
     pub has_address: bool,
--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -112,8 +112,8 @@
     /// mean of balanced servers at a load of 0.8 of their capacity, 1.0 to 1.15, so that a shortage
     /// does not outlast its cause.
     pub shortage_end: f64,
-    /// Fraction of the time until the latency objective within which the response to a request that
-    /// is not urgent must be expected to queue while the service is short. It replaces
+    /// While the service is short, a request that is not urgent may queue only if its response is
+    /// expected within this fraction of the time left until its latency objective. It replaces
     /// `queue_share` if it is smaller: estimates from reported loads are too low while the load
     /// grows. With a much smaller share, slots are idle when a queue drains earlier than expected.
     pub shortage_queue_share: f64,
--- a/src/entry/decide/shortage.rs
+++ b/src/entry/decide/shortage.rs
@@ -10,7 +10,7 @@
 const SUM_EVERY_MS: u64 = 100;
 /// Largest load of a server that is counted, as a multiple of its slots, so that a few servers with
 /// hot keys do not make the whole service appear to be short. Servers queue about as many requests.
-const COUNTED_FACTOR: u32 = 4;
+const COUNTED_LOAD_FACTOR_MAX: u32 = 4;
 /// Smallest part of the time that callers honour after which they are told to retry. An earlier
 /// retry would find the service still short, and callers retry only twice.
 const HONOURED_SHARE_MIN: f64 = 0.5;
@@ -27,7 +27,7 @@
 impl ServiceLoad {
     /// Adds a server with `in_flight` requests of all hosts.
     pub fn add(&mut self, slots: u32, in_flight: u32) {
-        self.in_flight += u64::from(in_flight.min(slots.saturating_mul(COUNTED_FACTOR)));
+        self.in_flight += u64::from(in_flight.min(slots.saturating_mul(COUNTED_LOAD_FACTOR_MAX)));
         self.slots += u64::from(slots);
     }
 }
@@ -91,7 +91,7 @@
 
 /// Returns the thresholds for the admission of requests that are not urgent while the service is
 /// short: a queue must leave a reserve to the objective, because the reported loads are too low
-/// while the load grows. Free slots still admit all requests.
+/// while the load grows, and late requests do not queue. Free slots still admit all requests.
 pub fn admission_policy(policy: &Policy) -> Policy {
     Policy {
         queue_share: policy.queue_share.min(policy.shortage_queue_share),
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -24,7 +24,7 @@
         /// Number of callers' requests in flight when the stop began.
         in_flight: u64,
     },
-    /// A request got no other response until the end of the grace period of a planned stop.
+    /// A request had no response shortly before the exit of a planned stop, and got 503 or 504.
     GracePeriodEnded {
         /// Identifier that the caller gave the request.
         request_id: String,
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -37,8 +37,8 @@
         let left_ms = self.times.caller_deadline_ms.saturating_sub(now_ms);
         let honoured_ms = retry_schedule::honoured_ms(left_ms).min(RETRY_AFTER_MAX_MS);
         let is_urgent = self.is_urgent();
-        let waits_for_queue = refused.blocked_by == BlockedBy::Queue && !is_urgent;
-        if waits_for_queue && entry.is_short(&self.service) {
+        let is_refused_by_queue = refused.blocked_by == BlockedBy::Queue && !is_urgent;
+        if is_refused_by_queue && entry.is_short(&self.service) {
             let step = RequestStep::ToldToRetryInShortage;
             entry.contention.note(&self.service, is_urgent, step);
             let after_ms = shortage::retry_after_ms(honoured_ms, rand::random());
--- a/src/entry/forward/stop_response.rs
+++ b/src/entry/forward/stop_response.rs
@@ -1,4 +1,4 @@
-//! Response to a request that is unanswered at the end of the grace period of a planned stop.
+//! Response to a request that is unanswered shortly before the process exits in a planned stop.
 
 use std::{
     future::Future,
@@ -40,8 +40,8 @@
 }
 
 impl SendState {
-    /// Records that the request is about to be sent. Returns the record before the call; `None` if
-    /// the request must not be sent.
+    /// Records that the request is about to be sent. Returns the previous phase, which
+    /// [`Self::not_written`] restores; `None` if the request must not be sent.
     pub(super) fn begin_send(&self) -> Option<SentBefore> {
         let mut phase = self.phase();
         if *phase == Phase::Closed {
@@ -71,12 +71,12 @@
     }
 }
 
-/// Record of a request before a send.
+/// Phase of a request before a send.
 #[derive(Debug)]
 pub(super) struct SentBefore(Phase);
 
-/// Waits for the response to a request. At the end of the grace period, the caller gets a refusal if
-/// nothing was sent to a server, and 504 otherwise.
+/// Waits for the response to a request. Shortly before the process exits, the caller gets a refusal
+/// if nothing was sent to a server, and 504 otherwise.
 pub(super) async fn respond_before_exit(
     entry: &Entry,
     send_state: &SendState,
@@ -86,7 +86,7 @@
     tokio::select! {
         biased;
         response = response => return response,
-        () = grace_period_end(entry) => {}
+        () = final_response_time(entry) => {}
     }
     let is_sent = !send_state.close_unsent();
     Event::GracePeriodEnded {
@@ -103,7 +103,7 @@
 }
 
 /// Waits until [`RESPONSE_MARGIN_MS`] before the exit of the process in a planned stop.
-async fn grace_period_end(entry: &Entry) {
+async fn final_response_time(entry: &Entry) {
     let mut stop_deadline = entry.stop_deadline.subscribe();
     let begun = stop_deadline.wait_for(|deadline_ms| *deadline_ms != u64::MAX);
     // The sender is a field of the entry, so that the channel stays open.
--- a/src/entry/idle_reuses.rs
+++ b/src/entry/idle_reuses.rs
@@ -40,8 +40,8 @@
 }
 
 impl Entry {
-    /// Records that a connection to the server, reused after `idle_ms`, was reset or closed before a
-    /// response. Failures at a server that is known to have ended, or that takes no new work because
+    /// Records that a connection to the server, reused after `idle_ms`, gave no response: it was reset
+    /// or closed, or [`Self::note_reuse_timed_out`] found that it had failed. Failures at a server that is known to have ended, or that takes no new work because
     /// it leaves, are ignored.
     pub(super) fn note_reuse_failed(&self, server: &Server, idle_ms: u64) {
         let registry = self.view.registry();
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -101,11 +101,13 @@
 pub struct Leadership {
     /// Number of this host's term while this host is the leader, else 0.
     term: AtomicU64,
-    /// Time at which this host sent its last successful confirmation of the leadership, taken
-    /// before the call to the store.
+    /// Time at which this host sent its last confirmation of the leadership whose own attempt has
+    /// changed the leadership row, taken before the call to the store. Only such a confirmation
+    /// extends the time in which this host may grant leases.
     confirmed_ms: AtomicU64,
-    /// Time at which this host sent its last successful write of any rows on condition of the
-    /// leadership row, taken before the call to the store.
+    /// Time at which this host sent its last successful write of other rows on condition of the
+    /// leadership row, taken before the call to the store. It counts for heartbeats and further
+    /// writes, never for grants.
     written_ms: AtomicU64,
     /// Time up to which leaders of earlier terms may have granted leases.
     earlier_leases_until_ms: AtomicU64,
@@ -148,8 +150,8 @@
     /// send heartbeats and to write the other rows of the leader.
     pub fn is_confirmed(&self) -> bool {
         let written_ms = self.written_ms.load(Ordering::Relaxed);
-        let is_written = lease_expiry::may_grant(written_ms, CONFIRMED_MS, clock::now_ms());
-        self.may_lease(CONFIRMED_MS) || self.term() > 0 && is_written
+        let has_recent_write = clock::now_ms() < written_ms + CONFIRMED_MS;
+        self.may_lease(CONFIRMED_MS) || self.term() > 0 && has_recent_write
     }
 
     /// Returns the time up to which leaders of earlier terms may have granted leases.
--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -39,8 +39,8 @@
 const ROWS_MAX: usize = 32;
 /// Timeout of a write of assigned ranges, without the time for its rows. Confirmations of the
 /// leadership wait for the write, and another host takes over the leadership if the leadership row
-/// stays unchanged for 1.6 s while the store answers. With a timeout of 2 s, a call that the store
-/// had dropped delayed the confirmation after an outage until then.
+/// stays unchanged for 1.6 s while the store answers. Large writes may take longer: without their
+/// full time they would fail each time on a slow link.
 const WRITE_TIMEOUT_MS: u64 = 1_000;
 /// Additional timeout of a write of assigned ranges for each row. A row takes up to 30 KB, which a
 /// link of 20 Mbit/s transfers in 12 ms.
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -35,7 +35,7 @@
 /// connection. It is longer than the callers' own idle timeout, so that callers close idle
 /// connections first.
 const HEAD_TIMEOUT_MS: u64 = 16_000;
-/// Maximum number of requests that are started ahead on a caller's connection. It bounds the share of
+/// Maximum number of requests that wait for their turn on a caller's connection, started or not. It bounds the share of
 /// a host that one connection takes.
 const PIPELINED_REQUESTS: usize = 8;
 /// Maximum number of bytes that are read ahead on a caller's connection. Reading ahead stops when
--- a/src/entry/shortages.rs
+++ b/src/entry/shortages.rs
@@ -1,5 +1,6 @@
 //! Shortages of the contended services, as this host knows the loads of their servers. The state is
-//! lost with the process; the first sum over the servers restores it.
+//! lost with the process; after a restart a service counts as short once the begin threshold is
+//! exceeded.
 
 use std::{
     collections::HashMap,
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -39,8 +39,9 @@
     /// Maximum time in milliseconds for which [`serve`] waits for requests in flight to complete
     /// after the listener was closed.
     pub drain_ms: u64,
-    /// Maximum number of requests of a connection that [`serve_pipelined`] reads ahead and starts
-    /// before the response of the first unanswered request is written; 0 turns reading ahead off.
+    /// Maximum number of requests of a connection that [`serve_pipelined`] has read ahead and that
+    /// wait for their turn, whether or not they were started; the request in progress does not
+    /// count. 0 turns reading ahead off.
     pub pipelined_requests: usize,
     /// Maximum number of bytes of a connection that [`serve_pipelined`] reads ahead; 0 turns reading
     /// ahead off.
@@ -60,8 +61,8 @@
     }
 }
 
-/// IP address of the client that sent a request. [`serve`] adds the address to the extensions of
-/// each request.
+/// IP address of the client that sent a request. [`serve`] and [`serve_pipelined`] add the address to
+/// the extensions of each request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerAddress(pub IpAddr);
 
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -30,9 +30,9 @@
 pub struct PipelinedHandler<C, F> {
     /// Value that is passed to the functions.
     pub context: C,
-    /// Answers a request, which arrives when this function is called. The body is `None` if the
-    /// request is started ahead; it then has no body. The function is called under the lock of a
-    /// connection, so it must not block.
+    /// Answers a request. The time of the call, not that of the first poll of the future, is the time
+    /// of arrival. The body is `None` if the request is started ahead; it then has no body, and the
+    /// function is called under the lock of the connection, so it must not block.
     pub answer: fn(C, Request<Option<Incoming>>) -> F,
     /// Returns true if the handler may be aborted while it handles the request, and the request
     /// handled again.
