--- a/src/entry/decide/policy.rs
+++ b/src/entry/decide/policy.rs
@@ -117,6 +117,10 @@
     /// `queue_share` if it is smaller: estimates from reported loads are too low while the load
     /// grows. With a much smaller share, slots are idle when a queue drains earlier than expected.
     pub shortage_queue_share: f64,
+    /// True if failures of reused connections bound the reuse of idle connections to the servers of
+    /// the service. Servers that reset connections after any request also cause such failures; hosts
+    /// then open more connections, which may exceed the limits of the servers.
+    pub bounds_idle_reuse: bool,
     /// Number of refused connection attempts after which a server of a contended service counts as
     /// ended. One attempt may meet a process that is just being replaced.
     pub ended_attempts: u32,
@@ -162,6 +166,7 @@
             shortage_begin: 1.6,
             shortage_end: 1.2,
             shortage_queue_share: 0.85,
+            bounds_idle_reuse: true,
             ended_attempts: 3,
             ended_evidence_ms: 300,
             ended_view_age_ms: 1_000,
--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -145,6 +145,7 @@
         }
         let repeatable = self.route.repeatable;
         let bound_ms = entry.idle_reuses.bound_ms(&self.service, repeatable);
+        let bound_ms = bound_ms.filter(|_| entry.settings.policy.bounds_idle_reuse);
         if let Some(connection) = server.pool.take(bound_ms) {
             return Ok(connection);
         }
