Sight: events of requests and a gauge state the time since any server answered this host

A failed attempt read the same whether its server or the host's own path was gone. The event `request` has the time since the last response of its server and of any server; the gauge ashroad_server_contact_age_seconds is the second of them.

--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -323,6 +323,11 @@
         /// server no requests; 0 for none.
         #[serde(rename = "rest_ms")]
         backoff_ms: u64,
+        /// Time since that server's last response to this host; `None` if it never responded.
+        server_contact_age_ms: Option<u64>,
+        /// Time since the last response of any server to this host; `None` if none ever responded. A
+        /// time as long as that of the server suggests that this host cannot reach any server.
+        contact_age_ms: Option<u64>,
         /// Number of attempts to send the request to a server, up to this event.
         attempts: u32,
         /// Time since the request's arrival.
--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -270,6 +270,8 @@
             |error: hyper::Error| AttemptOutcome::ConnectionLost(error.to_string());
         let response = self.send(entry, server, connection, request).await?;
         let (head, body) = response.into_parts();
+        server.contact.note();
+        entry.server_contact.note();
         // A notice (the server leaves, or asks for a backoff) concerns the server as a whole, so
         // this host applies the notice even if the response belongs to another request.
         entry.note_notice(server, headers::notice(head.status, &head.headers));
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -217,7 +217,7 @@
     /// answered requests is logged.
     fn answered(&self, entry: &Entry, response: Response<ResponseBody>) -> Response<ResponseBody> {
         if entry.samples_response() {
-            self.log("answered", format!("status {}", response.status()));
+            self.log(entry, "answered", format!("status {}", response.status()));
         }
         self.note_step(entry, RequestStep::Answered);
         self.note_retry(entry, RequestStep::RetryAnswered);
@@ -233,7 +233,7 @@
         logged: String,
         refused: &Refused,
     ) -> Response<ResponseBody> {
-        self.log("refused", logged);
+        self.log(entry, "refused", logged);
         self.end(entry, "refused");
         self.note_step(entry, RequestStep::refused(refused.blocked_by));
         refusal(&self.with_retry_time(entry, refused))
@@ -323,7 +323,7 @@
             }
             return Some(self.refuse(entry, logged, &refused));
         }
-        self.log("repeated", logged);
+        self.log(entry, "repeated", logged);
         if self.key.is_some() {
             self.await_move(entry).await;
         } else {
@@ -347,12 +347,12 @@
         // server too.
         let is_suspect = self.is_trial || entry.crashes.is_path_suspect(self.digests);
         if !self.route.repeatable || is_suspect || !self.may_retry(entry, payload) {
-            self.log("failed", reason);
+            self.log(entry, "failed", reason);
             self.end(entry, "failed");
             let message = "no whole answer of the server";
             return Some(plain_text(StatusCode::BAD_GATEWAY, message));
         }
-        self.log("repeated", reason);
+        self.log(entry, "repeated", reason);
         if self.key.is_none() {
             self.tried.push(server.entry.id.clone());
         }
@@ -363,7 +363,7 @@
     /// failure of the server.
     fn timed_out(&self, entry: &Entry, server: &Server) -> Response<ResponseBody> {
         server.failed();
-        self.log("failed", "no answer by the deadline".to_owned());
+        self.log(entry, "failed", "no answer by the deadline".to_owned());
         self.end(entry, "timeout");
         plain_text(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
     }
@@ -392,7 +392,7 @@
 
     /// Writes a log event for a decision about the request, with the current state of the server
     /// chosen last.
-    fn log(&self, decision: &'static str, reason: String) {
+    fn log(&self, entry: &Entry, decision: &'static str, reason: String) {
         Event::Request {
             request_id: self.request_id.to_owned(),
             digest: self.digests.whole.to_string(),
@@ -405,6 +405,8 @@
             server: self.last.as_ref().map(|server| server.entry.id.clone()),
             load: self.last.as_ref().map_or(0, |server| server.load()),
             backoff_ms: self.last.as_ref().map_or(0, |server| server.backoff_ms()),
+            server_contact_age_ms: self.last.as_ref().and_then(|last| last.contact.age_ms()),
+            contact_age_ms: entry.server_contact.age_ms(),
             attempts: self.attempts,
             after_ms: self.elapsed_ms(),
             left_ms: self.left_ms(),
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -85,6 +85,8 @@
     pub in_flight: Gauge,
     /// Time since the store's last response, in seconds.
     pub store_age_s: Gauge<f64, AtomicU64>,
+    /// Time since the last response of any server to this host, in seconds; 0 before the first.
+    pub server_contact_age_s: Gauge<f64, AtomicU64>,
     /// Term of this host while it is the leader; 0 otherwise. The name of the metric, `duty_term`,
     /// calls the leadership `duty`.
     pub leadership_term: Gauge,
@@ -123,6 +125,7 @@
             contention: Family::default(),
             in_flight: Gauge::default(),
             store_age_s: Gauge::default(),
+            server_contact_age_s: Gauge::default(),
             leadership_term: Gauge::default(),
             configuration_version: Gauge::default(),
             evacuated_zones: Gauge::default(),
@@ -162,6 +165,9 @@
         registry.register("requests_in_flight", help, self.in_flight.clone());
         let help = "Age of the store's last answer";
         registry.register("store_age_seconds", help, self.store_age_s.clone());
+        let help = "Time since the last answer of any server to this host";
+        let gauge = self.server_contact_age_s.clone();
+        registry.register("server_contact_age_seconds", help, gauge);
         let help = "Term of this host as holder of the duty of giving leases, or 0";
         registry.register("duty_term", help, self.leadership_term.clone());
         let help = "Version of the configuration in force";
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod bounds;
 pub mod broadcast;
 mod callers;
+pub mod contact;
 pub mod contention;
 pub mod contention_totals;
 pub mod crashes;
@@ -63,6 +64,7 @@
 
 use self::{
     broadcast::Broadcast,
+    contact::ContactTime,
     contention::Contention,
     crashes::Crashes,
     decide::{
@@ -150,6 +152,8 @@
     shortages: Shortages,
     /// Bounds on the reuse of idle connections to the servers of a service.
     idle_reuses: IdleReuses,
+    /// Time of the last response from any server to this host.
+    server_contact: ContactTime,
     /// Counters, gauges and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// True once the host row of this host in the store states the incarnation of this process.
@@ -208,6 +212,7 @@
             retry_schedules: RetrySchedules::default(),
             shortages: Shortages::default(),
             idle_reuses: IdleReuses::default(),
+            server_contact: ContactTime::default(),
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -208,6 +208,10 @@
     metrics.in_flight.set(in_flight as i64);
     let age_s = watch::store_age_ms(entry) as f64 / 1000.0;
     metrics.store_age_s.set(age_s);
+    let contact_age_ms = entry.server_contact.age_ms().unwrap_or(0);
+    metrics
+        .server_contact_age_s
+        .set(contact_age_ms as f64 / 1000.0);
     metrics.leadership_term.set(entry.leadership.term() as i64);
     let version = entry.view.configuration().map_or(0, |c| c.version);
     metrics.configuration_version.set(version as i64);
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    contact::ContactTime,
     crashes::{broken_connections::BrokenConnections, reports::Suspects},
     decide::{
         Candidate, Policy,
@@ -67,6 +68,8 @@
     pub rate: SharedRate,
     /// Record of broken connections between this host and the server.
     pub broken_connections: BrokenConnections,
+    /// Time of the last response from the server to this host.
+    pub contact: ContactTime,
 }
 
 /// Slowdowns that the server has reported (factors by which it currently runs slower than usual).
@@ -130,6 +133,7 @@
             attempt_stats: Mutex::default(),
             running_requests: Mutex::default(),
             broken_connections: BrokenConnections::default(),
+            contact: ContactTime::default(),
             entry,
         };
         server.set_cold_for(server.entry.cold_ms);
