Tests that fail: hosts without a path to the servers, and a leader among them

Stand-in servers behind proxies that partition single hosts by the process that owns a connection: silent, responses lost, reset, new connections reset.

--- /dev/null
+++ b/tests/entry_partition.rs
@@ -0,0 +1,261 @@
+//! Tests of hosts that are partitioned from all servers, while callers, the store and the other
+//! hosts still reach them.
+
+mod platform_standin;
+
+use std::time::{Duration, Instant};
+
+use tokio::time;
+
+use self::platform_standin::{
+    deployment::CONTACT_GRACE,
+    hosts::Host,
+    server::Server,
+    server_proxy::{Cut, Cuts},
+    site::{Site, eventually},
+    traffic::{Traffic, Workload},
+};
+
+/// Time from the start of a partition to its end.
+const PARTITION: Duration = Duration::from_secs(8);
+/// Least share of the first attempts that partitioned hosts must serve in place of the other hosts.
+const SERVED_SHARE_MIN: f64 = 2.0 / 3.0;
+/// Least share of the first attempts that the other hosts must serve meanwhile.
+const SERVED_ELSEWHERE_MIN: f64 = 0.95;
+const ALL_CUTS: [Cut; 4] = [Cut::Silent, Cut::NoResponses, Cut::Reset, Cut::NewReset];
+
+/// Deployment of which some hosts are partitioned.
+struct Case {
+    name: &'static str,
+    /// Availability zone of each host.
+    zones: &'static [&'static str],
+    /// Zone whose hosts are partitioned, but for the last `reachable` of them.
+    partitioned: &'static str,
+    reachable: usize,
+    workload: Workload,
+}
+
+const CASES: [Case; 3] = [
+    Case {
+        name: "one host of a zone, keys",
+        zones: &["b", "a", "a", "b"],
+        partitioned: "b",
+        reachable: 1,
+        workload: Workload::Keys,
+    },
+    Case {
+        name: "all hosts of a zone, keys",
+        zones: &["b", "b", "a"],
+        partitioned: "b",
+        reachable: 0,
+        workload: Workload::Keys,
+    },
+    Case {
+        name: "all but one host, unrepeatable requests",
+        zones: &["a", "a", "a"],
+        partitioned: "a",
+        reachable: 1,
+        workload: Workload::Orders,
+    },
+];
+
+fn events(host: &Host, name: &str) -> usize {
+    host.events(name).len()
+}
+
+impl Case {
+    /// Returns the indices of the hosts that are partitioned.
+    fn partitioned_hosts(&self) -> Vec<usize> {
+        let zones = self.zones.iter().enumerate();
+        let in_zone = zones.filter(|(_, zone)| **zone == self.partitioned);
+        let mut hosts: Vec<usize> = in_zone.map(|(index, _)| index).collect();
+        hosts.truncate(hosts.len() - self.reachable);
+        hosts
+    }
+
+    /// Returns the name of the case, and the shares of the requests that the partitioned hosts and
+    /// the other hosts served, from [`CONTACT_GRACE`] after the start of a partition to its end.
+    async fn served_shares(&self, cut: Cut) -> (&'static str, f64, f64) {
+        let (site, cuts) = Site::start_behind_proxies(self.zones, 3).await;
+        let partitioned = self.partitioned_hosts();
+        let (inside, outside) = (Traffic::new(self.workload), Traffic::new(self.workload));
+        for (index, host) in site.hosts.iter().enumerate() {
+            let traffic = if partitioned.contains(&index) {
+                &inside
+            } else {
+                &outside
+            };
+            for _ in 0..3 {
+                traffic.add(index, host.callers);
+            }
+        }
+        time::sleep(Duration::from_secs(2)).await;
+        let begin = Instant::now();
+        set(&cuts, &site, &partitioned, Some(cut));
+        time::sleep(PARTITION).await;
+        let (from, until) = (begin + CONTACT_GRACE, begin + PARTITION);
+        let shares = (
+            self.name,
+            inside.served(from, until),
+            outside.served(from, until),
+        );
+        assert_eq!(
+            site.record.violations(),
+            Vec::<String>::new(),
+            "{}",
+            self.name
+        );
+        shares
+    }
+}
+
+/// Begins the partition of hosts, or ends it if `cut` is `None`.
+fn set(cuts: &Cuts, site: &Site, hosts: &[usize], cut: Option<Cut>) {
+    for index in hosts {
+        let pid = site.hosts[*index].pid();
+        match cut {
+            Some(cut) => cuts.begin(pid, cut),
+            None => cuts.end(pid),
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_of_hosts_without_a_path_to_servers_are_served() {
+    let mut failed = Vec::new();
+    for cut in ALL_CUTS {
+        let [first, second, third] = &CASES;
+        let shares = tokio::join!(
+            first.served_shares(cut),
+            second.served_shares(cut),
+            third.served_shares(cut)
+        );
+        for (name, inside, outside) in [shares.0, shares.1, shares.2] {
+            if inside < SERVED_SHARE_MIN * outside || outside < SERVED_ELSEWHERE_MIN {
+                failed.push(format!(
+                    "{name}, {cut:?}: {inside:.3} served at partitioned hosts, {outside:.3} at others"
+                ));
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn servers_that_one_host_cannot_reach_count_as_alive() {
+    let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
+    let traffic = Traffic::new(Workload::Keys);
+    for (index, host) in site.hosts.iter().enumerate() {
+        for _ in 0..3 {
+            traffic.add(index, host.callers);
+        }
+    }
+    time::sleep(Duration::from_secs(2)).await;
+    for cut in [Cut::Reset, Cut::NewReset, Cut::Silent] {
+        set(&cuts, &site, &[0], Some(cut));
+        time::sleep(Duration::from_secs(4)).await;
+        set(&cuts, &site, &[0], None);
+        time::sleep(Duration::from_secs(2)).await;
+    }
+    for host in &site.hosts {
+        for name in ["server_ended", "quarantined", "server_process_ended"] {
+            assert_eq!(host.events(name), Vec::<String>::new(), "{name}");
+        }
+    }
+}
+
+fn leader(site: &Site) -> usize {
+    let is_leader = |host: &Host| events(host, "duty_taken") > events(host, "duty_lost");
+    let leader = site.hosts.iter().position(is_leader);
+    leader.expect("a host is the leader")
+}
+
+fn all_keys_held(servers: &[Server]) -> bool {
+    servers.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leader_without_a_path_to_servers_hands_the_leadership_over() {
+    let mut failed = Vec::new();
+    for cut in ALL_CUTS {
+        let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
+        let traffic = Traffic::new(Workload::Keys);
+        for (index, host) in site.hosts.iter().enumerate() {
+            traffic.add(index, host.callers);
+        }
+        time::sleep(Duration::from_secs(2)).await;
+        let leader = leader(&site);
+        let begin = Instant::now();
+        set(&cuts, &site, &[leader], Some(cut));
+        let others = (0..site.hosts.len()).filter(|index| *index != leader);
+        let others: Vec<usize> = others.collect();
+        let taken_by_other = |site: &Site| {
+            others
+                .iter()
+                .any(|index| events(&site.hosts[*index], "duty_taken") > 0)
+        };
+        while !taken_by_other(&site) && begin.elapsed() < CONTACT_GRACE {
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        // Over its open connections the leader reaches all servers.
+        let still_reaches = cut == Cut::NewReset;
+        if !taken_by_other(&site) && !still_reaches {
+            failed.push(format!("{cut:?}: no other host has taken the leadership"));
+        }
+        // Longer than a lease, so that keys are lost unless somebody renews their leases.
+        let mut unheld = 0;
+        while begin.elapsed() < Duration::from_secs(12) {
+            unheld += usize::from(!all_keys_held(&site.keyed));
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        if unheld > 0 {
+            failed.push(format!(
+                "{cut:?}: keys without a server in {unheld} readings"
+            ));
+        }
+        let served = traffic.served(begin + CONTACT_GRACE, Instant::now());
+        if served < 0.95 {
+            failed.push(format!(
+                "{cut:?}: {served:.3} of the requests of all hosts served"
+            ));
+        }
+        let retaken = events(&site.hosts[leader], "duty_taken");
+        if retaken > 1 {
+            failed.push(format!(
+                "{cut:?}: the partitioned host has taken the leadership again"
+            ));
+        }
+        assert_eq!(site.record.violations(), Vec::<String>::new(), "{cut:?}");
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_host_uses_its_own_path_again_soon_after_a_partition() {
+    let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
+    let traffic = Traffic::new(Workload::Keys);
+    for _ in 0..3 {
+        traffic.add(0, site.hosts[0].callers);
+    }
+    time::sleep(Duration::from_secs(2)).await;
+    for cut in ALL_CUTS {
+        set(&cuts, &site, &[0], Some(cut));
+        time::sleep(Duration::from_secs(5)).await;
+        set(&cuts, &site, &[0], None);
+        let healed = Instant::now();
+        eventually("the host's own path is in use", 2_000, async || {
+            let text = site.hosts[0].metrics_text();
+            let gauge = |line: &&str| line.starts_with("ashroad_unreachable_servers ");
+            text.lines()
+                .find(gauge)
+                .is_some_and(|line| line.ends_with(" 0"))
+        })
+        .await;
+        time::sleep(Duration::from_secs(1)).await;
+        let served = traffic.served(healed + Duration::from_secs(1), Instant::now());
+        assert!(
+            served > 0.95,
+            "{cut:?}: {served:.3} served after the partition"
+        );
+    }
+}
--- a/tests/platform_standin/hosts.rs
+++ b/tests/platform_standin/hosts.rs
@@ -44,6 +44,11 @@
     /// Starts a host with additional lines in the `bounds` section of its settings, which may
     /// replace the stop grace period.
     pub fn start_with(store_address: SocketAddr, more_bounds: &str) -> Self {
+        Self::start_in("a", store_address, more_bounds)
+    }
+
+    /// Starts a host in an availability zone, with the same additional lines.
+    pub fn start_in(zone: &str, store_address: SocketAddr, more_bounds: &str) -> Self {
         let ip = next_ip();
         let number = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
         let directory = std::env::temp_dir().join(format!("ashroad-{}", std::process::id()));
@@ -56,7 +61,7 @@
             "  stop_grace: 6s\n"
         };
         let text = format!(
-            "name: host-{number}\navailability_zone: a\n\
+            "name: host-{number}\navailability_zone: {zone}\n\
              listen:\n  callers: {ip}:{CALLERS_PORT}\n  readiness: {ip}:{READINESS_PORT}\n  \
              peers: {ip}:{PEERS_PORT}\n  metrics: {ip}:{METRICS_PORT}\n\
              store:\n  address: {store_address}\n  server_heartbeat: 800ms\n\
@@ -82,6 +87,11 @@
         Self::start_at(store.address)
     }
 
+    /// Returns the id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name, such as `TERM`, `STOP`, `CONT` or `KILL`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod proxy;
 pub mod record;
 pub mod server;
+pub mod server_proxy;
 pub mod site;
 pub mod store;
 pub mod traffic;
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -51,6 +51,8 @@
     pub id: String,
     /// Address that the server listens on.
     pub address: SocketAddr,
+    /// Address that the server's entry states: that of the server, or of a proxy in front of it.
+    pub entry_address: SocketAddr,
     state: Arc<State>,
     stop: watch::Sender<bool>,
     task: tokio::task::JoinHandle<()>,
@@ -240,6 +242,7 @@
         let server = Self {
             id,
             address,
+            entry_address: address,
             state,
             stop,
             task,
@@ -251,7 +254,7 @@
     /// Writes the server's entry with the given state, such as `ready` or `draining`.
     pub fn write_entry(&self, store: &Store, state: &str) {
         let entry = json!({
-            "addr": self.address.to_string(),
+            "addr": self.entry_address.to_string(),
             "born": self.state.started_ms,
             "info": {"service": self.state.held_keys.service, "version": "v1",
                 "zone": self.state.zone, "slots": self.state.slots_total},
@@ -264,7 +267,7 @@
     /// `cold_ms`.
     pub fn write_cold_entry(&self, store: &Store, cold_ms: u64) {
         let entry = json!({
-            "addr": self.address.to_string(),
+            "addr": self.entry_address.to_string(),
             "born": 1_791_000_000_000u64,
             "info": {"service": self.state.held_keys.service, "version": "v1",
                 "zone": self.state.zone, "slots": self.state.slots_total},
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -15,6 +15,7 @@
     caller::{TestRequest, send_once},
     hosts::Host,
     server::{Place, RunRecord, Server, ServerKind},
+    server_proxy::{Cuts, start_server_proxy},
     store::Store,
 };
 
@@ -83,6 +84,23 @@
         }
     }
 
+    /// Starts a deployment with a host in each of `zones`, whose servers are behind proxies that can
+    /// partition hosts from them, and waits until all hosts are ready and all keys are served.
+    pub async fn start_behind_proxies(zones: &[&str], servers: usize) -> (Self, Cuts) {
+        let mut site = Self::start_servers(servers).await;
+        let cuts = Cuts::default();
+        for server in site.keyed.iter_mut().chain(&mut site.orders) {
+            server.entry_address = start_server_proxy(server.address, cuts.clone()).await;
+            server.write_entry(&site.store, "ready");
+        }
+        for zone in zones {
+            let host = Host::start_in(zone, site.store.address, "");
+            site.hosts.push(host);
+        }
+        site.await_ready().await;
+        (site, cuts)
+    }
+
     /// Starts a deployment whose sharded service is contended, with crashable servers, and waits
     /// until all hosts are ready and all keys are served. Checks from then on that no key has two
     /// owners.
