Paths: connections to servers take tunnels of other hosts while the host's own path is lost

Cause: a host takes the loss of its own path for the failure of each server, one by one, and has no other way to them. Change: a failed or silent connection is compared with a health request through another host at the same time (decide::server_path); if only the other host gets an answer, connections to this server take tunnels (HTTP CONNECT) of it. Two servers lost without any answer between are the loss of the host's whole path. A refused liveness probe counts as a crash only if another host is refused too.

--- a/src/entry/crashes/probe.rs
+++ b/src/entry/crashes/probe.rs
@@ -35,7 +35,7 @@
             loop {
                 let seen = server.broken_connections.count();
                 time::sleep(Duration::from_millis(pause_ms)).await;
-                let has_crashed = has_crashed(&server).await;
+                let has_crashed = entry.has_crashed(&server).await;
                 if has_crashed || server.broken_connections.count() == seen {
                     server.broken_connections.end_probe(has_crashed);
                     if has_crashed {
@@ -49,6 +49,27 @@
         });
     }
 
+    /// Returns true if a server whose connections broke has crashed: since the latest broken
+    /// connection the server has not answered this host, this host has no idle open connection to
+    /// the server, and the address of the server refuses connections, also those of another host. A
+    /// connection that the probe opens is kept for the next request.
+    async fn has_crashed(&self, server: &Server) -> bool {
+        if server.has_answered_since_broken_connection() || server.pool.has_open() {
+            return false;
+        }
+        match server.pool.connect(PROBE_CONNECT_MS).await {
+            Ok(connection) => {
+                server.pool.keep(connection);
+                false
+            }
+            Err(ConnectError::Refused { .. }) => self.is_refused_elsewhere(server).await,
+            Err(error) => {
+                log::debug!("liveness probe of a server was inconclusive: {error}");
+                false
+            }
+        }
+    }
+
     /// Records that a server has crashed, and reports the requests of this host that were in flight
     /// at the server. If no request was in flight, reports only the refused connection to the
     /// leader, and only for a contended service.
@@ -94,24 +115,3 @@
     all.dedup();
     all
 }
-
-/// Returns true if a server whose connections broke has crashed: since the latest broken connection
-/// the server has not answered this host, this host has no idle open connection to the server, and
-/// the address of the server refuses connections. A connection that the probe opens is kept for the
-/// next request.
-async fn has_crashed(server: &Server) -> bool {
-    if server.has_answered_since_broken_connection() || server.pool.has_open() {
-        return false;
-    }
-    match server.pool.connect(PROBE_CONNECT_MS).await {
-        Ok(connection) => {
-            server.pool.keep(connection);
-            false
-        }
-        Err(ConnectError::Refused { .. }) => true,
-        Err(error) => {
-            log::debug!("liveness probe of a server was inconclusive: {error}");
-            false
-        }
-    }
-}
--- a/src/entry/decide/attempt_stats.rs
+++ b/src/entry/decide/attempt_stats.rs
@@ -97,6 +97,13 @@
         self.paused_until_ms = now_ms + pause_ms.min(PAUSE_MAX_MS);
     }
 
+    /// Forgets the failed attempts, and ends the pause after failed connection attempts.
+    pub fn forgive(&mut self) {
+        self.failures = 0.0;
+        self.connect_failures = 0;
+        self.paused_until_ms = 0;
+    }
+
     /// Adds an outcome, 1 for a failure and 0 for a response, to the moving fraction of failed
     /// attempts.
     fn note_outcome(&mut self, outcome: f64, now_ms: u64) {
--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -30,6 +30,7 @@
 //! | [`crash_tally`], [`path_tally`], [`quarantine`], [`trials`] | a request that crashes servers |
 //! | [`idle_reuse`] | servers that forget idle connections without closing them |
 //! | [`ended`] | servers whose process has ended while their leases still run |
+//! | [`server_path`] | hosts that lose their network path to the servers |
 //! | [`lease_expiry`] | servers that are frozen or disconnected from the leader and may hold leases |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
@@ -67,6 +68,7 @@
 pub mod retry_after;
 pub mod retry_schedule;
 pub mod run_shares;
+pub mod server_path;
 pub mod shortage;
 pub mod slowdown;
 pub mod trials;
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -212,6 +212,26 @@
         /// Service that the server belonged to.
         service: Arc<str>,
     },
+    /// This host does not reach any server, although other hosts do. From now on it reaches servers
+    /// through tunnels of other hosts.
+    ServersUnreachable {
+        /// Number of servers that another host reached and this host did not, since the last direct
+        /// response of any server.
+        lost: usize,
+        /// Number of all servers.
+        servers: usize,
+        /// Time since the last direct response of any server.
+        contact_age_ms: u64,
+        /// Number of hosts that offer tunnels.
+        proxies: usize,
+    },
+    /// This host reaches servers directly again, or no other host offers tunnels any longer.
+    ServersReachable {
+        /// Time since [`Event::ServersUnreachable`].
+        after_ms: u64,
+        /// Observation that ended the state.
+        reason: &'static str,
+    },
     /// A server crashed with requests of this host in flight.
     ServerEnded {
         /// Identifier of the server's incarnation; a restarted server gets a new identifier.
--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -2,6 +2,7 @@
 //! response and classifies the result.
 
 use std::{
+    future,
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -46,6 +47,8 @@
     Unknown(String),
     /// The server may have run the request; the connection closed before a complete response.
     ConnectionLost(String),
+    /// The server may have run the request; this host lost its path to the server.
+    PathLost,
     /// The server may have run the request; the deadline passed without a response.
     TimedOut,
 }
@@ -173,7 +176,7 @@
         entry: &Arc<Entry>,
         server: &Arc<Server>,
     ) -> Result<Connection, AttemptOutcome> {
-        let connected = server.pool.connect(self.left_ms()).await;
+        let connected = entry.connect(server, self.left_ms()).await;
         connected.map_err(|error| {
             if matches!(error, ConnectError::Refused { .. }) {
                 // A refused connection may be the only sign of a crash: if the callers of all
@@ -222,7 +225,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
     ) -> Result<Response<Incoming>, AttemptOutcome> {
-        let sent = self.send_once(connection, request).await?;
+        let sent = self.send_once(entry, server, connection, request).await?;
         if let Some(idle_ms) = connection.unanswered_idle_ms() {
             entry.note_reuse_failed(server, idle_ms);
         }
@@ -236,7 +239,7 @@
         *connection = self.new_connection(entry, server).await?;
         let left_ms = HeaderValue::from(self.left_ms());
         request.headers_mut().insert(headers::DEADLINE_MS, left_ms);
-        let sent = self.send_once(connection, *request).await?;
+        let sent = self.send_once(entry, server, connection, *request).await?;
         sent.map_err(not_answered)
     }
 
@@ -244,19 +247,47 @@
     /// of a planned stop that it may repeat the request.
     async fn send_once(
         &self,
+        entry: &Entry,
+        server: &Server,
         connection: &mut Connection,
         request: Request<ResponseBody>,
     ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
         let Some(sent_before) = self.send_state.begin_send() else {
             return Err(AttemptOutcome::NotSent("this host stops".to_owned()));
         };
-        let sent = connection.send(request).await;
+        let sent = if connection.tunnel().is_some() {
+            entry.metrics.tunnelled_request();
+            connection.send(request).await
+        } else {
+            self.send_directly(server, connection, request).await?
+        };
         if let Err(SendError::NotWritten { .. }) = &sent {
             self.send_state.not_written(sent_before);
         }
         Ok(sent)
     }
 
+    /// Sends the request on a direct connection. A repeatable request no longer waits for its
+    /// response once the direct connections to the server are found to be lost.
+    async fn send_directly(
+        &self,
+        server: &Server,
+        connection: &mut Connection,
+        request: Request<ResponseBody>,
+    ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
+        server.path.note_sent();
+        let connections_lost = async {
+            server.path.connections_lost().await;
+            if !self.route.repeatable {
+                future::pending::<()>().await;
+            }
+        };
+        tokio::select! {
+            sent = connection.send(request) => Ok(sent),
+            () = connections_lost => Err(AttemptOutcome::PathLost),
+        }
+    }
+
     /// Sends the request, checks that the response is usable, and reads the body of the response as
     /// far as [`receive`] buffers it.
     async fn exchange(
@@ -270,8 +301,9 @@
             |error: hyper::Error| AttemptOutcome::ConnectionLost(error.to_string());
         let response = self.send(entry, server, connection, request).await?;
         let (head, body) = response.into_parts();
-        server.contact.note();
-        entry.server_contact.note();
+        if connection.tunnel().is_none() {
+            entry.note_direct_response(server);
+        }
         // A notice (the server leaves, or asks for a backoff) concerns the server as a whole, so
         // this host applies the notice even if the response belongs to another request.
         entry.note_notice(server, headers::notice(head.status, &head.headers));
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -200,11 +200,20 @@
                 AttemptOutcome::NotRun(status) => {
                     self.not_run(entry, payload, &server, status).await
                 }
-                AttemptOutcome::Unknown(reason) => self.unknown(entry, payload, &server, reason),
+                AttemptOutcome::Unknown(reason) => {
+                    server.failed();
+                    self.unknown(entry, payload, &server, reason)
+                }
                 AttemptOutcome::ConnectionLost(reason) => {
+                    server.failed();
+                    entry.suspect_path(&server);
                     entry.probe_liveness(&server);
                     self.unknown(entry, payload, &server, reason)
                 }
+                AttemptOutcome::PathLost => {
+                    let reason = "the path to the server is lost".to_owned();
+                    self.unknown(entry, payload, &server, reason)
+                }
                 AttemptOutcome::TimedOut => Some(self.timed_out(entry, &server)),
             };
             if let Some(response) = ended {
@@ -342,7 +351,6 @@
         reason: String,
     ) -> Option<Response<ResponseBody>> {
         self.attempts += 1;
-        server.failed();
         // A request that may crash servers is not sent again, because it could crash the next
         // server too.
         let is_suspect = self.is_trial || entry.crashes.is_path_suspect(self.digests);
--- a/src/entry/join/serve.rs
+++ b/src/entry/join/serve.rs
@@ -1,9 +1,10 @@
-//! HTTP server that sends snapshots and missed changes to other hosts, and registers joining hosts.
+//! HTTP server that sends snapshots and missed changes to other hosts, registers joining hosts, and
+//! opens tunnels to servers.
 
 use std::sync::{Arc, PoisonError};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
 use serde::Serialize;
 use tokio::{net::TcpListener, sync::watch};
@@ -24,9 +25,9 @@
 
 /// Content type of responses to other hosts, whose body is a sealed binary message.
 const SEALED_TYPE: &str = "application/octet-stream";
-/// Maximum number of connections from other hosts that this host serves at a time. Further
-/// connections wait to be accepted.
-const CONNECTIONS_MAX: usize = 16;
+/// Maximum number of connections from other hosts that this host serves at a time, without those
+/// that have become tunnels. Further connections wait to be accepted.
+const CONNECTIONS_MAX: usize = 32;
 /// Time for which this host reuses an encoded snapshot. Hosts that start together request the
 /// snapshot at the same time, so one encoding serves many of them.
 const ENCODED_KEPT_MS: u64 = 500;
@@ -90,7 +91,7 @@
         Some(bytes)
     }
 
-    pub(super) fn sealed(&self, content: &impl Serialize) -> Option<Bytes> {
+    pub(in crate::entry) fn sealed(&self, content: &impl Serialize) -> Option<Bytes> {
         match postcard::to_stdvec(content) {
             Ok(plain) => Some(Bytes::from(self.peers.seal.seal(&plain)?)),
             Err(error) => {
@@ -142,6 +143,9 @@
     }
 
     async fn serve_query(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        if request.method() == Method::CONNECT {
+            return self.serve_tunnel(request).await;
+        }
         let path = request.uri().path().to_owned();
         let answer = if path == REGISTER {
             self.register_joining_host(request).await
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -77,6 +77,7 @@
     servers_ended: Counter,
     server_processes_ended: Counter,
     idle_connection_failures: Counter,
+    tunnelled_requests: Counter,
     orders: Family<OrderLabels, Counter>,
     moves: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
@@ -100,6 +101,10 @@
     /// Number of servers that are cold (still warm up), to which the rate limits of cold servers
     /// may apply.
     pub cold_servers: Gauge,
+    /// Number of servers that this host reaches through tunnels of other hosts only.
+    pub unreachable_servers: Gauge,
+    /// Number of tunnels that this host carries for other hosts.
+    pub carried_tunnels: Gauge,
     /// Number of contended services that are short of capacity.
     pub services_short: Gauge,
     /// Number of log lines that were dropped since the start of the process because too many lines
@@ -131,6 +136,9 @@
             evacuated_zones: Gauge::default(),
             quarantined_requests: Gauge::default(),
             cold_servers: Gauge::default(),
+            unreachable_servers: Gauge::default(),
+            carried_tunnels: Gauge::default(),
+            tunnelled_requests: Counter::default(),
             services_short: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
@@ -201,6 +209,14 @@
         );
         let help = "Servers that are cold";
         registry.register("cold_servers", help, self.cold_servers.clone());
+        let help = "Servers that this host reaches through other hosts only";
+        let gauge = self.unreachable_servers.clone();
+        registry.register("unreachable_servers", help, gauge);
+        let help = "Tunnels to servers that this host carries for other hosts";
+        registry.register("carried_tunnels", help, self.carried_tunnels.clone());
+        let help = "Attempts that were sent through another host";
+        let counter = self.tunnelled_requests.clone();
+        registry.register("tunnelled_requests", help, counter);
         let help = "Contended services whose servers have more requests than they can run";
         registry.register("services_short", help, self.services_short.clone());
         let help = "Log lines that were dropped";
@@ -244,6 +260,11 @@
         self.idle_connection_failures.inc();
     }
 
+    /// Counts an attempt that was sent through a tunnel of another host.
+    pub fn tunnelled_request(&self) {
+        self.tunnelled_requests.inc();
+    }
+
     /// Counts a command (grant or release of keys) to a server when the outcome of the command is
     /// known.
     pub fn order(&self, order: &'static str, outcome: &'static str) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 pub mod model;
 mod notices;
 pub mod owners;
+pub mod paths;
 pub mod peers;
 pub mod pool;
 pub mod quotas;
@@ -40,6 +41,7 @@
 pub mod seal;
 mod secret;
 pub mod server;
+pub mod server_path;
 pub mod settings;
 pub mod shared_rate;
 mod shortages;
@@ -78,6 +80,7 @@
     limits::Timings,
     metrics::Metrics,
     model::Warmup,
+    paths::ServerPaths,
     peers::Peers,
     quotas::Quotas,
     request_ages::RequestAges,
@@ -152,8 +155,10 @@
     shortages: Shortages,
     /// Bounds on the reuse of idle connections to the servers of a service.
     idle_reuses: IdleReuses,
-    /// Time of the last response from any server to this host.
+    /// Time of the last direct response from any server to this host.
     server_contact: ContactTime,
+    /// Paths to the servers, and tunnels through other hosts.
+    paths: ServerPaths,
     /// Counters, gauges and histograms that the metrics address serves.
     pub metrics: Metrics,
     /// True once the host row of this host in the store states the incarnation of this process.
@@ -213,6 +218,7 @@
             shortages: Shortages::default(),
             idle_reuses: IdleReuses::default(),
             server_contact: ContactTime::default(),
+            paths: ServerPaths::default(),
             metrics: Metrics::default(),
             registered: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- /dev/null
+++ b/src/entry/paths/mod.rs
@@ -0,0 +1,181 @@
+//! Network paths from this host to the servers. While this host does not reach a server that other
+//! hosts reach, connections to the server are opened through tunnels of another host.
+
+mod check;
+mod proxies;
+mod tunnel;
+mod tunnel_server;
+mod watch;
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use tokio::sync::{Notify, Semaphore};
+
+use self::{proxies::Proxies, tunnel::TunnelError};
+use super::{
+    Entry,
+    decide::server_path,
+    events::Event,
+    pool::{ConnectError, Connection},
+    server::Server,
+    server_path::Route,
+};
+use crate::clock;
+
+/// Maximum number of tunnels that this host carries for other hosts.
+const TUNNELS_MAX: usize = 512;
+/// Minimum interval between checks of the path to one server.
+const CHECK_EVERY_MS: u64 = 500;
+
+/// State of the paths from this host to the servers, beyond that of the single servers.
+#[derive(Debug)]
+pub struct ServerPaths {
+    /// Time at which this host was found to have lost its path to all servers; 0 otherwise.
+    cut_off_ms: AtomicU64,
+    /// Notified when this host has lost its path to all servers.
+    cut_off: Notify,
+    /// Hosts through which this host may open tunnels.
+    proxies: Proxies,
+    /// Permits of the tunnels that this host carries for other hosts.
+    carried: Arc<Semaphore>,
+}
+
+impl Default for ServerPaths {
+    fn default() -> Self {
+        Self {
+            cut_off_ms: AtomicU64::new(0),
+            cut_off: Notify::new(),
+            proxies: Proxies::default(),
+            carried: Arc::new(Semaphore::new(TUNNELS_MAX)),
+        }
+    }
+}
+
+impl ServerPaths {
+    /// Returns true while this host does not reach any server, although other hosts do.
+    pub fn is_cut_off(&self) -> bool {
+        self.cut_off_ms.load(Ordering::Relaxed) != 0
+    }
+
+    /// Waits until this host is found to have lost its path to all servers.
+    pub async fn until_cut_off(&self) {
+        self.cut_off.notified().await;
+    }
+
+    /// Returns the number of tunnels that this host carries for other hosts.
+    pub fn carried_tunnels(&self) -> usize {
+        TUNNELS_MAX - self.carried.available_permits()
+    }
+}
+
+impl Entry {
+    /// Opens a connection to a server: directly, or through a tunnel while the path to the server
+    /// is lost. If a direct attempt fails, tries a tunnel, which shows whether the server or the
+    /// path is lost.
+    pub(in crate::entry) async fn connect(
+        &self,
+        server: &Server,
+        left_ms: u64,
+    ) -> Result<Connection, ConnectError> {
+        if server.path.route() == Route::Tunnel {
+            match self.connect_through_tunnel(server, left_ms).await {
+                Ok(connection) => return Ok(connection),
+                Err(error @ TunnelError::ServerRefused) => return Err(error.into()),
+                Err(error) => log::debug!("no tunnel to {}: {error}", server.entry.id),
+            }
+        }
+        let direct_error = match server.pool.connect(left_ms).await {
+            Ok(connection) => return Ok(connection),
+            Err(error) => error,
+        };
+        if !server.path.begin_check(CHECK_EVERY_MS) {
+            return Err(direct_error);
+        }
+        match self.connect_through_tunnel(server, left_ms).await {
+            Ok(connection) => {
+                self.note_path_lost(server, false);
+                Ok(connection)
+            }
+            Err(error) => {
+                log::debug!("no tunnel to {}: {error}", server.entry.id);
+                Err(direct_error)
+            }
+        }
+    }
+
+    /// Records that the server has responded directly to this host.
+    pub(in crate::entry) fn note_direct_response(&self, server: &Server) {
+        server.contact.note();
+        self.server_contact.note();
+        server.path.note_response();
+    }
+
+    /// Records that another host reaches the server while this host does not. If
+    /// `is_connection_lost` is true, the open direct connections to the server are lost as well.
+    fn note_path_lost(&self, server: &Server, is_connection_lost: bool) {
+        let is_new = server.path.set_lost();
+        server.forgive();
+        self.idle_reuses.withdraw(server);
+        if is_connection_lost {
+            abandon_direct_connections(server);
+        }
+        if is_new {
+            log::debug!("the path to {} is lost", server.entry.id);
+            self.examine_host_path();
+        }
+    }
+
+    /// Finds out whether this host has lost its path to all servers.
+    fn examine_host_path(&self) {
+        let registry = self.view.registry();
+        let contact_ms = self.server_contact.at_ms();
+        let is_lost = |server: &&Arc<Server>| server.path.lost_ms() > contact_ms;
+        let lost = registry.servers().filter(is_lost).count();
+        let servers = registry.servers().count();
+        if !server_path::is_host_cut_off(lost, servers) || self.paths.is_cut_off() {
+            return;
+        }
+        let now_ms = clock::now_ms();
+        self.paths.cut_off_ms.store(now_ms, Ordering::Relaxed);
+        for server in registry.servers() {
+            server.path.set_lost();
+            server.forgive();
+            abandon_direct_connections(server);
+        }
+        self.paths.cut_off.notify_waiters();
+        Event::ServersUnreachable {
+            lost,
+            servers,
+            contact_age_ms: now_ms.saturating_sub(contact_ms),
+            proxies: self.paths.proxies.fresh_count(),
+        }
+        .log();
+    }
+
+    /// Ends the state in which this host counts as cut off from all servers.
+    fn end_cut_off(&self, reason: &'static str) {
+        let since_ms = self.paths.cut_off_ms.swap(0, Ordering::Relaxed);
+        if since_ms > 0 {
+            let after_ms = clock::now_ms().saturating_sub(since_ms);
+            Event::ServersReachable { after_ms, reason }.log();
+        }
+    }
+
+    /// Returns the number of servers that this host reaches through tunnels only.
+    pub(in crate::entry) fn unreachable_servers(&self) -> usize {
+        let registry = self.view.registry();
+        let servers = registry.servers();
+        servers
+            .filter(|server| server.path.route() == Route::Tunnel)
+            .count()
+    }
+}
+
+/// Closes the idle direct connections to a server, and wakes the requests that wait on others.
+fn abandon_direct_connections(server: &Server) {
+    server.pool.close_direct();
+    server.path.abandon_connections();
+}
--- /dev/null
+++ b/src/entry/paths/tunnel.rs
@@ -0,0 +1,181 @@
+//! Opens tunnels to servers through other hosts, by the method `CONNECT` of HTTP.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use base64::{Engine, prelude::BASE64_STANDARD};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Empty;
+use hyper::{
+    client::conn::http1::handshake,
+    upgrade::{self, Upgraded},
+};
+use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt, Snafu};
+use tokio::{net::TcpStream, time};
+
+use crate::entry::{
+    Entry,
+    pool::{ConnectError, Connection},
+    server::Server,
+};
+
+/// Timeout of opening a tunnel, which includes the other host's connection to the server.
+const OPEN_TIMEOUT_MS: u64 = 400;
+/// Number of hosts through which a tunnel is attempted.
+const HOSTS_TRIED_MAX: usize = 2;
+/// Scheme of the header `Proxy-Authorization` in requests for tunnels.
+pub(super) const AUTHORIZATION_SCHEME: &str = "Ashroad ";
+
+/// Server to which a host asks another host for a tunnel. Sealed with the hosts' secret.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct TunnelRequest {
+    /// Tag of the server's incarnation.
+    pub server_tag: u32,
+}
+
+/// Reason why a tunnel could not be opened.
+#[derive(Debug, Snafu)]
+pub enum TunnelError {
+    /// No other host carries tunnels.
+    #[snafu(display("no other host carries tunnels"))]
+    NoHost,
+    /// This host does not know the hosts' secret yet.
+    #[snafu(display("the request for a tunnel cannot be sealed"))]
+    Seal,
+    /// The other host could not be reached.
+    #[snafu(display("{host}: {source}"))]
+    Network {
+        /// Address of the other host.
+        host: SocketAddr,
+        /// Error of the connection attempt.
+        source: io::Error,
+    },
+    /// The exchange with the other host failed.
+    #[snafu(display("{host}: {source}"))]
+    Protocol {
+        /// Address of the other host.
+        host: SocketAddr,
+        /// Error of the HTTP library.
+        source: hyper::Error,
+    },
+    /// The request for a tunnel could not be built.
+    #[snafu(display("the request for a tunnel is invalid: {source}"))]
+    Request {
+        /// Error of the HTTP library.
+        source: http::Error,
+    },
+    /// The other host opened no tunnel, for example because it does not reach the server either.
+    #[snafu(display("{host} responded with status {status}"))]
+    Rejected {
+        /// Address of the other host.
+        host: SocketAddr,
+        /// Status of the response.
+        status: StatusCode,
+    },
+    /// The server refused the connection of the other host.
+    #[snafu(display("the server refused the connection of another host"))]
+    ServerRefused,
+    /// The tunnel was not open in time.
+    #[snafu(display("timeout"))]
+    TimedOut,
+}
+
+impl From<TunnelError> for ConnectError {
+    fn from(error: TunnelError) -> Self {
+        match error {
+            TunnelError::ServerRefused => Self::Refused {
+                source: io::Error::from(io::ErrorKind::ConnectionRefused),
+            },
+            error => Self::Network {
+                source: io::Error::other(error),
+            },
+        }
+    }
+}
+
+impl Entry {
+    /// Opens a connection to a server through a tunnel of another host, within `left_ms`.
+    pub(super) async fn connect_through_tunnel(
+        &self,
+        server: &Server,
+        left_ms: u64,
+    ) -> Result<Connection, TunnelError> {
+        let timeout = Duration::from_millis(left_ms.min(OPEN_TIMEOUT_MS));
+        let opened = time::timeout(timeout, self.try_hosts(server)).await;
+        opened.unwrap_or(Err(TunnelError::TimedOut))
+    }
+
+    /// Tries hosts one after the other until one opens a tunnel or the server refuses.
+    async fn try_hosts(&self, server: &Server) -> Result<Connection, TunnelError> {
+        let mut last = TunnelError::NoHost;
+        for _ in 0..HOSTS_TRIED_MAX {
+            let host = self.proxy().await.context(NoHostSnafu)?;
+            match self.open_tunnel(host, server).await {
+                Ok(connection) => return Ok(connection),
+                Err(error @ TunnelError::ServerRefused) => return Err(error),
+                Err(error) => {
+                    self.paths.proxies.remove(host);
+                    last = error;
+                }
+            }
+        }
+        Err(last)
+    }
+
+    async fn open_tunnel(
+        &self,
+        host: SocketAddr,
+        server: &Server,
+    ) -> Result<Connection, TunnelError> {
+        let request = self.tunnel_request(server)?;
+        let stream = TcpStream::connect(host).await;
+        let stream = stream.context(NetworkSnafu { host })?;
+        stream.set_nodelay(true).context(NetworkSnafu { host })?;
+        let upgraded = exchange(host, stream, request).await?;
+        let opened = server.pool.start(upgraded, Some(host)).await;
+        opened.map_err(|_| TunnelError::TimedOut)
+    }
+
+    fn tunnel_request(&self, server: &Server) -> Result<Request<Empty<Bytes>>, TunnelError> {
+        let wanted = TunnelRequest {
+            server_tag: server.tag,
+        };
+        let sealed = self.sealed(&wanted).context(SealSnafu)?;
+        let encoded = BASE64_STANDARD.encode(sealed);
+        let target = server.entry.address.to_string();
+        Request::builder()
+            .method(Method::CONNECT)
+            .uri(&target)
+            .header(header::HOST, &target)
+            .header(
+                header::PROXY_AUTHORIZATION,
+                format!("{AUTHORIZATION_SCHEME}{encoded}"),
+            )
+            .body(Empty::new())
+            .context(RequestSnafu)
+    }
+}
+
+/// Sends the request for a tunnel and returns the connection that has become the tunnel.
+async fn exchange(
+    host: SocketAddr,
+    stream: TcpStream,
+    request: Request<Empty<Bytes>>,
+) -> Result<Upgraded, TunnelError> {
+    let begun = handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = begun.context(ProtocolSnafu { host })?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.with_upgrades().await {
+            log::debug!("the connection to {host} for a tunnel failed: {error}");
+        }
+    });
+    let sent = sender.send_request(request).await;
+    let response = sent.context(ProtocolSnafu { host })?;
+    match response.status() {
+        StatusCode::OK => upgrade::on(response).await.context(ProtocolSnafu { host }),
+        StatusCode::BAD_GATEWAY => Err(TunnelError::ServerRefused),
+        status => RejectedSnafu { host, status }.fail(),
+    }
+}
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -329,4 +329,12 @@
     /// sender was in flight there. Sent to the leader, which then tries connections to these servers
     /// to find out whether they have ended.
     RefusedConnections(Vec<u32>),
+    /// Asks whether the receiver carries tunnels of the sender to servers.
+    QueryTunnels,
+    /// Responds to [`Message::QueryTunnels`]: the sender carries tunnels.
+    OfferTunnels {
+        /// Time since a server last responded to the sender directly, in milliseconds; `None` if
+        /// none has.
+        contact_age_ms: Option<u32>,
+    },
 }
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -242,6 +242,27 @@
         relays.choose(&mut rand::rng()).copied()
     }
 
+    /// Returns true if the host at this address is known to be in this host's zone.
+    pub fn is_same_zone(&self, address: SocketAddr) -> bool {
+        let peers = self.peers();
+        let peer = peers.get(&address);
+        peer.is_some_and(|peer| peer.properties.is_same_zone)
+    }
+
+    /// Returns up to `per_place` random hosts of this host's zone, and as many of other zones.
+    pub fn sample(&self, per_place: usize) -> Vec<SocketAddr> {
+        let peers = self.peers();
+        let of_place = |is_same_zone: bool| {
+            let in_place = peers
+                .iter()
+                .filter(|(_, peer)| peer.properties.is_same_zone == is_same_zone);
+            let in_place: Vec<SocketAddr> = in_place.map(|(address, _)| *address).collect();
+            let chosen = in_place.choose_multiple(&mut rand::rng(), per_place);
+            chosen.copied().collect::<Vec<_>>()
+        };
+        [of_place(true), of_place(false)].concat()
+    }
+
     /// Returns true if another host at this address is known, from its row or its own messages.
     pub fn knows(&self, address: SocketAddr) -> bool {
         self.peers().contains_key(&address)
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -207,6 +207,10 @@
             Message::AnnounceLeaving(tags) => {
                 self.note_leaving_elsewhere(&tags);
             }
+            Message::QueryTunnels => self.offer_tunnels(from),
+            Message::OfferTunnels { contact_age_ms } => {
+                self.note_tunnel_offer(from, contact_age_ms)
+            }
             Message::RelayAck => {}
             Message::Relay(_) | Message::Relayed { .. } => {
                 log::debug!("ignoring a message of {from} that was relayed twice");
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -12,6 +12,7 @@
 use hyper::{
     body::Incoming,
     client::conn::http1::{SendRequest, handshake},
+    rt::{Read, Write},
 };
 use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
@@ -90,6 +91,8 @@
     sender: SendRequest<ResponseBody>,
     /// Task that drives the connection; aborted when the connection is dropped.
     task: AbortHandle,
+    /// Host whose tunnel the connection takes; `None` for a direct connection.
+    tunnel: Option<SocketAddr>,
     /// Idle time up to which the connection is reused.
     idle_limit_ms: u64,
     idle_since_ms: u64,
@@ -151,10 +154,54 @@
     /// request, or after [`CONNECT_TIMEOUT_MS`] if that is shorter.
     pub async fn connect(&self, left_ms: u64) -> Result<Connection, ConnectError> {
         let timeout = Duration::from_millis(left_ms.min(CONNECT_TIMEOUT_MS));
-        let opened = time::timeout(timeout, open(self.address)).await;
+        let opened = async {
+            let stream = TcpStream::connect(self.address).await?;
+            stream.set_nodelay(true)?;
+            self.start(TokioIo::new(stream), None).await
+        };
+        let opened = time::timeout(timeout, opened).await;
         opened.unwrap_or(Err(ConnectError::TimedOut))
     }
 
+    /// Performs the HTTP/1.1 handshake on a stream to the server, which is a tunnel of the host
+    /// `tunnel` or a direct connection.
+    pub async fn start<S>(
+        &self,
+        stream: S,
+        tunnel: Option<SocketAddr>,
+    ) -> Result<Connection, ConnectError>
+    where
+        S: Read + Write + Unpin + Send + 'static,
+    {
+        let address = self.address;
+        let begun = handshake(stream).await;
+        let (sender, connection) = begun.context(ProtocolSnafu)?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("connection to {address} failed: {error}");
+            }
+        });
+        Ok(Connection {
+            sender,
+            task: task.abort_handle(),
+            tunnel,
+            idle_limit_ms: IDLE_DEFAULT_MS,
+            idle_since_ms: clock::now_ms(),
+            unanswered_idle_ms: None,
+        })
+    }
+
+    /// Closes the idle direct connections.
+    pub fn close_direct(&self) {
+        self.idle().retain(|connection| connection.tunnel.is_some());
+    }
+
+    /// Closes the idle connections through tunnels of hosts for which `is_closed` returns true.
+    pub fn close_tunnels(&self, is_closed: impl Fn(SocketAddr) -> bool) {
+        self.idle()
+            .retain(|connection| !connection.tunnel.is_some_and(&is_closed));
+    }
+
     /// Adds a new connection on which no request was sent, such as one that a liveness probe
     /// opened.
     pub fn keep(&self, mut connection: Connection) {
@@ -201,6 +248,11 @@
         self.unanswered_idle_ms
     }
 
+    /// Returns the host whose tunnel the connection takes; `None` for a direct connection.
+    pub fn tunnel(&self) -> Option<SocketAddr> {
+        self.tunnel
+    }
+
     fn idle_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.idle_since_ms)
     }
@@ -228,26 +280,6 @@
     }
 }
 
-/// Connects to the address and performs the HTTP/1.1 handshake.
-async fn open(address: SocketAddr) -> Result<Connection, ConnectError> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let begun = handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = begun.context(ProtocolSnafu)?;
-    let task = tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("connection to {address} failed: {error}");
-        }
-    });
-    Ok(Connection {
-        sender,
-        task: task.abort_handle(),
-        idle_limit_ms: IDLE_DEFAULT_MS,
-        idle_since_ms: clock::now_ms(),
-        unanswered_idle_ms: None,
-    })
-}
-
 /// Returns true if the headers ask to close the connection.
 fn says_close(headers: &HeaderMap) -> bool {
     let values = headers.get_all(header::CONNECTION).iter();
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -155,6 +155,7 @@
     tokio::spawn(entry.clone().exchange_rate_limits());
     tokio::spawn(entry.clone().exchange_quota_usage());
     tokio::spawn(entry.clone().keep_logging_contention());
+    tokio::spawn(entry.clone().keep_watching_paths());
     tokio::spawn(sweep_connections(entry.clone()));
     tokio::spawn(async {
         loop {
@@ -224,6 +225,12 @@
         .servers()
         .filter(|server| server.cold_remaining_ms() > 0);
     metrics.cold_servers.set(cold.count() as i64);
+    metrics
+        .unreachable_servers
+        .set(entry.unreachable_servers() as i64);
+    metrics
+        .carried_tunnels
+        .set(entry.paths.carried_tunnels() as i64);
     metrics.services_short.set(entry.services_short() as i64);
     let dropped = log_writer::dropped_in_total();
     metrics.log_lines_dropped.set(dropped as i64);
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -23,6 +23,7 @@
     model::{Notice, ServerEntry, Warmup},
     pool::Pool,
     running_requests::RunningRequests,
+    server_path::ServerPath,
     shared_rate::SharedRate,
 };
 use crate::{clock, platform::Link};
@@ -68,8 +69,10 @@
     pub rate: SharedRate,
     /// Record of broken connections between this host and the server.
     pub broken_connections: BrokenConnections,
-    /// Time of the last response from the server to this host.
+    /// Time of the last direct response from the server to this host.
     pub contact: ContactTime,
+    /// Network path from this host to the server.
+    pub path: ServerPath,
 }
 
 /// Slowdowns that the server has reported (factors by which it currently runs slower than usual).
@@ -134,6 +137,7 @@
             running_requests: Mutex::default(),
             broken_connections: BrokenConnections::default(),
             contact: ContactTime::default(),
+            path: ServerPath::default(),
             entry,
         };
         server.set_cold_for(server.entry.cold_ms);
@@ -445,6 +449,12 @@
         self.attempt_stats().failed(clock::now_ms());
     }
 
+    /// Forgets failed attempts and ends the pause after them, because they were failures of the
+    /// path to the server.
+    pub fn forgive(&self) {
+        self.attempt_stats().forgive();
+    }
+
     /// Records an attempt that failed because no connection could be opened.
     pub fn not_connected(&self) {
         self.attempt_stats().not_connected(clock::now_ms());
--- /dev/null
+++ b/src/entry/server_path.rs
@@ -0,0 +1,131 @@
+//! Network path from this host to one server: directly, or through a tunnel of another host while
+//! this host does not reach the server.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use tokio::sync::watch;
+
+use crate::clock;
+
+/// Way in which this host opens new connections to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Route {
+    /// Directly.
+    Direct,
+    /// Through a tunnel of another host.
+    Tunnel,
+}
+
+/// State of the path from this host to one server.
+#[derive(Debug)]
+pub struct ServerPath {
+    /// Time at which the path was found to be lost; 0 while the path is usable.
+    lost_ms: AtomicU64,
+    /// Time at which the last check of the path began.
+    checked_ms: AtomicU64,
+    /// Time at which the first request was sent directly that has had no response since; 0 if all
+    /// direct requests were answered.
+    waiting_since_ms: AtomicU64,
+    /// Number of times that the open direct connections were found to be lost.
+    losses: watch::Sender<u64>,
+}
+
+impl Default for ServerPath {
+    fn default() -> Self {
+        Self {
+            lost_ms: AtomicU64::new(0),
+            checked_ms: AtomicU64::new(0),
+            waiting_since_ms: AtomicU64::new(0),
+            losses: watch::Sender::new(0),
+        }
+    }
+}
+
+impl ServerPath {
+    /// Returns the way in which new connections to the server are opened.
+    pub fn route(&self) -> Route {
+        if self.lost_ms() == 0 {
+            Route::Direct
+        } else {
+            Route::Tunnel
+        }
+    }
+
+    /// Returns the time at which the path was found to be lost; 0 while the path is usable.
+    pub fn lost_ms(&self) -> u64 {
+        self.lost_ms.load(Ordering::Relaxed)
+    }
+
+    /// Records that this host does not reach the server while another host does. Returns true if
+    /// the path counted as usable before.
+    pub fn set_lost(&self) -> bool {
+        let now_ms = clock::now_ms();
+        let changed =
+            self.lost_ms
+                .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+        changed.is_ok()
+    }
+
+    /// Records that the server has responded directly. Returns true if the path counted as lost
+    /// before.
+    pub fn set_usable(&self) -> bool {
+        self.waiting_since_ms.store(0, Ordering::Relaxed);
+        self.lost_ms.swap(0, Ordering::Relaxed) != 0
+    }
+
+    /// Returns true, and records the start of a check, if the last check began at least
+    /// `interval_ms` ago.
+    pub fn begin_check(&self, interval_ms: u64) -> bool {
+        let now_ms = clock::now_ms();
+        let checked_ms = self.checked_ms.load(Ordering::Relaxed);
+        let is_due = now_ms >= checked_ms + interval_ms;
+        is_due
+            && self
+                .checked_ms
+                .compare_exchange(checked_ms, now_ms, Ordering::Relaxed, Ordering::Relaxed)
+                .is_ok()
+    }
+
+    /// Returns the time at which the last check of the path began; 0 before the first check.
+    pub fn checked_ms(&self) -> u64 {
+        self.checked_ms.load(Ordering::Relaxed)
+    }
+
+    /// Records that a request was sent directly.
+    pub fn note_sent(&self) {
+        let now_ms = clock::now_ms();
+        let is_first =
+            self.waiting_since_ms
+                .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+        if is_first.is_err() {
+            // Another request waits since an earlier time.
+        }
+    }
+
+    /// Records a direct response.
+    pub fn note_response(&self) {
+        self.waiting_since_ms.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns the time since the first direct request without a response since, in milliseconds;
+    /// `None` if no request waits.
+    pub fn waited_ms(&self) -> Option<u64> {
+        let since_ms = self.waiting_since_ms.load(Ordering::Relaxed);
+        (since_ms > 0).then(|| clock::now_ms().saturating_sub(since_ms))
+    }
+
+    /// Wakes the requests that wait for responses on direct connections, because these connections
+    /// are lost.
+    pub fn abandon_connections(&self) {
+        self.waiting_since_ms.store(0, Ordering::Relaxed);
+        self.losses.send_modify(|losses| *losses += 1);
+    }
+
+    /// Waits until the direct connections that are open now are found to be lost.
+    pub async fn connections_lost(&self) {
+        let mut losses = self.losses.subscribe();
+        if losses.changed().await.is_err() {
+            log::debug!("the state of a server's path is gone");
+        }
+    }
+}
--- a/src/transport/listener.rs
+++ b/src/transport/listener.rs
@@ -4,16 +4,14 @@
     convert::Infallible,
     future::Future,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
 
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::{
-    rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
-};
+use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, watch},
@@ -68,7 +66,8 @@
 
 /// Accepts connections on `listener` and answers each request with `handler` until `stop` becomes
 /// true. Then [`serve`] closes the listener, lets the requests in flight complete for at most
-/// [`ListenerLimits::drain_ms`], and returns. Nothing is read ahead on the connections.
+/// [`ListenerLimits::drain_ms`], and returns. Nothing is read ahead on the connections. A connection
+/// that the handler upgrades no longer counts.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ListenerLimits,
@@ -78,10 +77,11 @@
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
-    let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(limits.connections));
+    let stopping = stop.clone();
     accept(listener, &permits, stop, |stream, caller, permit| {
         let handler = handler.clone();
+        let mut stopping = stopping.clone();
         let service = service_fn(move |mut request: Request<Incoming>| {
             request.extensions_mut().insert(CallerAddress(caller.ip()));
             let answer = handler(request);
@@ -89,15 +89,21 @@
         });
         let connection =
             connection_builder(&limits).serve_connection(TokioIo::new(stream), service);
-        let watched = graceful.watch(connection);
         tokio::spawn(async move {
-            let _ = watched.await;
+            let mut connection = pin!(connection.with_upgrades());
+            let ended = tokio::select! {
+                ended = &mut connection => Some(ended),
+                _ = stopping.wait_for(|stopped| *stopped) => None,
+            };
+            if ended.is_none() {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
             drop(permit);
         });
     })
     .await;
-    let drain = Duration::from_millis(limits.drain_ms);
-    let _ = time::timeout(drain, graceful.shutdown()).await;
+    await_connections(&permits, &limits).await;
 }
 
 /// Does the same as [`serve`], and starts pipelined requests before their turn, within
@@ -123,6 +129,11 @@
         });
     })
     .await;
+    await_connections(&permits, &limits).await;
+}
+
+/// Waits until all connections have ended, at most for [`ListenerLimits::drain_ms`].
+async fn await_connections(permits: &Semaphore, limits: &ListenerLimits) {
     // All permits are back when all connections have ended.
     let all = u32::try_from(limits.connections).unwrap_or(u32::MAX);
     let drain = Duration::from_millis(limits.drain_ms);
--- a/tests/entry_partition.rs
+++ b/tests/entry_partition.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use tokio::time;
+use tokio::{sync::Mutex, time};
 
 use self::platform_standin::{
     deployment::CONTACT_GRACE,
@@ -22,6 +22,8 @@
 const SERVED_SHARE_MIN: f64 = 2.0 / 3.0;
 /// Least share of the first attempts that the other hosts must serve meanwhile.
 const SERVED_ELSEWHERE_MIN: f64 = 0.95;
+/// Lock that a test holds while it runs, since together they would start over 20 processes.
+static RUN_LOCK: Mutex<()> = Mutex::const_new(());
 const ALL_CUTS: [Cut; 4] = [Cut::Silent, Cut::NoResponses, Cut::Reset, Cut::NewReset];
 
 /// Deployment of which some hosts are partitioned.
@@ -122,6 +124,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn callers_of_hosts_without_a_path_to_servers_are_served() {
+    let _guard = RUN_LOCK.lock().await;
     let mut failed = Vec::new();
     for cut in ALL_CUTS {
         let [first, second, third] = &CASES;
@@ -143,6 +146,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn servers_that_one_host_cannot_reach_count_as_alive() {
+    let _guard = RUN_LOCK.lock().await;
     let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
     let traffic = Traffic::new(Workload::Keys);
     for (index, host) in site.hosts.iter().enumerate() {
@@ -176,6 +180,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leader_without_a_path_to_servers_hands_the_leadership_over() {
+    let _guard = RUN_LOCK.lock().await;
     let mut failed = Vec::new();
     for cut in ALL_CUTS {
         let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
@@ -232,6 +237,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_host_uses_its_own_path_again_soon_after_a_partition() {
+    let _guard = RUN_LOCK.lock().await;
     let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
     let traffic = Traffic::new(Workload::Keys);
     for _ in 0..3 {
--- a/tests/platform_standin/server_proxy.rs
+++ b/tests/platform_standin/server_proxy.rs
@@ -44,24 +44,41 @@
 /// Partitions of hosts from the servers of a test, by the process id of the host. Clones share the
 /// partitions.
 #[derive(Clone, Debug, Default)]
-pub struct Cuts(Arc<Mutex<HashMap<u32, Cut>>>);
+pub struct Cuts(Arc<Mutex<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    /// Process ids of all hosts, among which the owner of a connection is looked for.
+    hosts: Vec<u32>,
+    /// Partitions by the process id of the host.
+    cuts: HashMap<u32, Cut>,
+}
 
 impl Cuts {
+    /// Adds the process id of a host.
+    pub fn add_host(&self, host: u32) {
+        self.state().hosts.push(host);
+    }
+
     /// Partitions the host with this process id from all servers behind a proxy.
     pub fn begin(&self, host: u32, cut: Cut) {
-        self.cuts().insert(host, cut);
+        self.state().cuts.insert(host, cut);
     }
 
     /// Ends the partition of a host.
     pub fn end(&self, host: u32) {
-        self.cuts().remove(&host);
+        self.state().cuts.remove(&host);
     }
 
     fn of(&self, host: Option<u32>) -> Option<Cut> {
-        self.cuts().get(&host?).copied()
+        self.state().cuts.get(&host?).copied()
     }
 
-    fn cuts(&self) -> MutexGuard<'_, HashMap<u32, Cut>> {
+    fn hosts(&self) -> Vec<u32> {
+        self.state().hosts.clone()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -79,8 +96,11 @@
 }
 
 async fn connect(host_stream: TcpStream, from: SocketAddr, target: SocketAddr, cuts: Cuts) {
-    let host = task::spawn_blocking(move || owner_of(from)).await;
-    let host = host.expect("the owner is looked up");
+    let hosts = cuts.hosts();
+    // The lookup is cancelled at the end of the test.
+    let Ok(host) = task::spawn_blocking(move || owner_of(from, &hosts)).await else {
+        return;
+    };
     if host.is_none() || matches!(cuts.of(host), Some(Cut::Reset | Cut::NewReset)) {
         // Dropping the stream with linger 0 resets the connection.
         host_stream.set_zero_linger().expect("linger");
@@ -131,21 +151,14 @@
     }
 }
 
-/// Returns the id of the process that holds the socket with this local address.
-/// Looks several times, because the kernel's table may lack a socket while other sockets change.
-fn owner_of(address: SocketAddr) -> Option<u32> {
-    (0..LOOKUPS_MAX).find_map(|_| holder_of(address))
-}
-
-fn holder_of(address: SocketAddr) -> Option<u32> {
-    let inode = inode_of(address)?;
-    let wanted = format!("socket:[{inode}]");
-    let processes = fs::read_dir("/proc").ok()?.filter_map(|entry| {
-        let entry = entry.ok()?;
-        let pid: u32 = entry.file_name().to_str()?.parse().ok()?;
-        holds(&entry.path().join("fd"), &wanted).then_some(pid)
-    });
-    processes.into_iter().next()
+/// Returns the id of the process among `hosts` that holds the socket with this local address. Looks
+/// several times, because the kernel's table may lack a socket while other sockets change.
+fn owner_of(address: SocketAddr, hosts: &[u32]) -> Option<u32> {
+    (0..LOOKUPS_MAX).find_map(|_| {
+        let wanted = format!("socket:[{}]", inode_of(address)?);
+        let mut hosts = hosts.iter().copied();
+        hosts.find(|host| holds(Path::new(&format!("/proc/{host}/fd")), &wanted))
+    })
 }
 
 /// Returns the inode of the socket with this local address, from the kernel's table of sockets.
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -95,6 +95,7 @@
         }
         for zone in zones {
             let host = Host::start_in(zone, site.store.address, "");
+            cuts.add_host(host.pid());
             site.hosts.push(host);
         }
         site.await_ready().await;
