Leadership: a host that reaches no server gives it up; commands to servers take tunnels

Cause: nothing but the store decides on the leadership. Change: a host that is cut off writes the row without a leader, sends no command from then on and does not take over; grants and releases to a server whose path is lost take tunnels, since a leader may lose some servers only. A host that carries tunnels says 504 for a server that it does not reach itself; a refusal counts once two hosts report it.

--- a/src/entry/crashes/probe.rs
+++ b/src/entry/crashes/probe.rs
@@ -53,7 +53,7 @@
     /// connection the server has not answered this host, this host has no idle open connection to
     /// the server, and the address of the server refuses connections, also those of another host. A
     /// connection that the probe opens is kept for the next request.
-    async fn has_crashed(&self, server: &Server) -> bool {
+    async fn has_crashed(self: &Arc<Self>, server: &Arc<Server>) -> bool {
         if server.has_answered_since_broken_connection() || server.pool.has_open() {
             return false;
         }
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -47,6 +47,9 @@
 /// connection attempt.
 pub(super) const KEY_RETRY_PAUSE_MS: u64 = 25;
 
+/// Maximum time for which a request waits for the check of the path to its server.
+const PATH_CHECK_WAIT_MS: u64 = 40;
+
 /// Arrival time, latency objective and deadline of a request, by the clock of this host.
 #[derive(Clone, Copy, Debug)]
 pub struct Times {
@@ -208,6 +211,7 @@
                     server.failed();
                     entry.suspect_path(&server);
                     entry.probe_liveness(&server);
+                    self.await_path_check(&server).await;
                     self.unknown(entry, payload, &server, reason)
                 }
                 AttemptOutcome::PathLost => {
@@ -222,6 +226,21 @@
         }
     }
 
+    /// Waits for the check of the path to a server whose connection broke, for at most
+    /// [`PATH_CHECK_WAIT_MS`], before a repeatable request is sent again: the host may have lost its
+    /// path to all servers.
+    async fn await_path_check(&self, server: &Server) {
+        if self.route.repeatable {
+            let wait = Duration::from_millis(PATH_CHECK_WAIT_MS.min(self.left_ms()));
+            if time::timeout(wait, server.path.check_ended())
+                .await
+                .is_err()
+            {
+                log::debug!("the check of the path to {} goes on", server.entry.id);
+            }
+        }
+    }
+
     /// Counts an answered request in the metrics and returns its response. Only a sample of the
     /// answered requests is logged.
     fn answered(&self, entry: &Entry, response: Response<ResponseBody>) -> Response<ResponseBody> {
--- a/src/entry/join/serve.rs
+++ b/src/entry/join/serve.rs
@@ -142,7 +142,7 @@
         transport::serve(listener, limits, stop, handler).await;
     }
 
-    async fn serve_query(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+    async fn serve_query(self: &Arc<Self>, request: Request<Incoming>) -> Response<ResponseBody> {
         if request.method() == Method::CONNECT {
             return self.serve_tunnel(request).await;
         }
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -117,8 +117,9 @@
     lost_term: AtomicU64,
     /// Time at which this host lost the leadership of the term `lost_term`.
     lost_ms: AtomicU64,
-    /// True once this host gives up the leadership in a planned stop. From then on, this host
-    /// writes the leadership row without a leader.
+    /// True while this host gives up the leadership, in a planned stop or because it does not reach
+    /// the servers. From then on, this host sends no commands to servers, and writes the leadership
+    /// row without a leader.
     giving_up: AtomicBool,
     writer: Mutex<Writer>,
 }
@@ -138,11 +139,14 @@
         self.term.load(Ordering::Relaxed)
     }
 
-    /// Returns true if this host may grant leases: this host is the leader, and it sent its last
-    /// successful confirmation of the leadership to the store less than `outage_ms` ago.
+    /// Returns true if this host may grant leases: this host is the leader and does not give up the
+    /// leadership, and it sent its last successful confirmation of the leadership to the store less than `outage_ms` ago.
     pub fn may_lease(&self, outage_ms: u64) -> bool {
         let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
-        self.term() > 0 && lease_expiry::may_grant(confirmed_ms, outage_ms, clock::now_ms())
+        let gives_up = self.giving_up.load(Ordering::Relaxed);
+        self.term() > 0
+            && !gives_up
+            && lease_expiry::may_grant(confirmed_ms, outage_ms, clock::now_ms())
     }
 
     /// Returns true if this host is the leader and its last successful confirmation, or another
@@ -351,14 +355,14 @@
         writer.confirmation = writer.confirmation.max(row.confirmation);
     }
 
-    /// Gives up the leadership during a planned stop of this host. The leadership row then names no
-    /// leader, so another host takes over the leadership without waiting for the takeover time.
-    pub(super) async fn give_up_leadership(&self) {
+    /// Gives up the leadership for the `reason`. The leadership row then names no leader, so another
+    /// host takes over the leadership without waiting for the takeover time.
+    pub(super) async fn give_up_leadership(&self, reason: &'static str) {
         if self.leadership.term() == 0 {
             return;
         }
         self.leadership.giving_up.store(true, Ordering::Relaxed);
         self.confirm_leadership().await;
-        self.leadership.lose("planned stop");
+        self.leadership.lose(reason);
     }
 }
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -67,16 +67,19 @@
         loop {
             if self.leadership.term() > 0 {
                 let every_ms = self.limits.confirm_every_ms(leases.confirm_every_ms);
-                time::sleep(Duration::from_millis(every_ms)).await;
-                if self.leadership.term() > 0 {
+                tokio::select! {
+                    () = time::sleep(Duration::from_millis(every_ms)) => {}
+                    () = self.paths.until_cut_off() => {}
+                }
+                if self.paths.is_cut_off() {
+                    self.give_up_leadership("this host reaches no server").await;
+                } else if self.leadership.term() > 0 {
                     self.confirm_leadership_through_outages().await;
                 }
                 continue;
             }
             time::sleep(Duration::from_millis(CHECK_EVERY_MS)).await;
-            let may_take_over =
-                self.is_registered() && self.view.are_servers_known() && !self.stopping();
-            if may_take_over && self.is_leader_silent(started_ms) {
+            if self.may_take_over() && self.is_leader_silent(started_ms) {
                 // Each call to the store is billed, so this host does not read the leadership row
                 // before the change feed of the servers' table shows that the store answers.
                 self.view.wait_for_store().await;
@@ -85,6 +88,13 @@
         }
     }
 
+    /// Returns true if this host may take over the leadership. A host that reaches no server could
+    /// not renew the leases.
+    fn may_take_over(&self) -> bool {
+        let is_ready = self.is_registered() && self.view.are_servers_known();
+        is_ready && !self.stopping() && !self.paths.is_cut_off()
+    }
+
     /// Takes over the leadership at once if the previous process of this host was the leader. That
     /// process has certainly ended, because the current process could not listen on the same
     /// address otherwise.
@@ -169,6 +179,9 @@
                 None => now_ms,
             };
             seen = Some((version, since_ms));
+            if !self.may_take_over() {
+                return;
+            }
             if free || now_ms >= since_ms + takeover_ms {
                 let spread_ms = rand::random_range(0..TAKEOVER_JITTER_MS);
                 time::sleep(Duration::from_millis(spread_ms)).await;
@@ -201,6 +214,7 @@
             until_ms: leases_until_ms,
         } = EarlierLeaders::new(seen_ms, row_earlier_ms, outage_ms, handed_over);
         let mut writer = self.leadership.writer.lock().await;
+        self.leadership.giving_up.store(false, Ordering::Relaxed);
         *writer = Writer {
             row_version: version,
             confirmation: 0,
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -210,6 +210,7 @@
             Err(error) => error,
         };
         self.order_failed(server, "grant", error.to_string());
+        self.entry.suspect_path(server);
         if error.is_refused() {
             self.suspect(server, "refused grant");
         }
--- a/src/entry/paths/check.rs
+++ b/src/entry/paths/check.rs
@@ -37,13 +37,16 @@
         if !server.path.begin_check(CHECK_EVERY_MS) {
             return;
         }
+        server.path.set_checked(true);
         let (entry, server) = (self.clone(), server.clone());
         tokio::spawn(async move {
-            match entry.check_path(&server).await {
+            let verdict = entry.check_path(&server).await;
+            match verdict {
                 Verdict::Usable => entry.note_path_usable(&server),
                 Verdict::PathLost => entry.note_path_lost(&server, true),
                 Verdict::ServerLost | Verdict::Unknown => {}
             }
+            server.path.set_checked(false);
         });
     }
 
@@ -64,7 +67,10 @@
     /// Finds out whether a server that refused a connection of this host is lost: true if it
     /// refuses connections of another host as well, or if no other host can be asked. If another
     /// host reaches the server, the path of this host is lost.
-    pub(in crate::entry) async fn is_refused_elsewhere(&self, server: &Server) -> bool {
+    pub(in crate::entry) async fn is_refused_elsewhere(
+        self: &Arc<Self>,
+        server: &Arc<Server>,
+    ) -> bool {
         match self.reach_through_tunnel(server).await {
             Reach::Responded => {
                 self.note_path_lost(server, true);
--- a/src/entry/paths/mod.rs
+++ b/src/entry/paths/mod.rs
@@ -23,7 +23,10 @@
     server::Server,
     server_path::Route,
 };
-use crate::clock;
+use crate::{
+    clock,
+    platform::{self, link::TunnelOpener},
+};
 
 /// Maximum number of tunnels that this host carries for other hosts.
 const TUNNELS_MAX: usize = 512;
@@ -76,8 +79,8 @@
     /// is lost. If a direct attempt fails, tries a tunnel, which shows whether the server or the
     /// path is lost.
     pub(in crate::entry) async fn connect(
-        &self,
-        server: &Server,
+        self: &Arc<Self>,
+        server: &Arc<Server>,
         left_ms: u64,
     ) -> Result<Connection, ConnectError> {
         if server.path.route() == Route::Tunnel {
@@ -115,9 +118,8 @@
 
     /// Records that another host reaches the server while this host does not. If
     /// `is_connection_lost` is true, the open direct connections to the server are lost as well.
-    fn note_path_lost(&self, server: &Server, is_connection_lost: bool) {
-        let is_new = server.path.set_lost();
-        server.forgive();
+    fn note_path_lost(self: &Arc<Self>, server: &Arc<Server>, is_connection_lost: bool) {
+        let is_new = self.use_tunnels(server);
         self.idle_reuses.withdraw(server);
         if is_connection_lost {
             abandon_direct_connections(server);
@@ -128,8 +130,52 @@
         }
     }
 
+    /// Makes further connections to the server take tunnels. Returns true if they did not before.
+    fn use_tunnels(self: &Arc<Self>, server: &Arc<Server>) -> bool {
+        let is_new = server.path.set_lost();
+        server.forgive();
+        if is_new {
+            server.orders.set_tunnel(Some(self.tunnel_opener(server)));
+        }
+        is_new
+    }
+
+    /// Makes further connections to the server direct. Returns true if they took tunnels before.
+    fn use_direct_path(&self, server: &Server) -> bool {
+        let is_new = server.path.set_usable();
+        if is_new {
+            server.forgive();
+            server.orders.set_tunnel(None);
+            server.pool.close_tunnels(|_| true);
+        }
+        is_new
+    }
+
+    /// Returns the function by which commands to the server open tunnels.
+    fn tunnel_opener(self: &Arc<Self>, server: &Arc<Server>) -> TunnelOpener {
+        let address = server.entry.address;
+        let (entry, server) = (Arc::downgrade(self), Arc::downgrade(server));
+        TunnelOpener(Arc::new(move || {
+            let (entry, server) = (entry.upgrade(), server.upgrade());
+            Box::pin(async move {
+                let Some((entry, server)) = entry.zip(server) else {
+                    let message = "the server is gone".to_owned();
+                    return Err(platform::Error::Connect { address, message });
+                };
+                match entry.tunnel(&server, tunnel::OPEN_TIMEOUT_MS).await {
+                    Ok((_, tunnel)) => Ok(tunnel),
+                    Err(TunnelError::ServerRefused) => Err(platform::Error::Refused { address }),
+                    Err(error) => {
+                        let message = error.to_string();
+                        Err(platform::Error::Connect { address, message })
+                    }
+                }
+            })
+        }))
+    }
+
     /// Finds out whether this host has lost its path to all servers.
-    fn examine_host_path(&self) {
+    fn examine_host_path(self: &Arc<Self>) {
         let registry = self.view.registry();
         let contact_ms = self.server_contact.at_ms();
         let is_lost = |server: &&Arc<Server>| server.path.lost_ms() > contact_ms;
@@ -141,8 +187,7 @@
         let now_ms = clock::now_ms();
         self.paths.cut_off_ms.store(now_ms, Ordering::Relaxed);
         for server in registry.servers() {
-            server.path.set_lost();
-            server.forgive();
+            self.use_tunnels(server);
             abandon_direct_connections(server);
         }
         self.paths.cut_off.notify_waiters();
--- a/src/entry/paths/proxies.rs
+++ b/src/entry/paths/proxies.rs
@@ -65,22 +65,19 @@
         hosts.values().filter(|host| host.is_fresh(now_ms)).count()
     }
 
-    /// Forgets the offer of a host that did not open a tunnel.
-    pub fn remove(&self, address: SocketAddr) {
-        self.hosts().remove(&address);
-    }
-
     fn note(&self, address: SocketAddr, host: ProxyHost) {
         self.hosts().insert(address, host);
         self.responded.notify_waiters();
     }
 
     /// Chooses a host at random: with recent contact to servers rather than without, then of this
-    /// host's zone rather than of another zone.
-    fn choose(&self) -> Option<SocketAddr> {
+    /// host's zone rather than of another zone, and none of `tried`.
+    fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let now_ms = clock::now_ms();
         let hosts = self.hosts();
-        let fresh = hosts.iter().filter(|(_, host)| host.is_fresh(now_ms));
+        let fresh = hosts
+            .iter()
+            .filter(|(address, host)| host.is_fresh(now_ms) && !tried.contains(address));
         let fresh: Vec<_> = fresh.collect();
         let rank = |host: &ProxyHost| (host.has_contact, host.is_same_zone);
         let best = fresh.iter().map(|(_, host)| rank(host)).max()?;
@@ -97,20 +94,23 @@
 }
 
 impl Entry {
-    /// Returns a host that carries tunnels, and queries hosts if none is known; `None` if no host
-    /// responds.
-    pub(super) async fn proxy(&self) -> Option<SocketAddr> {
+    /// Returns a host that carries tunnels and is not among `tried`, and queries hosts if none is
+    /// known; `None` if no host responds.
+    pub(super) async fn proxy(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let proxies = &self.paths.proxies;
-        if let Some(address) = proxies.choose() {
+        if let Some(address) = proxies.choose(tried) {
             return Some(address);
         }
+        if proxies.fresh_count() > 0 {
+            return None;
+        }
         let responded = proxies.responded.notified();
         self.query_proxies(QUERY_EVERY_MS);
         let wait = Duration::from_millis(RESPONSE_WAIT_MS);
         if time::timeout(wait, responded).await.is_err() {
             log::debug!("no other host offers tunnels");
         }
-        proxies.choose()
+        proxies.choose(tried)
     }
 
     /// Asks some other hosts for tunnels, unless hosts were asked less than `interval_ms` ago.
--- a/src/entry/paths/tunnel.rs
+++ b/src/entry/paths/tunnel.rs
@@ -22,9 +22,11 @@
 };
 
 /// Timeout of opening a tunnel, which includes the other host's connection to the server.
-const OPEN_TIMEOUT_MS: u64 = 400;
+pub(super) const OPEN_TIMEOUT_MS: u64 = 400;
 /// Number of hosts through which a tunnel is attempted.
-const HOSTS_TRIED_MAX: usize = 2;
+const HOSTS_TRIED_MAX: usize = 4;
+/// Number of hosts whose connections a server must refuse to count as refusing connections.
+const REFUSALS_MAX: usize = 2;
 /// Scheme of the header `Proxy-Authorization` in requests for tunnels.
 pub(super) const AUTHORIZATION_SCHEME: &str = "Ashroad ";
 
@@ -102,46 +104,77 @@
         server: &Server,
         left_ms: u64,
     ) -> Result<Connection, TunnelError> {
+        let (host, tunnel) = self.tunnel(server, left_ms).await?;
+        let started = server.pool.start(tunnel, Some(host)).await;
+        started.map_err(|_| TunnelError::TimedOut)
+    }
+
+    /// Opens a tunnel to a server, within `left_ms`, and returns it with the host that carries it.
+    pub(super) async fn tunnel(
+        &self,
+        server: &Server,
+        left_ms: u64,
+    ) -> Result<(SocketAddr, Upgraded), TunnelError> {
         let timeout = Duration::from_millis(left_ms.min(OPEN_TIMEOUT_MS));
         let opened = time::timeout(timeout, self.try_hosts(server)).await;
         opened.unwrap_or(Err(TunnelError::TimedOut))
     }
 
-    /// Tries hosts one after the other until one opens a tunnel or the server refuses.
-    async fn try_hosts(&self, server: &Server) -> Result<Connection, TunnelError> {
+    /// Tries hosts one after the other, first the one that last opened a tunnel to the server, until
+    /// one opens a tunnel. A refusal by the server counts once a second host reports it, unless
+    /// there is no second host: the first one may have lost its path to the server as well.
+    async fn try_hosts(&self, server: &Server) -> Result<(SocketAddr, Upgraded), TunnelError> {
+        let mut tried = Vec::new();
+        let mut refusals = 0;
         let mut last = TunnelError::NoHost;
-        for _ in 0..HOSTS_TRIED_MAX {
-            let host = self.proxy().await.context(NoHostSnafu)?;
+        while tried.len() < HOSTS_TRIED_MAX && refusals < REFUSALS_MAX {
+            let Some(host) = self.next_host(server, &tried).await else {
+                break;
+            };
+            tried.push(host);
             match self.open_tunnel(host, server).await {
-                Ok(connection) => return Ok(connection),
-                Err(error @ TunnelError::ServerRefused) => return Err(error),
+                Ok(tunnel) => {
+                    server.path.set_proxy(Some(host));
+                    return Ok((host, tunnel));
+                }
                 Err(error) => {
-                    self.paths.proxies.remove(host);
+                    server.path.set_proxy(None);
+                    refusals += usize::from(matches!(error, TunnelError::ServerRefused));
                     last = error;
                 }
             }
         }
+        if refusals == REFUSALS_MAX || refusals > 0 && refusals == tried.len() {
+            return Err(TunnelError::ServerRefused);
+        }
         Err(last)
     }
 
+    async fn next_host(&self, server: &Server, tried: &[SocketAddr]) -> Option<SocketAddr> {
+        let known = server.path.proxy();
+        let is_usable =
+            |host: &SocketAddr| self.paths.proxies.is_fresh(*host) && !tried.contains(host);
+        match known.filter(is_usable) {
+            Some(host) => Some(host),
+            None => self.proxy(tried).await,
+        }
+    }
+
     async fn open_tunnel(
         &self,
         host: SocketAddr,
         server: &Server,
-    ) -> Result<Connection, TunnelError> {
+    ) -> Result<Upgraded, TunnelError> {
         let request = self.tunnel_request(server)?;
         let stream = TcpStream::connect(host).await;
         let stream = stream.context(NetworkSnafu { host })?;
         stream.set_nodelay(true).context(NetworkSnafu { host })?;
-        let upgraded = exchange(host, stream, request).await?;
-        let opened = server.pool.start(upgraded, Some(host)).await;
-        opened.map_err(|_| TunnelError::TimedOut)
+        exchange(host, stream, request).await
     }
 
     fn tunnel_request(&self, server: &Server) -> Result<Request<Empty<Bytes>>, TunnelError> {
-        let wanted = TunnelRequest {
-            server_tag: server.tag,
-        };
+        let server_tag = server.tag;
+        let wanted = TunnelRequest { server_tag };
         let sealed = self.sealed(&wanted).context(SealSnafu)?;
         let encoded = BASE64_STANDARD.encode(sealed);
         let target = server.entry.address.to_string();
--- a/src/entry/paths/tunnel_server.rs
+++ b/src/entry/paths/tunnel_server.rs
@@ -1,6 +1,6 @@
 //! Carries tunnels of other hosts to servers that those hosts do not reach themselves.
 
-use std::{io, net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 
 use super::tunnel::{AUTHORIZATION_SCHEME, TunnelRequest};
 use crate::{
-    entry::Entry,
+    entry::{Entry, server::Server, server_path::Route},
     transport::{self, ResponseBody, header_text},
 };
 
@@ -30,32 +30,38 @@
     /// Opens a tunnel for another host: connects to the server, and copies bytes in both directions
     /// once the response is sent. Responds with 407 without a valid seal, 404 for an unknown
     /// server, 503 if this host may carry no tunnel, 502 if the server refuses the connection, and
-    /// 504 if the server cannot be reached.
+    /// 504 if this host does not reach the server.
     pub(in crate::entry) async fn serve_tunnel(
-        &self,
+        self: &Arc<Self>,
         mut request: Request<Incoming>,
     ) -> Response<ResponseBody> {
         let Some(wanted) = self.wanted_tunnel(request.headers()) else {
             return status(StatusCode::PROXY_AUTHENTICATION_REQUIRED);
         };
-        let Some(address) = self.address_of(wanted.server_tag) else {
+        let Some(server) = self.server_of(wanted.server_tag) else {
             return status(StatusCode::NOT_FOUND);
         };
         if !self.may_carry_tunnels() {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
+        if server.path.route() == Route::Tunnel {
+            return status(StatusCode::GATEWAY_TIMEOUT);
+        }
         let Ok(permit) = self.paths.carried.clone().try_acquire_owned() else {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         };
+        let address = server.entry.address;
         match connect(address).await {
-            Ok(server) => {
-                tokio::spawn(carry(upgrade::on(&mut request), server, permit));
+            Ok(stream) => {
+                tokio::spawn(carry(upgrade::on(&mut request), stream, permit));
                 status(StatusCode::OK)
             }
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                self.suspect_path(&server);
                 status(StatusCode::BAD_GATEWAY)
             }
             Err(error) => {
+                self.suspect_path(&server);
                 log::debug!("no connection to {address} for another host: {error}");
                 status(StatusCode::GATEWAY_TIMEOUT)
             }
@@ -72,12 +78,10 @@
         postcard::from_bytes(plain).ok()
     }
 
-    /// Returns the address of a registered server.
-    fn address_of(&self, server_tag: u32) -> Option<SocketAddr> {
+    fn server_of(&self, server_tag: u32) -> Option<Arc<Server>> {
         let registry = self.view.registry();
         let mut servers = registry.servers();
-        let server = servers.find(|server| server.tag == server_tag)?;
-        Some(server.entry.address)
+        servers.find(|server| server.tag == server_tag).cloned()
     }
 }
 
--- a/src/entry/paths/watch.rs
+++ b/src/entry/paths/watch.rs
@@ -61,7 +61,7 @@
         let proxies = &self.paths.proxies;
         if proxies.fresh_count() == 0 {
             for server in lost {
-                server.path.set_usable();
+                self.use_direct_path(server);
             }
             self.end_cut_off("no other host carries tunnels");
             return;
@@ -86,9 +86,7 @@
     /// Records that a server has responded to a direct check.
     pub(super) fn note_path_usable(&self, server: &Server) {
         self.note_direct_response(server);
-        if server.path.set_usable() {
-            server.forgive();
-            server.pool.close_tunnels(|_| true);
+        if self.use_direct_path(server) {
             log::debug!("the path to {} is usable again", server.entry.id);
         }
         self.end_cut_off("a server responds directly");
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -289,7 +289,7 @@
     let in_flight = entry.in_flight.load(Ordering::Relaxed);
     Event::Stopping { in_flight }.log();
     let notice_ms = READINESS_NOTICE_MS.min(grace_ms / 2);
-    let giving_up = entry.give_up_leadership();
+    let giving_up = entry.give_up_leadership("planned stop");
     let notice = time::sleep(Duration::from_millis(notice_ms));
     tokio::join!(giving_up, notice);
     if stop_callers.send(true).is_err() {
--- a/src/entry/server_path.rs
+++ b/src/entry/server_path.rs
@@ -1,7 +1,13 @@
 //! Network path from this host to one server: directly, or through a tunnel of another host while
 //! this host does not reach the server.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
 
 use tokio::sync::watch;
 
@@ -28,6 +34,10 @@
     waiting_since_ms: AtomicU64,
     /// Number of times that the open direct connections were found to be lost.
     losses: watch::Sender<u64>,
+    /// True while a check of the path runs.
+    is_checked: watch::Sender<bool>,
+    /// Host that last opened a tunnel to the server.
+    proxy: Mutex<Option<SocketAddr>>,
 }
 
 impl Default for ServerPath {
@@ -37,6 +47,8 @@
             checked_ms: AtomicU64::new(0),
             waiting_since_ms: AtomicU64::new(0),
             losses: watch::Sender::new(0),
+            is_checked: watch::Sender::new(false),
+            proxy: Mutex::new(None),
         }
     }
 }
@@ -91,6 +103,33 @@
         self.checked_ms.load(Ordering::Relaxed)
     }
 
+    /// Sets whether a check of the path runs.
+    pub fn set_checked(&self, is_checked: bool) {
+        self.is_checked.send_replace(is_checked);
+    }
+
+    /// Waits until no check of the path runs.
+    pub async fn check_ended(&self) {
+        let mut is_checked = self.is_checked.subscribe();
+        if is_checked.wait_for(|is_checked| !is_checked).await.is_err() {
+            log::debug!("the state of a server's path is gone");
+        }
+    }
+
+    /// Returns the host that last opened a tunnel to the server.
+    pub fn proxy(&self) -> Option<SocketAddr> {
+        *self.lock_proxy()
+    }
+
+    /// Records the host that opened a tunnel to the server; `None` if the host no longer does.
+    pub fn set_proxy(&self, host: Option<SocketAddr>) {
+        *self.lock_proxy() = host;
+    }
+
+    fn lock_proxy(&self) -> MutexGuard<'_, Option<SocketAddr>> {
+        self.proxy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that a request was sent directly.
     pub fn note_sent(&self) {
         let now_ms = clock::now_ms();
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -2,10 +2,12 @@
 //! persistent connection.
 
 use std::{
+    fmt,
     io::ErrorKind,
     net::SocketAddr,
+    pin::Pin,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     time::{Duration, Instant},
@@ -14,7 +16,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{
+    client::conn::http1::{SendRequest, handshake},
+    rt::{Read, Write},
+    upgrade::Upgraded,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
@@ -49,6 +55,21 @@
 pub struct Link {
     address: SocketAddr,
     idle: Mutex<Option<IdleConnection>>,
+    /// Opens connections through a tunnel; `None` while connections are opened directly.
+    tunnel: Mutex<Option<TunnelOpener>>,
+}
+
+/// Function that opens a tunnel to the address of a [`Link`].
+#[derive(Clone)]
+pub struct TunnelOpener(pub Arc<dyn Fn() -> OpeningTunnel + Send + Sync>);
+
+/// Tunnel that is being opened.
+pub type OpeningTunnel = Pin<Box<dyn Future<Output = Result<Upgraded>> + Send>>;
+
+impl fmt::Debug for TunnelOpener {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("TunnelOpener")
+    }
 }
 
 /// Connection without a call in progress, kept open for the next call.
@@ -64,9 +85,22 @@
         Self {
             address,
             idle: Mutex::new(None),
+            tunnel: Mutex::new(None),
         }
     }
 
+    /// Sets how further connections are opened: through tunnels, or directly with `None`. The
+    /// connection that is kept for the next call is closed.
+    pub fn set_tunnel(&self, tunnel: Option<TunnelOpener>) {
+        *self.tunnel.lock().unwrap_or_else(PoisonError::into_inner) = tunnel;
+        *self.idle() = None;
+    }
+
+    fn tunnel(&self) -> Option<TunnelOpener> {
+        let tunnel = self.tunnel.lock().unwrap_or_else(PoisonError::into_inner);
+        tunnel.clone()
+    }
+
     /// Returns the address that calls are sent to.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -149,7 +183,13 @@
         }
         let connect_timeout = Duration::from_millis(timeout_ms.min(CONNECT_TIMEOUT_MS));
         let address = self.address;
-        match time::timeout(connect_timeout, connect(address)).await {
+        let connecting = async {
+            match self.tunnel() {
+                Some(TunnelOpener(open)) => start(address, open().await?).await,
+                None => connect(address).await,
+            }
+        };
+        match time::timeout(connect_timeout, connecting).await {
             Ok(connected) => connected,
             Err(_) => {
                 let message = "timeout".to_owned();
@@ -169,9 +209,19 @@
     })?;
     let options = stream.set_nodelay(true).and(stream.set_zero_linger());
     options.map_err(|error| connect_error(error.to_string()))?;
-    let (sender, connection) = handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| connect_error(error.to_string()))?;
+    start(address, TokioIo::new(stream)).await
+}
+
+/// Performs the HTTP/1.1 handshake on a stream to `address`.
+async fn start<S>(address: SocketAddr, stream: S) -> Result<SendRequest<Full<Bytes>>>
+where
+    S: Read + Write + Unpin + Send + 'static,
+{
+    let begun = handshake(stream).await;
+    let (sender, connection) = begun.map_err(|error| {
+        let message = error.to_string();
+        Error::Connect { address, message }
+    })?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!("connection to {address} ended: {error}");
--- a/tests/entry_partition.rs
+++ b/tests/entry_partition.rs
@@ -95,6 +95,7 @@
         let begin = Instant::now();
         set(&cuts, &site, &partitioned, Some(cut));
         time::sleep(PARTITION).await;
+        set(&cuts, &site, &partitioned, None);
         let (from, until) = (begin + CONTACT_GRACE, begin + PARTITION);
         let shares = (
             self.name,
@@ -224,6 +225,7 @@
                 "{cut:?}: {served:.3} of the requests of all hosts served"
             ));
         }
+        set(&cuts, &site, &[leader], None);
         let retaken = events(&site.hosts[leader], "duty_taken");
         if retaken > 1 {
             failed.push(format!(
--- a/tests/platform_standin/server_proxy.rs
+++ b/tests/platform_standin/server_proxy.rs
@@ -167,13 +167,12 @@
         return None;
     };
     let ip = u32::from_le_bytes(address.ip().octets());
-    let wanted = format!("{ip:08X}:{:04X}", address.port());
+    let wanted = format!(": {ip:08X}:{:04X} ", address.port());
     let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        (fields.get(1) == Some(&wanted.as_str()))
-            .then(|| fields.get(9).copied().map(str::to_owned))?
-    })
+    let (_, rest) = table.split_once(&wanted)?;
+    let line = rest.lines().next()?;
+    // The fields after the local address begin with the remote address.
+    line.split_whitespace().nth(7).map(str::to_owned)
 }
 
 fn holds(descriptors: &Path, socket: &str) -> bool {
