--- a/src/entry/decide/server_path.rs
+++ b/src/entry/decide/server_path.rs
@@ -17,6 +17,10 @@
 /// unless there are fewer servers.
 const LOST_SERVERS_MIN: usize = 2;
 
+/// Time without a response from any server after which some servers with a lost path show that the
+/// host has lost its path to all servers, in milliseconds.
+const CUT_OFF_QUIET_MS: u64 = 100;
+
 /// Outcome of an attempt to get any response from a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -92,7 +96,9 @@
 }
 
 /// Returns true if the host has lost its path to all servers: it lost the path to `lost` of
-/// `servers` servers since the last direct response of any server.
-pub fn is_host_cut_off(lost: usize, servers: usize) -> bool {
-    lost > 0 && lost >= LOST_SERVERS_MIN.min(servers)
+/// `servers` servers since the last direct response of any server, which came `quiet_ms` ago. Half of
+/// the servers suffice even if a response came just before.
+pub fn is_host_cut_off(lost: usize, servers: usize, quiet_ms: u64) -> bool {
+    let is_some = lost > 0 && lost >= LOST_SERVERS_MIN.min(servers);
+    is_some && (quiet_ms >= CUT_OFF_QUIET_MS || 2 * lost >= servers)
 }
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -26,7 +26,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Mutex;
 
-use super::{Entry, decide::lease_expiry, events::Event};
+use super::{Entry, decide::lease_expiry, events::Event, peers::message::Message};
 use crate::{
     clock,
     platform::store::{Expect, Put, Transaction, TransactionOutcome},
@@ -362,7 +362,9 @@
             return;
         }
         self.leadership.giving_up.store(true, Ordering::Relaxed);
+        let term = self.leadership.term();
         self.confirm_leadership().await;
         self.leadership.lose(reason);
+        self.peers.send_to_all(Message::LeadershipReleased { term });
     }
 }
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -112,14 +112,17 @@
         }
     }
 
-    /// Returns true if this host has received no heartbeat from the leader for so long that this
-    /// host should watch the leadership row. If this host has never received a heartbeat, the time
+    /// Returns true if the leader has given up the leadership, or if this host has received no
+    /// heartbeat from the leader for so long that this host should watch the leadership row. If this host has never received a heartbeat, the time
     /// counts from `started_ms`.
     fn is_leader_silent(&self, started_ms: u64) -> bool {
         let heard_ms = self.peers.leader_heard_ms();
         if heard_ms == 0 && !self.peers.seal.is_known() {
             return clock::now_ms() > started_ms + self.first_start_grace_ms();
         }
+        if self.peers.is_leader_gone() {
+            return clock::now_ms() > heard_ms + self.watch_delay_ms();
+        }
         let silent_after_ms = if heard_ms == 0 {
             started_ms + START_GRACE_MS
         } else {
--- a/src/entry/paths/check.rs
+++ b/src/entry/paths/check.rs
@@ -98,9 +98,13 @@
 
     /// Sends a health request through a tunnel of another host.
     async fn reach_through_tunnel(&self, server: &Server) -> Reach {
+        let mut host = None;
         let exchange = async {
             match self.connect_through_tunnel(server, TUNNEL_TIMEOUT_MS).await {
-                Ok(connection) => self.reach_on(connection, server).await,
+                Ok(connection) => {
+                    host = connection.tunnel();
+                    self.reach_on(connection, server).await
+                }
                 Err(TunnelError::ServerRefused) => Reach::Refused,
                 Err(error) => {
                     log::debug!("{} not reached by another host: {error}", server.entry.id);
@@ -108,7 +112,12 @@
                 }
             }
         };
-        within(TUNNEL_TIMEOUT_MS, exchange).await
+        let reach = within(TUNNEL_TIMEOUT_MS, exchange).await;
+        if let Some(host) = host.filter(|_| reach == Reach::Silent) {
+            self.paths.proxies.demote(host);
+            server.path.set_proxy(None);
+        }
+        reach
     }
 
     async fn reach_on(&self, mut connection: Connection, server: &Server) -> Reach {
--- a/src/entry/paths/mod.rs
+++ b/src/entry/paths/mod.rs
@@ -181,10 +181,11 @@
         let is_lost = |server: &&Arc<Server>| server.path.lost_ms() > contact_ms;
         let lost = registry.servers().filter(is_lost).count();
         let servers = registry.servers().count();
-        if !server_path::is_host_cut_off(lost, servers) || self.paths.is_cut_off() {
+        let now_ms = clock::now_ms();
+        let quiet_ms = now_ms.saturating_sub(contact_ms);
+        if self.paths.is_cut_off() || !server_path::is_host_cut_off(lost, servers, quiet_ms) {
             return;
         }
-        let now_ms = clock::now_ms();
         self.paths.cut_off_ms.store(now_ms, Ordering::Relaxed);
         for server in registry.servers() {
             self.use_tunnels(server);
@@ -194,7 +195,7 @@
         Event::ServersUnreachable {
             lost,
             servers,
-            contact_age_ms: now_ms.saturating_sub(contact_ms),
+            contact_age_ms: quiet_ms,
             proxies: self.paths.proxies.fresh_count(),
         }
         .log();
--- a/src/entry/paths/proxies.rs
+++ b/src/entry/paths/proxies.rs
@@ -25,7 +25,7 @@
 /// Time to wait for the first response to a query.
 const RESPONSE_WAIT_MS: u64 = 60;
 /// Age of a host's last response from a server up to which the host is preferred.
-const CONTACT_AGE_PREFERRED_MS: u32 = 1_000;
+const CONTACT_AGE_PREFERRED_MS: u32 = 200;
 
 /// Host that has offered to carry tunnels.
 #[derive(Clone, Copy, Debug)]
@@ -65,6 +65,14 @@
         hosts.values().filter(|host| host.is_fresh(now_ms)).count()
     }
 
+    /// Records that a tunnel of a host gave no response of the server, so that other hosts are
+    /// preferred: the host may have lost its path to the servers as well.
+    pub fn demote(&self, address: SocketAddr) {
+        if let Some(host) = self.hosts().get_mut(&address) {
+            host.has_contact = false;
+        }
+    }
+
     fn note(&self, address: SocketAddr, host: ProxyHost) {
         self.hosts().insert(address, host);
         self.responded.notify_waiters();
--- a/src/entry/paths/watch.rs
+++ b/src/entry/paths/watch.rs
@@ -66,6 +66,7 @@
             self.end_cut_off("no other host carries tunnels");
             return;
         }
+        self.examine_host_path();
         for server in &lost {
             server.pool.close_tunnels(|host| !proxies.is_fresh(host));
         }
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -329,6 +329,12 @@
     /// sender was in flight there. Sent to the leader, which then tries connections to these servers
     /// to find out whether they have ended.
     RefusedConnections(Vec<u32>),
+    /// Announces that the leader has given up the leadership, so that another host need not wait for
+    /// missing heartbeats. Sent to all hosts.
+    LeadershipReleased {
+        /// Term that has ended.
+        term: u64,
+    },
     /// Asks whether the receiver carries tunnels of the sender to servers.
     QueryTunnels,
     /// Responds to [`Message::QueryTunnels`]: the sender carries tunnels.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -20,7 +20,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -145,6 +145,8 @@
     /// Number of hosts that the leader knows, as stated in its latest heartbeat.
     hosts_known_to_leader: AtomicUsize,
     leader_heard_ms: AtomicU64,
+    /// True if the leader has given up the leadership since its latest heartbeat.
+    is_leader_gone: AtomicBool,
     /// Slowdowns of servers that other hosts reported and that are not applied yet.
     slowdowns: Mutex<Vec<ReportedSlowdown>>,
     /// Baseline for the delays of the heartbeats from the leader, by which delayed heartbeats are
@@ -479,12 +481,27 @@
             return false;
         }
         self.leader_term.store(term, Ordering::Relaxed);
+        self.is_leader_gone.store(false, Ordering::Relaxed);
         self.leader_heard_ms
             .store(clock::now_ms(), Ordering::Relaxed);
         *self.leader() = Some(from);
         true
     }
 
+    /// Records that the leader at `from` has given up the leadership of `term`.
+    fn note_released(&self, from: SocketAddr, term: u64) {
+        let is_current = term >= self.leader_term.load(Ordering::Relaxed);
+        if is_current && *self.leader() == Some(from) {
+            self.is_leader_gone.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns true if the leader has announced that it has given up the leadership, and no
+    /// heartbeat has arrived since.
+    pub fn is_leader_gone(&self) -> bool {
+        self.is_leader_gone.load(Ordering::Relaxed)
+    }
+
     /// Returns the loads and run times by server tag that other hosts reported and that are not
     /// stale.
     fn loads(&self) -> HashMap<u32, ReportedLoad> {
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -207,6 +207,7 @@
             Message::AnnounceLeaving(tags) => {
                 self.note_leaving_elsewhere(&tags);
             }
+            Message::LeadershipReleased { term } => self.peers.note_released(from, term),
             Message::QueryTunnels => self.offer_tunnels(from),
             Message::OfferTunnels { contact_age_ms } => {
                 self.note_tunnel_offer(from, contact_age_ms)
