Paths: the evidence of a host that has lost paths itself does not count, and a leader asks before it takes a server for lost

A cut leader that still reached single servers took the others for silent and moved their keys; hosts that were cut alike confirmed each other's refusals. Change: a grant that fails counts against a server only if another host gets no response either; a host with a recent loss says 504 in place of 502 and is the last choice for tunnels; the second opinion comes from another zone; after a loss the paths to servers that have not responded lately are checked.

--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -23,6 +23,7 @@
         decide::ended::{ConnectionAttempt, EntryState, Evidence},
         events::Event,
         server::Server,
+        server_path::Route,
         updates::followed::FollowedTable,
         watch::store_age_ms,
     },
@@ -229,7 +230,10 @@
         let timeout = Duration::from_millis(ATTEMPT_TIMEOUT_MS);
         let connect = TcpStream::connect(server.entry.address);
         let is_refused = match time::timeout(timeout, connect).await {
-            Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
+            // A refused connection shows nothing while this host has lost its path to the server.
+            Ok(Err(error)) => {
+                error.kind() == ErrorKind::ConnectionRefused && server.path.route() == Route::Direct
+            }
             Ok(Ok(_)) | Err(_) => false,
         };
         let completed_ms = clock::now_ms();
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -212,7 +212,7 @@
         self.order_failed(server, "grant", error.to_string());
         self.entry.suspect_path(server);
         if error.is_refused() {
-            self.suspect(server, "refused grant");
+            self.suspect_refusing(server).await;
         }
         if needs_probe {
             self.probe_server(order.service, server).await;
@@ -249,10 +249,11 @@
 
     /// Probes a server that does not answer grants, to distinguish a crashed server from a live
     /// server whose responses are lost. A live server keeps its keys; a crashed server is marked as
-    /// silent. Without the probe, when half of the commands go unanswered, live servers count as
+    /// silent, unless another host reaches it. Without the probe, when half of the commands go unanswered, live servers count as
     /// crashed, and all keys of a service change their server three to five times a minute.
-    async fn probe_server(&self, service: &str, server: &Server) {
-        let lives = self.is_alive(service, server).await;
+    async fn probe_server(&self, service: &str, server: &Arc<Server>) {
+        let lives =
+            self.is_alive(service, server).await || self.entry.is_reached_elsewhere(server).await;
         let mut state = self.state();
         let record = state.servers.entry(server.entry.id.clone()).or_default();
         if lives {
@@ -283,6 +284,16 @@
         }
     }
 
+    /// Suspects a server that refused the connection of a grant to have ended, unless the service is
+    /// not contended or another host reaches the server.
+    async fn suspect_refusing(&self, server: &Arc<Server>) {
+        if self.entry.is_contended(&server.entry.service)
+            && self.entry.is_refused_elsewhere(server).await
+        {
+            self.suspect(server, "refused grant");
+        }
+    }
+
     fn order_failed(&self, server: &Server, order: &'static str, problem: String) {
         self.entry.metrics.order(order, "failed");
         Event::OrderFailed {
--- a/src/entry/paths/check.rs
+++ b/src/entry/paths/check.rs
@@ -80,6 +80,19 @@
         }
     }
 
+    /// Returns true if a server that does not respond to this host responds to another host. Then
+    /// the path of this host is lost.
+    pub(in crate::entry) async fn is_reached_elsewhere(
+        self: &Arc<Self>,
+        server: &Arc<Server>,
+    ) -> bool {
+        let is_reached = self.reach_through_tunnel(server).await == Reach::Responded;
+        if is_reached {
+            self.note_path_lost(server, true);
+        }
+        is_reached
+    }
+
     /// Sends a health request directly, on a new connection.
     pub(super) async fn reach_directly(&self, server: &Server) -> Reach {
         let connect = server.pool.connect(DIRECT_TIMEOUT_MS);
--- a/src/entry/paths/mod.rs
+++ b/src/entry/paths/mod.rs
@@ -30,6 +30,9 @@
 
 /// Maximum number of tunnels that this host carries for other hosts.
 const TUNNELS_MAX: usize = 512;
+/// Time after the loss of a path in which failed connections of this host are no evidence for other
+/// hosts.
+const RECENT_LOSS_MS: u64 = 3_000;
 /// Minimum interval between checks of the path to one server.
 const CHECK_EVERY_MS: u64 = 500;
 
@@ -38,6 +41,8 @@
 pub struct ServerPaths {
     /// Time at which this host was found to have lost its path to all servers; 0 otherwise.
     cut_off_ms: AtomicU64,
+    /// Time at which a path to a server was last found to be lost; 0 before the first loss.
+    lost_ms: AtomicU64,
     /// Notified when this host has lost its path to all servers.
     cut_off: Notify,
     /// Hosts through which this host may open tunnels.
@@ -50,6 +55,7 @@
     fn default() -> Self {
         Self {
             cut_off_ms: AtomicU64::new(0),
+            lost_ms: AtomicU64::new(0),
             cut_off: Notify::new(),
             proxies: Proxies::default(),
             carried: Arc::new(Semaphore::new(TUNNELS_MAX)),
@@ -63,6 +69,13 @@
         self.cut_off_ms.load(Ordering::Relaxed) != 0
     }
 
+    /// Returns true if this host has lost the path to a server lately, so that a failed connection
+    /// of this host shows nothing about another server.
+    fn has_recent_loss(&self) -> bool {
+        let lost_ms = self.lost_ms.load(Ordering::Relaxed);
+        lost_ms > 0 && clock::now_ms() < lost_ms + RECENT_LOSS_MS
+    }
+
     /// Waits until this host is found to have lost its path to all servers.
     pub async fn until_cut_off(&self) {
         self.cut_off.notified().await;
@@ -126,6 +139,8 @@
         }
         if is_new {
             log::debug!("the path to {} is lost", server.entry.id);
+            let now_ms = clock::now_ms();
+            self.paths.lost_ms.store(now_ms, Ordering::Relaxed);
             self.examine_host_path();
         }
     }
--- a/src/entry/paths/proxies.rs
+++ b/src/entry/paths/proxies.rs
@@ -78,8 +78,9 @@
         self.responded.notify_waiters();
     }
 
-    /// Chooses a host at random: with recent contact to servers rather than without, then of this
-    /// host's zone rather than of another zone, and none of `tried`.
+    /// Chooses a host at random: with recent contact to servers rather than without, and none of
+    /// `tried`. The first choice is a host of this host's zone, the next ones are hosts of other
+    /// zones, because a partition may concern a whole zone.
     fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let now_ms = clock::now_ms();
         let hosts = self.hosts();
@@ -87,7 +88,8 @@
             .iter()
             .filter(|(address, host)| host.is_fresh(now_ms) && !tried.contains(address));
         let fresh: Vec<_> = fresh.collect();
-        let rank = |host: &ProxyHost| (host.has_contact, host.is_same_zone);
+        let is_first = tried.is_empty();
+        let rank = |host: &ProxyHost| (host.has_contact, host.is_same_zone == is_first);
         let best = fresh.iter().map(|(_, host)| rank(host)).max()?;
         let preferred = fresh.iter().filter(|(_, host)| rank(host) == best);
         let preferred: Vec<SocketAddr> = preferred.map(|(address, _)| **address).collect();
@@ -137,7 +139,10 @@
     /// Responds to a host that asks for tunnels, if this host may carry tunnels.
     pub(in crate::entry) fn offer_tunnels(&self, to: SocketAddr) {
         if self.may_carry_tunnels() {
-            let age_ms = self.server_contact.age_ms();
+            let age_ms = self
+                .server_contact
+                .age_ms()
+                .filter(|_| !self.paths.has_recent_loss());
             let contact_age_ms = age_ms.map(|ms| u32::try_from(ms).unwrap_or(u32::MAX));
             self.peers
                 .send(&Message::OfferTunnels { contact_age_ms }, &[to]);
--- a/src/entry/paths/tunnel_server.rs
+++ b/src/entry/paths/tunnel_server.rs
@@ -56,7 +56,10 @@
                 tokio::spawn(carry(upgrade::on(&mut request), stream, permit));
                 status(StatusCode::OK)
             }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Err(error)
+                if error.kind() == io::ErrorKind::ConnectionRefused
+                    && !self.paths.has_recent_loss() =>
+            {
                 self.suspect_path(&server);
                 status(StatusCode::BAD_GATEWAY)
             }
--- a/src/entry/paths/watch.rs
+++ b/src/entry/paths/watch.rs
@@ -1,14 +1,20 @@
 //! Background task that looks for silent servers, and finds out when lost paths are usable again.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use tokio::time;
 
-use crate::entry::{
-    Entry,
-    decide::server_path::{self, Reach, Waiting},
-    server::Server,
-    server_path::Route,
+use crate::{
+    clock,
+    entry::{
+        Entry,
+        decide::server_path::{self, Reach, Waiting},
+        server::Server,
+        server_path::Route,
+    },
 };
 
 /// Interval at which silent servers are looked for.
@@ -19,6 +25,12 @@
 const HEALING_CHECKS: usize = 2;
 /// Minimum interval between checks of one lost path.
 const HEALING_EVERY_MS: u64 = 300;
+/// Time after the loss of a path in which the paths to other servers are checked.
+const LOOK_AROUND_MS: u64 = 1_500;
+/// Time without a response of a server after which its path is checked then.
+const UNHEARD_MS: u64 = 200;
+/// Number of such paths that are checked in a round.
+const CHECKS_AROUND: usize = 4;
 /// Interval of the queries for hosts that carry tunnels while paths are lost.
 const QUERY_EVERY_MS: u64 = 1_000;
 
@@ -28,6 +40,7 @@
         for round in 0u64.. {
             time::sleep(Duration::from_millis(LOOK_EVERY_MS)).await;
             self.look_for_silence();
+            self.look_around();
             if round.is_multiple_of(HEALING_ROUNDS) {
                 self.look_for_healing();
             }
@@ -48,6 +61,25 @@
         }
     }
 
+    /// Checks the paths to some of the servers that have not responded lately, for a while after a
+    /// path was found to be lost, because a partition rarely concerns a single server.
+    fn look_around(self: &Arc<Self>) {
+        let lost_ms = self.paths.lost_ms.load(Ordering::Relaxed);
+        if lost_ms == 0 || clock::now_ms() > lost_ms + LOOK_AROUND_MS {
+            return;
+        }
+        let registry = self.view.registry();
+        let is_unheard = |server: &&Arc<Server>| {
+            let age_ms = server.contact.age_ms().unwrap_or(u64::MAX);
+            server.path.route() == Route::Direct && age_ms >= UNHEARD_MS
+        };
+        let mut unheard: Vec<&Arc<Server>> = registry.servers().filter(is_unheard).collect();
+        unheard.sort_by_key(|server| server.path.checked_ms());
+        for server in unheard.into_iter().take(CHECKS_AROUND) {
+            self.suspect_path(server);
+        }
+    }
+
     /// Checks some of the lost paths directly. Without any host that carries tunnels, all servers
     /// are reached directly again, since there is no other way.
     fn look_for_healing(self: &Arc<Self>) {
