--- a/src/entry/contention.rs
+++ b/src/entry/contention.rs
@@ -20,7 +20,7 @@
         retry_after::BlockedBy,
     },
     events::Event,
-    server::tag_of,
+    tag::tag_of,
 };
 
 /// Interval of the log events with the counts of each contended service.
--- a/src/entry/digest.rs
+++ b/src/entry/digest.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    entry::server::tag_of,
+    entry::tag::tag_of,
     transport::{CallerAddress, header_text},
 };
 
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -29,7 +29,7 @@
     events::Event,
     model::{Configuration, Route, RouteTarget},
     request_ages::RequestAge,
-    server::tag_of,
+    tag::tag_of,
     workspaces::WorkspaceKey,
 };
 use crate::{
--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -14,7 +14,8 @@
             shortage,
         },
         retry_schedules::SchedulePlace,
-        server::{Server, tag_of},
+        server::Server,
+        tag::tag_of,
     },
 };
 
--- a/src/entry/join/mod.rs
+++ b/src/entry/join/mod.rs
@@ -29,7 +29,7 @@
 use super::{
     Entry,
     events::Event,
-    server::tag_of,
+    tag::tag_of,
     updates::{
         followed::FollowedTable,
         own_rows::{SECRET_KEY, SEED_HOSTS_KEY, TABLE},
--- a/src/entry/join/query.rs
+++ b/src/entry/join/query.rs
@@ -18,7 +18,7 @@
         limits::POLL_EVERY_MS,
         model::ServerEntry,
         peers::HostProperties,
-        server::tag_of,
+        tag::tag_of,
         updates::{
             followed::FollowedTable,
             snapshot::{Snapshot, SnapshotHost},
--- a/src/entry/join/seed_hosts.rs
+++ b/src/entry/join/seed_hosts.rs
@@ -10,7 +10,7 @@
     entry::{
         Entry,
         peers::SeedHost,
-        server::tag_of,
+        tag::tag_of,
         updates::own_rows::{SEED_HOSTS_KEY, TABLE},
     },
     platform::store::{Put, Row, Transaction},
--- a/src/entry/join/serve.rs
+++ b/src/entry/join/serve.rs
@@ -14,7 +14,7 @@
     clock,
     entry::{
         Entry,
-        server::tag_of,
+        tag::tag_of,
         updates::{
             followed::FollowedTable,
             snapshot::{Snapshot, SnapshotHost},
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -38,7 +38,8 @@
     },
     keys::{AssignedRange, KeyRange},
     leadership::Change,
-    server::{Server, tag_of},
+    server::Server,
+    tag::tag_of,
     watch::store_age_ms,
 };
 use crate::clock;
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -17,7 +17,7 @@
         events::Event,
         keys::{AssignedRange, Assignment, KeyRange},
         leadership::{Change, Reassignment},
-        server::tag_of,
+        tag::tag_of,
         updates::announcement::MoveAnnouncement,
     },
     platform::{
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use super::{bounds::Bounds, watch::RETRY_PAUSE_LONGEST_MS};
+use super::{bounds::Bounds, pauses::RETRY_PAUSE_LONGEST_MS};
 use crate::platform::store::FEED_SLACK_MS;
 
 /// Time for a call to the store, not counting the wait of a feed call for changes: connecting, the
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod notices;
 pub mod owners;
 pub mod paths;
+pub mod pauses;
 pub mod peers;
 pub mod pool;
 pub mod quotas;
@@ -46,6 +47,7 @@
 pub mod shared_rate;
 mod shortages;
 mod store_confirmation;
+pub mod tag;
 pub mod updates;
 pub mod view;
 mod watch;
@@ -80,7 +82,7 @@
     limits::Timings,
     metrics::Metrics,
     model::Warmup,
-    paths::ServerPaths,
+    paths::state::ServerPaths,
     peers::Peers,
     quotas::Quotas,
     request_ages::RequestAges,
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -13,7 +13,8 @@
         key_loads::KEYS,
     },
     keys::{AssignedRange, Assignment, KeyPartition, KeyRange},
-    updates::{announcement::MoveAnnouncement, followed::FOLLOWER_PAUSE_MAX_MS},
+    pauses::FOLLOWER_PAUSE_MAX_MS,
+    updates::announcement::MoveAnnouncement,
 };
 use crate::clock;
 
--- a/src/entry/paths/mod.rs
+++ b/src/entry/paths/mod.rs
@@ -3,18 +3,15 @@
 
 mod check;
 mod proxies;
+pub mod proxy_hosts;
+pub mod state;
 mod tunnel;
 mod tunnel_server;
 mod watch;
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
-};
-
-use tokio::sync::{Notify, Semaphore};
+use std::sync::{Arc, atomic::Ordering};
 
-use self::{proxies::Proxies, tunnel::TunnelError};
+use self::tunnel::TunnelError;
 use super::{
     Entry,
     decide::server_path,
@@ -28,65 +25,9 @@
     platform::{self, link::TunnelOpener},
 };
 
-/// Maximum number of tunnels that this host carries for other hosts.
-const TUNNELS_MAX: usize = 512;
-/// Time after the loss of a path in which failed connections of this host are no evidence for other
-/// hosts.
-const RECENT_LOSS_MS: u64 = 3_000;
 /// Minimum interval between checks of the path to one server.
 const CHECK_EVERY_MS: u64 = 500;
 
-/// State of the paths from this host to the servers, beyond that of the single servers.
-#[derive(Debug)]
-pub struct ServerPaths {
-    /// Time at which this host was found to have lost its path to all servers; 0 otherwise.
-    cut_off_ms: AtomicU64,
-    /// Time at which a path to a server was last found to be lost; 0 before the first loss.
-    lost_ms: AtomicU64,
-    /// Notified when this host has lost its path to all servers.
-    cut_off: Notify,
-    /// Hosts through which this host may open tunnels.
-    proxies: Proxies,
-    /// Permits of the tunnels that this host carries for other hosts.
-    carried: Arc<Semaphore>,
-}
-
-impl Default for ServerPaths {
-    fn default() -> Self {
-        Self {
-            cut_off_ms: AtomicU64::new(0),
-            lost_ms: AtomicU64::new(0),
-            cut_off: Notify::new(),
-            proxies: Proxies::default(),
-            carried: Arc::new(Semaphore::new(TUNNELS_MAX)),
-        }
-    }
-}
-
-impl ServerPaths {
-    /// Returns true while this host does not reach any server, although other hosts do.
-    pub fn is_cut_off(&self) -> bool {
-        self.cut_off_ms.load(Ordering::Relaxed) != 0
-    }
-
-    /// Returns true if this host has lost the path to a server lately, so that a failed connection
-    /// of this host shows nothing about another server.
-    fn has_recent_loss(&self) -> bool {
-        let lost_ms = self.lost_ms.load(Ordering::Relaxed);
-        lost_ms > 0 && clock::now_ms() < lost_ms + RECENT_LOSS_MS
-    }
-
-    /// Waits until this host is found to have lost its path to all servers.
-    pub async fn until_cut_off(&self) {
-        self.cut_off.notified().await;
-    }
-
-    /// Returns the number of tunnels that this host carries for other hosts.
-    pub fn carried_tunnels(&self) -> usize {
-        TUNNELS_MAX - self.carried.available_permits()
-    }
-}
-
 impl Entry {
     /// Opens a connection to a server: directly, or through a tunnel while the path to the server
     /// is lost. If a direct attempt fails, tries a tunnel, which shows whether the server or the
--- a/src/entry/peers/fanout.rs
+++ b/src/entry/peers/fanout.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use crate::entry::server::tag_of;
+use crate::entry::tag::tag_of;
 
 /// Number of hosts up to which a sender addresses each host itself, without relays. Sending some 20
 /// moves a second to each of hundreds of hosts fills a link of 20 Mbit/s. Heartbeats from the
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -35,9 +35,7 @@
     outbox::Outbox,
     zone_loads::{ZoneLoadChanges, ZoneLoads},
 };
-use super::{
-    decide::choice::HostCount, seal::Seal, server::tag_of, updates::snapshot::SnapshotHost,
-};
+use super::{decide::choice::HostCount, seal::Seal, tag::tag_of, updates::snapshot::SnapshotHost};
 use crate::clock;
 
 /// Load of one server, summed over the reports from the other hosts: their requests in flight at
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -15,7 +15,7 @@
         decide::hot_keys::HotKey,
         keys::AssignedRange,
         owners::Owner,
-        server::tag_of,
+        tag::tag_of,
         updates::{
             announcement::MoveAnnouncement, followed::FollowedTable, freshness::StoreStateReport,
         },
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -15,7 +15,7 @@
 };
 use crate::{
     clock,
-    entry::{Entry, server::tag_of},
+    entry::{Entry, tag::tag_of},
 };
 
 /// Interval at which request counts by key are sent to the leader.
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -16,7 +16,7 @@
     keys::{self, Assignment, KeyPartition},
     owners::AssignmentRow,
     peers::HostProperties,
-    server::tag_of,
+    tag::tag_of,
     updates::{
         evacuation::Evacuations,
         followed::FollowedTable,
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -6,8 +6,6 @@
     atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
 };
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::{
     contact::ContactTime,
     crashes::{broken_connections::BrokenConnections, reports::Suspects},
@@ -25,6 +23,7 @@
     running_requests::RunningRequests,
     server_path::ServerPath,
     shared_rate::SharedRate,
+    tag::tag_of,
 };
 use crate::{clock, platform::Link};
 
@@ -102,12 +101,6 @@
     }
 }
 
-/// Returns the tag of a name in messages between hosts: a hash in 4 bytes. Servers are tagged by
-/// their incarnation id, zones and services by their name.
-pub fn tag_of(name: &str) -> u32 {
-    xxh3_64(name.as_bytes()) as u32
-}
-
 impl Server {
     /// Creates a server from an entry that was read for the first time.
     pub fn new(entry: ServerEntry) -> Self {
--- a/src/entry/updates/followed.rs
+++ b/src/entry/updates/followed.rs
@@ -5,7 +5,7 @@
 
 use super::own_rows::TABLE;
 use crate::{
-    entry::limits::Timings,
+    entry::{limits::Timings, pauses::FOLLOWER_PAUSE_MAX_MS},
     platform::{config, servers},
 };
 
@@ -18,11 +18,6 @@
 /// reports a change that the feed did not deliver, the call is abandoned and repeated. Calls are
 /// billed, so the wait is long; the store allows up to 30 s.
 const FOLLOWER_WAIT_MS: u64 = 25_000;
-/// Maximum pause between two polls of a feed while the leader broadcasts all changes. A host that
-/// has missed a change notices this by the versions in the leader's heartbeat, by a message from an
-/// unknown host or under an unknown secret, or by the response from a server that no longer holds a
-/// key.
-pub const FOLLOWER_PAUSE_MAX_MS: u64 = 120_000;
 /// Time for which a host that has just read the entry hosts' own rows waits for a heartbeat from
 /// the leader before the host requests changes of these rows.
 const OWN_START_WAIT_MS: u64 = 2_500;
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -15,6 +15,7 @@
     Entry,
     events::Event,
     limits::POLL_EVERY_MS,
+    pauses::RETRY_PAUSE_MAX_MS,
     rows::decode_servers,
     updates::{
         followed::{FollowedTable, HISTORY_MS, SyncRole},
@@ -37,12 +38,6 @@
 const PROBE_WAIT_MS: u64 = 0;
 /// Pause after a failed call to the store; up to half of the pause is added at random.
 const RETRY_PAUSE_MS: u64 = 150;
-/// Longest pause after a failed call of a feed whose calls keep failing, without the random
-/// addition. Calls are billed, including refused ones, but the store's return must be noticed
-/// within a second.
-const RETRY_PAUSE_MAX_MS: u64 = 400;
-/// Longest pause after a failed call, including the random addition.
-pub(super) const RETRY_PAUSE_LONGEST_MS: u64 = RETRY_PAUSE_MAX_MS + RETRY_PAUSE_MAX_MS / 2;
 /// Number of missed heartbeats after which the platform removes a server's entry.
 const MISSED_HEARTBEATS: u64 = 3;
 
--- a/src/entry/workspaces.rs
+++ b/src/entry/workspaces.rs
@@ -5,7 +5,7 @@
 
 use ring::{hmac, rand::SystemRandom};
 
-use super::{decide::quota::Quota, server::tag_of};
+use super::{decide::quota::Quota, tag::tag_of};
 
 /// Index of a workspace in its configuration; valid only for that configuration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -21,7 +21,7 @@
         },
         zone_loads::{ZoneLoadChanges, ZoneLoads, parts},
     },
-    server::tag_of,
+    tag::tag_of,
     updates::configuration_pieces::{Piece, PieceAssembly, split_into_pieces},
 };
 use quickcheck::quickcheck;
