Server and peers: warm-up limit, slowdown reports and the single peer have files of their own; decision tables of paths

The event of a request names the host whose tunnels its server is reached through, explain shows when a host loses all servers. No change of behaviour otherwise.

--- a/src/entry/decide/slowdown.rs
+++ b/src/entry/decide/slowdown.rs
@@ -56,3 +56,12 @@
         (expected / self.mean).clamp(RELATIVE_SLOWDOWN_MIN, RELATIVE_SLOWDOWN_MAX)
     }
 }
+
+/// Slowdowns that a server has reported (factors by which it currently runs slower than usual).
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SlowdownReports {
+    /// Slowdown that the server has reported to this host or to any other host.
+    pub known: Slowdown,
+    /// Latest slowdown that the server reported to this host, and the time of the report.
+    pub own: Option<(f64, u64)>,
+}
--- a/src/entry/decide/warmup.rs
+++ b/src/entry/decide/warmup.rs
@@ -58,3 +58,21 @@
         }
     }
 }
+
+/// Part of the rate limit of a service's cold servers that one host may use.
+#[derive(Clone, Copy, Debug)]
+pub struct WarmupLimit {
+    /// Interval between the starts of a host's warm-up windows at one cold server. In each window
+    /// the host may send the server one request.
+    pub window_every_ms: u64,
+}
+
+impl WarmupLimit {
+    /// Returns the part of each host if `hosts` hosts, including this one, share the limit of the
+    /// service's cold servers, `per_s` requests per second.
+    pub fn new(per_s: f64, hosts: usize) -> Self {
+        Self {
+            window_every_ms: window_every_ms(per_s, hosts),
+        }
+    }
+}
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -1,6 +1,6 @@
 //! Typed log events, written as JSON lines.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use serde::Serialize;
 
@@ -343,10 +343,13 @@
         /// server no requests; 0 for none.
         #[serde(rename = "rest_ms")]
         backoff_ms: u64,
-        /// Time since that server's last response to this host; `None` if it never responded.
+        /// Host whose tunnels connections to that server take; `None` while they are direct.
+        tunnel: Option<SocketAddr>,
+        /// Time since that server's last direct response to this host; `None` if it never responded.
         server_contact_age_ms: Option<u64>,
-        /// Time since the last response of any server to this host; `None` if none ever responded. A
-        /// time as long as that of the server suggests that this host cannot reach any server.
+        /// Time since the last direct response of any server to this host; `None` if none ever
+        /// responded. A time as long as that of the server suggests that this host cannot reach any
+        /// server.
         contact_age_ms: Option<u64>,
         /// Number of attempts to send the request to a server, up to this event.
         attempts: u32,
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -7,7 +7,7 @@
 /// the events of the server and the host of the decision.
 const CONTEXT_MS: u64 = 5_000;
 /// Names of the events that may affect every request of a host.
-const HOST_EVENTS: [&str; 8] = [
+const HOST_EVENTS: [&str; 10] = [
     "started",
     "stopping",
     "configuration",
@@ -15,6 +15,8 @@
     "store_back",
     "duty_taken",
     "duty_lost",
+    "servers_unreachable",
+    "servers_reachable",
     "dropped",
 ];
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -73,7 +73,7 @@
     crashes::Crashes,
     decide::{
         backoffs::Backoffs, budget::RetryBudget, hot_keys::HotKeys, rate_shares::DemandByHost,
-        run_shares::RunShares,
+        run_shares::RunShares, warmup::WarmupLimit,
     },
     forward::body::BodyMemory,
     idle_reuses::IdleReuses,
@@ -87,7 +87,6 @@
     quotas::Quotas,
     request_ages::RequestAges,
     retry_schedules::RetrySchedules,
-    server::WarmupLimit,
     shared_rate::ServicePacers,
     shortages::Shortages,
     updates::{confirmation::ConfigurationConfirmation, freshness::Freshness},
@@ -235,7 +234,7 @@
     /// by the number of hosts, which is assumed to be [`ASSUMED_HOSTS`] until the other hosts are
     /// known.
     fn warmup_limit(&self, warmup: Warmup) -> WarmupLimit {
-        WarmupLimit::new(warmup, self.sharing_hosts())
+        WarmupLimit::new(warmup.per_s, self.sharing_hosts())
     }
 
     /// Returns the number of hosts that share a server's capacity, including this host.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -8,12 +8,17 @@
 mod intervals;
 pub mod message;
 pub mod outbox;
+mod peer;
 mod receive;
 mod report;
 mod send;
 pub mod zone_loads;
 
-pub use self::{intervals::report_every_ms, message::KeyCount};
+pub use self::{
+    intervals::report_every_ms,
+    message::KeyCount,
+    peer::{HostProperties, SeedHost},
+};
 
 use std::{
     collections::HashMap,
@@ -25,30 +30,19 @@
 };
 
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use self::{
-    fanout::{DIRECT_HOSTS_MAX, Fanout, OneWayDelay, RELAY_SILENT_MS, RelayCandidate},
+    fanout::{DIRECT_HOSTS_MAX, Fanout, OneWayDelay, RelayCandidate},
     intervals::report_age_max_ms,
     message::{Message, RunTime, ServerLoad, ServerSlowdown, VERSION},
     outbox::Outbox,
+    peer::{Peer, ReportedLoad},
     zone_loads::{ZoneLoadChanges, ZoneLoads},
 };
 use super::{decide::choice::HostCount, seal::Seal, tag::tag_of, updates::snapshot::SnapshotHost};
 use crate::clock;
 
-/// Load of one server, summed over the reports from the other hosts: their requests in flight at
-/// the server and the run times that they measured there.
-#[derive(Clone, Copy, Debug, Default)]
-struct ReportedLoad {
-    in_flight: u32,
-    run_ms_sum: f64,
-    /// Number of reports that contain a run time of the server. The average run time is
-    /// `run_ms_sum` divided by this number.
-    reporters: f64,
-}
-
 /// Slowdown (factor by which a server currently runs slower than usual) that a server announced to
 /// another host and that the other host reported to this host.
 #[derive(Clone, Copy, Debug)]
@@ -59,69 +53,6 @@
     at_ms: u64,
 }
 
-/// Seed host: a host that is listed in the store and from which starting hosts fetch a snapshot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct SeedHost {
-    /// Address at which the host receives datagrams (UDP) and queries (TCP) from other hosts.
-    pub address: SocketAddr,
-    /// Tag of the host's availability zone: a hash of its name, the same for all hosts of the zone.
-    pub zone_tag: u32,
-}
-
-/// Properties of a host from its row in the store, or from its own messages.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct HostProperties {
-    /// Incarnation of the process on the described host. `None` while the described host is known
-    /// only from its own messages, which do not contain the incarnation.
-    pub incarnation: Option<u64>,
-    /// Tag of the host's availability zone: a hash of its name, the same for all hosts of the zone.
-    pub zone_tag: u32,
-    /// True if the described host is in the same availability zone as this host.
-    pub is_same_zone: bool,
-    /// Fraction of a processor that the host may use; 1.0 is a whole processor.
-    pub processor_share: f32,
-}
-
-/// Another host that this host knows, with the latest reports from the other host.
-#[derive(Debug)]
-struct Peer {
-    properties: HostProperties,
-    /// Time at which this host sent the first message to relay that the other host has not
-    /// acknowledged; 0 if there is no such message.
-    relay_since_ms: u64,
-    /// Time at which this host received the latest load report from the other host; 0 before the
-    /// first report.
-    heard_ms: u64,
-    loads: Vec<ServerLoad>,
-    run_times: Vec<RunTime>,
-}
-
-impl Peer {
-    fn relay_candidate(&self, address: SocketAddr, now_ms: u64) -> RelayCandidate {
-        RelayCandidate {
-            address,
-            zone_tag: self.properties.zone_tag,
-            processor_share: self.properties.processor_share,
-            is_silent: self.relay_since_ms > 0 && now_ms > self.relay_since_ms + RELAY_SILENT_MS,
-        }
-    }
-
-    fn add_to(&self, sums: &mut HashMap<u32, ReportedLoad>) {
-        add_report(sums, &self.loads, &self.run_times);
-    }
-}
-
-fn add_report(sums: &mut HashMap<u32, ReportedLoad>, loads: &[ServerLoad], run_times: &[RunTime]) {
-    for load in loads {
-        sums.entry(load.server_tag).or_default().in_flight += u32::from(load.in_flight);
-    }
-    for run_time in run_times {
-        let sum = sums.entry(run_time.server_tag).or_default();
-        sum.run_ms_sum += f64::from(run_time.run_ms);
-        sum.reporters += 1.0;
-    }
-}
-
 /// Other hosts that this host knows, and the messages exchanged with them.
 #[derive(Debug, Default)]
 pub struct Peers {
--- a/src/entry/peers/send.rs
+++ b/src/entry/peers/send.rs
@@ -8,10 +8,11 @@
 };
 
 use super::{
-    Peer, Peers, ReportedLoad, add_report,
+    Peers,
     fanout::{self, Fanout, RelayCandidate},
     intervals::report_age_max_ms,
     message::{Message, RunTime, ServerLoad, ServerSummary},
+    peer::{Peer, ReportedLoad, add_report},
     zone_loads::parts,
 };
 use crate::clock;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -13,12 +13,12 @@
         Candidate, Policy,
         attempt_stats::AttemptStats,
         notices::{NoticeEffect, Notices},
-        slowdown::Slowdown,
-        warmup::{self, WarmupWindows},
+        slowdown::SlowdownReports,
+        warmup::{WarmupLimit, WarmupWindows},
     },
     digest::RequestDigests,
     events::Event,
-    model::{Notice, ServerEntry, Warmup},
+    model::{Notice, ServerEntry},
     pool::Pool,
     running_requests::RunningRequests,
     server_path::ServerPath,
@@ -74,33 +74,6 @@
     pub path: ServerPath,
 }
 
-/// Slowdowns that the server has reported (factors by which it currently runs slower than usual).
-#[derive(Debug, Default)]
-struct SlowdownReports {
-    /// Slowdown that the server has reported to this host or to any other host.
-    known: Slowdown,
-    /// Latest slowdown that the server reported to this host, and the time of the report.
-    own: Option<(f64, u64)>,
-}
-
-/// Part of the rate limit of a service's cold servers that one host may use.
-#[derive(Clone, Copy, Debug)]
-pub struct WarmupLimit {
-    /// Interval between the starts of a host's warm-up windows at one cold server. In each window
-    /// the host may send the server one request.
-    window_every_ms: u64,
-}
-
-impl WarmupLimit {
-    /// Returns the part of each host if `hosts` hosts, including this one, share the rate limit of
-    /// the service's cold servers.
-    pub fn new(warmup: Warmup, hosts: usize) -> Self {
-        Self {
-            window_every_ms: warmup::window_every_ms(warmup.per_s, hosts),
-        }
-    }
-}
-
 impl Server {
     /// Creates a server from an entry that was read for the first time.
     pub fn new(entry: ServerEntry) -> Self {
--- a/src/entry/server_path.rs
+++ b/src/entry/server_path.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Returns the host whose tunnels connections to the server take; `None` while they are direct.
+    pub fn tunnel_host(&self) -> Option<SocketAddr> {
+        self.proxy().filter(|_| self.route() == Route::Tunnel)
+    }
+
     /// Returns the host that last opened a tunnel to the server.
     pub fn proxy(&self) -> Option<SocketAddr> {
         *self.lock_proxy()
--- a/tests/entry_partition.rs
+++ b/tests/entry_partition.rs
@@ -5,7 +5,12 @@
 
 use std::time::{Duration, Instant};
 
-use tokio::{sync::Mutex, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Mutex,
+    time,
+};
 
 use self::platform_standin::{
     deployment::CONTACT_GRACE,
@@ -267,3 +272,18 @@
         );
     }
 }
+
+#[tokio::test]
+async fn a_tunnel_is_opened_only_for_a_sealed_request() {
+    let _guard = RUN_LOCK.lock().await;
+    let site = Site::start(1, 1).await;
+    let target = site.orders[0].address;
+    for authorization in ["", "Proxy-Authorization: Ashroad AAAAAAAAAAAA\r\n"] {
+        let mut stream = TcpStream::connect(site.hosts[0].peers).await.expect("host");
+        let request = format!("CONNECT {target} HTTP/1.1\r\nHost: {target}\r\n{authorization}\r\n");
+        stream.write_all(request.as_bytes()).await.expect("request");
+        let mut response = [0; 12];
+        stream.read_exact(&mut response).await.expect("response");
+        assert_eq!(&response, b"HTTP/1.1 407", "{authorization}");
+    }
+}
--- a/tests/entry_servers.rs
+++ b/tests/entry_servers.rs
@@ -8,12 +8,11 @@
     entry::{
         decide::{
             notices::Notices,
-            warmup::{WarmupWindows, window_every_ms},
+            warmup::{WarmupLimit, WarmupWindows, window_every_ms},
         },
         digest::{RequestDigest, RequestDigests},
         model::{Notice, ServerEntry, Warmup, incarnation_id},
         registry::Registry,
-        server::WarmupLimit,
         updates::{
             configuration_pieces::{PieceAssembly, split_into_pieces},
             evacuation::Evacuations,
@@ -419,8 +418,8 @@
         time_ms: 3_000,
         per_s: 5.8,
     };
-    let limited =
-        (0..1_000).filter(|_| server.is_limited_by_warmup(Some(WarmupLimit::new(warmup, 10_000))));
+    let limited = (0..1_000)
+        .filter(|_| server.is_limited_by_warmup(Some(WarmupLimit::new(warmup.per_s, 10_000))));
     assert_eq!(limited.count(), 1_000);
     // A cold server whose service sets no limit for the warm-up is treated like any other server.
     assert!(!server.is_limited_by_warmup(None));
--- /dev/null
+++ b/tests/server_path.rs
@@ -0,0 +1,142 @@
+//! Tests of the decisions on lost servers and lost paths to servers.
+
+use ashroad::entry::decide::server_path::{
+    Reach::{self, Refused, Responded, Silent},
+    Verdict::{self, PathLost, ServerLost, Unknown, Usable},
+    Waiting, is_host_cut_off, suspects, verdict,
+};
+
+#[test]
+fn a_server_counts_as_lost_only_if_another_host_is_refused_too() {
+    struct Case {
+        direct: Reach,
+        elsewhere: Reach,
+        expected: Verdict,
+    }
+    let case = |direct, elsewhere, expected| Case {
+        direct,
+        elsewhere,
+        expected,
+    };
+    let cases = [
+        case(Responded, Responded, Usable),
+        case(Responded, Refused, Usable),
+        case(Responded, Silent, Usable),
+        case(Refused, Responded, PathLost),
+        case(Silent, Responded, PathLost),
+        case(Refused, Refused, ServerLost),
+        case(Silent, Refused, ServerLost),
+        case(Refused, Silent, Unknown),
+        case(Silent, Silent, Unknown),
+    ];
+    for Case {
+        direct,
+        elsewhere,
+        expected,
+    } in cases
+    {
+        assert_eq!(
+            verdict(direct, elsewhere),
+            expected,
+            "{direct:?}, {elsewhere:?}"
+        );
+    }
+}
+
+#[test]
+fn silence_is_checked_when_it_is_longer_than_requests_run() {
+    struct Case {
+        name: &'static str,
+        /// Wait and run time of each server, in milliseconds.
+        waiting: &'static [(u64, f64)],
+        quiet_ms: u64,
+        suspects: &'static [usize],
+    }
+    let cases = [
+        Case {
+            name: "short waits",
+            waiting: &[(299, 20.0), (299, 0.0)],
+            quiet_ms: 5_000,
+            suspects: &[],
+        },
+        Case {
+            name: "two silent servers, nothing from any",
+            waiting: &[(300, 20.0), (350, 0.0), (200, 20.0)],
+            quiet_ms: 200,
+            suspects: &[0, 1],
+        },
+        Case {
+            name: "two silent servers, others respond",
+            waiting: &[(300, 20.0), (350, 0.0)],
+            quiet_ms: 20,
+            suspects: &[],
+        },
+        Case {
+            name: "one silent server, nothing from any",
+            waiting: &[(400, 20.0)],
+            quiet_ms: 500,
+            suspects: &[0],
+        },
+        Case {
+            name: "slow requests",
+            waiting: &[(1_000, 360.0), (1_000, 400.0)],
+            quiet_ms: 1_000,
+            suspects: &[],
+        },
+        Case {
+            name: "one server is silent for long, others respond",
+            waiting: &[(600, 20.0), (20, 20.0)],
+            quiet_ms: 5,
+            suspects: &[0],
+        },
+    ];
+    for case in cases {
+        let waiting = case.waiting.iter();
+        let waiting: Vec<Waiting> = waiting
+            .map(|(waited_ms, run_ms)| Waiting {
+                waited_ms: *waited_ms,
+                run_ms: *run_ms,
+            })
+            .collect();
+        let found = suspects(&waiting, case.quiet_ms);
+        assert_eq!(found, case.suspects, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_host_is_cut_off_only_when_no_server_responds() {
+    struct Case {
+        lost: usize,
+        servers: usize,
+        quiet_ms: u64,
+        is_cut_off: bool,
+    }
+    let case = |lost, servers, quiet_ms, is_cut_off| Case {
+        lost,
+        servers,
+        quiet_ms,
+        is_cut_off,
+    };
+    let cases = [
+        case(0, 0, 9_000, false),
+        case(0, 8, 9_000, false),
+        case(1, 1, 5, true),
+        case(1, 8, 9_000, false),
+        case(2, 8, 20, false),
+        case(2, 8, 100, true),
+        case(4, 8, 5, true),
+    ];
+    for Case {
+        lost,
+        servers,
+        quiet_ms,
+        is_cut_off,
+    } in cases
+    {
+        let found = is_host_cut_off(lost, servers, quiet_ms);
+        assert_eq!(
+            found, is_cut_off,
+            "{lost} of {servers}, quiet for {quiet_ms} ms"
+        );
+    }
+}
