Soak: hosts are partitioned from all servers, beside the other faults

Servers of the soak are behind the proxies that partition single hosts; a cut of a random kind begins or ends beside outages of the store, signals and faults of servers.

--- a/tests/entry_partition.rs
+++ b/tests/entry_partition.rs
@@ -29,7 +29,6 @@
 const SERVED_ELSEWHERE_MIN: f64 = 0.95;
 /// Lock that a test holds while it runs, since together they would start over 20 processes.
 static RUN_LOCK: Mutex<()> = Mutex::const_new(());
-const ALL_CUTS: [Cut; 4] = [Cut::Silent, Cut::NoResponses, Cut::Reset, Cut::NewReset];
 
 /// Deployment of which some hosts are partitioned.
 struct Case {
@@ -132,7 +131,7 @@
 async fn callers_of_hosts_without_a_path_to_servers_are_served() {
     let _guard = RUN_LOCK.lock().await;
     let mut failed = Vec::new();
-    for cut in ALL_CUTS {
+    for cut in Cut::ALL {
         let [first, second, third] = &CASES;
         let shares = tokio::join!(
             first.served_shares(cut),
@@ -188,7 +187,7 @@
 async fn a_leader_without_a_path_to_servers_hands_the_leadership_over() {
     let _guard = RUN_LOCK.lock().await;
     let mut failed = Vec::new();
-    for cut in ALL_CUTS {
+    for cut in Cut::ALL {
         let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
         let traffic = Traffic::new(Workload::Keys);
         for (index, host) in site.hosts.iter().enumerate() {
@@ -251,7 +250,7 @@
         traffic.add(0, site.hosts[0].callers);
     }
     time::sleep(Duration::from_secs(2)).await;
-    for cut in ALL_CUTS {
+    for cut in Cut::ALL {
         set(&cuts, &site, &[0], Some(cut));
         time::sleep(Duration::from_secs(5)).await;
         set(&cuts, &site, &[0], None);
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -29,6 +29,7 @@
 use super::{
     next_address,
     record::{HeldKeys, KeyState, lock},
+    server_proxy::{Cuts, start_server_proxy},
     store::Store,
 };
 
@@ -251,6 +252,13 @@
         server
     }
 
+    /// Starts a proxy in front of the server, which can partition hosts from it, and writes the
+    /// server's entry with the address of the proxy.
+    pub async fn put_behind_proxy(&mut self, store: &Store, cuts: &Cuts) {
+        self.entry_address = start_server_proxy(self.address, cuts.clone()).await;
+        self.write_entry(store, "ready");
+    }
+
     /// Writes the server's entry with the given state, such as `ready` or `draining`.
     pub fn write_entry(&self, store: &Store, state: &str) {
         let entry = json!({
--- a/tests/platform_standin/server_proxy.rs
+++ b/tests/platform_standin/server_proxy.rs
@@ -5,6 +5,7 @@
 use std::{
     collections::HashMap,
     fs,
+    io::ErrorKind,
     net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -41,6 +42,11 @@
     NewReset,
 }
 
+impl Cut {
+    /// All ways, from which tests choose.
+    pub const ALL: [Self; 4] = [Self::Silent, Self::NoResponses, Self::Reset, Self::NewReset];
+}
+
 /// Partitions of hosts from the servers of a test, by the process id of the host. Clones share the
 /// partitions.
 #[derive(Clone, Debug, Default)]
@@ -138,12 +144,19 @@
 async fn forward(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_lost: impl Fn() -> bool) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
-        let length = match from.read(&mut buffer).await {
+        let mut length = match from.read(&mut buffer).await {
             Ok(0) | Err(_) => return,
             Ok(length) => length,
         };
         while is_lost() {
             time::sleep(CHECK_EVERY).await;
+            // Bytes that a partition holds up are lost if their sender closes the connection.
+            match from.try_read(&mut buffer[length..]) {
+                Ok(0) if length < buffer.len() => return,
+                Ok(more) => length += more,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
         }
         if to.write_all(&buffer[..length]).await.is_err() {
             return;
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -15,7 +15,7 @@
     caller::{TestRequest, send_once},
     hosts::Host,
     server::{Place, RunRecord, Server, ServerKind},
-    server_proxy::{Cuts, start_server_proxy},
+    server_proxy::Cuts,
     store::Store,
 };
 
@@ -90,8 +90,7 @@
         let mut site = Self::start_servers(servers).await;
         let cuts = Cuts::default();
         for server in site.keyed.iter_mut().chain(&mut site.orders) {
-            server.entry_address = start_server_proxy(server.address, cuts.clone()).await;
-            server.write_entry(&site.store, "ready");
+            server.put_behind_proxy(&site.store, &cuts).await;
         }
         for zone in zones {
             let host = Host::start_in(zone, site.store.address, "");
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -28,6 +28,7 @@
     hosts::Host,
     proxy::{Mode, Proxy},
     server::{RunRecord, Server},
+    server_proxy::{Cut, Cuts},
     site::{CONTENDED, KEYED, ORDERS, Site, eventually, get},
     store::Faults,
 };
@@ -61,6 +62,8 @@
 struct Soak {
     site: Site,
     proxies: Vec<Proxy>,
+    /// Partitions of hosts from all servers.
+    cuts: Cuts,
     /// Time at which each host was paused by SIGSTOP; `None` if the host is not paused.
     stopped: Vec<Option<Instant>>,
     /// Servers whose processes have ended, with the times at which their entries are removed.
@@ -144,10 +147,16 @@
         if is_contended {
             site.replace_by_contended(None).await;
         }
+        let cuts = Cuts::default();
+        for server in site.keyed.iter_mut().chain(&mut site.orders) {
+            server.put_behind_proxy(&site.store, &cuts).await;
+        }
         let mut proxies = Vec::new();
         for _ in 0..HOSTS {
             let proxy = Proxy::start(site.store.address).await;
-            site.hosts.push(Host::start_at(proxy.address));
+            let host = Host::start_at(proxy.address);
+            cuts.add_host(host.pid());
+            site.hosts.push(host);
             proxies.push(proxy);
         }
         site.await_ready().await;
@@ -155,6 +164,7 @@
         Self {
             site,
             proxies,
+            cuts,
             stopped: vec![None; HOSTS],
             ended: Vec::new(),
             is_contended,
@@ -173,7 +183,7 @@
     async fn inject_fault(&mut self) {
         self.remove_lapsed_entries(Instant::now());
         let host = self.rng.random_range(0..HOSTS);
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..12) {
             0 | 1 => {
                 let mode = Mode::ALL[self.rng.random_range(0..Mode::ALL.len())];
                 self.proxies[host].set(mode);
@@ -181,7 +191,7 @@
             }
             2 => {
                 self.resume(host).await;
-                self.site.hosts[host].restart();
+                self.restart(host);
                 self.count("kill");
             }
             3 => {
@@ -208,6 +218,7 @@
             }
             7 => self.inject_server_fault(),
             8 => self.replace_server().await,
+            9 | 10 => self.begin_or_end_cut(host),
             _ => {
                 self.site.store.set_faults(Faults::default());
                 self.proxies[host].set(Mode::Pass);
@@ -216,11 +227,29 @@
         // Restarts hosts whose process has exited, as the platform does.
         for host in 0..HOSTS {
             if self.stopped[host].is_none() && self.site.hosts[host].has_exited() {
-                self.site.hosts[host].restart();
+                self.restart(host);
             }
         }
     }
 
+    /// Starts a new process of a host.
+    fn restart(&mut self, host: usize) {
+        self.site.hosts[host].restart();
+        self.cuts.add_host(self.site.hosts[host].pid());
+    }
+
+    /// Partitions a host from all servers in a random way, or ends its partition.
+    fn begin_or_end_cut(&mut self, host: usize) {
+        let pid = self.site.hosts[host].pid();
+        if self.rng.random_bool(0.4) {
+            self.cuts.end(pid);
+        } else {
+            let cut = Cut::ALL[self.rng.random_range(0..Cut::ALL.len())];
+            self.cuts.begin(pid, cut);
+            self.count("cut");
+        }
+    }
+
     async fn pause_or_resume(&mut self, host: usize) {
         if self.stopped[host].is_some() {
             self.resume(host).await;
@@ -261,23 +290,23 @@
         let record = self.site.record.clone();
         let store = &self.site.store;
         if self.is_contended && self.rng.random_bool(0.7) {
-            let server = Server::start_crashable(store, &record, CONTENDED).await;
+            let mut server = Server::start_crashable(store, &record, CONTENDED).await;
+            server.put_behind_proxy(store, &self.cuts).await;
             let ended = std::mem::replace(&mut self.site.keyed[number], server);
             ended.end_process();
             self.ended.push((Instant::now() + ENTRY_LAPSE, ended));
             self.count("end");
             return;
         }
-        if self.is_contended {
-            self.site.orders[number].crash(store);
-            self.site.orders[number] = Server::start(store, &record, ORDERS).await;
-        } else if self.rng.random_bool(0.5) {
-            self.site.keyed[number].crash(store);
-            self.site.keyed[number] = Server::start(store, &record, KEYED).await;
+        let is_keyed = !self.is_contended && self.rng.random_bool(0.5);
+        let (servers, kind) = if is_keyed {
+            (&mut self.site.keyed, KEYED)
         } else {
-            self.site.orders[number].crash(store);
-            self.site.orders[number] = Server::start(store, &record, ORDERS).await;
-        }
+            (&mut self.site.orders, ORDERS)
+        };
+        servers[number].crash(store);
+        servers[number] = Server::start(store, &record, kind).await;
+        servers[number].put_behind_proxy(store, &self.cuts).await;
         self.count("replace");
     }
 
@@ -298,9 +327,10 @@
         self.site.store.set_faults(Faults::default());
         for host in 0..HOSTS {
             self.proxies[host].set(Mode::Pass);
+            self.cuts.end(self.site.hosts[host].pid());
             self.resume(host).await;
             if self.site.hosts[host].has_exited() {
-                self.site.hosts[host].restart();
+                self.restart(host);
             }
         }
         for server in self.site.keyed.iter().chain(&self.site.orders) {
@@ -310,9 +340,9 @@
         // Waits until hosts that got SIGTERM shortly before the end of the run have exited, and
         // restarts these hosts.
         time::sleep(Duration::from_millis(6_200)).await;
-        for host in &mut self.site.hosts {
-            if host.has_exited() {
-                host.restart();
+        for host in 0..HOSTS {
+            if self.site.hosts[host].has_exited() {
+                self.restart(host);
             }
         }
     }
