Paths: hosts that carry tunnels are asked again, so that their tunnels stay

Each second eight random hosts were asked, so among many hosts the offer of the one in use lapsed after 1.5 s and its idle tunnels were closed; a single unanswered query could end the state of a cut-off host. Change: hosts with an offer are asked first, an offer holds for 2.2 s, and the state ends after 3 s without any offer. Found by reading; no test of its own.

--- a/src/entry/paths/proxies.rs
+++ b/src/entry/paths/proxies.rs
@@ -40,7 +40,8 @@
         proxies.choose(tried)
     }
 
-    /// Asks some other hosts for tunnels, unless hosts were asked less than `interval_ms` ago.
+    /// Asks other hosts for tunnels: those that offer them already, and some more unless there are
+    /// enough. Does nothing if hosts were asked less than `interval_ms` ago.
     pub(super) fn query_proxies(&self, interval_ms: u64) {
         let now_ms = clock::now_ms();
         let queried_ms = &self.paths.proxies.queried_ms;
@@ -49,7 +50,12 @@
             return;
         }
         queried_ms.store(now_ms, Ordering::Relaxed);
-        let to = self.peers.sample(QUERIED_PER_PLACE);
+        let mut to = self.paths.proxies.fresh();
+        if to.len() < 2 * QUERIED_PER_PLACE {
+            to.extend(self.peers.sample(QUERIED_PER_PLACE));
+            to.sort_unstable();
+            to.dedup();
+        }
         self.peers.send(&Message::QueryTunnels, &to);
     }
 
--- a/src/entry/paths/proxy_hosts.rs
+++ b/src/entry/paths/proxy_hosts.rs
@@ -11,8 +11,11 @@
 
 use crate::clock;
 
-/// Time for which the response of a host holds.
-const RESPONSE_KEPT_MS: u64 = 1_500;
+/// Time for which the response of a host holds: two queries of a host with lost paths may go
+/// unanswered.
+const RESPONSE_KEPT_MS: u64 = 2_200;
+/// Time without any response after which no other host counts as carrying tunnels.
+const GONE_AFTER_MS: u64 = 3_000;
 /// Host that has offered to carry tunnels.
 #[derive(Clone, Copy, Debug)]
 pub struct ProxyHost {
@@ -55,6 +58,20 @@
         hosts.values().filter(|host| host.is_fresh(now_ms)).count()
     }
 
+    /// Returns the hosts whose offer still holds.
+    pub fn fresh(&self) -> Vec<SocketAddr> {
+        let now_ms = clock::now_ms();
+        let hosts = self.hosts();
+        let fresh = hosts.iter().filter(|(_, host)| host.is_fresh(now_ms));
+        fresh.map(|(address, _)| *address).collect()
+    }
+
+    /// Returns true if no host has offered tunnels for a while.
+    pub fn are_gone(&self) -> bool {
+        let latest_ms = self.hosts().values().map(|host| host.responded_ms).max();
+        latest_ms.is_none_or(|latest_ms| clock::now_ms() > latest_ms + GONE_AFTER_MS)
+    }
+
     /// Records that a tunnel of a host gave no response of the server, so that other hosts are
     /// preferred: the host may have lost its path to the servers as well.
     pub fn demote(&self, address: SocketAddr) {
--- a/src/entry/paths/watch.rs
+++ b/src/entry/paths/watch.rs
@@ -91,7 +91,7 @@
         }
         self.query_proxies(QUERY_EVERY_MS);
         let proxies = &self.paths.proxies;
-        if proxies.fresh_count() == 0 {
+        if proxies.are_gone() {
             for server in lost {
                 self.use_direct_path(server);
             }
