--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -1,6 +1,6 @@
 //! Typed log events, written as JSON lines.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, sync::Arc};
 
 use serde::Serialize;
 
@@ -344,7 +344,7 @@
         #[serde(rename = "rest_ms")]
         backoff_ms: u64,
         /// Host whose tunnels connections to that server take; `None` while they are direct.
-        tunnel: Option<SocketAddr>,
+        tunnel: Option<Arc<str>>,
         /// Time since that server's last direct response to this host; `None` if it never responded.
         server_contact_age_ms: Option<u64>,
         /// Time since the last direct response of any server to this host; `None` if none ever
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -421,6 +421,7 @@
     /// Writes a log event for a decision about the request, with the current state of the server
     /// chosen last.
     fn log(&self, entry: &Entry, decision: &'static str, reason: String) {
+        let tunnel_host = self.last.as_ref().and_then(|last| last.path.tunnel_host());
         Event::Request {
             request_id: self.request_id.to_owned(),
             digest: self.digests.whole.to_string(),
@@ -433,7 +434,7 @@
             server: self.last.as_ref().map(|server| server.entry.id.clone()),
             load: self.last.as_ref().map_or(0, |server| server.load()),
             backoff_ms: self.last.as_ref().map_or(0, |server| server.backoff_ms()),
-            tunnel: self.last.as_ref().and_then(|last| last.path.tunnel_host()),
+            tunnel: tunnel_host.map(|host| host.to_string().into()),
             server_contact_age_ms: self.last.as_ref().and_then(|last| last.contact.age_ms()),
             contact_age_ms: entry.server_contact.age_ms(),
             attempts: self.attempts,
