Paths: checks of lost paths cost less; the sites of a test start one after the other

Change: one check each 50 ms after a loss in place of four, one healing check each 200 ms until a path heals, then eight for a second; no tunnel for a check that gets a direct response within 30 ms.

--- a/src/entry/paths/check.rs
+++ b/src/entry/paths/check.rs
@@ -1,7 +1,7 @@
 //! Checks whether a server or this host's path to the server is lost, by a health request directly
-//! and one through another host at the same time.
+//! and one through another host.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use http::{Request, header};
 use http_body_util::{BodyExt, Empty};
@@ -21,6 +21,8 @@
 
 /// Timeout of the direct health request, with its connection.
 const DIRECT_TIMEOUT_MS: u64 = 250;
+/// Time in which a direct response makes the attempt through another host unnecessary.
+const HEAD_START_MS: u64 = 30;
 /// Timeout of the health request through a tunnel, with its connection.
 const TUNNEL_TIMEOUT_MS: u64 = 400;
 /// Path of health requests to servers of services that the configuration does not name.
@@ -50,17 +52,19 @@
         });
     }
 
+    /// Compares a direct attempt with one through another host, which is not made if the server
+    /// responds directly at once.
     async fn check_path(&self, server: &Server) -> Verdict {
-        let elsewhere = self.reach_through_tunnel(server);
-        tokio::pin!(elsewhere);
-        let direct = self.reach_directly(server);
-        tokio::pin!(direct);
-        tokio::select! {
-            direct = &mut direct => match direct {
-                Reach::Responded => Verdict::Usable,
-                direct => server_path::verdict(direct, elsewhere.await),
-            },
-            elsewhere = &mut elsewhere => server_path::verdict(direct.await, elsewhere),
+        let mut direct = pin!(self.reach_directly(server));
+        let head_start = Duration::from_millis(HEAD_START_MS);
+        match time::timeout(head_start, &mut direct).await {
+            Ok(Reach::Responded) => Verdict::Usable,
+            Ok(failed) => server_path::verdict(failed, self.reach_through_tunnel(server).await),
+            Err(_) => {
+                let elsewhere = self.reach_through_tunnel(server);
+                let (direct, elsewhere) = tokio::join!(direct, elsewhere);
+                server_path::verdict(direct, elsewhere)
+            }
         }
     }
 
--- a/src/entry/paths/state.rs
+++ b/src/entry/paths/state.rs
@@ -22,6 +22,8 @@
     pub(super) cut_off_ms: AtomicU64,
     /// Time at which a path to a server was last found to be lost; 0 before the first loss.
     pub(super) lost_ms: AtomicU64,
+    /// Time at which a lost path was last found to be usable again; 0 before.
+    pub(super) healed_ms: AtomicU64,
     /// Notified when this host has lost its path to all servers.
     pub(super) cut_off: Notify,
     /// Hosts through which this host may open tunnels.
@@ -35,6 +37,7 @@
         Self {
             cut_off_ms: AtomicU64::new(0),
             lost_ms: AtomicU64::new(0),
+            healed_ms: AtomicU64::new(0),
             cut_off: Notify::new(),
             proxies: Proxies::default(),
             carried: Arc::new(Semaphore::new(TUNNELS_MAX)),
--- a/src/entry/paths/watch.rs
+++ b/src/entry/paths/watch.rs
@@ -20,9 +20,13 @@
 /// Interval at which silent servers are looked for.
 const LOOK_EVERY_MS: u64 = 50;
 /// Number of rounds after each of which lost paths are checked.
-const HEALING_ROUNDS: u64 = 2;
+const HEALING_ROUNDS: u64 = 4;
 /// Number of lost paths that are checked at a time.
-const HEALING_CHECKS: usize = 2;
+const HEALING_CHECKS: usize = 1;
+/// Number of lost paths that are checked at a time shortly after another path has healed.
+const HEALING_CHECKS_MANY: usize = 8;
+/// Time for which so many are checked.
+const HEALING_MANY_MS: u64 = 1_000;
 /// Minimum interval between checks of one lost path.
 const HEALING_EVERY_MS: u64 = 300;
 /// Time after the loss of a path in which the paths to other servers are checked.
@@ -30,7 +34,7 @@
 /// Time without a response of a server after which its path is checked then.
 const UNHEARD_MS: u64 = 200;
 /// Number of such paths that are checked in a round.
-const CHECKS_AROUND: usize = 4;
+const CHECKS_AROUND: usize = 1;
 /// Interval of the queries for hosts that carry tunnels while paths are lost.
 const QUERY_EVERY_MS: u64 = 1_000;
 
@@ -106,7 +110,14 @@
         let due = lost
             .into_iter()
             .filter(|server| server.path.begin_check(HEALING_EVERY_MS));
-        for server in due.take(HEALING_CHECKS) {
+        let healed_ms = self.paths.healed_ms.load(Ordering::Relaxed);
+        let heals = healed_ms > 0 && clock::now_ms() < healed_ms + HEALING_MANY_MS;
+        let checks = if heals {
+            HEALING_CHECKS_MANY
+        } else {
+            HEALING_CHECKS
+        };
+        for server in due.take(checks) {
             let (entry, server) = (self.clone(), server.clone());
             tokio::spawn(async move {
                 if entry.reach_directly(&server).await == Reach::Responded {
@@ -120,6 +131,8 @@
     pub(super) fn note_path_usable(&self, server: &Server) {
         self.note_direct_response(server);
         if self.use_direct_path(server) {
+            let now_ms = clock::now_ms();
+            self.paths.healed_ms.store(now_ms, Ordering::Relaxed);
             log::debug!("the path to {} is usable again", server.entry.id);
         }
         self.end_cut_off("a server responds directly");
