--- a/src/entry/decide/attempt_stats.rs
+++ b/src/entry/decide/attempt_stats.rs
@@ -98,7 +98,7 @@
     }
 
     /// Forgets the failed attempts, and ends the pause after failed connection attempts.
-    pub fn forgive(&mut self) {
+    pub fn reset_failures(&mut self) {
         self.failures = 0.0;
         self.connect_failures = 0;
         self.paused_until_ms = 0;
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -140,7 +140,8 @@
     }
 
     /// Returns true if this host may grant leases: this host is the leader and does not give up the
-    /// leadership, and it sent its last successful confirmation of the leadership to the store less than `outage_ms` ago.
+    /// leadership, and it sent its last successful confirmation of the leadership to the store less
+    /// than `outage_ms` ago.
     pub fn may_lease(&self, outage_ms: u64) -> bool {
         let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
         let gives_up = self.giving_up.load(Ordering::Relaxed);
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -113,8 +113,8 @@
     }
 
     /// Returns true if the leader has given up the leadership, or if this host has received no
-    /// heartbeat from the leader for so long that this host should watch the leadership row. If this host has never received a heartbeat, the time
-    /// counts from `started_ms`.
+    /// heartbeat from the leader for so long that this host should watch the leadership row. If this
+    /// host has never received a heartbeat, the time counts from `started_ms`.
     fn is_leader_silent(&self, started_ms: u64) -> bool {
         let heard_ms = self.peers.leader_heard_ms();
         if heard_ms == 0 && !self.peers.seal.is_known() {
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -249,8 +249,9 @@
 
     /// Probes a server that does not answer grants, to distinguish a crashed server from a live
     /// server whose responses are lost. A live server keeps its keys; a crashed server is marked as
-    /// silent, unless another host reaches it. Without the probe, when half of the commands go unanswered, live servers count as
-    /// crashed, and all keys of a service change their server three to five times a minute.
+    /// silent, unless another host reaches it. Without the probe, when half of the commands go
+    /// unanswered, live servers count as crashed, and all keys of a service change their server
+    /// three to five times a minute.
     async fn probe_server(&self, service: &str, server: &Arc<Server>) {
         let lives =
             self.is_alive(service, server).await || self.entry.is_reached_elsewhere(server).await;
--- a/src/entry/paths/check.rs
+++ b/src/entry/paths/check.rs
@@ -29,8 +29,8 @@
 const HEALTH_PATH_DEFAULT: &str = "/";
 
 impl Entry {
-    /// Starts a check of the path to a server whose open connections may be lost, unless a check
-    /// began shortly before. If the path is known to be lost, the open connections are lost too.
+    /// Starts a check of the path to a server that is silent or whose connection broke, unless a
+    /// check began shortly before. If the path is known to be lost, closes its direct connections.
     pub(in crate::entry) fn suspect_path(self: &Arc<Self>, server: &Arc<Server>) {
         if server.path.route() == Route::Tunnel {
             abandon_direct_connections(server);
--- a/src/entry/paths/mod.rs
+++ b/src/entry/paths/mod.rs
@@ -89,7 +89,7 @@
     /// Makes further connections to the server take tunnels. Returns true if they did not before.
     fn use_tunnels(self: &Arc<Self>, server: &Arc<Server>) -> bool {
         let is_new = server.path.set_lost();
-        server.forgive();
+        server.reset_failures();
         if is_new {
             server.orders.set_tunnel(Some(self.tunnel_opener(server)));
         }
@@ -100,7 +100,7 @@
     fn use_direct_path(&self, server: &Server) -> bool {
         let is_new = server.path.set_usable();
         if is_new {
-            server.forgive();
+            server.reset_failures();
             server.orders.set_tunnel(None);
             server.pool.close_tunnels(|_| true);
         }
--- a/src/entry/paths/tunnel_server.rs
+++ b/src/entry/paths/tunnel_server.rs
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Returns the sealed request of another host; `None` if it is missing or not sealed with the
+    /// Returns the request of another host; `None` if it is missing or not sealed with the
     /// hosts' secret.
     fn wanted_tunnel(&self, headers: &HeaderMap) -> Option<TunnelRequest> {
         let value = header_text(headers, header::PROXY_AUTHORIZATION.as_str())?;
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -417,8 +417,8 @@
 
     /// Forgets failed attempts and ends the pause after them, because they were failures of the
     /// path to the server.
-    pub fn forgive(&self) {
-        self.attempt_stats().forgive();
+    pub fn reset_failures(&self) {
+        self.attempt_stats().reset_failures();
     }
 
     /// Records an attempt that failed because no connection could be opened.
--- a/src/entry/server_path.rs
+++ b/src/entry/server_path.rs
@@ -138,12 +138,10 @@
     /// Records that a request was sent directly.
     pub fn note_sent(&self) {
         let now_ms = clock::now_ms();
-        let is_first =
+        // Keeps the time of a request that waits already.
+        let _ =
             self.waiting_since_ms
                 .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
-        if is_first.is_err() {
-            // Another request waits since an earlier time.
-        }
     }
 
     /// Records a direct response.
