--- a/tests/platform_standin/server_proxy.rs
+++ b/tests/platform_standin/server_proxy.rs
@@ -5,11 +5,9 @@
 use std::{
     collections::HashMap,
     fs,
-    io::ErrorKind,
     net::SocketAddr,
     path::Path,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
 };
 
 use tokio::{
@@ -18,14 +16,12 @@
         TcpListener, TcpStream,
         tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    task, time,
+    sync::{Notify, watch},
+    task,
 };
 
 use super::next_address;
 
-/// Interval at which connections look for a change of the partitions.
-const CHECK_EVERY: Duration = Duration::from_millis(5);
-
 /// Number of times that the process of a connection is looked up at most.
 const LOOKUPS_MAX: u32 = 10;
 
@@ -50,7 +46,14 @@
 /// Partitions of hosts from the servers of a test, by the process id of the host. Clones share the
 /// partitions.
 #[derive(Clone, Debug, Default)]
-pub struct Cuts(Arc<Mutex<State>>);
+pub struct Cuts(Arc<Shared>);
+
+#[derive(Debug, Default)]
+struct Shared {
+    state: Mutex<State>,
+    /// Number of changes of the partitions.
+    changes: watch::Sender<u64>,
+}
 
 #[derive(Debug, Default)]
 struct State {
@@ -69,56 +72,77 @@
     /// Partitions the host with this process id from all servers behind a proxy.
     pub fn begin(&self, host: u32, cut: Cut) {
         self.state().cuts.insert(host, cut);
+        self.0.changes.send_modify(|changes| *changes += 1);
     }
 
     /// Ends the partition of a host.
     pub fn end(&self, host: u32) {
         self.state().cuts.remove(&host);
+        self.0.changes.send_modify(|changes| *changes += 1);
     }
 
     fn of(&self, host: Option<u32>) -> Option<Cut> {
         self.state().cuts.get(&host?).copied()
     }
 
+    /// Waits until the partition of a host satisfies a condition.
+    async fn until(&self, host: Option<u32>, is_met: impl Fn(Option<Cut>) -> bool) {
+        let mut changes = self.0.changes.subscribe();
+        while !is_met(self.of(host)) {
+            changes.changed().await.expect("the sender lives");
+        }
+    }
+
     fn hosts(&self) -> Vec<u32> {
         self.state().hosts.clone()
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Starts a proxy in front of `target` and returns its address.
+/// Starts a proxy in front of `target` and returns its address. The address refuses connections once
+/// the target has refused one, as the address of an ended process does.
 pub async fn start_server_proxy(target: SocketAddr, cuts: Cuts) -> SocketAddr {
     let listener = TcpListener::bind(next_address(0)).await.expect("listener");
     let address = listener.local_addr().expect("address");
+    let has_ended = Arc::new(Notify::new());
     tokio::spawn(async move {
-        while let Ok((stream, from)) = listener.accept().await {
-            tokio::spawn(connect(stream, from, target, cuts.clone()));
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = has_ended.notified() => return,
+            };
+            let Ok((stream, from)) = accepted else { return };
+            let (cuts, has_ended) = (cuts.clone(), has_ended.clone());
+            tokio::spawn(async move {
+                if !connect(stream, from, target, cuts).await {
+                    has_ended.notify_one();
+                }
+            });
         }
     });
     address
 }
 
-async fn connect(host_stream: TcpStream, from: SocketAddr, target: SocketAddr, cuts: Cuts) {
+/// Forwards a connection. Returns false if the target refused the connection.
+async fn connect(host_stream: TcpStream, from: SocketAddr, target: SocketAddr, cuts: Cuts) -> bool {
     let hosts = cuts.hosts();
     // The lookup is cancelled at the end of the test.
     let Ok(host) = task::spawn_blocking(move || owner_of(from, &hosts)).await else {
-        return;
+        return true;
     };
     if host.is_none() || matches!(cuts.of(host), Some(Cut::Reset | Cut::NewReset)) {
         // Dropping the stream with linger 0 resets the connection.
         host_stream.set_zero_linger().expect("linger");
-        return;
+        return true;
     }
     // The server does not see a connection attempt whose packets are lost.
-    while cuts.of(host) == Some(Cut::Silent) {
-        time::sleep(CHECK_EVERY).await;
-    }
+    cuts.until(host, |cut| cut != Some(Cut::Silent)).await;
     let Ok(server_stream) = TcpStream::connect(target).await else {
         host_stream.set_zero_linger().expect("linger");
-        return;
+        return false;
     };
     for stream in [&host_stream, &server_stream] {
         stream.set_nodelay(true).expect("option");
@@ -126,36 +150,38 @@
     }
     let (host_read, host_write) = host_stream.into_split();
     let (server_read, server_write) = server_stream.into_split();
-    let until_reset = async {
-        while cuts.of(host) != Some(Cut::Reset) {
-            time::sleep(CHECK_EVERY).await;
-        }
-    };
+    let is_silent = |cut| cut == Some(Cut::Silent);
+    let loses_responses = |cut| matches!(cut, Some(Cut::Silent | Cut::NoResponses));
     tokio::select! {
-        () = forward(host_read, server_write, || cuts.of(host) == Some(Cut::Silent)) => {}
-        () = forward(server_read, host_write, || {
-            matches!(cuts.of(host), Some(Cut::Silent | Cut::NoResponses))
-        }) => {}
-        () = until_reset => {}
+        () = forward(host_read, server_write, &cuts, host, is_silent) => {}
+        () = forward(server_read, host_write, &cuts, host, loses_responses) => {}
+        () = cuts.until(host, |cut| cut == Some(Cut::Reset)) => {}
     }
+    true
 }
 
-/// Copies one direction of a connection, and holds the data back while `is_lost` returns true.
-async fn forward(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_lost: impl Fn() -> bool) {
+/// Copies one direction of a connection, and holds the data back while the partition of the host
+/// loses it. Bytes that are held back are lost if their sender closes the connection.
+async fn forward(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    cuts: &Cuts,
+    host: Option<u32>,
+    is_lost: impl Fn(Option<Cut>) -> bool,
+) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let mut length = match from.read(&mut buffer).await {
             Ok(0) | Err(_) => return,
             Ok(length) => length,
         };
-        while is_lost() {
-            time::sleep(CHECK_EVERY).await;
-            // Bytes that a partition holds up are lost if their sender closes the connection.
-            match from.try_read(&mut buffer[length..]) {
-                Ok(0) if length < buffer.len() => return,
-                Ok(more) => length += more,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return,
+        while is_lost(cuts.of(host)) {
+            tokio::select! {
+                () = cuts.until(host, |cut| !is_lost(cut)) => {}
+                more = from.read(&mut buffer[length..]), if length < buffer.len() => match more {
+                    Ok(0) | Err(_) => return,
+                    Ok(more) => length += more,
+                },
             }
         }
         if to.write_all(&buffer[..length]).await.is_err() {
