Crashes: a refused connection is no crash while other hosts get no response either

Cause: a refused liveness probe counted unless another host got a response; hosts that are cut alike answer 504 for a server they do not reach, and that counted as a refusal. Change: it counts if another host is refused too, or if no other host carries tunnels; the two functions that asked another host are one.

--- a/src/entry/decide/server_path.rs
+++ b/src/entry/decide/server_path.rs
@@ -56,6 +56,13 @@
     }
 }
 
+/// Returns true if a server that refused a connection of this host has crashed. `elsewhere` is the
+/// outcome at other hosts; `None` if no other host carries tunnels. Other hosts without a response
+/// show nothing, because they may have lost their paths as well.
+pub fn has_crashed(elsewhere: Option<Reach>) -> bool {
+    elsewhere.is_none_or(|reach| reach == Reach::Refused)
+}
+
 /// Request that waits longest for a response from one server over direct connections.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Waiting {
--- a/src/entry/paths/check.rs
+++ b/src/entry/paths/check.rs
@@ -59,29 +59,22 @@
         let head_start = Duration::from_millis(HEAD_START_MS);
         match time::timeout(head_start, &mut direct).await {
             Ok(Reach::Responded) => Verdict::Usable,
-            Ok(failed) => server_path::verdict(failed, self.reach_through_tunnel(server).await),
+            Ok(failed) => verdict_of(failed, self.reach_through_tunnel(server).await),
             Err(_) => {
                 let elsewhere = self.reach_through_tunnel(server);
                 let (direct, elsewhere) = tokio::join!(direct, elsewhere);
-                server_path::verdict(direct, elsewhere)
+                verdict_of(direct, elsewhere)
             }
         }
     }
 
-    /// Finds out whether a server that refused a connection of this host is lost: true if it
-    /// refuses connections of another host as well, or if no other host can be asked. If another
-    /// host reaches the server, the path of this host is lost.
+    /// Returns true if a server that refused a connection of this host has crashed, as far as other
+    /// hosts can tell. If another host reaches the server, the path of this host is lost.
     pub(in crate::entry) async fn is_refused_elsewhere(
         self: &Arc<Self>,
         server: &Arc<Server>,
     ) -> bool {
-        match self.reach_through_tunnel(server).await {
-            Reach::Responded => {
-                self.note_path_lost(server, true);
-                false
-            }
-            Reach::Refused | Reach::Silent => true,
-        }
+        server_path::has_crashed(self.ask_elsewhere(server).await)
     }
 
     /// Returns true if a server that does not respond to this host responds to another host. Then
@@ -90,11 +83,18 @@
         self: &Arc<Self>,
         server: &Arc<Server>,
     ) -> bool {
-        let is_reached = self.reach_through_tunnel(server).await == Reach::Responded;
-        if is_reached {
+        self.ask_elsewhere(server).await == Some(Reach::Responded)
+    }
+
+    /// Sends a health request to a server that does not respond to this host through another host,
+    /// and records the loss of this host's path if the server responds there. Returns `None` if no
+    /// other host carries tunnels.
+    async fn ask_elsewhere(self: &Arc<Self>, server: &Arc<Server>) -> Option<Reach> {
+        let reach = self.reach_through_tunnel(server).await;
+        if reach == Some(Reach::Responded) {
             self.note_path_lost(server, true);
         }
-        is_reached
+        reach
     }
 
     /// Sends a health request directly, on a new connection.
@@ -110,27 +110,31 @@
                 }
             }
         };
-        within(DIRECT_TIMEOUT_MS, exchange).await
+        let reach = within(DIRECT_TIMEOUT_MS, exchange).await;
+        reach.unwrap_or(Reach::Silent)
     }
 
-    /// Sends a health request through a tunnel of another host.
-    async fn reach_through_tunnel(&self, server: &Server) -> Reach {
+    /// Sends a health request through a tunnel of another host. Returns `None` if no other host
+    /// carries tunnels.
+    async fn reach_through_tunnel(&self, server: &Server) -> Option<Reach> {
         let mut host = None;
         let exchange = async {
             match self.connect_through_tunnel(server, TUNNEL_TIMEOUT_MS).await {
                 Ok(connection) => {
                     host = connection.tunnel();
-                    self.reach_on(connection, server).await
+                    Some(self.reach_on(connection, server).await)
                 }
-                Err(TunnelError::ServerRefused) => Reach::Refused,
+                Err(TunnelError::ServerRefused) => Some(Reach::Refused),
+                Err(TunnelError::NoHost) => None,
                 Err(error) => {
                     log::debug!("{} not reached by another host: {error}", server.entry.id);
-                    Reach::Silent
+                    Some(Reach::Silent)
                 }
             }
         };
         let reach = within(TUNNEL_TIMEOUT_MS, exchange).await;
-        if let Some(host) = host.filter(|_| reach == Reach::Silent) {
+        let reach = reach.unwrap_or(Some(Reach::Silent));
+        if let Some(host) = host.filter(|_| reach == Some(Reach::Silent)) {
             self.paths.proxies.demote(host);
             server.path.set_proxy(None);
         }
@@ -166,7 +170,14 @@
     }
 }
 
-async fn within(timeout_ms: u64, exchange: impl Future<Output = Reach>) -> Reach {
-    let exchanged = time::timeout(Duration::from_millis(timeout_ms), exchange).await;
-    exchanged.unwrap_or(Reach::Silent)
+/// Returns the verdict on a direct attempt and the outcome at another host, if one could be asked.
+fn verdict_of(direct: Reach, elsewhere: Option<Reach>) -> Verdict {
+    server_path::verdict(direct, elsewhere.unwrap_or(Reach::Silent))
+}
+
+/// Returns the outcome of an exchange; `None` after a timeout.
+async fn within<T>(timeout_ms: u64, exchange: impl Future<Output = T>) -> Option<T> {
+    time::timeout(Duration::from_millis(timeout_ms), exchange)
+        .await
+        .ok()
 }
