--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -17,7 +17,7 @@
     hosts::Host,
     proxy::{Mode, Proxy},
     server::Server,
-    site::{ORDERS, Site, check_call_count, eventually},
+    site::{ORDERS, Site, all_keys_held, check_call_count, eventually},
     store::Faults,
 };
 
@@ -31,10 +31,6 @@
     leader.expect("a host is the leader")
 }
 
-fn all_keys_held(servers: &[Server]) -> bool {
-    servers.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
-}
-
 #[tokio::test]
 async fn a_restarted_duty_holder_resumes_the_duty_also_when_reads_are_slower_than_writes() {
     let mut site = Site::start(3, 2).await;
--- a/tests/entry_partition.rs
+++ b/tests/entry_partition.rs
@@ -15,9 +15,8 @@
 use self::platform_standin::{
     deployment::CONTACT_GRACE,
     hosts::Host,
-    server::Server,
     server_proxy::{Cut, Cuts},
-    site::{Site, eventually},
+    site::{Site, all_keys_held, eventually},
     traffic::{Traffic, Workload},
 };
 
@@ -186,10 +185,6 @@
     leader.expect("a host is the leader")
 }
 
-fn all_keys_held(servers: &[Server]) -> bool {
-    servers.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
-}
-
 /// Partitions the leader, and returns what failed.
 async fn partition_leader(cut: Cut) -> Vec<String> {
     let (site, cuts) = Site::start_behind_proxies(&["a", "a", "a"], 3).await;
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -252,6 +252,12 @@
         .map(|response| response.status)
 }
 
+/// Returns true if each key has a valid lease at exactly one of the servers, provided that no key
+/// has two owners.
+pub fn all_keys_held(servers: &[Server]) -> bool {
+    servers.iter().map(Server::keys_held).sum::<usize>() == 1 << 16
+}
+
 /// Waits until a condition holds; fails the test if the condition does not hold within `limit_ms`.
 pub async fn eventually(what: &str, limit_ms: u64, mut condition: impl AsyncFnMut() -> bool) {
     let until = Instant::now() + Duration::from_millis(limit_ms);
