Leases: grants to servers that may start again under their name go only over confirmed connections

What callers would see: requests of one key run at two servers for up to a lease. Cause: a command names the server, and a later process under the same name has not seen the fence with which the former one released the key. An earlier leader, cut off from the store and not from the servers, renews the released lease there. Change: such a grant is sent only over a connection that was open before the leader sent its last confirmation that itself changed the leadership row; on a newer one the leader confirms at once and the grant waits, at most 1 s. The leader also checks whether it may grant after the connection is open.

--- a/src/entry/decide/lease_expiry.rs
+++ b/src/entry/decide/lease_expiry.rs
@@ -79,6 +79,16 @@
     now_ms < confirmed_ms + outage_ms
 }
 
+/// Returns true if a leader whose last successful confirmation was sent at `confirmed_ms` may send a
+/// grant over a connection that was open by `opened_ms`, to a server whose name a later process may
+/// use again. The process at the other end of such a connection started before any later leader
+/// took over, so it has received every release that a later leader sent under that name, and
+/// refuses the grant if its fence is lower. A process that started under a later leader can be
+/// reached only over later connections, and may have seen no fence.
+pub fn is_confirmed_after(confirmed_ms: u64, opened_ms: u64) -> bool {
+    opened_ms < confirmed_ms
+}
+
 /// Until when leaders of earlier terms may grant leases, as a host finds it when it takes over the
 /// leadership.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -21,10 +21,14 @@
         Mutex as StdMutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use serde::{Deserialize, Serialize};
-use tokio::sync::Mutex;
+use tokio::{
+    sync::{Mutex, Notify, watch},
+    time,
+};
 
 use super::{Entry, decide::lease_expiry, events::Event, peers::message::Message};
 use crate::{
@@ -47,6 +51,11 @@
 /// the row before other hosts have seen the row unchanged for the takeover time, 1.6 s. At its
 /// slowest, the store takes 0.5 s for a write.
 const CONFIRM_TIMEOUT_MS: u64 = 1_000;
+/// Minimum pause between two confirmations. Grants over many new connections share a confirmation.
+const CONFIRM_PAUSE_MIN_MS: u64 = 50;
+/// Maximum time for which a grant waits for a confirmation of the leadership. A slow store takes
+/// 0.5 s for one.
+const CONFIRMATION_WAIT_MS: u64 = 1_000;
 /// Time for which a host that has lost the leadership answers heartbeats from a later leader with
 /// the report that it has stopped granting leases.
 const STOPPED_REPORT_MS: u64 = 3_000;
@@ -104,7 +113,9 @@
     /// Time at which this host sent its last confirmation of the leadership whose own attempt has
     /// changed the leadership row, taken before the call to the store. Only such a confirmation
     /// extends the time in which this host may grant leases.
-    confirmed_ms: AtomicU64,
+    confirmed_ms: watch::Sender<u64>,
+    /// Requests for a confirmation before the next one is due.
+    confirmation_requests: Notify,
     /// Time at which this host sent its last successful write of other rows on condition of the
     /// leadership row, taken before the call to the store. It counts for heartbeats and further
     /// writes, never for grants.
@@ -143,7 +154,7 @@
     /// leadership, and it sent its last successful confirmation of the leadership to the store less
     /// than `outage_ms` ago.
     pub fn may_lease(&self, outage_ms: u64) -> bool {
-        let confirmed_ms = self.confirmed_ms.load(Ordering::Relaxed);
+        let confirmed_ms = *self.confirmed_ms.borrow();
         let gives_up = self.giving_up.load(Ordering::Relaxed);
         self.term() > 0
             && !gives_up
@@ -159,6 +170,30 @@
         self.may_lease(CONFIRMED_MS) || self.term() > 0 && has_recent_write
     }
 
+    /// Waits until this host has confirmed the leadership after `since_ms`, for at most
+    /// [`CONFIRMATION_WAIT_MS`]. Requests a confirmation if there is none yet. Returns false after
+    /// the timeout.
+    pub async fn await_confirmation_after(&self, since_ms: u64) -> bool {
+        let mut confirmed_ms = self.confirmed_ms.subscribe();
+        let is_later =
+            |confirmed_ms: &u64| lease_expiry::is_confirmed_after(*confirmed_ms, since_ms);
+        if is_later(&confirmed_ms.borrow()) {
+            return true;
+        }
+        self.confirmation_requests.notify_one();
+        let wait = Duration::from_millis(CONFIRMATION_WAIT_MS);
+        matches!(
+            time::timeout(wait, confirmed_ms.wait_for(is_later)).await,
+            Ok(Ok(_))
+        )
+    }
+
+    /// Waits until a confirmation is requested, but at least [`CONFIRM_PAUSE_MIN_MS`].
+    async fn confirmation_requested(&self) {
+        time::sleep(Duration::from_millis(CONFIRM_PAUSE_MIN_MS)).await;
+        self.confirmation_requests.notified().await;
+    }
+
     /// Returns the time up to which leaders of earlier terms may have granted leases.
     pub fn earlier_leases_until_ms(&self) -> u64 {
         self.earlier_leases_until_ms.load(Ordering::Relaxed)
@@ -336,9 +371,7 @@
             // A successor counts from the time at which it first read the row, so a row that was in
             // the store before this attempt does not extend the time in which this host may grant.
             if !written.is_by_earlier_attempt {
-                self.leadership
-                    .confirmed_ms
-                    .store(sent_ms, Ordering::Relaxed);
+                self.leadership.confirmed_ms.send_replace(sent_ms);
             }
             self.note_store_response(clock::now_ms());
             return;
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -69,6 +69,7 @@
                 let every_ms = self.limits.confirm_every_ms(leases.confirm_every_ms);
                 tokio::select! {
                     () = time::sleep(Duration::from_millis(every_ms)) => {}
+                    () = self.leadership.confirmation_requested() => {}
                     () = self.paths.until_cut_off() => {}
                 }
                 if self.paths.is_cut_off() {
@@ -251,9 +252,7 @@
                 before_predecessor_until_ms,
             })
         });
-        self.leadership
-            .confirmed_ms
-            .store(sent_ms, Ordering::Relaxed);
+        self.leadership.confirmed_ms.send_replace(sent_ms);
         self.leadership.term.store(term, Ordering::Relaxed);
         Event::DutyTaken { term, handed_over }.log();
         self.check_predecessor_process().await;
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -125,6 +125,14 @@
         moving.any(|m| *m.service == *service && m.range.overlaps(&range))
     }
 
+    /// Returns true if a server may get grants: it answers, and its process does not seem to have
+    /// ended. A later process at the address might execute a grant to a server that has ended, and
+    /// then hold keys that have moved to another server.
+    fn takes_grants(&self, id: &str) -> bool {
+        let is_silent = self.servers.get(id).is_some_and(|record| record.is_silent);
+        !is_silent && !self.suspects.refuses_connections(id)
+    }
+
     /// Returns true if the move of an assigned range from its former server is not completed, so
     /// that the former server may still hold the keys.
     fn is_unfinished(&self, service: &str, assigned_range: &AssignedRange) -> bool {
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -22,6 +22,7 @@
     },
     platform::{
         self, Error,
+        link::Connection,
         orders::{self, Grant, GrantOutcome},
     },
 };
@@ -173,23 +174,23 @@
         server: &Arc<Server>,
         order: LeaseOrder<'_>,
     ) -> Option<GrantOutcome> {
-        if !self.may_send_orders() {
+        let id = &server.entry.id;
+        if !self.may_send_orders() || !self.state().takes_grants(id) {
             return None;
         }
-        let id = &server.entry.id;
-        let sent_ms = clock::now_ms();
-        {
-            let mut state = self.state();
-            // A later process at the address might execute a grant to a server that seems to have
-            // ended, and then hold keys that have moved to another server.
-            if state.suspects.refuses_connections(id) {
-                return None;
-            }
-            let record = state.servers.entry(id.clone()).or_default();
-            if record.is_silent {
+        let connection = match server.orders.open(GRANT_TIMEOUT_MS).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.grant_failed(server, order, error).await;
                 return None;
             }
-            record.grants.begin();
+        };
+        // The check and the sending are one step, so that no grant is sent after the last moment at
+        // which this host may send one.
+        if !self.may_use(server, &connection).await || !self.begin_grant(id) {
+            server.orders.keep(connection);
+            self.entry.metrics.order("grant", "withheld");
+            return None;
         }
         let grant = Grant {
             server: &server.entry.name,
@@ -198,17 +199,59 @@
             lease_ms: self.entry.settings.leases.lease_ms,
             handover: order.handover,
         };
-        let answer = orders::grant(&server.orders, grant, GRANT_TIMEOUT_MS).await;
-        let needs_probe = self.note_grant(id, order, sent_ms, &answer);
-        let error = match answer {
+        let sent_ms = clock::now_ms();
+        let answer = orders::grant(&server.orders, connection, grant, GRANT_TIMEOUT_MS).await;
+        self.note_grant(id, order, sent_ms, &answer);
+        match answer {
             Ok(granted) => {
                 let held = granted == GrantOutcome::Held;
                 let outcome = if held { "held" } else { "refused" };
                 self.entry.metrics.order("grant", outcome);
-                return Some(granted);
+                Some(granted)
             }
-            Err(error) => error,
-        };
+            Err(error) => {
+                self.grant_failed(server, order, error).await;
+                None
+            }
+        }
+    }
+
+    /// Returns true if a grant may be sent to a server over a connection. A server whose entry
+    /// states a start time may have ended, and a later process may have started under its name. If
+    /// the connection is newer than the last confirmation of the leadership, waits for the next one.
+    async fn may_use(&self, server: &Server, connection: &Connection) -> bool {
+        if server.entry.started_ms == 0 {
+            return true;
+        }
+        let leadership = &self.entry.leadership;
+        leadership
+            .await_confirmation_after(connection.opened_ms())
+            .await
+    }
+
+    /// Counts a grant to a server as in flight if this host may send one now, and returns true if so.
+    fn begin_grant(&self, id: &Arc<str>) -> bool {
+        let may_send = self.may_send_orders();
+        let mut state = self.state();
+        if !may_send || !state.takes_grants(id) {
+            return false;
+        }
+        state.servers.entry(id.clone()).or_default().grants.begin();
+        true
+    }
+
+    /// Counts a failed grant or connection attempt. Returns true if the caller should probe the
+    /// server because so many have failed that the server may have crashed.
+    fn note_failure(&self, id: &Arc<str>) -> bool {
+        let mut state = self.state();
+        let record = state.servers.entry(id.clone()).or_default();
+        record.failures += 1;
+        record.failures >= FAILURES_BEFORE_PROBE && !record.is_silent
+    }
+
+    /// Logs the failure of a grant and finds out why the server does not answer.
+    async fn grant_failed(&self, server: &Arc<Server>, order: LeaseOrder<'_>, error: Error) {
+        let needs_probe = self.note_failure(&server.entry.id);
         self.order_failed(server, "grant", error.to_string());
         self.entry.suspect_path(server);
         if error.is_refused() {
@@ -217,25 +260,22 @@
         if needs_probe {
             self.probe_server(order.service, server).await;
         }
-        None
     }
 
-    /// Records the outcome of a grant that was sent at `sent_ms`. Returns true if the caller should
-    /// probe the server because so many grants have failed that the server may have crashed.
+    /// Records the outcome of a grant that was sent at `sent_ms`.
     fn note_grant(
         &self,
         id: &Arc<str>,
         order: LeaseOrder<'_>,
         sent_ms: u64,
         answer: &platform::Result<GrantOutcome>,
-    ) -> bool {
+    ) {
         let mut state = self.state();
         let record = state.servers.entry(id.clone()).or_default();
         let may_have_arrived = answer.as_ref().err().is_none_or(Error::may_have_run);
         record.grants.complete(sent_ms, may_have_arrived);
         let Ok(granted) = answer else {
-            record.failures += 1;
-            return record.failures >= FAILURES_BEFORE_PROBE && !record.is_silent;
+            return;
         };
         record.failures = 0;
         record.is_silent = false;
@@ -244,7 +284,6 @@
             let key = (order.service.clone(), order.fence);
             state.renewals.entry(key).or_default().renewed_ms = sent_ms;
         }
-        false
     }
 
     /// Probes a server that does not answer grants, to distinguish a crashed server from a live
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -25,6 +25,7 @@
 use tokio::{net::TcpStream, time};
 
 use super::error::{ConnectSnafu, Error, Result, UnansweredSnafu};
+use crate::clock;
 
 /// Timeout for establishing a connection. TCP retransmits a lost SYN packet after one second, so a
 /// longer timeout gains nothing.
@@ -72,10 +73,26 @@
     }
 }
 
+/// Open connection of a [`Link`], which carries one call at a time. A connection to a process ends
+/// with the process.
+#[derive(Debug)]
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    opened_ms: u64,
+}
+
+impl Connection {
+    /// Returns a time, by the clock of this host, before which the connection was open. The process
+    /// at its other end had started by then.
+    pub fn opened_ms(&self) -> u64 {
+        self.opened_ms
+    }
+}
+
 /// Connection without a call in progress, kept open for the next call.
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     since: Instant,
 }
 
@@ -110,7 +127,7 @@
     pub fn has_open_connection(&self) -> bool {
         let idle = self.idle();
         idle.as_ref()
-            .is_some_and(|connection| !connection.sender.is_closed())
+            .is_some_and(|idle| !idle.connection.sender.is_closed())
     }
 
     /// Sends a request and reads the whole response. The head of the response must arrive within
@@ -133,16 +150,36 @@
         timeout_ms: u64,
         head_received: &AtomicBool,
     ) -> Result<BufferedResponse> {
-        let mut sender = self.connection(timeout_ms).await?;
-        let head = sender.send_request(request);
+        let connection = self.open(timeout_ms).await?;
+        self.exchange(connection, request, timeout_ms, head_received)
+            .await
+    }
+
+    /// Sends a request as [`Link::call`] does, on a connection that [`Link::open`] has returned.
+    pub async fn call_on(
+        &self,
+        connection: Connection,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+    ) -> Result<BufferedResponse> {
+        let head_received = AtomicBool::new(false);
+        self.exchange(connection, request, timeout_ms, &head_received)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        request: Request<Full<Bytes>>,
+        timeout_ms: u64,
+        head_received: &AtomicBool,
+    ) -> Result<BufferedResponse> {
+        let head = connection.sender.send_request(request);
         let response = self.with_timeout(timeout_ms, head).await?;
         head_received.store(true, Ordering::Relaxed);
         let (head, body) = response.into_parts();
         let body = self.with_timeout(BODY_TIMEOUT_MS, body.collect()).await?;
-        *self.idle() = Some(IdleConnection {
-            sender,
-            since: Instant::now(),
-        });
+        self.keep(connection);
         Ok(BufferedResponse {
             status: head.status,
             headers: head.headers,
@@ -150,6 +187,14 @@
         })
     }
 
+    /// Keeps a connection without a call in progress open for the next call.
+    pub fn keep(&self, connection: Connection) {
+        *self.idle() = Some(IdleConnection {
+            connection,
+            since: Instant::now(),
+        });
+    }
+
     async fn with_timeout<T>(
         &self,
         timeout_ms: u64,
@@ -173,13 +218,17 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn connection(&self, timeout_ms: u64) -> Result<SendRequest<Full<Bytes>>> {
+    /// Takes the connection that is kept for the next call, or opens one within `timeout_ms`.
+    pub async fn open(&self, timeout_ms: u64) -> Result<Connection> {
         let idle = self.idle().take();
-        if let Some(IdleConnection { mut sender, since }) = idle
+        if let Some(IdleConnection {
+            mut connection,
+            since,
+        }) = idle
             && since.elapsed() < IDLE_TIMEOUT
-            && sender.ready().await.is_ok()
+            && connection.sender.ready().await.is_ok()
         {
-            return Ok(sender);
+            return Ok(connection);
         }
         let connect_timeout = Duration::from_millis(timeout_ms.min(CONNECT_TIMEOUT_MS));
         let address = self.address;
@@ -199,7 +248,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> Result<Connection> {
     let connect_error = |message: String| Error::Connect { address, message };
     let stream = TcpStream::connect(address).await.map_err(|error| {
         if error.kind() == ErrorKind::ConnectionRefused {
@@ -213,10 +262,11 @@
 }
 
 /// Performs the HTTP/1.1 handshake on a stream to `address`.
-async fn start<S>(address: SocketAddr, stream: S) -> Result<SendRequest<Full<Bytes>>>
+async fn start<S>(address: SocketAddr, stream: S) -> Result<Connection>
 where
     S: Read + Write + Unpin + Send + 'static,
 {
+    let opened_ms = clock::now_ms();
     let begun = handshake(stream).await;
     let (sender, connection) = begun.map_err(|error| {
         let message = error.to_string();
@@ -227,5 +277,5 @@
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    Ok(sender)
+    Ok(Connection { sender, opened_ms })
 }
--- a/src/platform/orders.rs
+++ b/src/platform/orders.rs
@@ -10,7 +10,7 @@
 use super::{
     error::{DecodeSnafu, Result, StatusSnafu},
     headers::{EXPECTED_SERVER, HANDOVER, SERVER_NAME, says_not_run},
-    link::{BufferedResponse, Link},
+    link::{BufferedResponse, Connection, Link},
     wire::{WireGrant, WireRelease},
 };
 use crate::entry::keys::KeyRange;
@@ -78,8 +78,14 @@
     OtherServer,
 }
 
-/// Grants a range of keys to a server, or renews the server's lease on the range.
-pub async fn grant(link: &Link, grant: Grant<'_>, timeout_ms: u64) -> Result<GrantOutcome> {
+/// Grants a range of keys to a server, or renews the server's lease on the range, over a connection
+/// that the link has opened. The grant is not sent again over another connection.
+pub async fn grant(
+    link: &Link,
+    connection: Connection,
+    grant: Grant<'_>,
+    timeout_ms: u64,
+) -> Result<GrantOutcome> {
     let body = WireGrant {
         from: grant.range.first,
         to: grant.range.last,
@@ -87,7 +93,8 @@
         hold_time: format!("{}ms", grant.lease_ms),
         handover: grant.handover,
     };
-    let response = order(link, GRANT_PATH, grant.server, &body, timeout_ms).await?;
+    let request = order(link, GRANT_PATH, grant.server, &body)?;
+    let response = link.call_on(connection, request, timeout_ms).await?;
     match response.status {
         StatusCode::OK => Ok(GrantOutcome::Held),
         StatusCode::CONFLICT => Ok(GrantOutcome::Superseded),
@@ -108,7 +115,8 @@
         to: release.range.last,
         fence: release.fence,
     };
-    let response = order(link, RELEASE_PATH, release.server, &body, timeout_ms).await?;
+    let request = order(link, RELEASE_PATH, release.server, &body)?;
+    let response = link.call(request, timeout_ms).await?;
     match response.status {
         StatusCode::OK => {
             let token = response.headers.get(HANDOVER);
@@ -160,23 +168,22 @@
     statuses.contains(&response.status) && says_not_run(response.status, &response.headers)
 }
 
-async fn order<B: Serialize>(
+/// Builds the request of a command.
+fn order<B: Serialize>(
     link: &Link,
     path: &str,
     server: &str,
     body: &B,
-    timeout_ms: u64,
-) -> Result<BufferedResponse> {
+) -> Result<Request<Full<Bytes>>> {
     let address = link.address();
     let encode_error = |message: String| DecodeSnafu { address, message }.build();
     let body = serde_json::to_vec(body).map_err(|error| encode_error(error.to_string()))?;
-    let request = Request::builder()
+    Request::builder()
         .method(Method::POST)
         .uri(path)
         .header(header::HOST, address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .header(EXPECTED_SERVER, server)
         .body(Full::new(Bytes::from(body)))
-        .map_err(|error| encode_error(error.to_string()))?;
-    link.call(request, timeout_ms).await
+        .map_err(|error| encode_error(error.to_string()))
 }
--- a/tests/entry_ended_servers.rs
+++ b/tests/entry_ended_servers.rs
@@ -10,8 +10,9 @@
 use self::platform_standin::{
     caller::{TestRequest, send_once},
     hosts::Host,
+    proxy::{Mode, Proxy},
     server::{Place, Server, ServerKind},
-    site::{CONTENDED, ORDERS, Site, eventually, get},
+    site::{CONTENDED, ORDERS, Site, all_keys_held, eventually, get},
 };
 
 /// Duration of a lease.
@@ -326,3 +327,71 @@
         assert_eq!(violations, Vec::<String>::new(), "{}", case.name);
     }
 }
+
+/// Starts a deployment with one host, which reaches the store through a proxy, and with servers
+/// whose entries state start times.
+async fn start_behind_store_proxy(servers: usize) -> (Site, Proxy) {
+    let mut site = Site::start_servers(servers).await;
+    site.replace_by_contended(Some(STARTED_MS)).await;
+    let proxy = Proxy::start(site.store.address).await;
+    site.hosts.push(Host::start_at(proxy.address));
+    site.await_ready().await;
+    site.record.spawn_owner_checks();
+    (site, proxy)
+}
+
+/// Guards against two owners of keys that a later leader has moved: an earlier leader, cut off from
+/// the store but not from the servers, renews the released lease at a process that has started under
+/// the name of the former server and has seen no fence. The test takes the part of the later leader.
+#[tokio::test]
+async fn an_earlier_leader_renews_no_released_lease_at_a_later_process_under_the_name() {
+    const LATER_FENCE: u64 = 1_000;
+    // The host may grant for 9 s after its last confirmation.
+    const WATCHED_MS: u64 = 10_000;
+    for silent_before_ms in [0, 1_500] {
+        let (site, proxy) = start_behind_store_proxy(2).await;
+        let [released, other] = &site.keyed[..] else {
+            unreachable!("the deployment has two servers");
+        };
+        proxy.set(Mode::Silent);
+        time::sleep(Duration::from_millis(silent_before_ms)).await;
+        released.release_all(LATER_FENCE);
+        other.hold_all(LATER_FENCE, 2 * WATCHED_MS);
+        released.end_process();
+        time::sleep(Duration::from_millis(100)).await;
+        let place = Place {
+            id: released.id.clone(),
+            address: released.address,
+            started_ms: Some(STARTED_MS + 1),
+        };
+        let later = Server::start_crashable_at(place, &site.store, &site.record, CONTENDED).await;
+        let until = Instant::now() + Duration::from_millis(WATCHED_MS);
+        while Instant::now() < until {
+            let held = later.keys_held();
+            assert_eq!(
+                held, 0,
+                "keys of the later process, silent for {silent_before_ms} ms"
+            );
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(site.record.violations(), Vec::<String>::new());
+    }
+}
+
+/// Guards against keys of servers with start times that lose their leases in an outage of the store:
+/// grants then go over the connections that were open before it.
+#[tokio::test]
+async fn leases_of_servers_with_start_times_outlast_an_outage_of_the_store() {
+    let (site, proxy) = start_behind_store_proxy(3).await;
+    for mode in [Mode::Silent, Mode::Reset] {
+        proxy.set(mode);
+        let until = Instant::now() + Duration::from_millis(8_000);
+        while Instant::now() < until {
+            assert!(all_keys_held(&site.keyed), "{mode:?}");
+            time::sleep(Duration::from_millis(100)).await;
+        }
+        proxy.set(Mode::Pass);
+        time::sleep(Duration::from_millis(3_000)).await;
+    }
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
--- a/tests/entry_lease_model.rs
+++ b/tests/entry_lease_model.rs
@@ -109,11 +109,17 @@
 /// its omission is noticed soon, so that the test takes seconds.
 #[test]
 fn the_model_notices_each_omitted_rule() {
-    let reused = Config {
+    let same_names = Config {
         reuses_names: true,
-        repeats_releases: true,
         ..Config::PLATFORM
     };
+    // Grants over earlier connections hide the omission of the other rules for names that are used
+    // again.
+    let reused = Config {
+        repeats_releases: true,
+        grants_over_new_connections: true,
+        ..same_names
+    };
     let isolated = Config {
         isolates_after_record: true,
         no_other_faults: true,
@@ -131,6 +137,7 @@
         (BrokenRule::Release, Config::PLATFORM, 1),
         (BrokenRule::OnlyRefusals, Config::PLATFORM, 1),
         (BrokenRule::RowConfirmation, isolated, 1),
+        (BrokenRule::NewConnections, same_names, 1_201),
     ];
     let cases = number("ASHROAD_OMISSION_CASES", OMISSION_CASES);
     thread::scope(|scope| {
@@ -269,15 +276,31 @@
             },
         ),
         (
-            "reused names, releases repeated",
+            "reused names, no SameName",
+            Config {
+                broken: BrokenRule::SameName,
+                ..reused
+            },
+        ),
+        (
+            "reused names, new connections",
+            Config {
+                grants_over_new_connections: true,
+                ..reused
+            },
+        ),
+        (
+            "reused names, new connections, releases repeated",
             Config {
+                grants_over_new_connections: true,
                 repeats_releases: true,
                 ..reused
             },
         ),
         (
-            "reused names, releases repeated, no SameName",
+            "reused names, new connections, releases repeated, no SameName",
             Config {
+                grants_over_new_connections: true,
                 repeats_releases: true,
                 broken: BrokenRule::SameName,
                 ..reused
--- a/tests/lease_model/host.rs
+++ b/tests/lease_model/host.rs
@@ -9,7 +9,7 @@
 };
 
 use super::{
-    Assigned, Assignment, BrokenRule, Caller, Command, Event, HOSTS, KEYS, LEASE_MS, Name,
+    Assigned, Assignment, BrokenRule, Caller, Command, Event, HOSTS, Item, KEYS, LEASE_MS, Name,
     OUTAGE_MS, Outcome, Pid, Row, Simulation, StoreCall, StoreReply, StoredEntry,
 };
 
@@ -58,6 +58,9 @@
     ConfirmEntries {
         sent_ms: u64,
     },
+    Connect {
+        pid: Pid,
+    },
     Grant {
         pid: Pid,
         key: usize,
@@ -87,6 +90,13 @@
     is_silent: bool,
 }
 
+/// Connection over which grants are sent to a server that keeps its name over restarts.
+#[derive(Clone, Copy, Debug)]
+enum Connection {
+    Opening,
+    Open { process: Pid, opened_ms: u64 },
+}
+
 #[derive(Clone, Copy, Debug)]
 struct KeyMove {
     assigned: Assigned,
@@ -113,6 +123,8 @@
     suspects: BTreeMap<Pid, Suspect>,
     is_confirming: bool,
     changes: Vec<Change>,
+    /// True if a grant waits for a confirmation of the leadership.
+    needs_confirmation: bool,
 }
 
 impl Term {
@@ -156,6 +168,8 @@
     applied: u64,
     store_heard_ms: u64,
     is_feeding: bool,
+    /// Connections for grants, by the server that they were opened to.
+    connections: BTreeMap<Pid, Connection>,
     state: Term,
 }
 
@@ -188,6 +202,7 @@
             applied: 0,
             store_heard_ms: 0,
             is_feeding: false,
+            connections: BTreeMap::new(),
             state: Term::default(),
         }
     }
@@ -210,12 +225,14 @@
         }
     }
 
-    /// Drops the state and the calls of a term, except the feed.
+    /// Drops the state and the calls of a term, except the feed and open connections.
     fn end_term(&mut self) {
         self.state = Term::default();
         self.is_writing = false;
         self.seen_row = None;
         self.calls.retain(|_, call| matches!(call, Call::Feed));
+        let is_open = |connection: &Connection| matches!(connection, Connection::Open { .. });
+        self.connections.retain(|_, connection| is_open(connection));
     }
 
     fn predecessor_ended(&mut self, now_ms: u64, is_over: impl FnOnce(&Predecessor) -> bool) {
@@ -347,6 +364,7 @@
                 }) => {
                     self.grant_answered(host, (pid, key, fence), sent_ms, is_move, outcome);
                 }
+                Some(Call::Connect { pid }) => self.connect_answered(host, pid, outcome),
                 Some(Call::Release { pid, key, sent_ms }) => {
                     self.release_answered(host, pid, key, sent_ms, outcome);
                 }
@@ -357,7 +375,7 @@
                     let incarnation = self.hosts[host].incarnation;
                     let delay_ms = self.between(0, 40);
                     let began_ms = now_ms;
-                    let item = super::Item::Connection {
+                    let item = Item::Connection {
                         host,
                         incarnation,
                         term,
@@ -472,7 +490,8 @@
         if state.is_writing {
             return;
         }
-        if now_ms >= state.last_write_ms + CONFIRM_EVERY_MS {
+        let needs_confirmation = std::mem::take(&mut state.state.needs_confirmation);
+        if needs_confirmation || now_ms >= state.last_write_ms + CONFIRM_EVERY_MS {
             let row = Row {
                 leader: Some((host, state.incarnation)),
                 term: state.term,
@@ -778,7 +797,15 @@
         if refuses && !ignores_suspects || server.is_silent {
             return false;
         }
-        server.grants.begin();
+        let mut process = None;
+        if self.processes[pid].has_start_time && !self.grants_over_new_connections() {
+            process = self.connection(host, pid);
+            if process.is_none() {
+                return false;
+            }
+        }
+        let state = &mut self.hosts[host].state;
+        state.servers.entry(pid).or_default().grants.begin();
         let sent_ms = self.now_ms;
         let call = Call::Grant {
             pid,
@@ -788,16 +815,77 @@
             is_move,
         };
         self.log(|| format!("host {host} grants key {key} to server {pid} under {fence}"));
-        self.send(
-            host,
-            pid,
-            Command::Grant { key, fence },
-            call,
-            GRANT_TIMEOUT_MS,
-        );
+        let command = Command::Grant { key, fence };
+        match process {
+            None => self.send(host, pid, command, call, GRANT_TIMEOUT_MS),
+            Some(process) => {
+                self.send_item(host, call, GRANT_TIMEOUT_MS, |caller| Item::AtProcess {
+                    caller,
+                    process,
+                    target: pid,
+                    command,
+                })
+            }
+        }
         true
     }
 
+    fn grants_over_new_connections(&self) -> bool {
+        self.config.grants_over_new_connections || self.is_broken(BrokenRule::NewConnections)
+    }
+
+    /// Returns the process to which the host has a connection for grants to a server. Without a
+    /// connection, or if it is newer than the last confirmation of the leadership, the grant is not
+    /// sent now.
+    fn connection(&mut self, host: usize, pid: Pid) -> Option<Pid> {
+        let confirmed_ms = self.hosts[host].confirmed_ms;
+        let state = &mut self.hosts[host];
+        match state.connections.get(&pid) {
+            Some(Connection::Open { process, opened_ms })
+                if lease_expiry::is_confirmed_after(confirmed_ms, *opened_ms) =>
+            {
+                Some(*process)
+            }
+            Some(Connection::Open { .. }) => {
+                state.state.needs_confirmation = true;
+                None
+            }
+            Some(Connection::Opening) => None,
+            None => {
+                state.connections.insert(pid, Connection::Opening);
+                let call = Call::Connect { pid };
+                self.send(host, pid, Command::Connect, call, GRANT_TIMEOUT_MS);
+                None
+            }
+        }
+    }
+
+    fn connect_answered(&mut self, host: usize, pid: Pid, outcome: Outcome) {
+        let opened_ms = self.now_ms;
+        let state = &mut self.hosts[host];
+        if let Outcome::Connected(process) = outcome {
+            let connection = Connection::Open { process, opened_ms };
+            state.connections.insert(pid, connection);
+            return;
+        }
+        state.connections.remove(&pid);
+        self.note_unanswered(host, pid, outcome);
+    }
+
+    /// Records that a server has not answered a connection attempt or a grant.
+    fn note_unanswered(&mut self, host: usize, pid: Pid, outcome: Outcome) {
+        let now_ms = self.now_ms;
+        let host = &mut self.hosts[host];
+        let server = host.state.servers.entry(pid).or_default();
+        server.failures += 1;
+        let answered_ms = host.answered_ms.get(&pid).copied().unwrap_or(0);
+        server.is_silent =
+            server.failures >= FAILURES_BEFORE_PROBE && now_ms >= answered_ms + 1_000;
+        if outcome == Outcome::Refused {
+            host.state.suspects.entry(pid).or_default();
+        }
+    }
+
     fn grant_answered(
         &mut self,
         host: usize,
@@ -821,14 +909,10 @@
             server.is_silent = false;
             state.remove_open(pid);
         } else {
-            server.failures += 1;
-            let answered_ms = host_state.answered_ms.get(&pid).copied().unwrap_or(0);
-            server.is_silent =
-                server.failures >= FAILURES_BEFORE_PROBE && now_ms >= answered_ms + 1_000;
-        }
-        if outcome == Outcome::Refused {
-            state.suspects.entry(pid).or_default();
+            host_state.connections.remove(&pid);
+            self.note_unanswered(host, pid, outcome);
         }
+        let state = &mut self.hosts[host].state;
         let renewed_ms = if outcome == Outcome::Held { sent_ms } else { 0 };
         state.renewed.insert(fence, Some(renewed_ms));
         if is_move {
--- a/tests/lease_model/mod.rs
+++ b/tests/lease_model/mod.rs
@@ -63,6 +63,8 @@
     /// A write of assigned ranges extends the time in which a leader may grant, although it leaves
     /// the version of the leadership row as it is.
     RowConfirmation,
+    /// Grants to servers that keep their name over restarts are sent over new connections as well.
+    NewConnections,
 }
 
 /// Where network elements refuse connections on behalf of running servers.
@@ -92,6 +94,9 @@
     /// True if a release by a server that keeps its name counts only if it was sent after the time
     /// in which earlier leaders may grant. The product has no such rule.
     pub repeats_releases: bool,
+    /// True if grants to servers that keep their name take the process that listens when they
+    /// arrive, as if each were sent over a new connection.
+    pub grants_over_new_connections: bool,
     /// True if leaders may be cut off right after a write of assigned ranges.
     pub isolates_after_record: bool,
     /// True if the keys of ended servers move before their leases end.
@@ -108,6 +113,7 @@
         responses_per_tick: 0.0,
         reuses_names: false,
         repeats_releases: false,
+        grants_over_new_connections: false,
         isolates_after_record: false,
         moves_ended_early: true,
         is_traced: false,
@@ -195,12 +201,22 @@
 
 #[derive(Clone, Copy, Debug)]
 pub enum Command {
-    Grant { key: usize, fence: u64 },
-    Release { key: usize, fence: u64 },
+    /// Opens a connection, over which grants are sent.
+    Connect,
+    Grant {
+        key: usize,
+        fence: u64,
+    },
+    Release {
+        key: usize,
+        fence: u64,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// A connection to a process is open.
+    Connected(Pid),
     Held,
     Superseded,
     Released,
@@ -257,6 +273,13 @@
     Host(usize, u64, Event),
     AtStore(Caller, StoreCall),
     AtAddress(Caller, Pid, Command),
+    /// Command for a server, which arrives over a connection to a process.
+    AtProcess {
+        caller: Caller,
+        process: Pid,
+        target: Pid,
+        command: Command,
+    },
     Execute(Caller, Pid, Command, u64),
     Connection {
         host: usize,
@@ -431,6 +454,12 @@
             }
             Item::AtStore(caller, call) => self.store_call(caller, call),
             Item::AtAddress(caller, pid, command) => self.arrive(caller, pid, command),
+            Item::AtProcess {
+                caller,
+                process,
+                target,
+                command,
+            } => self.arrive_at_process(caller, process, target, command),
             Item::Execute(caller, pid, command, arrived_ms) => {
                 self.execute(caller, pid, command, arrived_ms);
             }
@@ -602,11 +631,24 @@
         }
     }
 
+    /// Sends a command to the address of a server.
     fn send(&mut self, host: usize, pid: Pid, command: Command, call: Call, timeout_ms: u64) {
+        let item = |caller| Item::AtAddress(caller, pid, command);
+        self.send_item(host, call, timeout_ms, item);
+    }
+
+    /// Sends what `item` returns for the caller, and lets the call time out.
+    fn send_item(
+        &mut self,
+        host: usize,
+        call: Call,
+        timeout_ms: u64,
+        item: impl FnOnce(Caller) -> Item,
+    ) {
         let caller = self.hosts[host].begin_call(call);
         let slowest_ms = if self.chance(0.1) { 290 } else { 20 };
         let delay_ms = self.between(1, slowest_ms);
-        self.after(delay_ms, Item::AtAddress(caller, pid, command));
+        self.after(delay_ms, item(caller));
         let timeout = Event::Answer {
             call: caller.call,
             outcome: Outcome::TimedOut,
--- a/tests/lease_model/server.rs
+++ b/tests/lease_model/server.rs
@@ -175,6 +175,33 @@
             self.answer(caller, address, Outcome::Refused, 1);
             return;
         };
+        if matches!(command, Command::Connect) {
+            self.answer(caller, address, Outcome::Connected(pid), 1);
+            return;
+        }
+        self.take(caller, pid, target, command);
+    }
+
+    /// A command for the server `target` arrives over a connection to a process. The connection ends
+    /// with the process.
+    pub(super) fn arrive_at_process(
+        &mut self,
+        caller: Caller,
+        pid: Pid,
+        target: Pid,
+        command: Command,
+    ) {
+        let address = self.processes[pid].address;
+        let is_cut = self.now_ms < self.faults.host_server[caller.host][address];
+        if self.processes[pid].is_running && !is_cut {
+            self.take(caller, pid, target, command);
+        }
+    }
+
+    /// A process gets a command for the server `target`, and executes it soon or late if its own
+    /// name is that of the server.
+    fn take(&mut self, caller: Caller, pid: Pid, target: Pid, command: Command) {
+        let address = self.processes[pid].address;
         if self.processes[pid].name != self.processes[target].name {
             // A frozen process answers nothing.
             if self.now_ms >= self.processes[pid].frozen_until_ms {
@@ -202,6 +229,7 @@
         }
         let address = process.address;
         match command {
+            Command::Connect => {}
             Command::Grant { key, fence } => {
                 if fence < process.seen[key] && !ignores_fence {
                     self.answer(caller, address, Outcome::Superseded, 2);
--- a/tests/platform_orders.rs
+++ b/tests/platform_orders.rs
@@ -91,7 +91,8 @@
             lease_ms: 4_000,
             handover: None,
         };
-        let granted = orders::grant(&link, grant, TIMEOUT_MS).await;
+        let connection = link.open(TIMEOUT_MS).await.expect("a connection");
+        let granted = orders::grant(&link, connection, grant, TIMEOUT_MS).await;
         assert_eq!(granted.ok(), case.granted, "{}", case.response);
     }
 }
--- a/tests/platform_standin/server.rs
+++ b/tests/platform_standin/server.rs
@@ -398,6 +398,14 @@
         }
     }
 
+    /// Makes the server release all keys under a fence, as if a later leader had ordered it.
+    pub fn release_all(&self, fence: u64) {
+        for state in lock(&self.state.held_keys.keys).iter_mut() {
+            state.fence = state.fence.max(fence);
+            state.until = None;
+        }
+    }
+
     /// Returns true if the server was crashable and has crashed.
     pub fn has_crashed(&self) -> bool {
         !self.state.held_keys.up.load(Ordering::Relaxed)
