Tests: the proxies in front of servers ask the kernel for one socket instead of reading the whole table

What was seen: callers_of_hosts_without_a_path_to_servers_are_served red in 3 of 3 runs beside other tests (a host did not serve all keys within 8 s of its start), and most other tests red beside it, at load averages of 70 to 167. Cause: the proxies read /proc/net/tcp up to ten times for each connection; beside other tests the table has over 16,000 rows (sockets that wait after their close), so that the proxies of ten hosts take all processors and the stand-in servers answer no grants. Change: one netlink query (SOCK_DIAG) for the socket of the connection.

--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -12,6 +12,7 @@
 pub mod server;
 pub mod server_proxy;
 pub mod site;
+pub mod socket_diagnosis;
 pub mod store;
 pub mod traffic;
 
--- a/tests/platform_standin/server_proxy.rs
+++ b/tests/platform_standin/server_proxy.rs
@@ -20,7 +20,7 @@
     task,
 };
 
-use super::next_address;
+use super::{next_address, socket_diagnosis::inode_of};
 
 /// Number of times that the process of a connection is looked up at most.
 const LOOKUPS_MAX: u32 = 10;
@@ -129,8 +129,11 @@
 /// Forwards a connection. Returns false if the target refused the connection.
 async fn connect(host_stream: TcpStream, from: SocketAddr, target: SocketAddr, cuts: Cuts) -> bool {
     let hosts = cuts.hosts();
+    let Ok(proxy) = host_stream.local_addr() else {
+        return true;
+    };
     // The lookup is cancelled at the end of the test.
-    let Ok(host) = task::spawn_blocking(move || owner_of(from, &hosts)).await else {
+    let Ok(host) = task::spawn_blocking(move || owner_of(from, proxy, &hosts)).await else {
         return true;
     };
     if host.is_none() || matches!(cuts.of(host), Some(Cut::Reset | Cut::NewReset)) {
@@ -190,30 +193,19 @@
     }
 }
 
-/// Returns the id of the process among `hosts` that holds the socket with this local address. Looks
-/// several times, because the kernel's table may lack a socket while other sockets change.
-fn owner_of(address: SocketAddr, hosts: &[u32]) -> Option<u32> {
+/// Returns the id of the process among `hosts` that holds the socket with this local and remote
+/// address. The kernel may not know the socket at once.
+fn owner_of(local: SocketAddr, remote: SocketAddr, hosts: &[u32]) -> Option<u32> {
+    let (SocketAddr::V4(local), SocketAddr::V4(remote)) = (local, remote) else {
+        return None;
+    };
     (0..LOOKUPS_MAX).find_map(|_| {
-        let wanted = format!("socket:[{}]", inode_of(address)?);
+        let wanted = format!("socket:[{}]", inode_of(local, remote)?);
         let mut hosts = hosts.iter().copied();
         hosts.find(|host| holds(Path::new(&format!("/proc/{host}/fd")), &wanted))
     })
 }
 
-/// Returns the inode of the socket with this local address, from the kernel's table of sockets.
-fn inode_of(address: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(address) = address else {
-        return None;
-    };
-    let ip = u32::from_le_bytes(address.ip().octets());
-    let wanted = format!(": {ip:08X}:{:04X} ", address.port());
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let (_, rest) = table.split_once(&wanted)?;
-    let line = rest.lines().next()?;
-    // The fields after the local address begin with the remote address.
-    line.split_whitespace().nth(7).map(str::to_owned)
-}
-
 fn holds(descriptors: &Path, socket: &str) -> bool {
     let Ok(entries) = fs::read_dir(descriptors) else {
         return false;
