Crashes: requests in quarantine are no load of their key

Cause: a host counted each request for its key before it looked for a quarantine, and drew lots for hot keys before too. The leader found the key hot with requests that no server gets. Change: the quarantine is checked first; such a request is neither counted for its key nor draws a lot.

--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -90,7 +90,7 @@
 
     /// Refuses a request that is in quarantine, with the remaining quarantine time as the retry
     /// time.
-    fn check_quarantine(&self, entry: &Entry) -> Result<(), Refused> {
+    pub(super) fn check_quarantine(&self, entry: &Entry) -> Result<(), Refused> {
         match entry.crashes.remaining_ms(self.digests) {
             Some(remaining_ms) => Err(Refused::quarantined(remaining_ms)),
             None => Ok(()),
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -26,6 +26,7 @@
         model::{Configuration, Route},
         request_ages::RequestAge,
         server::Server,
+        tag::tag_of,
         workspaces::{Workspace, WorkspaceKey},
     },
     transport::ResponseBody,
@@ -186,6 +187,13 @@
         payload: &mut Payload,
     ) -> Response<ResponseBody> {
         self.note_retry(entry, RequestStep::Retry);
+        // A request in quarantine uses no capacity of its key's server, so it is no load of the key.
+        if let Err(refused) = self.check_quarantine(entry) {
+            return self.refuse(entry, refused.reason.to_owned(), &refused);
+        }
+        if let Some(key) = self.key {
+            entry.peers.count(tag_of(&self.service), key);
+        }
         if let Some(refused) = self.refuse_hot_key(entry) {
             return refused;
         }
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -29,7 +29,6 @@
     events::Event,
     model::{Configuration, Route, RouteTarget},
     request_ages::RequestAge,
-    tag::tag_of,
     workspaces::WorkspaceKey,
 };
 use crate::{
@@ -225,9 +224,6 @@
     } else {
         None
     };
-    if let Some(key) = key {
-        entry.peers.count(tag_of(&service), key);
-    }
     let hosts = entry.peers.hosts();
     entry.retries.request(&service, hosts, clock::now_ms());
     let request_id = header_text(&head.headers, headers::REQUEST_ID.as_str()).unwrap_or_default();
--- a/tests/entry_crashes.rs
+++ b/tests/entry_crashes.rs
@@ -133,10 +133,15 @@
 
 /// Starts three hosts, and servers with keys that crash under requests for a crash path.
 async fn start_keyed(servers: usize) -> (Site, Vec<Server>) {
+    start_keyed_of(KEYED, servers).await
+}
+
+/// Starts the same hosts, and servers of a kind.
+async fn start_keyed_of(kind: ServerKind<'_>, servers: usize) -> (Site, Vec<Server>) {
     let mut site = Site::start_servers(0).await;
     let mut crashable = Vec::new();
     for _ in 0..servers {
-        crashable.push(Server::start_crashable(&site.store, &site.record, KEYED).await);
+        crashable.push(Server::start_crashable(&site.store, &site.record, kind).await);
     }
     for _ in 0..3 {
         site.hosts.push(Host::start(&site.store));
@@ -527,3 +532,47 @@
     harmless.stop().await;
     assert_eq!(site.record.violations(), Vec::<String>::new());
 }
+
+/// Guards against harmless reads that are refused because the quarantined reads of their key count
+/// as load of the key's server: many callers repeat a quarantined read, and the reads of the key
+/// that its server runs are far below what the server can run.
+#[tokio::test]
+async fn quarantined_reads_are_no_load_of_their_key() {
+    const CRASH_READ_PATH: &str = "/keyed/deadly";
+    // The server runs 160 requests a second. The harmless reads are less than half of that.
+    let kind = ServerKind {
+        work_ms: 25,
+        ..KEYED
+    };
+    let (site, servers) = start_keyed_of(kind, 6).await;
+    site.record.set_crash_path(Some(CRASH_READ_PATH));
+    let first_readers = Readers::start(&site.hosts, 1, 6, CRASH_READ_PATH, Some(7));
+    let is_quarantined = |host: &Host| !host.events("quarantined").is_empty();
+    eventually("the path is quarantined at all hosts", 30_000, async || {
+        for server in servers.iter().filter(|server| server.has_crashed()) {
+            site.store.remove("servers", &server.id);
+        }
+        site.hosts.iter().all(is_quarantined)
+    })
+    .await;
+    for server in servers.iter().filter(|server| server.has_crashed()) {
+        site.store.remove("servers", &server.id);
+    }
+    time::sleep(KEY_FAILOVER_TIME).await;
+    let more_readers = Readers::start(&site.hosts, 10, 24, CRASH_READ_PATH, Some(7));
+    let harmless = Readers::start(&site.hosts, 100, 4, "/keyed/level", Some(7));
+    time::sleep(STEADY_TIME).await;
+    let from = Instant::now();
+    time::sleep(STEADY_TIME).await;
+    let settled = harmless.served(from);
+    assert!(settled > 0.95, "{settled:.2} of the harmless reads served");
+    let refused = more_readers.served(from);
+    assert!(
+        refused == 0.0,
+        "{refused:.2} of the quarantined reads served"
+    );
+    harmless.stop().await;
+    more_readers.stop().await;
+    first_readers.stop().await;
+    assert_eq!(site.record.violations(), Vec::<String>::new());
+}
