Moves: requests for keys of a server that left a moment ago are held, and records with lost responses are sent again

Cause: hosts held requests only for announced moves. Before the announcement they refused them ("the key's server is leaving"), or sent them to the server of the recorded move, which did not hold the key yet (421, "no server holds the key"); after a lost response the leader announced nothing until its timeout. Evidence: reads of all hosts every 10 ms from the leave on, with the reasons in the hosts' logs.

--- a/src/entry/decide/hold.rs
+++ b/src/entry/decide/hold.rs
@@ -40,6 +40,22 @@
     Refuse,
 }
 
+/// Time from a host's first knowledge of a reason to move keys within which the leader announces the
+/// move: it records the move in the store first. A response of the store that is lost delays the
+/// announcement by the timeout of a write.
+pub const ANNOUNCEMENT_DUE_MS: u64 = 1_500;
+
+/// Returns the expected time until a move that is not announced yet completes. The former server of
+/// the keys left, or the move was recorded, `known_for_ms` ago. Returns `None` if the announcement is
+/// overdue or cannot come, because the leader cannot record a move while the store does not answer.
+pub fn unannounced(known_for_ms: u64, is_store_lost: bool) -> Option<MoveTimeLeft> {
+    let remaining_ms = ANNOUNCEMENT_DUE_MS.saturating_sub(known_for_ms);
+    (remaining_ms > 0 && !is_store_lost).then_some(MoveTimeLeft {
+        wait: MoveWait::Work,
+        remaining_ms,
+    })
+}
+
 /// Decides whether to hold or refuse a request that has already been held for `held_ms` and whose
 /// deadline is in `left_ms`; `objective_ms` is the latency objective of the request's route.
 pub fn decide(
--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::Response;
-use tokio::time;
+use tokio::{sync::watch, time};
 
 use super::forwarded_request::{ATTEMPT_MS_MIN, ForwardedRequest, KEY_RETRY_PAUSE_MS};
 use crate::{
@@ -67,6 +67,17 @@
     server.rate.is_admitted(rate_share, is_urgent) && server.rate.has_token(rate_share)
 }
 
+/// Returns the expected time until the keys of the server with the incarnation id `id` have moved, if
+/// the server has left a moment ago and the leader has not announced the move of its keys yet.
+fn unannounced_move(entry: &Entry, id: &str) -> Option<MoveTimeLeft> {
+    let registry = entry.view.registry();
+    let known_for_ms = match registry.server(id) {
+        Some(server) => server.entry_leaving_for_ms()?,
+        None => clock::now_ms().saturating_sub(registry.former(id)?.removed_ms),
+    };
+    hold::unannounced(known_for_ms, *entry.view.store_lost().borrow())
+}
+
 impl ForwardedRequest<'_> {
     /// Chooses the server for the next attempt, or returns the reason to refuse the request.
     /// Refuses a quarantined request. For a suspect request (a server has crashed during the
@@ -236,23 +247,38 @@
             match entry.view.owner(&self.service, key) {
                 Owner::Unowned => return Err(Refused::soon("no server holds the key", policy)),
                 Owner::Server(id, fence) => {
-                    let server = self.owning_server(entry, &id)?;
-                    self.fences = (fence, self.fences.0);
-                    return Ok(server);
+                    let Some(time_left) = unannounced_move(entry, &id) else {
+                        let server = self.owning_server(entry, &id)?;
+                        self.fences = (fence, self.fences.0);
+                        return Ok(server);
+                    };
+                    self.await_announcement(entry, time_left, &mut changes)
+                        .await?;
                 }
                 Owner::Moving(time_left) => {
-                    let room_ms = self.hold(entry, time_left)?;
-                    let wait = Duration::from_millis(KEY_RETRY_PAUSE_MS.min(room_ms));
-                    // The loop reads the owner again both after a change of the view and after the
-                    // timeout.
-                    if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
-                        log::debug!("the view no longer sends changes: {closed}");
-                    }
+                    self.await_announcement(entry, time_left, &mut changes)
+                        .await?;
                 }
             }
         }
     }
 
+    /// Waits for a short time, at most until the next change of the view, while the key is being
+    /// moved. Returns the reason to refuse the request if it is not held any longer.
+    async fn await_announcement(
+        &self,
+        entry: &Entry,
+        time_left: MoveTimeLeft,
+        changes: &mut watch::Receiver<u64>,
+    ) -> Result<(), Refused> {
+        let room_ms = self.hold(entry, time_left)?;
+        let wait = Duration::from_millis(KEY_RETRY_PAUSE_MS.min(room_ms));
+        if let Ok(Err(closed)) = time::timeout(wait, changes.changed()).await {
+            log::debug!("the view no longer sends changes: {closed}");
+        }
+        Ok(())
+    }
+
     /// Returns how long the request may wait for the move of its key, in milliseconds, or the
     /// reason to refuse the request.
     fn hold(&self, entry: &Entry, time_left: MoveTimeLeft) -> Result<u64, Refused> {
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -33,7 +33,10 @@
 use super::{Entry, decide::lease_expiry, events::Event, peers::message::Message};
 use crate::{
     clock,
-    platform::store::{Expect, Put, Transaction, TransactionOutcome},
+    platform::{
+        self,
+        store::{Expect, Put, Transaction, TransactionOutcome},
+    },
 };
 
 /// Table of the store that contains only the leadership row. The row changes often, and no host
@@ -51,6 +54,9 @@
 /// the row before other hosts have seen the row unchanged for the takeover time, 1.6 s. At its
 /// slowest, the store takes 0.5 s for a write.
 const CONFIRM_TIMEOUT_MS: u64 = 1_000;
+/// Time without a response after which a transaction is sent a second time. The store usually
+/// responds within some milliseconds. Requests for keys that move wait for the response.
+const HEDGE_AFTER_MS: u64 = 200;
 /// Minimum pause between two confirmations. Grants over many new connections share a confirmation.
 const CONFIRM_PAUSE_MIN_MS: u64 = 50;
 /// Maximum time for which a grant waits for a confirmation of the leadership. A slow store takes
@@ -297,6 +303,25 @@
         }
     }
 
+    /// Runs a transaction, and sends it a second time if the store has not responded within
+    /// [`HEDGE_AFTER_MS`], because a response may be lost. The conditions of the transaction let it
+    /// take effect only once, so the second one meets a conflict with its own rows then.
+    async fn transact_hedged(
+        &self,
+        transaction: &Transaction<'_>,
+        timeout_ms: u64,
+    ) -> platform::Result<TransactionOutcome> {
+        let hedge = async {
+            time::sleep(Duration::from_millis(HEDGE_AFTER_MS)).await;
+            let left_ms = timeout_ms.saturating_sub(HEDGE_AFTER_MS);
+            self.store.transact_within(transaction, left_ms).await
+        };
+        tokio::select! {
+            written = self.store.transact_within(transaction, timeout_ms) => written,
+            written = hedge => written,
+        }
+    }
+
     /// Writes the leadership row if the stored row still has `version`. Returns `None` if the write
     /// failed or its outcome is unknown.
     async fn write_leadership_row(&self, row: &LeadershipRow, version: u64) -> Option<WrittenRow> {
@@ -314,7 +339,7 @@
             }],
             ..Transaction::default()
         };
-        let written = self.store.transact_within(&transaction, CONFIRM_TIMEOUT_MS);
+        let written = self.transact_hedged(&transaction, CONFIRM_TIMEOUT_MS);
         match written.await {
             Ok(TransactionOutcome::Done { version }) => Some(WrittenRow {
                 version,
--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -253,7 +253,7 @@
         loop {
             let sent_ms = clock::now_ms();
             let written = tokio::select! {
-                written = self.store.transact_within(&transaction, timeout_ms) => written,
+                written = self.transact_hedged(&transaction, timeout_ms) => written,
                 // The store has dropped the call. Confirmations of the leadership wait for this
                 // write, so the write is repeated as soon as the store answers again.
                 () = self.view.wait_for_outage_end() => continue,
--- a/src/entry/owners.rs
+++ b/src/entry/owners.rs
@@ -3,13 +3,13 @@
 //! the leader announces before the host has read them there.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
 use super::{
     decide::{
-        hold::{MoveTimeLeft, MoveWait},
+        hold::{ANNOUNCEMENT_DUE_MS, MoveTimeLeft, MoveWait},
         key_loads::KEYS,
     },
     keys::{AssignedRange, Assignment, KeyPartition, KeyRange},
@@ -90,8 +90,8 @@
     }
 }
 
-/// Move of keys to another server that the leader has announced and that is not known to be
-/// completed.
+/// Move of keys to another server that the leader has announced or recorded and that is not known to
+/// be completed.
 #[derive(Clone, Debug)]
 struct Moving {
     service: Arc<str>,
@@ -99,6 +99,8 @@
     /// Fence of the assigned range before the move. A grant of the keys with a higher fence
     /// completes the move.
     above_fence: u64,
+    /// False if this host has read the recorded move and the leader has not announced it yet.
+    is_announced: bool,
     wait: MoveWait,
     /// Time from which requests no longer wait for the move, even if no grant was announced.
     until_ms: u64,
@@ -199,16 +201,54 @@
     ) -> bool {
         let mut held_map = self.held_map();
         let held = held_map.entry(service.clone()).or_default();
+        let known = held.assignment.clone();
         if !held.merge(rows) {
             return false;
         }
-        let highest_fence = held.assignment.fence;
+        let recorded = held.assignment.clone();
+        let highest_fence = recorded.fence;
         drop(held_map);
+        self.note_recorded_moves(service, &known, &recorded);
         self.granted()
             .retain(|g| g.service != *service || g.assigned_range.fence > highest_fence);
         true
     }
 
+    /// Adds the moves among the `recorded` assigned ranges that are not among those that were `known`.
+    /// The leader records a move before the former server releases the keys, so the new server does
+    /// not hold them yet. A host that knew no assigned ranges cannot tell which moves are completed.
+    fn note_recorded_moves(&self, service: &Arc<str>, known: &Assignment, recorded: &Assignment) {
+        if known.assigned_ranges.is_empty() {
+            return;
+        }
+        let known_fences: HashSet<u64> = known.assigned_ranges.iter().map(|r| r.fence).collect();
+        let is_new_move = |assigned_range: &&AssignedRange| {
+            assigned_range.from.is_some() && !known_fences.contains(&assigned_range.fence)
+        };
+        for assigned_range in recorded.assigned_ranges.iter().filter(is_new_move) {
+            let announcement = MoveAnnouncement {
+                range: assigned_range.range,
+                above_fence: assigned_range.fence - 1,
+                time_left: MoveTimeLeft {
+                    wait: MoveWait::Work,
+                    remaining_ms: ANNOUNCEMENT_DUE_MS,
+                },
+            };
+            if !self.is_announced(service, &announcement) {
+                self.add_move(service, announcement, false);
+            }
+        }
+    }
+
+    /// Returns true if the leader has announced the move of a range already.
+    fn is_announced(&self, service: &Arc<str>, announcement: &MoveAnnouncement) -> bool {
+        let now_ms = clock::now_ms();
+        self.moving().iter().any(|m| {
+            let same = m.service == *service && m.range.covers(&announcement.range);
+            same && m.above_fence <= announcement.above_fence && now_ms < m.until_ms
+        })
+    }
+
     /// Adds an announced grant. [`Owners::owner`] uses the grant until this host has read it in the
     /// recorded assigned ranges.
     pub fn note_granted(&self, service: &Arc<str>, assigned_range: AssignedRange) {
@@ -234,6 +274,10 @@
     /// Adds an announced move of keys to another server, unless this host already knows the grant
     /// that ends the move.
     pub fn announce_move(&self, service: &Arc<str>, announcement: MoveAnnouncement) {
+        self.add_move(service, announcement, true);
+    }
+
+    fn add_move(&self, service: &Arc<str>, announcement: MoveAnnouncement, is_announced: bool) {
         let MoveAnnouncement {
             range,
             above_fence,
@@ -250,11 +294,16 @@
             return;
         }
         let mut moving = self.moving();
-        moving.retain(|m| m.until_ms > now_ms);
+        moving.retain(|m| {
+            // The announcement tells more than the recorded move.
+            let is_replaced = !m.is_announced && m.service == *service && range.covers(&m.range);
+            m.until_ms > now_ms && !is_replaced
+        });
         moving.push(Moving {
             service: service.clone(),
             range,
             above_fence,
+            is_announced,
             wait: time_left.wait,
             until_ms: now_ms + time_left.remaining_ms.min(MOVE_HOLD_MAX_MS),
         });
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -53,6 +53,8 @@
     pub name: Arc<str>,
     /// Address at which the server answered requests.
     pub address: SocketAddr,
+    /// Time at which this host learned that the entry is gone.
+    pub removed_ms: u64,
 }
 
 /// All servers that this host knows, by incarnation and by service.
@@ -312,6 +314,7 @@
             id: id.clone(),
             name: name.into(),
             address: server.entry.address,
+            removed_ms: clock::now_ms(),
         });
         if let Some(servers) = self.by_service.get_mut(&server.entry.service) {
             servers.retain(|other| *other.entry.id != *id);
--- a/src/entry/server.rs
+++ b/src/entry/server.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    atomic::{AtomicU32, AtomicU64, Ordering},
 };
 
 use super::{
@@ -38,8 +38,9 @@
     pub pool: Pool,
     /// Connection to the server for commands that grant or release keys, and for health checks.
     pub orders: Link,
-    /// True if the latest entry says that the server is leaving and must get no new work.
-    leaving: AtomicBool,
+    /// Time at which this host learned from the latest entry that the server is leaving and must get
+    /// no new work; 0 if the entry does not say so.
+    leaving_since_ms: AtomicU64,
     /// Time at which this host learned that the server's zone was evacuated; 0 if the zone is not
     /// evacuated.
     evacuated_ms: AtomicU64,
@@ -87,7 +88,7 @@
             tag: tag_of(&entry.id),
             pool: Pool::new(entry.address),
             orders: Link::new(entry.address),
-            leaving: AtomicBool::new(entry.leaving),
+            leaving_since_ms: AtomicU64::new(leaving_since_ms(entry.leaving)),
             evacuated_ms: AtomicU64::new(0),
             cold_until_ms: AtomicU64::new(0),
             entry_cold_ms: AtomicU64::new(entry.cold_ms),
@@ -223,12 +224,22 @@
 
     /// Returns true if the entry says that the server is leaving and must get no new work.
     pub fn leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        self.leaving_since_ms.load(Ordering::Relaxed) != 0
+    }
+
+    /// Returns the time, in milliseconds, since this host learned from the entry that the server is
+    /// leaving; `None` if the entry does not say so.
+    pub fn entry_leaving_for_ms(&self) -> Option<u64> {
+        let since_ms = self.leaving_since_ms.load(Ordering::Relaxed);
+        (since_ms != 0).then(|| clock::now_ms().saturating_sub(since_ms))
     }
 
     /// Sets whether the server is leaving and must get no new work.
     pub fn set_leaving(&self, leaving: bool) {
-        self.leaving.store(leaving, Ordering::Relaxed);
+        if self.leaving() != leaving {
+            let since_ms = leaving_since_ms(leaving);
+            self.leaving_since_ms.store(since_ms, Ordering::Relaxed);
+        }
     }
 
     /// Records the notice in a response from the server to this host. A notice states that the
@@ -455,6 +466,11 @@
     }
 }
 
+/// Returns the current time if a server is leaving, else 0.
+fn leaving_since_ms(is_leaving: bool) -> u64 {
+    if is_leaving { clock::now_ms() } else { 0 }
+}
+
 /// Guard of a request in flight at a server; the request counts as in flight until the guard is
 /// dropped.
 #[derive(Debug)]
