--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -7,12 +7,13 @@
     time::{Duration, Instant},
 };
 
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header, response};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, header, response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time;
 
 use super::{
+    attempt_outcome::AttemptOutcome,
     body::{MemoryReservation, Payload, Received, StreamedBody, receive},
     forwarded_request::ForwardedRequest,
     head::{build_response, origin_form, strip_hop_headers, suggests_not_run},
@@ -32,27 +33,6 @@
 /// response that the server sends at the deadline can arrive.
 const DEADLINE_SLACK_MS: u64 = 40;
 
-/// Result of one attempt, which decides whether the request may be sent again.
-pub(super) enum AttemptOutcome {
-    Answered(Response<ResponseBody>),
-    /// The request was not sent: no connection could be opened, the request could not be built, or
-    /// the connections closed before any part of the request was written.
-    NotSent(String),
-    /// The server has asked this host for a backoff (a period without requests), so the request was
-    /// not sent.
-    InBackoff,
-    /// The server responded that it did not run the request.
-    NotRun(StatusCode),
-    /// The server may have run the request; its response is not usable.
-    Unknown(String),
-    /// The server may have run the request; the connection closed before a complete response.
-    ConnectionLost(String),
-    /// The server may have run the request; this host lost its path to the server.
-    PathLost,
-    /// The server may have run the request; the deadline passed without a response.
-    TimedOut,
-}
-
 impl ForwardedRequest<'_> {
     /// Sends the request to a server once, and updates the statistics of the server.
     pub(super) async fn attempt(
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -6,7 +6,7 @@
 use tokio::time;
 
 use super::{
-    attempt::AttemptOutcome,
+    attempt_outcome::AttemptOutcome,
     body::Payload,
     head::{plain_text, refusal},
     stop_response::SendState,
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -1,6 +1,7 @@
 //! Forwards callers' requests to backend servers and returns their responses.
 
 mod attempt;
+mod attempt_outcome;
 pub(super) mod body;
 pub(super) mod caller_handler;
 mod choose;
--- a/src/entry/leases/mod.rs
+++ b/src/entry/leases/mod.rs
@@ -11,6 +11,7 @@
 
 mod ended;
 mod moves;
+mod release;
 mod renewal;
 
 use std::{
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,6 +2,7 @@
 //! calls.
 
 mod client;
+mod connection;
 mod listener;
 pub mod pipeline;
 
@@ -13,7 +14,8 @@
 
 pub use self::{
     client::{CallError, JsonClient},
-    listener::{CallerAddress, ListenerLimits, serve, serve_pipelined},
+    connection::{CallerAddress, ListenerLimits},
+    listener::{serve, serve_pipelined},
 };
 
 /// Body of a response, either complete in memory or streamed as it arrives.
--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -24,7 +24,10 @@
 };
 
 use self::read_ahead::ReadAhead;
-use super::{CallerAddress, ListenerLimits, ResponseBody, listener::connection_builder};
+use super::{
+    ResponseBody,
+    connection::{CallerAddress, ListenerLimits, connection_builder},
+};
 
 /// Functions that answer the requests of a listener's connections, some of them before their turn.
 pub struct PipelinedHandler<C, F> {
