--- a/src/entry/forward/choose.rs
+++ b/src/entry/forward/choose.rs
@@ -252,11 +252,11 @@
                         self.fences = (fence, self.fences.0);
                         return Ok(server);
                     };
-                    self.await_announcement(entry, time_left, &mut changes)
+                    self.wait_while_moving(entry, time_left, &mut changes)
                         .await?;
                 }
                 Owner::Moving(time_left) => {
-                    self.await_announcement(entry, time_left, &mut changes)
+                    self.wait_while_moving(entry, time_left, &mut changes)
                         .await?;
                 }
             }
@@ -265,7 +265,7 @@
 
     /// Waits for a short time, at most until the next change of the view, while the key is being
     /// moved. Returns the reason to refuse the request if it is not held any longer.
-    async fn await_announcement(
+    async fn wait_while_moving(
         &self,
         entry: &Entry,
         time_left: MoveTimeLeft,
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -176,9 +176,9 @@
         self.may_lease(CONFIRMED_MS) || self.term() > 0 && has_recent_write
     }
 
-    /// Waits until this host has confirmed the leadership after `since_ms`, for at most
-    /// [`CONFIRMATION_WAIT_MS`]. Requests a confirmation if there is none yet. Returns false after
-    /// the timeout.
+    /// Waits until this host has sent a successful confirmation of the leadership after `since_ms`,
+    /// for at most [`CONFIRMATION_WAIT_MS`]. Requests a confirmation if there is none yet. Returns
+    /// false after the timeout.
     pub async fn await_confirmation_after(&self, since_ms: u64) -> bool {
         let mut confirmed_ms = self.confirmed_ms.subscribe();
         let is_later =
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -82,8 +82,8 @@
 }
 
 impl Connection {
-    /// Returns a time, by the clock of this host, before which the connection was open. The process
-    /// at its other end had started by then.
+    /// Returns the time, in milliseconds by the clock of this host, by which the connection was open.
+    /// The process at its other end had started by then.
     pub fn opened_ms(&self) -> u64 {
         self.opened_ms
     }
