--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -16,6 +16,7 @@
     updates::{
         configuration_pieces::{Piece, PieceAssembly, SnapshotConfiguration, split_into_pieces},
         followed::FollowedTable,
+        row_source::RowSource,
         server_changes::{RecentChanges, ServerChanges},
     },
 };
@@ -175,7 +176,11 @@
             version,
             removed: false,
         };
-        self.apply(FollowedTable::Configuration, vec![row]);
+        self.apply(
+            FollowedTable::Configuration,
+            vec![row],
+            RowSource::Broadcast,
+        );
         // The version is not marked as applied while this host lacks the latest evacuation that the
         // leader knew. Otherwise an evacuation of an earlier version would be skipped.
         if self.view.evacuations().version >= evacuations {
@@ -213,7 +218,7 @@
                 version: known.version,
                 removed: false,
             };
-            self.apply(FollowedTable::Configuration, vec![row]);
+            self.apply(FollowedTable::Configuration, vec![row], RowSource::Peer);
         }
         self.freshness
             .note_applied(FollowedTable::Configuration, known.up_to);
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -4,7 +4,12 @@
 
 use serde::Serialize;
 
-use super::{keys::KeyRange, log_writer, model::ServerEntry};
+use super::{
+    keys::KeyRange,
+    log_writer,
+    model::ServerEntry,
+    updates::{report::Reporter, row_source::RowSource},
+};
 
 /// Log event: a decision about a request, or a change in what the host knows of the system.
 #[derive(Clone, Debug, Serialize)]
@@ -51,6 +56,22 @@
         /// Version of the configuration in effect until this event; 0 if there was no
         /// configuration.
         before: u64,
+        /// Version of the configuration's row in the store.
+        row_version: u64,
+        /// Way by which the configuration reached this host.
+        source: RowSource,
+        /// Time since another host first reported a version of the table that this host lacked;
+        /// `None` if the configuration arrived before such a report.
+        behind_ms: Option<u64>,
+        /// Sender of the latest report on the store; `None` before the first report.
+        reporter: Option<Reporter>,
+        /// Time since the store's last response to that sender.
+        report_age_ms: Option<u64>,
+    },
+    /// A timer of this host fired late: the host's thread was busy or got no processor time.
+    TimerLate {
+        /// Time by which the timer was late.
+        late_ms: u64,
     },
     /// Other services than before are contended: sharded, with few slots a server, and with callers
     /// that wait beyond the latency objective.
--- a/src/entry/explain.rs
+++ b/src/entry/explain.rs
@@ -7,10 +7,11 @@
 /// the events of the server and the host of the decision.
 const CONTEXT_MS: u64 = 5_000;
 /// Names of the events that may affect every request of a host.
-const HOST_EVENTS: [&str; 10] = [
+const HOST_EVENTS: [&str; 11] = [
     "started",
     "stopping",
     "configuration",
+    "timer_late",
     "store_lost",
     "store_back",
     "duty_taken",
--- a/src/entry/limits.rs
+++ b/src/entry/limits.rs
@@ -14,7 +14,7 @@
 const CALL_MS: u64 = 350;
 /// Allowance for timers that fire late, and for the delivery of a request that a host sent to a
 /// server right before the host learned of a change.
-const LATE_MS: u64 = 150;
+pub const LATE_MS: u64 = 150;
 /// Interval at which a feed (a task that reads the changes of a table) checks during a pause or a
 /// wait whether it must call the store at once.
 pub const POLL_EVERY_MS: u64 = 100;
--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -55,6 +55,15 @@
     pub table: String,
 }
 
+/// Labels of the counter of pauses between calls to the store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct StorePauseLabels {
+    /// Table whose feed pauses.
+    pub table: &'static str,
+    /// Reason for the pause, such as `relays_call`.
+    pub reason: &'static str,
+}
+
 /// Labels of the counter of steps of requests for contended services.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ContentionLabels {
@@ -106,6 +115,9 @@
     orders: Family<OrderLabels, Counter>,
     moves: Counter,
     store_calls: Family<StoreCallLabels, Counter>,
+    store_pauses: Family<StorePauseLabels, Counter<f64, AtomicU64>>,
+    configuration_lag: Histogram,
+    timer_lateness: Histogram,
     contention: Family<ContentionLabels, Counter>,
     /// Number of callers' requests that this host has accepted and not answered yet.
     pub in_flight: Gauge,
@@ -152,6 +164,9 @@
             orders: Family::default(),
             moves: Counter::default(),
             store_calls: Family::default(),
+            store_pauses: Family::default(),
+            configuration_lag: latency_histogram(),
+            timer_lateness: latency_histogram(),
             contention: Family::default(),
             in_flight: Gauge::default(),
             store_age_s: Gauge::default(),
@@ -194,6 +209,15 @@
         registry.register("key_moves", "Moves of keys", self.moves.clone());
         let help = "Calls to the platform's store";
         registry.register("store_calls", help, self.store_calls.clone());
+        let help = "Time for which feeds paused after failed calls to the store";
+        let counter = self.store_pauses.clone();
+        registry.register("store_pause_seconds", help, counter);
+        let help = "Time from the first report of a later configuration until one was in force";
+        let histogram = self.configuration_lag.clone();
+        registry.register("configuration_lag_seconds", help, histogram);
+        let help = "Time by which timers fired late";
+        let histogram = self.timer_lateness.clone();
+        registry.register("timer_lateness_seconds", help, histogram);
         let help = "Requests for contended services by step";
         registry.register("contention", help, self.contention.clone());
         let help = "Requests in this host";
@@ -329,6 +353,23 @@
         counter.inner().store(calls, Ordering::Relaxed);
     }
 
+    /// Counts the time for which the feed of a table paused after a failed call to the store.
+    pub fn store_pause(&self, labels: &StorePauseLabels, pause_ms: u64) {
+        let seconds = pause_ms as f64 / 1000.0;
+        self.store_pauses.get_or_create(labels).inc_by(seconds);
+    }
+
+    /// Counts a configuration that took effect `behind_ms` after another host first reported that
+    /// there is a later one.
+    pub fn configuration_in_force(&self, behind_ms: u64) {
+        self.configuration_lag.observe(behind_ms as f64 / 1000.0);
+    }
+
+    /// Counts a timer that fired `late_ms` late.
+    pub fn timer_fired(&self, late_ms: u64) {
+        self.timer_lateness.observe(late_ms as f64 / 1000.0);
+    }
+
     /// Sets how often each step of requests for a contended service occurred since the start of the
     /// process.
     pub fn contention(&self, key: &ContentionKey, counts: [u64; RequestStep::ALL.len()]) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -49,6 +49,7 @@
 mod shortages;
 mod store_confirmation;
 pub mod tag;
+mod timers;
 pub mod updates;
 pub mod view;
 mod watch;
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -17,7 +17,7 @@
     keys::AssignedRange,
     updates::{
         announcement::MoveAnnouncement, configuration_pieces::Piece, evacuation::Evacuations,
-        freshness::StoreStateReport, server_changes::ServerChanges,
+        report::StoreStateReport, server_changes::ServerChanges,
     },
 };
 
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -17,7 +17,7 @@
         owners::Owner,
         tag::tag_of,
         updates::{
-            announcement::MoveAnnouncement, followed::FollowedTable, freshness::StoreStateReport,
+            announcement::MoveAnnouncement, followed::FollowedTable, report::StoreStateReport,
         },
     },
 };
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -14,6 +14,7 @@
     Entry,
     events::Event,
     keys::{self, Assignment, KeyPartition},
+    model::Configuration,
     owners::AssignmentRow,
     peers::HostProperties,
     tag::tag_of,
@@ -21,6 +22,7 @@
         evacuation::Evacuations,
         followed::FollowedTable,
         own_rows::{HOST_PREFIX, HostRow, QUARANTINE_KEY, SECRET_KEY, parse_assignment_key},
+        row_source::RowSource,
         server_changes::{ServerChange, ServerUpdate},
     },
 };
@@ -43,7 +45,7 @@
             self.view
                 .update_registry(|registry| registry.retain(&present, returned_ms));
         }
-        self.apply(followed, rows);
+        self.apply(followed, rows, RowSource::Table);
         if followed == FollowedTable::Servers {
             self.view.set_servers_known();
         }
@@ -52,13 +54,14 @@
         }
     }
 
-    pub(super) fn apply(&self, followed: FollowedTable, rows: Vec<Row>) {
+    /// Applies rows of a table. `source` is the way by which they reached this host.
+    pub(super) fn apply(&self, followed: FollowedTable, rows: Vec<Row>, source: RowSource) {
         for row in rows.iter().filter(|row| !is_evacuation(followed, row)) {
             self.freshness.note_change(followed, row.version);
         }
         match followed {
             FollowedTable::Configuration => {
-                self.apply_configuration(&rows);
+                self.apply_configuration(&rows, source);
                 self.apply_evacuations(&rows);
             }
             FollowedTable::Servers => self.apply_servers(&rows),
@@ -66,7 +69,7 @@
         }
     }
 
-    fn apply_configuration(&self, rows: &[Row]) {
+    fn apply_configuration(&self, rows: &[Row], source: RowSource) {
         let current = |row: &&Row| row.key == config::KEY && !row.removed;
         let Some(row) = rows.iter().rfind(current) else {
             return;
@@ -77,7 +80,7 @@
         match config::decode(&row.value) {
             Ok(configuration) => {
                 self.confirmation.set_unreadable(false);
-                self.view.configure(configuration);
+                self.configure(configuration, row.version, source);
             }
             Err(error) => {
                 self.confirmation.set_unreadable(true);
@@ -86,6 +89,27 @@
         }
     }
 
+    /// Puts a configuration in force if it is later than the current one, and logs its arrival.
+    fn configure(&self, configuration: Configuration, row_version: u64, source: RowSource) {
+        let version = configuration.version;
+        let behind_ms = self.freshness.end_lag(FollowedTable::Configuration);
+        let Some(before) = self.view.configure(configuration) else {
+            return;
+        };
+        let report = self.freshness.latest_report();
+        self.metrics.configuration_in_force(behind_ms.unwrap_or(0));
+        Event::Configuration {
+            version,
+            before,
+            row_version,
+            source,
+            behind_ms,
+            reporter: report.map(|report| report.reporter),
+            report_age_ms: report.map(|report| report.age_ms),
+        }
+        .log();
+    }
+
     fn apply_evacuations(&self, rows: &[Row]) {
         let mut evacuations = self.view.evacuations();
         for row in rows {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -158,6 +158,7 @@
     tokio::spawn(entry.clone().exchange_quota_usage());
     tokio::spawn(entry.clone().keep_logging_contention());
     tokio::spawn(entry.clone().keep_watching_paths());
+    tokio::spawn(entry.clone().keep_measuring_timers());
     tokio::spawn(sweep_connections(entry.clone()));
     tokio::spawn(async {
         loop {
--- a/src/entry/store_confirmation.rs
+++ b/src/entry/store_confirmation.rs
@@ -13,11 +13,12 @@
 use super::{
     Entry,
     limits::POLL_EVERY_MS,
+    metrics::StorePauseLabels,
     peers::message::Message,
     updates::{
         evacuation::Evacuations,
         followed::{FollowedTable, SyncRole},
-        freshness::StoreStateReport,
+        report::StoreStateReport,
     },
 };
 use crate::clock;
@@ -45,22 +46,35 @@
     /// Extends the pause after a failed call to the store while other hosts call the store on
     /// behalf of this host. If each of hundreds of hosts checked whether the store responds again,
     /// the store would get thousands of calls.
-    pub(super) async fn pause_while_others_call(&self) {
-        self.pause_while_relays_call().await;
+    pub(super) async fn pause_while_others_call(&self, followed: FollowedTable) {
+        self.pause_while_relays_call(followed).await;
+        let began_ms = clock::now_ms();
         self.pause_while_confirmed().await;
+        self.count_pause(followed, "confirmed", began_ms);
+    }
+
+    fn count_pause(&self, followed: FollowedTable, reason: &'static str, began_ms: u64) {
+        let labels = StorePauseLabels {
+            table: followed.table(),
+            reason,
+        };
+        let pause_ms = clock::now_ms().saturating_sub(began_ms);
+        self.metrics.store_pause(&labels, pause_ms);
     }
 
     /// Pauses while the relays of the zone check whether the store responds again. The pause ends
     /// after `alone_pause_ms`, and this host then calls the store itself, since all relays may be
     /// lost.
-    pub(super) async fn pause_while_relays_call(&self) {
+    pub(super) async fn pause_while_relays_call(&self, followed: FollowedTable) {
         if !self.peers.use_relays() {
             return;
         }
-        let until_ms = clock::now_ms() + self.limits.alone_pause_ms;
+        let began_ms = clock::now_ms();
+        let until_ms = began_ms + self.limits.alone_pause_ms;
         while clock::now_ms() < until_ms && self.sync_role() == SyncRole::Alone {
             time::sleep(Duration::from_millis(POLL_EVERY_MS)).await;
         }
+        self.count_pause(followed, "relays_call", began_ms);
     }
 
     /// Extends the pause by up to [`CONFIRMED_PAUSE_MS`] while another host reports that the store
--- a/src/entry/updates/freshness.rs
+++ b/src/entry/updates/freshness.rs
@@ -12,59 +12,20 @@
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use tokio::time;
 
-use super::{followed::FollowedTable, query::PendingQuery, snapshot::TableVersions};
+use super::{
+    followed::FollowedTable,
+    lag::Lag,
+    query::PendingQuery,
+    report::{LatestReport, ReceivedReport, Reporter, StoreStateReport, TABLES, TOO_OLD_MS},
+    snapshot::TableVersions,
+};
 use crate::{
     clock,
     entry::limits::{POLL_EVERY_MS, Timings},
 };
 
-const TABLES: usize = FollowedTable::ALL.len();
-/// Age stated in a report whose real age does not fit the field; such a report is too old to be
-/// trusted.
-const TOO_OLD_MS: u32 = u32::MAX;
-
-/// Report from the leader, or from a relay, on the sender's view of the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreStateReport {
-    /// Time since the store's last response, or since the sender's feed last waited for changes of
-    /// the servers' entries or the configuration if that is longer ago. The sender knows all
-    /// changes that were made before that time.
-    pub age_ms: u32,
-    /// Version of the latest change that the sender has seen, by table.
-    pub changed: [u64; TABLES],
-    /// Version of the latest change of a server's entry that ends new work for the server: the
-    /// server leaves, or its entry was removed or cannot be decoded.
-    pub leave_version: u64,
-    /// Version up to which the sender has read each table, whether or not anything changed.
-    pub up_to: [u64; TABLES],
-}
-
-impl StoreStateReport {
-    /// Returns the report with the age increased by `excess_delay_ms`, the delay of the report
-    /// beyond the shortest delay of the leader's reports in the same term.
-    pub fn aged_by(self, excess_delay_ms: u64) -> Self {
-        let excess_delay_ms = u32::try_from(excess_delay_ms).unwrap_or(TOO_OLD_MS);
-        Self {
-            age_ms: self.age_ms.saturating_add(excess_delay_ms),
-            ..self
-        }
-    }
-
-    /// Returns this report with each version of a change replaced by the version in `earlier` if
-    /// that version is later. The two reports may come from different hosts, and the sender of this
-    /// report may not have seen all changes that `earlier` states.
-    fn with_changes_of(self, earlier: Self) -> Self {
-        Self {
-            changed: std::array::from_fn(|table| self.changed[table].max(earlier.changed[table])),
-            leave_version: self.leave_version.max(earlier.leave_version),
-            ..self
-        }
-    }
-}
-
 /// Versions and times of a host's own change feeds of the store, and the latest report from another
 /// host on the store's state.
 #[derive(Debug)]
@@ -85,35 +46,14 @@
     leave_version: AtomicU64,
     /// Latest report from the leader or a relay; `None` before the first.
     received: Mutex<Option<ReceivedReport>>,
+    /// Time for which this host has lacked reported changes.
+    lag: Lag,
     /// Latest query to the relays of the zone, until the first response to the query arrives.
     query: PendingQuery,
     /// True while this host reports the store's state to its zone in place of the leader.
     is_relay: AtomicBool,
 }
 
-/// Report from another host, with the time of the store's last response by this host's clock.
-#[derive(Clone, Copy, Debug)]
-struct ReceivedReport {
-    answered_ms: u64,
-    updates: StoreStateReport,
-}
-
-impl ReceivedReport {
-    /// Returns the later one of two reports, with the latest versions of changes that either report
-    /// states.
-    fn or_later(self, other: Self) -> Self {
-        let (later, earlier) = if self.answered_ms >= other.answered_ms {
-            (self, other)
-        } else {
-            (other, self)
-        };
-        Self {
-            updates: later.updates.with_changes_of(earlier.updates),
-            ..later
-        }
-    }
-}
-
 /// Reason to abandon a waiting feed call and to repeat it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AbandonReason {
@@ -136,6 +76,7 @@
             changed: Default::default(),
             leave_version: AtomicU64::new(0),
             received: Mutex::default(),
+            lag: Lag::default(),
             query: PendingQuery::default(),
             is_relay: AtomicBool::new(false),
         }
@@ -259,6 +200,7 @@
         let sent_ms = self.query.answered(nonce)?;
         let answered_ms = sent_ms.saturating_sub(u64::from(updates.age_ms));
         let store_state = ReceivedReport {
+            reporter: Reporter::Relay,
             answered_ms,
             updates,
         };
@@ -273,6 +215,7 @@
     pub fn note_announced(&self, updates: StoreStateReport) -> u64 {
         let answered_ms = clock::now_ms().saturating_sub(u64::from(updates.age_ms));
         let received = ReceivedReport {
+            reporter: Reporter::Leader,
             answered_ms,
             updates,
         };
@@ -287,14 +230,34 @@
         let updates = received.updates;
         for followed in [FollowedTable::Servers, FollowedTable::Configuration] {
             let applied = self.applied(followed);
-            if applied > 0 && applied >= updates.changed[followed.index()] {
-                // The table has not changed since the applied version, so the feed can continue
-                // from the reported version and does not depend on the store's older history.
-                self.note_applied(followed, updates.up_to[followed.index()]);
+            if applied >= updates.changed[followed.index()] {
+                if applied > 0 {
+                    // The table has not changed since the applied version, so the feed can continue
+                    // from the reported version and does not depend on the store's older history.
+                    self.note_applied(followed, updates.up_to[followed.index()]);
+                }
+            } else {
+                self.lag.begin(followed, clock::now_ms());
             }
         }
     }
 
+    /// Ends the measurement of the time for which this host has lacked reported changes of a table.
+    /// Returns that time; `None` if this host applied the changes before a report stated them.
+    pub fn end_lag(&self, followed: FollowedTable) -> Option<u64> {
+        self.lag.end(followed, clock::now_ms())
+    }
+
+    /// Returns the sender and the age of the latest report from another host; `None` before the
+    /// first report.
+    pub fn latest_report(&self) -> Option<LatestReport> {
+        let received = (*self.received())?;
+        Some(LatestReport {
+            reporter: received.reporter,
+            age_ms: clock::now_ms().saturating_sub(received.answered_ms),
+        })
+    }
+
     /// Returns true if the leader, or a relay in its place, has reported a recent response from the
     /// store. A relay stops trusting the leader earlier than other hosts do, so that the relay has
     /// followed the store itself by the time other hosts query it.
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -81,16 +81,16 @@
         self.configuration.load_full()
     }
 
-    /// Puts a configuration in force if it is newer than the current one.
-    pub fn configure(&self, configuration: Configuration) {
-        let before = self.configuration.load().as_ref().map_or(0, |c| c.version);
-        if configuration.version <= before && self.configuration.load().is_some() {
-            return;
+    /// Puts a configuration in force if it is newer than the current one. Returns the version of
+    /// the configuration that it replaces, 0 for none; `None` if it is not newer.
+    pub fn configure(&self, configuration: Configuration) -> Option<u64> {
+        let before = self.configuration.load().as_ref().map(|c| c.version);
+        if before.is_some_and(|before| configuration.version <= before) {
+            return None;
         }
-        let version = configuration.version;
         self.configuration.store(Some(Arc::new(configuration)));
-        Event::Configuration { version, before }.log();
         self.changed.send_modify(|count| *count += 1);
+        Some(before.unwrap_or(0))
     }
 
     /// Returns the current registry of servers. Later updates of the registry do not change the
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -21,6 +21,7 @@
         followed::{FollowedTable, HISTORY_MS, SyncRole},
         freshness::AbandonReason,
         own_rows::{HOSTS_PARTITION, TABLE},
+        row_source::RowSource,
         server_changes::ServerChanges,
     },
 };
@@ -76,7 +77,7 @@
             self.broadcast.begin_reading(followed);
             if !std::mem::take(&mut was_synced_from_peer) && !self.read_whole(followed).await {
                 pause().await;
-                self.pause_while_relays_call().await;
+                self.pause_while_relays_call(followed).await;
                 continue;
             }
             self.broadcast.end_reading(followed);
@@ -125,7 +126,7 @@
                         health = FeedHealth::Failed;
                         pause_for(pause_ms).await;
                         pause_ms = (pause_ms * 2).min(RETRY_PAUSE_MAX_MS);
-                        self.pause_while_others_call().await;
+                        self.pause_while_others_call(followed).await;
                     }
                 }
             }
@@ -209,7 +210,7 @@
         // Changes up to the version `applied` are skipped: this host has applied them already, for
         // example from a broadcast that arrived while the feed call waited.
         changes.rows.retain(|row| row.version > applied);
-        self.apply(followed, changes.rows);
+        self.apply(followed, changes.rows, RowSource::Feed);
         self.freshness.note_applied(followed, changes.version);
         if self.view.evacuations().version != evacuated {
             self.send_heartbeat();
--- a/tests/entry_vouching.rs
+++ b/tests/entry_vouching.rs
@@ -14,10 +14,7 @@
 use ashroad::entry::{
     bounds::Bounds,
     limits::Timings,
-    updates::{
-        followed::FollowedTable,
-        freshness::{Freshness, StoreStateReport},
-    },
+    updates::{followed::FollowedTable, freshness::Freshness, report::StoreStateReport},
 };
 use tokio::time;
 
