--- a/src/entry/metrics.rs
+++ b/src/entry/metrics.rs
@@ -147,6 +147,9 @@
     /// Number of log lines that were dropped since the start of the process because too many lines
     /// waited to be written.
     pub log_lines_dropped: Gauge,
+    /// Number of datagrams to other hosts that were dropped since the start of the process because
+    /// the socket did not take them.
+    pub datagrams_dropped: Gauge,
 }
 
 impl Default for Metrics {
@@ -183,6 +186,7 @@
             given_up: Family::default(),
             services_short: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            datagrams_dropped: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -276,6 +280,8 @@
         registry.register("services_short", help, self.services_short.clone());
         let help = "Log lines that were dropped";
         registry.register("log_lines_dropped", help, self.log_lines_dropped.clone());
+        let help = "Datagrams to other hosts that were dropped before they were sent";
+        registry.register("datagrams_dropped", help, self.datagrams_dropped.clone());
     }
 
     /// Counts a request that was answered `after_ms` after its arrival.
--- a/src/entry/peers/mod.rs
+++ b/src/entry/peers/mod.rs
@@ -4,6 +4,7 @@
 //! leader that it grants no more leases ends a wait of the current leader that keeps the ownership
 //! of keys exclusive. All datagrams are sealed with a secret that the hosts share.
 
+pub mod datagrams;
 pub mod fanout;
 mod intervals;
 mod key_counts;
@@ -35,6 +36,7 @@
 use tokio::net::UdpSocket;
 
 use self::{
+    datagrams::Datagrams,
     key_counts::KeyCounts,
     leader::LeaderContact,
     message::{Message, VERSION},
@@ -44,6 +46,7 @@
     zone_loads::{ZoneLoadChanges, ZoneLoads},
 };
 use super::seal::Seal;
+use crate::clock;
 
 /// Other hosts that this host knows, and the messages exchanged with them.
 #[derive(Debug, Default)]
@@ -54,6 +57,8 @@
     pub outbox: Outbox,
     peers: Mutex<HashMap<SocketAddr, Peer>>,
     socket: OnceLock<Arc<UdpSocket>>,
+    /// Datagrams to other hosts.
+    pub(in crate::entry) datagrams: Datagrams,
     key_counts: KeyCounts,
     leader: LeaderContact,
     /// Slowdowns of servers that other hosts reported and that are not applied yet.
@@ -94,13 +99,9 @@
         let Some(datagram) = self.seal.seal(&bytes) else {
             return;
         };
-        for address in to {
-            // A failure is only logged: the network may lose datagrams as well, and the next report
-            // replaces a lost report.
-            if let Err(error) = socket.try_send_to(&datagram, *address) {
-                log::debug!("sending a datagram to {address} failed: {error}");
-            }
-        }
+        let try_send = |datagram: &[u8], address| socket.try_send_to(datagram, address);
+        self.datagrams
+            .send(&datagram, to, clock::now_ms(), try_send);
     }
 
     fn peers(&self) -> MutexGuard<'_, HashMap<SocketAddr, Peer>> {
--- a/src/entry/run.rs
+++ b/src/entry/run.rs
@@ -237,6 +237,8 @@
     metrics.services_short.set(entry.services_short() as i64);
     let dropped = log_writer::dropped_in_total();
     metrics.log_lines_dropped.set(dropped as i64);
+    let dropped = entry.peers.datagrams.dropped();
+    metrics.datagrams_dropped.set(dropped as i64);
     for (key, counts) in entry.contention.counts() {
         metrics.contention(&key, counts);
     }
