--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -33,6 +33,7 @@
         if self.peers.socket.set(socket.clone()).is_err() {
             log::warn!("the socket for messages between hosts is already set");
         }
+        tokio::spawn(self.clone().keep_sending_queued(socket.clone()));
         let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
         loop {
             let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -47,6 +48,10 @@
         }
     }
 
+    async fn keep_sending_queued(self: Arc<Self>, socket: Arc<UdpSocket>) {
+        self.peers.datagrams.keep_sending(&socket).await;
+    }
+
     fn handle_datagram(&self, datagram: &[u8], from: SocketAddr) {
         let Some(message) = self.peers.seal.open(datagram) else {
             // If the sender is a known host, the hosts may have replaced the secret that this host
