--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -1,4 +1,4 @@
-//! Broadcasts changes of server entries and configurations from the leader to the other hosts.
+//! Broadcasts changes of server entries from the leader to the other hosts.
 //! Calls to the store are billed, so the other hosts apply the broadcast changes and do not read
 //! them from the store themselves. The leader's heartbeat also states the version up to which the
 //! leader has read each table, so that a host that missed a change notices and queries another host
@@ -14,16 +14,12 @@
     peers::message::Message,
     rows::decode_servers,
     updates::{
-        configuration_pieces::{Piece, PieceAssembly, SnapshotConfiguration, split_into_pieces},
+        configuration_pieces::{Piece, PieceAssembly},
         followed::FollowedTable,
-        row_source::RowSource,
         server_changes::{RecentChanges, ServerChanges},
     },
 };
-use crate::platform::{
-    config,
-    store::{Row, Rows},
-};
+use crate::platform::store::{Row, Rows};
 
 /// Maximum number of changes of server entries in one broadcast, about 30 KB. More changes would
 /// fill the links of small hosts. They are not broadcast, and each of the other hosts fetches them
@@ -48,9 +44,11 @@
 
 /// Configuration as stored, with the version of its row.
 #[derive(Clone, Debug)]
-struct LatestConfiguration {
-    version: u64,
-    value: Arc<[u8]>,
+pub(super) struct LatestConfiguration {
+    /// Version of the row in the store.
+    pub version: u64,
+    /// Content of the row.
+    pub value: Arc<[u8]>,
 }
 
 impl Broadcast {
@@ -62,6 +60,22 @@
         });
     }
 
+    /// Returns the latest configuration as stored, without the evacuated zones; `None` before this
+    /// host has applied one.
+    pub(super) fn latest_configuration(&self) -> Option<LatestConfiguration> {
+        self.latest().clone()
+    }
+
+    /// Adds a piece of a configuration. Returns the whole configuration once all of its pieces have
+    /// arrived.
+    pub(super) fn take_configuration_piece(&self, piece: Piece) -> Option<Vec<u8>> {
+        let mut pieces = self
+            .configuration
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        pieces.take(piece)
+    }
+
     fn latest(&self) -> MutexGuard<'_, Option<LatestConfiguration>> {
         self.latest.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -142,88 +156,6 @@
         }
     }
 
-    /// Broadcasts a configuration that this host, the leader, received from the store.
-    pub(super) fn broadcast_configuration(&self, rows: &Rows) {
-        let current = |row: &&Row| row.key == config::KEY && !row.removed;
-        let Some(row) = rows.rows.iter().rfind(current) else {
-            return;
-        };
-        let evacuations = self.view.evacuations().version;
-        for piece in split_into_pieces(row.version, evacuations, &row.value) {
-            self.peers.send_to_all(Message::Configuration(piece));
-        }
-    }
-
-    /// Receives a piece of a configuration that the leader broadcast, and applies the configuration
-    /// once it is complete.
-    pub(super) fn receive_configuration_piece(&self, piece: Piece) {
-        let version = piece.version;
-        if version <= self.freshness.applied(FollowedTable::Configuration) {
-            return;
-        }
-        let evacuations = piece.evacuations;
-        let assembly = &self.broadcast.configuration;
-        let whole = assembly
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take(piece);
-        let Some(value) = whole else {
-            return;
-        };
-        let row = Row {
-            key: config::KEY.to_owned(),
-            value,
-            version,
-            removed: false,
-        };
-        self.apply(
-            FollowedTable::Configuration,
-            vec![row],
-            RowSource::Broadcast,
-        );
-        // The version is not marked as applied while this host lacks the latest evacuation that the
-        // leader knew. Otherwise an evacuation of an earlier version would be skipped.
-        if self.view.evacuations().version >= evacuations {
-            self.freshness
-                .note_applied(FollowedTable::Configuration, version);
-        }
-    }
-
-    /// Returns the configuration and the evacuated zones that this host knows, for the response to
-    /// another host; `None` before this host knows a configuration.
-    pub(super) fn known_configuration(&self) -> Option<SnapshotConfiguration> {
-        // The version is read first: the other values may be newer than this version, but not
-        // older.
-        let up_to = self.freshness.applied(FollowedTable::Configuration);
-        let evacuations = self.view.evacuations();
-        let latest = self.broadcast.latest().clone()?;
-        Some(SnapshotConfiguration {
-            version: latest.version,
-            up_to,
-            evacuations,
-            value: latest.value,
-        })
-    }
-
-    /// Applies the configuration and the evacuated zones in another host's response. A
-    /// configuration or a list of zones is ignored if this host already knows the same or a later
-    /// version of it.
-    pub(super) fn apply_known_configuration(&self, known: SnapshotConfiguration) {
-        self.view.evacuate(known.evacuations);
-        let applied = self.freshness.applied(FollowedTable::Configuration);
-        if known.version > applied {
-            let row = Row {
-                key: config::KEY.to_owned(),
-                value: known.value.to_vec(),
-                version: known.version,
-                removed: false,
-            };
-            self.apply(FollowedTable::Configuration, vec![row], RowSource::Peer);
-        }
-        self.freshness
-            .note_applied(FollowedTable::Configuration, known.up_to);
-    }
-
     /// Applies changes of server entries that the leader broadcast, unless the whole table is being
     /// read.
     pub(super) fn receive_server_changes(&self, changes: ServerChanges) {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub mod bounds;
 pub mod broadcast;
 mod callers;
+mod configuration_exchange;
 pub mod contact;
 pub mod contention;
 pub mod contention_totals;
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -222,7 +222,8 @@
     },
     /// Changes of server entries that the sender, the leader, received from the store.
     Servers(ServerChanges),
-    /// Piece of a configuration that the sender, the leader, received from the store.
+    /// Piece of a configuration that the leader received from the store, sent by the leader to all
+    /// hosts or by any host in response to [`Message::QueryConfiguration`].
     Configuration(Piece),
     /// Queries the leader for the server that holds a key.
     QueryKeyOwner {
@@ -343,4 +344,10 @@
         /// none has.
         contact_age_ms: Option<u32>,
     },
+    /// Asks for the pieces of the latest configuration, because a report says that the sender lacks
+    /// it.
+    QueryConfiguration {
+        /// Version up to which the sender has applied the operators' table.
+        applied: u64,
+    },
 }
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -217,6 +217,7 @@
             Message::OfferTunnels { contact_age_ms } => {
                 self.note_tunnel_offer(from, contact_age_ms)
             }
+            Message::QueryConfiguration { applied } => self.send_configuration(from, applied),
             Message::RelayAck => {}
             Message::Relay(_) | Message::Relayed { .. } => {
                 log::debug!("ignoring a message of {from} that was relayed twice");
--- a/src/entry/peers/relays.rs
+++ b/src/entry/peers/relays.rs
@@ -40,17 +40,22 @@
         fanout::choose_zone_relays(&zone, term)
     }
 
-    /// Returns the host from which this host fetches missed changes: with many hosts, a relay of
-    /// this host's zone; with few hosts, or if this host is a relay itself, the leader.
-    pub fn sync_peer(&self, own: RelayCandidate) -> Option<SocketAddr> {
-        if !self.use_relays() {
-            return *self.leader();
-        }
-        let relays = self.own_zone_relays(own);
-        if relays.contains(&own.address) {
-            return *self.leader();
+    /// Returns the hosts from which this host fetches missed changes: with many hosts, the relays
+    /// of this host's zone; with few hosts, or if this host is a relay itself, the leader.
+    pub(in crate::entry) fn sync_peers(&self, own: RelayCandidate) -> Vec<SocketAddr> {
+        if self.use_relays() {
+            let relays = self.own_zone_relays(own);
+            if !relays.contains(&own.address) {
+                return relays;
+            }
         }
-        relays.choose(&mut rand::rng()).copied()
+        self.leader().iter().copied().collect()
+    }
+
+    /// Returns one of the hosts from which this host fetches missed changes; `None` if it knows none.
+    pub fn sync_peer(&self, own: RelayCandidate) -> Option<SocketAddr> {
+        let peers = self.sync_peers(own);
+        peers.choose(&mut rand::rng()).copied()
     }
 
     /// Returns the seed hosts: this host, and the hosts to which this host sends messages for all
--- a/src/entry/store_confirmation.rs
+++ b/src/entry/store_confirmation.rs
@@ -94,11 +94,13 @@
     }
 
     /// Queries the relays of this host's zone once the latest report on the store is nearly too old
-    /// to be trusted. Determines in each round whether this host is a relay itself.
+    /// to be trusted, and asks them for a configuration that this host lacks. Determines in each
+    /// round whether this host is a relay itself.
     pub(super) async fn keep_querying_relays(self: Arc<Self>) {
         loop {
             let has_queried = self.query_relays();
-            let every_ms = if has_queried {
+            let lacks_configuration = self.request_missed_configuration();
+            let every_ms = if has_queried || lacks_configuration {
                 self.limits.relay_query_every_ms
             } else {
                 self.limits.leader_heartbeat_ms
