--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -13,7 +13,7 @@
 
 use super::{
     attempt_outcome::AttemptOutcome,
-    body::{MemoryReservation, Payload, Received, StreamedBody, receive},
+    body::{MemoryReservation, Payload, Received, Resend, StreamedBody, receive},
     forwarded_request::{ATTEMPT_MS_MIN, ForwardedRequest},
     head::{build_response, origin_form, strip_hop_headers, suggests_not_run},
 };
@@ -75,8 +75,8 @@
         let sent = Instant::now();
         let sent_ms = clock::now_ms();
         let timeout = Duration::from_millis(self.left_ms() + DEADLINE_SLACK_MS);
-        let can_resend = payload.can_resend();
-        let exchange = self.exchange(entry, server, &mut connection, request, can_resend);
+        let resend = payload.resend();
+        let exchange = self.exchange(entry, server, &mut connection, request, resend);
         let (head, body) = match time::timeout(timeout, exchange).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(attempt)) => {
@@ -227,10 +227,10 @@
         server: &Arc<Server>,
         connection: &mut Connection,
         request: Request<ResponseBody>,
-        can_resend: bool,
+        resend: Resend,
     ) -> Result<Response<Incoming>, AttemptOutcome> {
         let sent = self
-            .send_once(entry, server, connection, request, can_resend)
+            .send_once(entry, server, connection, request, resend)
             .await?;
         if let Some(idle_ms) = connection.unanswered_idle_ms() {
             entry.note_reuse_failed(server, idle_ms);
@@ -246,7 +246,7 @@
         let left_ms = HeaderValue::from(self.left_ms());
         request.headers_mut().insert(headers::DEADLINE_MS, left_ms);
         let sent = self
-            .send_once(entry, server, connection, *request, can_resend)
+            .send_once(entry, server, connection, *request, resend)
             .await?;
         sent.map_err(not_answered)
     }
@@ -259,7 +259,7 @@
         server: &Server,
         connection: &mut Connection,
         request: Request<ResponseBody>,
-        can_resend: bool,
+        resend: Resend,
     ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
         let Some(sent_before) = self.send_state.begin_send() else {
             return Err(AttemptOutcome::NotSent("this host stops".to_owned()));
@@ -268,7 +268,7 @@
             entry.metrics.tunnelled_request();
             connection.send(request).await
         } else {
-            self.send_directly(entry, server, connection, request, can_resend)
+            self.send_directly(entry, server, connection, request, resend)
                 .await?
         };
         if let Err(SendError::NotWritten { .. }) = &sent {
@@ -285,13 +285,13 @@
         server: &Server,
         connection: &mut Connection,
         request: Request<ResponseBody>,
-        can_resend: bool,
+        resend: Resend,
     ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
         server.path.note_sent();
         tokio::select! {
             biased;
             sent = connection.send(request) => Ok(sent),
-            tunnel = self.tunnel_after_loss(entry, server, can_resend) => {
+            tunnel = self.tunnel_after_loss(entry, server, resend) => {
                 Err(AttemptOutcome::PathLost(tunnel))
             }
         }
@@ -304,15 +304,15 @@
         &self,
         entry: &Entry,
         server: &Server,
-        can_resend: bool,
+        resend: Resend,
     ) -> Connection {
         loop {
             server.path.connections_lost().await;
             while server.path.route() == Route::Tunnel {
-                if self.could_leave(entry, server, can_resend)
+                if self.could_leave(entry, server, resend)
                     && let Some(tunnel) = entry.open_tunnel_to(server, self.left_ms()).await
-                    && self.could_leave(entry, server, can_resend)
-                    && self.may_send_again(entry, self.attempts + 1, can_resend)
+                    && self.could_leave(entry, server, resend)
+                    && self.may_send_again(entry, self.attempts + 1, resend)
                 {
                     return tunnel;
                 }
@@ -325,7 +325,7 @@
 
     /// Returns true if the path to the server is lost, the request may be sent there again at present,
     /// and the server can be expected to respond in the time that is left.
-    fn could_leave(&self, entry: &Entry, server: &Server, can_resend: bool) -> bool {
+    fn could_leave(&self, entry: &Entry, server: &Server, resend: Resend) -> bool {
         let has_time = self.left_ms() > server.run_ms() as u64 + ATTEMPT_MS_MIN;
         let is_suspect = entry.crashes.is_suspect(self.digests)
             || entry.crashes.remaining_ms(self.digests).is_some();
@@ -333,7 +333,7 @@
             && server.backoff_ms() == 0
             && has_time
             && !is_suspect
-            && self.could_send_again(entry, self.attempts + 1, can_resend)
+            && self.could_send_again(entry, self.attempts + 1, resend)
     }
 
     /// Sends the request, checks that the response is usable, and reads the body of the response as
@@ -344,12 +344,12 @@
         server: &Arc<Server>,
         connection: &mut Connection,
         request: Request<ResponseBody>,
-        can_resend: bool,
+        resend: Resend,
     ) -> Result<(response::Parts, Received), AttemptOutcome> {
         let connection_lost =
             |error: hyper::Error| AttemptOutcome::ConnectionLost(error.to_string());
         let response = self
-            .send(entry, server, connection, request, can_resend)
+            .send(entry, server, connection, request, resend)
             .await?;
         let (head, body) = response.into_parts();
         if connection.tunnel().is_none() {
--- a/src/entry/forward/body.rs
+++ b/src/entry/forward/body.rs
@@ -104,6 +104,15 @@
     Stream(Option<(BufferedBody, Incoming)>),
 }
 
+/// Whether another attempt can send the body of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resend {
+    /// The body is buffered whole, or no attempt has streamed it yet.
+    Possible,
+    /// An attempt has streamed the body.
+    Impossible,
+}
+
 /// Body read so far: complete, or a buffered beginning and the unread remainder.
 pub enum Received {
     Whole(BufferedBody),
@@ -157,10 +166,12 @@
 }
 
 impl Payload {
-    /// Returns true if another attempt can send the body: the body is buffered whole, or no attempt
-    /// has streamed it yet.
-    pub fn can_resend(&self) -> bool {
-        !matches!(self, Self::Stream(None))
+    /// Returns whether another attempt can send the body.
+    pub fn resend(&self) -> Resend {
+        match self {
+            Self::Whole(_) | Self::Stream(Some(_)) => Resend::Possible,
+            Self::Stream(None) => Resend::Impossible,
+        }
     }
 
     /// Returns true if the request has no body, or an empty one.
--- a/src/entry/forward/unanswered.rs
+++ b/src/entry/forward/unanswered.rs
@@ -8,7 +8,7 @@
 
 use super::{
     attempt_outcome::GivenUp,
-    body::Payload,
+    body::{Payload, Resend},
     forwarded_request::{ATTEMPT_MS_MIN, ForwardedRequest, KEY_RETRY_PAUSE_MS},
     head::plain_text,
 };
@@ -68,7 +68,7 @@
         } else {
             CONNECTS_MAX
         };
-        if self.failed_connects >= connects_max || !payload.can_resend() {
+        if self.failed_connects >= connects_max || payload.resend() == Resend::Impossible {
             let logged = format!("no connection: {reason}");
             let refused = Refused::soon("no connection to the server", &entry.settings.policy);
             let refused = refused.blocked_by(BlockedBy::Unknown);
@@ -106,7 +106,7 @@
             let refused = Refused::in_backoff(server.backoff_ms(), &entry.settings.policy);
             return Some(self.refuse(entry, logged, &refused));
         }
-        if !self.may_retry(entry, self.attempts, payload.can_resend()) {
+        if !self.may_retry(entry, self.attempts, payload.resend()) {
             let typical_ms = entry.view.registry().typical_run_ms(&self.service);
             let seen = self.candidate(entry, server);
             let mut refused = Refused::not_run(&seen, typical_ms, &entry.settings.policy);
@@ -135,7 +135,7 @@
         reason: String,
     ) -> Option<Response<ResponseBody>> {
         self.attempts += 1;
-        if self.may_send_again(entry, self.attempts, payload.can_resend()) {
+        if self.may_send_again(entry, self.attempts, payload.resend()) {
             entry.metrics.given_up(cause.name(), true);
             self.log(entry, "repeated", reason);
             if self.key.is_none() {
@@ -152,15 +152,15 @@
 
     /// Returns true if the request, which may have run, may be sent again after `attempts` attempts.
     /// Takes a token from the retry budget if so.
-    pub(super) fn may_send_again(&self, entry: &Entry, attempts: u32, can_resend: bool) -> bool {
-        self.is_harmless_again(entry) && self.may_retry(entry, attempts, can_resend)
+    pub(super) fn may_send_again(&self, entry: &Entry, attempts: u32, resend: Resend) -> bool {
+        self.is_harmless_again(entry) && self.may_retry(entry, attempts, resend)
     }
 
     /// Returns true if [`Self::may_send_again`] would at present, without taking a token.
-    pub(super) fn could_send_again(&self, entry: &Entry, attempts: u32, can_resend: bool) -> bool {
+    pub(super) fn could_send_again(&self, entry: &Entry, attempts: u32, resend: Resend) -> bool {
         let hosts = entry.peers.hosts();
         self.is_harmless_again(entry)
-            && self.has_attempt_left(attempts, can_resend)
+            && self.has_attempt_left(attempts, resend)
             && entry
                 .retries
                 .has_token(&self.service, hosts, clock::now_ms())
@@ -186,8 +186,10 @@
 
     /// Returns true if the attempts, the body and the remaining time allow another attempt after
     /// `attempts` attempts.
-    fn has_attempt_left(&self, attempts: u32, can_resend: bool) -> bool {
-        attempts < self.route.attempts_max && can_resend && self.left_ms() > ATTEMPT_MS_MIN
+    fn has_attempt_left(&self, attempts: u32, resend: Resend) -> bool {
+        attempts < self.route.attempts_max
+            && resend == Resend::Possible
+            && self.left_ms() > ATTEMPT_MS_MIN
     }
 
     /// Returns a 504 response for a request whose deadline passed during an attempt. Records a failure
@@ -210,9 +212,9 @@
     /// Returns true if another attempt may follow after `attempts` attempts, as far as their number,
     /// the body, the remaining time and the retry budget are concerned. Takes a token from the retry
     /// budget if so.
-    fn may_retry(&self, entry: &Entry, attempts: u32, can_resend: bool) -> bool {
+    fn may_retry(&self, entry: &Entry, attempts: u32, resend: Resend) -> bool {
         let hosts = entry.peers.hosts();
-        let may = self.has_attempt_left(attempts, can_resend)
+        let may = self.has_attempt_left(attempts, resend)
             && entry.retries.retry(&self.service, hosts, clock::now_ms());
         if may {
             entry.metrics.retry();
