--- a/src/entry/forward/retry_time.rs
+++ b/src/entry/forward/retry_time.rs
@@ -155,12 +155,12 @@
             return of_server(server);
         }
         let servers = registry.of_service(&self.service);
-        let total_per_s: f64 = servers.iter().map(|server| capacity_per_s(server)).sum();
+        let total_per_s: f64 = servers.clone().map(|server| capacity_per_s(server)).sum();
         match assigned {
             // The entry of the server is gone; its keys go to servers of the same kind.
             Some(id) => RetryTarget {
                 tag: tag_of(&id),
-                capacity_per_s: total_per_s / servers.len().max(1) as f64,
+                capacity_per_s: total_per_s / servers.count().max(1) as f64,
                 queue_ms: 0.0,
             },
             None => RetryTarget {
--- a/src/entry/peers/loads.rs
+++ b/src/entry/peers/loads.rs
@@ -1,7 +1,6 @@
 //! Loads and run times of servers that other hosts reported to this host.
 
 use std::{
-    collections::HashMap,
     net::SocketAddr,
     sync::{MutexGuard, PoisonError},
 };
@@ -13,7 +12,7 @@
     peer::ReportedLoad,
     zone_loads::ZoneLoads,
 };
-use crate::clock;
+use crate::{clock, entry::tag::TagMap};
 
 impl Peers {
     pub(super) fn note_report(&self, from: SocketAddr, servers: Vec<ServerLoad>) {
@@ -31,10 +30,10 @@
 
     /// Returns the loads and run times by server tag that other hosts reported and that are not
     /// stale.
-    pub(super) fn reported_loads(&self) -> HashMap<u32, ReportedLoad> {
+    pub(super) fn reported_loads(&self) -> TagMap<ReportedLoad> {
         let now_ms = clock::now_ms();
         let age_max_ms = report_age_max_ms(self.reporting_hosts());
-        let mut sums: HashMap<u32, ReportedLoad> = HashMap::new();
+        let mut sums: TagMap<ReportedLoad> = TagMap::default();
         for peer in self.peers().values() {
             if now_ms > peer.heard_ms + age_max_ms {
                 continue;
--- a/src/entry/peers/peer.rs
+++ b/src/entry/peers/peer.rs
@@ -8,6 +8,7 @@
     fanout::{RELAY_SILENT_MS, RelayCandidate},
     message::{RunTime, ServerLoad},
 };
+use crate::entry::tag::TagMap;
 
 /// Load of one server, summed over the reports from the other hosts: their requests in flight at
 /// the server and the run times that they measured there.
@@ -74,7 +75,7 @@
     }
 
     /// Adds the reports of the host to sums by server tag.
-    pub fn add_to(&self, sums: &mut HashMap<u32, ReportedLoad>) {
+    pub fn add_to(&self, sums: &mut TagMap<ReportedLoad>) {
         add_report(sums, &self.loads, &self.run_times);
     }
 }
@@ -98,11 +99,7 @@
 }
 
 /// Adds the loads and run times that one host has reported to sums by server tag.
-pub fn add_report(
-    sums: &mut HashMap<u32, ReportedLoad>,
-    loads: &[ServerLoad],
-    run_times: &[RunTime],
-) {
+pub fn add_report(sums: &mut TagMap<ReportedLoad>, loads: &[ServerLoad], run_times: &[RunTime]) {
     for load in loads {
         sums.entry(load.server_tag).or_default().in_flight += u32::from(load.in_flight);
     }
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -15,7 +15,10 @@
 };
 use crate::{
     clock,
-    entry::{Entry, tag::tag_of},
+    entry::{
+        Entry,
+        tag::{TagMap, tag_of},
+    },
 };
 
 /// Interval at which request counts by key are sent to the leader.
@@ -225,7 +228,7 @@
 
     fn apply_reports(&self) {
         let loads = self.peers.reported_loads();
-        let mut latest: HashMap<u32, ReportedSlowdown> = HashMap::new();
+        let mut latest: TagMap<ReportedSlowdown> = TagMap::default();
         for reported in self.peers.take_slowdowns() {
             let known = latest.entry(reported.server_tag).or_insert(reported);
             if reported.at_ms > known.at_ms {
--- a/src/entry/peers/send.rs
+++ b/src/entry/peers/send.rs
@@ -1,7 +1,7 @@
 //! Sends messages to all hosts, and the loads of a zone to the other zones, to the recipients that
 //! [`fanout`] chooses.
 
-use std::{collections::HashMap, net::SocketAddr, sync::PoisonError};
+use std::{net::SocketAddr, sync::PoisonError};
 
 use super::{
     Peers,
@@ -11,7 +11,7 @@
     peer::{Peer, ReportedLoad, add_report, of_zone, relay_candidates},
     zone_loads::parts,
 };
-use crate::clock;
+use crate::{clock, entry::tag::TagMap};
 
 impl Peers {
     /// Sends a message to all other hosts, through relays if there are many hosts.
@@ -41,7 +41,7 @@
     ) {
         let now_ms = clock::now_ms();
         let age_max_ms = report_age_max_ms(self.reporting_hosts());
-        let mut sums: HashMap<u32, ReportedLoad> = HashMap::new();
+        let mut sums: TagMap<ReportedLoad> = TagMap::default();
         let mut relays = Vec::new();
         {
             let peers = self.peers();
--- a/src/entry/peers/zone_loads.rs
+++ b/src/entry/peers/zone_loads.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use super::message::ServerSummary;
+use crate::entry::tag::TagMap;
 
 /// Age after which a zone's sums of requests in flight are ignored, since updates may have been
 /// lost.
@@ -28,7 +29,7 @@
 /// server tag.
 #[derive(Debug, Default)]
 pub struct ZoneLoads {
-    zones: HashMap<u32, HashMap<u32, ReceivedSummary>>,
+    zones: HashMap<u32, TagMap<ReceivedSummary>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -75,7 +76,7 @@
 /// thousands of idle servers each time would fill the links of small hosts with unchanged values.
 #[derive(Debug, Default)]
 pub struct ZoneLoadChanges {
-    sent: HashMap<u32, ReceivedSummary>,
+    sent: TagMap<ReceivedSummary>,
 }
 
 impl ZoneLoadChanges {
