--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -14,7 +14,7 @@
     peers::message::Message,
     rows::decode_servers,
     updates::{
-        configuration_pieces::{Piece, PieceAssembly},
+        configuration_pieces::{Piece, PieceAssembly, PieceEncoding, decode_content},
         followed::FollowedTable,
         server_changes::{RecentChanges, ServerChanges},
     },
@@ -34,8 +34,10 @@
     /// again. Broadcast changes are ignored meanwhile, since the rows that are being read may be
     /// older and would undo the broadcast changes.
     servers_read: AtomicBool,
-    /// Pieces received so far of the latest configuration that the leader has broadcast.
+    /// Pieces received so far of the latest configuration that other hosts have sent.
     configuration: Mutex<PieceAssembly>,
+    /// Pieces received so far of the latest configuration that other hosts have sent compressed.
+    compressed_configuration: Mutex<PieceAssembly>,
     /// Latest configuration as stored, kept for hosts that have missed the configuration.
     latest: Mutex<Option<LatestConfiguration>>,
     /// Latest changes of server entries, kept for hosts that have missed some of the changes.
@@ -68,12 +70,20 @@
 
     /// Adds a piece of a configuration. Returns the whole configuration once all of its pieces have
     /// arrived.
-    pub(super) fn take_configuration_piece(&self, piece: Piece) -> Option<Vec<u8>> {
-        let mut pieces = self
-            .configuration
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        pieces.take(piece)
+    pub(super) fn take_configuration_piece(
+        &self,
+        encoding: PieceEncoding,
+        piece: Piece,
+    ) -> Option<Vec<u8>> {
+        let assembly = match encoding {
+            PieceEncoding::Plain => &self.configuration,
+            PieceEncoding::Compressed => &self.compressed_configuration,
+        };
+        let mut assembly = assembly.lock().unwrap_or_else(PoisonError::into_inner);
+        let whole = assembly.take(piece)?;
+        decode_content(encoding, whole)
+            .inspect_err(|error| log::warn!("a configuration cannot be decompressed: {error}"))
+            .ok()
     }
 
     fn latest(&self) -> MutexGuard<'_, Option<LatestConfiguration>> {
--- a/src/entry/configuration_exchange.rs
+++ b/src/entry/configuration_exchange.rs
@@ -8,7 +8,9 @@
     Entry,
     peers::message::Message,
     updates::{
-        configuration_pieces::{Piece, SnapshotConfiguration, split_into_pieces},
+        configuration_pieces::{
+            Piece, PieceEncoding, Pieces, SnapshotConfiguration, split_into_pieces,
+        },
         followed::FollowedTable,
         row_source::RowSource,
     },
@@ -26,20 +28,21 @@
             return;
         };
         let evacuations = self.view.evacuations().version;
-        for piece in split_into_pieces(row.version, evacuations, &row.value) {
-            self.peers.send_to_all(Message::Configuration(piece));
+        let pieces = split_into_pieces(row.version, evacuations, &row.value);
+        for message in piece_messages(pieces) {
+            self.peers.send_to_all(message);
         }
     }
 
     /// Receives a piece of a configuration that the leader broadcast, and applies the configuration
     /// once it is complete.
-    pub(super) fn receive_configuration_piece(&self, piece: Piece) {
+    pub(super) fn receive_configuration_piece(&self, encoding: PieceEncoding, piece: Piece) {
         let version = piece.version;
         if version <= self.freshness.applied(FollowedTable::Configuration) {
             return;
         }
         let evacuations = piece.evacuations;
-        let Some(value) = self.broadcast.take_configuration_piece(piece) else {
+        let Some(value) = self.broadcast.take_configuration_piece(encoding, piece) else {
             return;
         };
         let row = Row {
@@ -121,8 +124,18 @@
         if known.version <= applied {
             return;
         }
-        for piece in split_into_pieces(known.version, known.evacuations.version, &known.value) {
-            self.peers.send(&Message::Configuration(piece), &[to]);
+        let evacuations = known.evacuations.version;
+        let pieces = split_into_pieces(known.version, evacuations, &known.value);
+        for message in piece_messages(pieces) {
+            self.peers.send(&message, &[to]);
         }
     }
 }
+
+fn piece_messages(Pieces { encoding, pieces }: Pieces) -> impl Iterator<Item = Message> {
+    let message = match encoding {
+        PieceEncoding::Plain => Message::Configuration,
+        PieceEncoding::Compressed => Message::CompressedConfiguration,
+    };
+    pieces.into_iter().map(message)
+}
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -344,6 +344,9 @@
         /// none has.
         contact_age_ms: Option<u32>,
     },
+    /// Piece of a compressed configuration, sent in place of [`Message::Configuration`] if the
+    /// configuration has too many pieces otherwise.
+    CompressedConfiguration(Piece),
     /// Asks for the pieces of the latest configuration, because a report says that the sender lacks
     /// it.
     QueryConfiguration {
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -17,7 +17,8 @@
         owners::Owner,
         tag::tag_of,
         updates::{
-            announcement::MoveAnnouncement, followed::FollowedTable, report::StoreStateReport,
+            announcement::MoveAnnouncement, configuration_pieces::PieceEncoding,
+            followed::FollowedTable, report::StoreStateReport,
         },
     },
 };
@@ -147,7 +148,12 @@
                 summaries,
             } => self.peers.note_zone_loads(zone_tag, summaries),
             Message::Servers(changes) => self.receive_server_changes(changes),
-            Message::Configuration(piece) => self.receive_configuration_piece(piece),
+            Message::Configuration(piece) => {
+                self.receive_configuration_piece(PieceEncoding::Plain, piece)
+            }
+            Message::CompressedConfiguration(piece) => {
+                self.receive_configuration_piece(PieceEncoding::Compressed, piece)
+            }
             Message::QueryKeyOwner { service_tag, key } => {
                 self.send_key_owner(from, service_tag, key)
             }
--- a/src/entry/updates/configuration_pieces.rs
+++ b/src/entry/updates/configuration_pieces.rs
@@ -1,8 +1,13 @@
 //! Splits the operators' configuration into pieces that each fit a datagram, and reassembles the
-//! pieces, so that not every host has to read the configuration from the store.
+//! pieces, so that not every host has to read the configuration from the store. A configuration that
+//! needs too many pieces is compressed.
 
-use std::sync::Arc;
+use std::{
+    io::{self, Read, Write},
+    sync::Arc,
+};
 
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
 use super::evacuation::Evacuations;
@@ -14,8 +19,28 @@
 /// occupy the links of small hosts for longer than each of these hosts takes to read the
 /// configuration from the store.
 const PIECES_MAX: usize = 12;
+/// Maximum size of a configuration after decompression.
+const CONFIGURATION_BYTES_MAX: u64 = 64 * 1024 * 1024;
 
-/// One piece of a configuration row, byte for byte as stored.
+/// Encoding of the content that pieces are made of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PieceEncoding {
+    /// Content as stored.
+    Plain,
+    /// Content compressed with DEFLATE.
+    Compressed,
+}
+
+/// Pieces of one configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pieces {
+    /// Encoding of the content.
+    pub encoding: PieceEncoding,
+    /// All pieces, in order; empty if the configuration is too large to be sent in datagrams.
+    pub pieces: Vec<Piece>,
+}
+
+/// One piece of a configuration row.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Piece {
     /// Version of the configuration row in the store.
@@ -46,9 +71,48 @@
     pub value: Arc<[u8]>,
 }
 
-/// Splits a configuration into pieces. Returns no pieces if the configuration is too large to be
-/// broadcast.
-pub fn split_into_pieces(version: u64, evacuations: u64, content: &[u8]) -> Vec<Piece> {
+/// Splits a configuration into pieces, compressed if there are too many without compression.
+pub fn split_into_pieces(version: u64, evacuations: u64, content: &[u8]) -> Pieces {
+    let plain = pieces_of(version, evacuations, content);
+    if !plain.is_empty() {
+        return Pieces {
+            encoding: PieceEncoding::Plain,
+            pieces: plain,
+        };
+    }
+    let pieces = match compress(content) {
+        Ok(compressed) => pieces_of(version, evacuations, &compressed),
+        Err(error) => {
+            log::warn!("a configuration cannot be compressed: {error}");
+            Vec::new()
+        }
+    };
+    Pieces {
+        encoding: PieceEncoding::Compressed,
+        pieces,
+    }
+}
+
+fn compress(content: &[u8]) -> io::Result<Vec<u8>> {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(content)?;
+    encoder.finish()
+}
+
+/// Returns the content of a configuration from the content of all of its pieces. Fails if the
+/// pieces are not the compressed form of a configuration.
+pub fn decode_content(encoding: PieceEncoding, content: Vec<u8>) -> io::Result<Vec<u8>> {
+    if encoding == PieceEncoding::Plain {
+        return Ok(content);
+    }
+    let mut decoder = DeflateDecoder::new(&*content).take(CONFIGURATION_BYTES_MAX);
+    let mut decoded = Vec::new();
+    decoder.read_to_end(&mut decoded)?;
+    Ok(decoded)
+}
+
+/// Returns the pieces of a content; none if there are too many.
+fn pieces_of(version: u64, evacuations: u64, content: &[u8]) -> Vec<Piece> {
     let pieces = content.chunks(PIECE_BYTES);
     let count = pieces.len();
     if count > PIECES_MAX {
--- a/tests/entry_configuration.rs
+++ b/tests/entry_configuration.rs
@@ -15,8 +15,8 @@
 const HOSTS: usize = 24;
 /// Default of the bound on configurations.
 const IN_FORCE_MS: u64 = 2_000;
-/// Number of additional routes, with which a configuration is a few datagrams long.
-const ROUTES: usize = 10;
+/// Number of routes of the largest known configuration, of 38 KB.
+const ROUTES: usize = 261;
 
 /// Leaves a host no descriptors for further connections. Connections that are open stay open.
 fn allow_no_connections(host: &Host) {
--- a/tests/entry_join.rs
+++ b/tests/entry_join.rs
@@ -114,8 +114,8 @@
 #[tokio::test]
 async fn a_configuration_reaches_many_hosts_after_the_store_was_away() {
     /// Number of routes of a configuration that is too large for the leader to broadcast in
-    /// datagrams.
-    const ROUTES: usize = 200;
+    /// datagrams, also compressed, because the names of the routes are random.
+    const ROUTES: usize = 1_000;
     const IN_FORCE_MS: u64 = 2_500;
     let site = Site::start(MANY_HOSTS, 2).await;
     add_many_servers(&site);
@@ -128,7 +128,13 @@
     site.store.set_faults(Faults::default());
     time::sleep(Duration::from_secs(4)).await;
     let prefixes: Vec<String> = (0..ROUTES)
-        .map(|number| format!("/more/{number}/"))
+        .map(|_| {
+            format!(
+                "/more/{:032x}{:032x}/",
+                rand::random::<u128>(),
+                rand::random::<u128>()
+            )
+        })
         .collect();
     let prefixes: Vec<&str> = prefixes.iter().map(String::as_str).collect();
     site.store.put("op", "config", &configuration(2, &prefixes));
@@ -147,11 +153,12 @@
 #[tokio::test]
 async fn all_hosts_know_that_a_configuration_cannot_be_read() {
     /// Size in bytes of a configuration that is too large for the leader to broadcast in
-    /// datagrams.
+    /// datagrams, also compressed, because the bytes are random.
     const BYTES: usize = 20_000;
     let site = Site::start(MANY_HOSTS, 2).await;
     time::sleep(Duration::from_secs(4)).await;
-    site.store.put_bytes("op", "config", &[b'{'; BYTES]);
+    let content: Vec<u8> = (0..BYTES).map(|_| rand::random()).collect();
+    site.store.put_bytes("op", "config", &content);
     let knows = |host: &Host| {
         let lines = host.events("bad_row");
         lines.iter().any(|line| line.contains("op/config"))
--- a/tests/entry_servers.rs
+++ b/tests/entry_servers.rs
@@ -327,7 +327,7 @@
 
 #[test]
 fn a_broadcast_configuration_does_not_hide_an_earlier_evacuation() {
-    let pieces = split_into_pieces(7, 6, b"content");
+    let pieces = split_into_pieces(7, 6, b"content").pieces;
     assert!(pieces.iter().all(|piece| piece.evacuations == 6));
     let mut assembly = PieceAssembly::default();
     let whole = pieces.into_iter().find_map(|piece| assembly.take(piece));
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -22,7 +22,9 @@
         zone_loads::{ZoneLoadChanges, ZoneLoads, parts},
     },
     tag::tag_of,
-    updates::configuration_pieces::{Piece, PieceAssembly, split_into_pieces},
+    updates::configuration_pieces::{
+        Piece, PieceAssembly, PieceEncoding, Pieces, decode_content, split_into_pieces,
+    },
 };
 use quickcheck::quickcheck;
 
@@ -149,10 +151,11 @@
     fn a_configuration_arrives_whole_in_any_order_and_twice(
         content: Vec<u8>, order: Vec<u16>
     ) -> bool {
-        let content = content.repeat(40);
-        let mut pieces = split_into_pieces(7, 3, &content);
-        if pieces.is_empty() {
-            return content.is_empty() || content.len() > 12 * 1_200;
+        let content = content.repeat(400);
+        let Pieces { encoding, mut pieces } = split_into_pieces(7, 3, &content);
+        let is_small = content.len() <= 12 * 1_200;
+        if pieces.is_empty() || (encoding == PieceEncoding::Plain) != is_small {
+            return content.is_empty();
         }
         for (place, key) in order.iter().enumerate() {
             let count = pieces.len();
@@ -166,7 +169,8 @@
                 return false;
             }
         }
-        assembly.take(pieces[last].clone()) == Some(content)
+        let whole = assembly.take(pieces[last].clone()).expect("the content");
+        decode_content(encoding, whole).expect("decoded") == content
     }
 }
 
