--- a/src/entry/events/mod.rs
+++ b/src/entry/events/mod.rs
@@ -1,11 +1,16 @@
 //! Typed log events, written as JSON lines.
 
+mod leadership;
+mod path;
+mod request;
+
+pub use self::{leadership::LeadershipEvent, path::PathEvent, request::RequestEvent};
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use serde::Serialize;
 
 use super::{
-    keys::KeyRange,
     log_writer,
     model::ServerEntry,
     updates::{report::Reporter, row_source::RowSource},
@@ -233,60 +238,6 @@
         /// Service that the server belonged to.
         service: Arc<str>,
     },
-    /// This host does not reach a server that another host reaches. From now on it reaches the server
-    /// through tunnels of other hosts. Logged once a loss.
-    PathLost {
-        /// Identifier of the server's incarnation.
-        server: Arc<str>,
-        /// Service that the server belongs to.
-        service: Arc<str>,
-        /// Observation for which the path was checked.
-        suspicion: &'static str,
-        /// Outcome of the last direct attempt: `refused`, `broken`, `unanswered` (the connection was
-        /// opened), `silent` (it was not) or `none` (there was no attempt).
-        direct: &'static str,
-        /// Duration of that attempt.
-        direct_ms: Option<u64>,
-        /// Outcome of the last attempt through another host.
-        elsewhere: &'static str,
-        /// Duration of that attempt.
-        elsewhere_ms: Option<u64>,
-        /// Time since the server's last direct response to this host; `None` if it never responded.
-        server_contact_age_ms: Option<u64>,
-        /// Time since the last direct response of any server to this host.
-        contact_age_ms: Option<u64>,
-        /// Number of this host's requests at the server.
-        in_flight: u32,
-    },
-    /// A server whose path was lost responds directly again.
-    PathUsable {
-        /// Identifier of the server's incarnation.
-        server: Arc<str>,
-        /// Service that the server belongs to.
-        service: Arc<str>,
-        /// Time since the attempts began that showed the loss.
-        after_ms: u64,
-    },
-    /// This host does not reach any server, although other hosts do. From now on it reaches servers
-    /// through tunnels of other hosts.
-    ServersUnreachable {
-        /// Number of servers that another host reached and this host did not, since the last direct
-        /// response of any server.
-        lost: usize,
-        /// Number of all servers.
-        servers: usize,
-        /// Time since the last direct response of any server.
-        contact_age_ms: u64,
-        /// Number of hosts that offer tunnels.
-        proxies: usize,
-    },
-    /// This host reaches servers directly again, or no other host offers tunnels any longer.
-    ServersReachable {
-        /// Time since [`Event::ServersUnreachable`].
-        after_ms: u64,
-        /// Observation that ended the state.
-        reason: &'static str,
-    },
     /// A server crashed with requests of this host in flight.
     ServerEnded {
         /// Identifier of the server's incarnation; a restarted server gets a new identifier.
@@ -321,100 +272,6 @@
         /// Origin of the information: this host's own attempts, or another host.
         source: &'static str,
     },
-    /// This host took over the leadership, which the name of the event calls `duty`.
-    DutyTaken {
-        /// Number of the term that begins.
-        term: u64,
-        /// True if the previous leader had given up the leadership.
-        handed_over: bool,
-    },
-    /// This host has learned that the previous leader grants no more leases.
-    PredecessorEnded {
-        /// Number of the previous leader's term.
-        term: u64,
-    },
-    /// This host is no longer the leader. The name of the event calls the leadership `duty`.
-    DutyLost {
-        /// Number of the term that ended.
-        term: u64,
-        /// Reason for which this host lost the leadership or gave it up.
-        reason: &'static str,
-    },
-    /// A key range moved to another server.
-    Moved {
-        /// Service whose keys moved.
-        service: Arc<str>,
-        /// First and last key that moved.
-        range: KeyRange,
-        /// Server that owned the keys before the move; `None` if no server held them.
-        from: Option<Arc<str>>,
-        /// Server that owns the keys after the move.
-        to: Arc<str>,
-        /// Fencing token of the new assigned range.
-        fence: u64,
-        /// Reason for which the planner moved the keys.
-        cause: &'static str,
-        /// True if the previous owner gave a handover token, with which the new owner starts warm.
-        handover: bool,
-        /// Time from the decision to move the keys until the call that grants the keys to the new
-        /// owner has ended.
-        took_ms: u64,
-    },
-    /// A command to a server failed. The command grants keys to the server or tells the server to
-    /// release keys.
-    OrderFailed {
-        /// Identifier of the server's incarnation; a restarted server gets a new identifier.
-        server: Arc<str>,
-        /// Kind of command: grant or release.
-        order: &'static str,
-        /// Error of the call, or the server's refusal.
-        problem: String,
-    },
-    /// A request was refused, failed or was retried, or was answered and belongs to the sample of
-    /// answered requests that are logged.
-    Request {
-        /// Identifier that the caller gave the request.
-        request_id: String,
-        /// Digest of the parts that stay the same when the same caller repeats the request, in
-        /// hexadecimal digits.
-        digest: String,
-        /// Digest of the same parts as `digest`, without the query.
-        path_digest: String,
-        /// Digest of the parts that stay the same when another caller sends the request.
-        content_digest: String,
-        /// Digest of the same parts as `content_digest`, without query and body.
-        any_path_digest: String,
-        /// Name of the route that matched the request.
-        route: Arc<str>,
-        /// Decision on the request, such as `answered`.
-        decision: &'static str,
-        /// Reason for the decision; may contain figures.
-        reason: String,
-        /// Server of the last attempt; `None` if there was no attempt.
-        server: Option<Arc<str>>,
-        /// Load of the server of the last attempt, as known to this host.
-        load: u32,
-        /// Remaining backoff of the server of the last attempt, in which this host must send that
-        /// server no requests; 0 for none.
-        #[serde(rename = "rest_ms")]
-        backoff_ms: u64,
-        /// Host whose tunnels connections to that server take; `None` while they are direct.
-        tunnel: Option<Arc<str>>,
-        /// Time since that server's last direct response to this host; `None` if it never responded.
-        server_contact_age_ms: Option<u64>,
-        /// Time since the last direct response of any server to this host; `None` if none ever
-        /// responded. A time as long as that of the server suggests that this host cannot reach any
-        /// server.
-        contact_age_ms: Option<u64>,
-        /// Number of attempts to send the request to a server, up to this event.
-        attempts: u32,
-        /// Time since the request's arrival.
-        after_ms: u64,
-        /// Time left until the request's deadline at this event.
-        left_ms: u64,
-        /// Version of the configuration that the decision was based on.
-        configuration: u64,
-    },
 }
 
 impl Event {
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -18,7 +18,7 @@
         contention::RequestStep,
         decide::{Candidate, Demand, retry_after::Refused, warmup::WarmupLimit},
         digest::RequestDigests,
-        events::Event,
+        events::RequestEvent,
         model::{Configuration, Route},
         path_evidence::Suspicion,
         server::Server,
@@ -253,7 +253,7 @@
     /// chosen last.
     pub(super) fn log(&self, entry: &Entry, decision: &'static str, reason: String) {
         let tunnel_host = self.last.as_ref().and_then(|last| last.path.tunnel_host());
-        Event::Request {
+        RequestEvent {
             request_id: self.request_id.to_owned(),
             digest: self.digests.whole.to_string(),
             path_digest: self.digests.path.to_string(),
--- a/src/entry/leadership/mod.rs
+++ b/src/entry/leadership/mod.rs
@@ -35,7 +35,7 @@
     predecessor::Predecessor,
     row::{LEADERSHIP_KEY, LEADERSHIP_TABLE, LeadershipRow, WrittenRow},
 };
-use super::{Entry, events::Event};
+use super::{Entry, events::LeadershipEvent};
 use crate::{
     clock,
     platform::{
@@ -128,7 +128,7 @@
         if term > 0 {
             self.lost_ms.store(clock::now_ms(), Ordering::Relaxed);
             self.lost_term.store(term, Ordering::Relaxed);
-            Event::DutyLost { term, reason }.log();
+            LeadershipEvent::DutyLost { term, reason }.log();
         }
     }
 }
--- a/src/entry/leadership/predecessor.rs
+++ b/src/entry/leadership/predecessor.rs
@@ -6,7 +6,7 @@
 };
 
 use super::Leadership;
-use crate::{clock, entry::events::Event};
+use crate::{clock, entry::events::LeadershipEvent};
 
 /// Previous leader. The current leader waits for the expiry of the leases that the previous leader
 /// may still grant. The wait becomes shorter once the previous leader's process is known to have
@@ -56,7 +56,7 @@
         let until_ms = ended.before_predecessor_until_ms.max(clock::now_ms());
         self.earlier_leases_until_ms
             .fetch_min(until_ms, Ordering::Relaxed);
-        Event::PredecessorEnded { term: ended.term }.log();
+        LeadershipEvent::PredecessorEnded { term: ended.term }.log();
     }
 
     /// Records the incarnation of the process that runs on the host at `address`. If the previous
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -16,7 +16,7 @@
     entry::{
         Entry,
         decide::lease_expiry::EarlierLeaders,
-        events::Event,
+        events::LeadershipEvent,
         rows::decode_assignment_rows,
         updates::own_rows::{HOST_PREFIX, HOSTS_PARTITION, TABLE},
         watch::pause,
@@ -254,7 +254,7 @@
         });
         self.leadership.confirmed_ms.send_replace(sent_ms);
         self.leadership.term.store(term, Ordering::Relaxed);
-        Event::DutyTaken { term, handed_over }.log();
+        LeadershipEvent::DutyTaken { term, handed_over }.log();
         self.check_predecessor_process().await;
     }
 
--- a/src/entry/leases/moves.rs
+++ b/src/entry/leases/moves.rs
@@ -14,7 +14,7 @@
             lease_expiry::{self, RELEASE_TIMEOUT_MS},
             plan::Move,
         },
-        events::Event,
+        events::LeadershipEvent,
         keys::{AssignedRange, Assignment, KeyRange},
         leadership::{Change, Reassignment},
         tag::tag_of,
@@ -264,7 +264,7 @@
             completed_fences.push(assigned_range.fence);
         }
         self.entry.metrics.moved();
-        Event::Moved {
+        LeadershipEvent::Moved {
             service: service.clone(),
             range,
             from: assigned_range.from.clone(),
--- a/src/entry/leases/renewal.rs
+++ b/src/entry/leases/renewal.rs
@@ -14,7 +14,7 @@
     clock,
     entry::{
         decide::lease_expiry::GRANT_TIMEOUT_MS,
-        events::Event,
+        events::LeadershipEvent,
         keys::{AssignedRange, Assignment, KeyRange},
         leadership::Change,
         model::ServerEntry,
@@ -337,7 +337,7 @@
 
     fn order_failed(&self, server: &Server, order: &'static str, problem: String) {
         self.entry.metrics.order(order, "failed");
-        Event::OrderFailed {
+        LeadershipEvent::OrderFailed {
             server: server.entry.id.clone(),
             order,
             problem,
--- a/src/entry/path_evidence.rs
+++ b/src/entry/path_evidence.rs
@@ -5,7 +5,7 @@
 
 use super::{
     decide::server_path::{Reach, Verdict},
-    events::Event,
+    events::PathEvent,
     metrics::PathCheckLabels,
     server::Server,
 };
@@ -85,8 +85,8 @@
 
     /// Returns the event for the loss of the path to `server`. `contact_age_ms` is the time since the
     /// last direct response of any server.
-    pub fn loss_event(&self, server: &Server, contact_age_ms: Option<u64>) -> Event {
-        Event::PathLost {
+    pub fn loss_event(&self, server: &Server, contact_age_ms: Option<u64>) -> PathEvent {
+        PathEvent::PathLost {
             server: server.entry.id.clone(),
             service: server.entry.service.clone(),
             suspicion: self.suspicion.name(),
--- a/src/entry/paths/host_path.rs
+++ b/src/entry/paths/host_path.rs
@@ -8,7 +8,7 @@
 use super::abandon_direct_connections;
 use crate::{
     clock,
-    entry::{Entry, decide::server_path, events::Event, server::Server, server_path::Route},
+    entry::{Entry, decide::server_path, events::PathEvent, server::Server, server_path::Route},
 };
 
 /// Number of servers without a lost path that must give no response either before the host counts as
@@ -96,7 +96,7 @@
             abandon_direct_connections(server);
         }
         self.paths.cut_off.notify_waiters();
-        Event::ServersUnreachable {
+        PathEvent::ServersUnreachable {
             lost,
             servers,
             contact_age_ms,
@@ -110,7 +110,7 @@
         let since_ms = self.paths.cut_off_ms.swap(0, Ordering::Relaxed);
         if since_ms > 0 {
             let after_ms = clock::now_ms().saturating_sub(since_ms);
-            Event::ServersReachable { after_ms, reason }.log();
+            PathEvent::ServersReachable { after_ms, reason }.log();
         }
     }
 }
--- a/src/entry/paths/mod.rs
+++ b/src/entry/paths/mod.rs
@@ -22,7 +22,7 @@
 use self::tunnel::TunnelError;
 use super::{
     Entry,
-    events::Event,
+    events::PathEvent,
     path_evidence::{Evidence, Suspicion},
     pool::{ConnectError, Connection},
     server::Server,
@@ -164,7 +164,7 @@
             server.reset_failures();
             server.orders.set_tunnel(None);
             server.pool.close_tunnels(|_| true);
-            Event::PathUsable {
+            PathEvent::PathUsable {
                 server: server.entry.id.clone(),
                 service: server.entry.service.clone(),
                 after_ms: clock::now_ms().saturating_sub(lost_ms),
