--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -12,7 +12,6 @@
 pub mod crashes;
 pub mod decide;
 pub mod digest;
-pub mod engaged_servers;
 mod events;
 pub mod explain;
 mod forward;
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -10,10 +10,9 @@
 
 use super::{
     decide::{admission, notices::Notices},
-    engaged_servers::EngagedServers,
     events::Event,
     model::ServerEntry,
-    server::Server,
+    server::{EngagedServers, Server},
     shared_collections::{SharedList, SharedMap},
     updates::evacuation::Evacuations,
 };
--- a/src/entry/engaged_servers.rs
+++ b/src/entry/server/engaged_servers.rs
@@ -3,7 +3,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 
-use super::server::Server;
+use super::Server;
 
 /// Servers that this host has sent requests to and that still have state of these requests.
 #[derive(Clone, Debug, Default)]
--- a/src/entry/server/engagement.rs
+++ b/src/entry/server/engagement.rs
@@ -5,8 +5,8 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use super::Server;
-use crate::{clock, entry::engaged_servers::EngagedServers};
+use super::{Server, engaged_servers::EngagedServers};
+use crate::clock;
 
 /// Time for which a slowdown that a server reported to this host keeps the server engaged, so that
 /// the next report to the other hosts contains it.
--- a/src/entry/server/mod.rs
+++ b/src/entry/server/mod.rs
@@ -3,13 +3,14 @@
 
 mod attempts;
 mod cold_state;
+mod engaged_servers;
 mod engagement;
 mod in_flight;
 mod load;
 mod slowdowns;
 mod work_state;
 
-pub use self::in_flight::InFlight;
+pub use self::{engaged_servers::EngagedServers, in_flight::InFlight};
 
 use std::sync::{Arc, Mutex, atomic::AtomicU32};
 
@@ -21,7 +22,6 @@
     contact::ContactTime,
     crashes::broken_connections::BrokenConnections,
     decide::{Candidate, Policy, notices::Notices, slowdown::SlowdownReports, warmup::WarmupLimit},
-    engaged_servers::EngagedServers,
     events::Event,
     model::ServerEntry,
     pool::Pool,
