--- a/src/entry/peers/datagrams.rs
+++ b/src/entry/peers/datagrams.rs
@@ -10,15 +10,18 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
-use tokio::{net::UdpSocket, sync::Notify};
+use tokio::{net::UdpSocket, sync::Notify, time};
 
 use crate::clock;
 
 /// Age above which a queued datagram is dropped. Later messages state what older ones do, so a full
 /// link carries those that are current.
 const QUEUED_MAX_MS: u64 = 500;
+/// Pause after a failed wait for the socket, so that a lasting error does not cause a busy loop.
+const WAIT_AGAIN_MS: u64 = 100;
 /// Maximum number of queued datagrams, which bounds the memory of the queue to a few megabytes.
 const QUEUED_MAX: usize = 40_000;
 
@@ -114,7 +117,8 @@
             loop {
                 if let Err(error) = socket.writable().await {
                     log::warn!("waiting for the socket between hosts failed: {error}");
-                    break;
+                    time::sleep(Duration::from_millis(WAIT_AGAIN_MS)).await;
+                    continue;
                 }
                 let try_send = |datagram: &[u8], to| socket.try_send_to(datagram, to);
                 if self.send_queued(clock::now_ms(), try_send) {
