--- a/src/entry/configuration_exchange.rs
+++ b/src/entry/configuration_exchange.rs
@@ -29,6 +29,12 @@
         };
         let evacuations = self.view.evacuations().version;
         let pieces = split_into_pieces(row.version, evacuations, &row.value);
+        if pieces.pieces.is_empty() {
+            let bytes = row.value.len();
+            log::warn!(
+                "a configuration of {bytes} bytes is too large to be broadcast to the hosts"
+            );
+        }
         for message in piece_messages(pieces) {
             self.peers.send_to_all(message);
         }
--- a/tests/entry_configuration.rs
+++ b/tests/entry_configuration.rs
@@ -68,6 +68,22 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_configuration_that_is_not_broadcast_is_logged() {
+    let site = Site::start(HOSTS, 2).await;
+    time::sleep(Duration::from_secs(4)).await;
+    // Random bytes do not become smaller by compression.
+    let content: Vec<u8> = (0..20_000).map(|_| rand::random()).collect();
+    site.store.put_bytes("op", "config", &content);
+    eventually("the leader logs it", IN_FORCE_MS, async || {
+        let lines = site.hosts.iter().flat_map(|host| host.events("message"));
+        lines
+            .into_iter()
+            .any(|line| line.contains("20000 bytes is too large to be broadcast"))
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn a_configuration_whose_datagrams_were_lost_needs_no_connection() {
     let site = Site::start(HOSTS, 2).await;
