--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -5,7 +5,7 @@
 //! or the store.
 
 use std::sync::{
-    Arc, Mutex, MutexGuard, PoisonError,
+    Arc, Mutex, MutexGuard, OnceLock, PoisonError,
     atomic::{AtomicBool, Ordering},
 };
 
@@ -14,7 +14,9 @@
     peers::message::Message,
     rows::decode_servers,
     updates::{
-        configuration_pieces::{Piece, PieceAssembly, PieceEncoding, decode_content},
+        configuration_pieces::{
+            Piece, PieceAssembly, PieceEncoding, Pieces, decode_content, split_into_pieces,
+        },
         followed::FollowedTable,
         server_changes::{RecentChanges, ServerChanges},
     },
@@ -51,6 +53,17 @@
     pub version: u64,
     /// Content of the row.
     pub value: Arc<[u8]>,
+    /// Pieces of the content, made once when the first host asks for them.
+    pieces: Arc<OnceLock<Pieces>>,
+}
+
+impl LatestConfiguration {
+    /// Returns the pieces of the configuration, for a host that has lost some of them.
+    pub(super) fn pieces(&self, evacuations: u64) -> Pieces {
+        let split = || split_into_pieces(self.version, evacuations, &self.value);
+        let pieces = self.pieces.get_or_init(split).clone();
+        pieces.with_evacuations(evacuations)
+    }
 }
 
 impl Broadcast {
@@ -59,6 +72,7 @@
         *self.latest() = Some(LatestConfiguration {
             version: row.version,
             value: row.value.as_slice().into(),
+            pieces: Arc::default(),
         });
     }
 
--- a/src/entry/configuration_exchange.rs
+++ b/src/entry/configuration_exchange.rs
@@ -124,15 +124,16 @@
     /// Sends the latest configuration to a host that has applied the operators' table up to the
     /// version `applied`, if the configuration is later and fits into datagrams.
     pub(super) fn send_configuration(&self, to: SocketAddr, applied: u64) {
-        let Some(known) = self.known_configuration() else {
+        // The version of the evacuations is read first: the configuration may be newer, but not
+        // older.
+        let evacuations = self.view.evacuations().version;
+        let Some(latest) = self.broadcast.latest_configuration() else {
             return;
         };
-        if known.version <= applied {
+        if latest.version <= applied {
             return;
         }
-        let evacuations = known.evacuations.version;
-        let pieces = split_into_pieces(known.version, evacuations, &known.value);
-        for message in piece_messages(pieces) {
+        for message in piece_messages(latest.pieces(evacuations)) {
             self.peers.send(&message, &[to]);
         }
     }
--- a/src/entry/updates/configuration_pieces.rs
+++ b/src/entry/updates/configuration_pieces.rs
@@ -19,8 +19,9 @@
 /// occupy the links of small hosts for longer than each of these hosts takes to read the
 /// configuration from the store.
 const PIECES_MAX: usize = 12;
-/// Maximum size of a configuration after decompression.
-const CONFIGURATION_BYTES_MAX: u64 = 64 * 1024 * 1024;
+/// Maximum size of a configuration after decompression: more than the maximum number of pieces can
+/// hold, so that only damaged content exceeds it.
+const CONFIGURATION_BYTES_MAX: u64 = 16 * 1024 * 1024;
 
 /// Encoding of the content that pieces are made of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +72,16 @@
     pub value: Arc<[u8]>,
 }
 
+impl Pieces {
+    /// Returns the pieces with the version of the latest evacuation that their sender knows.
+    pub fn with_evacuations(mut self, evacuations: u64) -> Self {
+        for piece in &mut self.pieces {
+            piece.evacuations = evacuations;
+        }
+        self
+    }
+}
+
 /// Splits a configuration into pieces, compressed if there are too many without compression.
 pub fn split_into_pieces(version: u64, evacuations: u64, content: &[u8]) -> Pieces {
     let plain = pieces_of(version, evacuations, content);
@@ -100,14 +111,18 @@
 }
 
 /// Returns the content of a configuration from the content of all of its pieces. Fails if the
-/// pieces are not the compressed form of a configuration.
+/// pieces are not the compressed form of a configuration, or of one that is too large.
 pub fn decode_content(encoding: PieceEncoding, content: Vec<u8>) -> io::Result<Vec<u8>> {
     if encoding == PieceEncoding::Plain {
         return Ok(content);
     }
-    let mut decoder = DeflateDecoder::new(&*content).take(CONFIGURATION_BYTES_MAX);
+    let mut decoder = DeflateDecoder::new(&*content).take(CONFIGURATION_BYTES_MAX + 1);
     let mut decoded = Vec::new();
     decoder.read_to_end(&mut decoded)?;
+    if decoded.len() as u64 > CONFIGURATION_BYTES_MAX {
+        let message = format!("more than {CONFIGURATION_BYTES_MAX} bytes after decompression");
+        return Err(io::Error::new(io::ErrorKind::InvalidData, message));
+    }
     Ok(decoded)
 }
 
--- a/tests/entry_word.rs
+++ b/tests/entry_word.rs
@@ -1,7 +1,7 @@
 //! Tests messages between many hosts: choice of relays, age of delayed messages, configurations
 //! sent in pieces, loads by zone, and sizes of datagrams.
 
-use std::net::SocketAddr;
+use std::{io::Write, net::SocketAddr};
 
 use ashroad::entry::{
     decide::{
@@ -26,6 +26,7 @@
         Piece, PieceAssembly, PieceEncoding, Pieces, decode_content, split_into_pieces,
     },
 };
+use flate2::{Compression, write::DeflateEncoder};
 use quickcheck::quickcheck;
 
 fn host(zone_tag: u32, number: usize) -> RelayCandidate {
@@ -174,6 +175,18 @@
     }
 }
 
+#[test]
+fn damaged_or_oversized_compressed_configurations_are_refused() {
+    let random: Vec<u8> = (0..20_000).map(|_| rand::random()).collect();
+    // Random content does not become smaller, and needs too many pieces.
+    assert_eq!(split_into_pieces(7, 3, &random).pieces, Vec::new());
+    let decode = |content: &[u8]| decode_content(PieceEncoding::Compressed, content.to_vec());
+    assert!(decode(&[0xff; 100]).is_err());
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(&vec![0; 17 << 20]).expect("written");
+    assert!(decode(&encoder.finish().expect("compressed")).is_err());
+}
+
 #[test]
 fn pieces_of_two_configurations_are_not_mixed() {
     let piece = |version, index, bytes: &str| Piece {
