--- a/review/standin/hosts.rs
+++ b/review/standin/hosts.rs
@@ -7,20 +7,20 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::atomic::{AtomicU8, Ordering},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
 use super::http;
 
-static NEXT: AtomicU8 = AtomicU8::new(1);
+static NEXT: AtomicU32 = AtomicU32::new(0);
 
 /// Returns a loopback address of this process that was not returned before.
 pub fn next_ip() -> IpAddr {
     let pid = std::process::id();
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let (second, third) = (64 + (pid % 128) as u8, (pid / 128 % 250) as u8);
-    IpAddr::V4(Ipv4Addr::new(127, second, third, number))
+    let (second, third) = (64 + (pid % 128) as u8, (number / 250) as u8);
+    IpAddr::V4(Ipv4Addr::new(127, second, third, 1 + (number % 250) as u8))
 }
 
 /// Returns an address of this process with a free port.
@@ -29,26 +29,51 @@
     listener.local_addr().expect("address")
 }
 
+/// Size of a machine, as the settings of its process state it.
+#[derive(Clone, Copy)]
+pub struct Size {
+    pub processor_share: f32,
+    pub memory_mb: u64,
+}
+
+/// Machines of the small deployments.
+pub const SMALL: Size = Size {
+    processor_share: 0.2,
+    memory_mb: 260,
+};
+/// Large machines of the other deployments.
+pub const LARGE: Size = Size {
+    processor_share: 0.5,
+    memory_mb: 512,
+};
+
 /// Process of an entry host; killed when dropped.
 pub struct Host {
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
+    /// Address that the host registers in the store.
+    pub peers: SocketAddr,
     pub log: PathBuf,
+    settings: PathBuf,
     child: Child,
 }
 
 impl Host {
     /// Starts a host in `folder`. The settings are those of `deploy/host.yaml`, filled for the small
     /// deployment of the users' pages.
-    pub fn start(folder: &Path, store: SocketAddr, memory_mb: u64) -> Host {
+    pub fn start(folder: &Path, store: SocketAddr, size: Size) -> Host {
+        let Size {
+            processor_share,
+            memory_mb,
+        } = size;
         let ip = next_ip();
-        let name = format!("front-{}", ip.to_string().rsplit('.').next().unwrap_or("0"));
+        let name = format!("front-{}", ip.to_string().replace('.', "-"));
         let log = folder.join(format!("{name}.log"));
         let settings = folder.join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\navailability_zone: bern-ost\nregions:\n  \"bern-ost\": \"mittelland\"\n\
-             memory_mb: {memory_mb}\nlisten:\n  callers: \"{ip}:8641\"\n  readiness: \"{ip}:8640\"\n  \
+             processor_share: {processor_share}\nmemory_mb: {memory_mb}\nlisten:\n  callers: \"{ip}:8641\"\n  readiness: \"{ip}:8640\"\n  \
              peers: \"{ip}:7620\"\n  metrics: \"{ip}:9464\"\nstore:\n  address: \"{store}\"\n  \
              server_heartbeat: \"870ms\"\nbounds:\n  stop_grace: \"6s\"\n  drain: \"2000ms\"\n  \
              configuration: \"2000ms\"\n  contact: \"3000ms\"\n  lease_max: \"10000ms\"\n  \
@@ -56,31 +81,29 @@
              policy:\n  ended_attempts: 4294967295\n  bounds_idle_reuse: false\n"
         );
         fs::write(&settings, text).expect("settings");
-        let output = File::create(&log).expect("log");
-        let errors = output.try_clone().expect("log");
-        let child = Command::new("target/release/ashroad")
-            .args(["entry", "--settings"])
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(output)
-            .stderr(errors)
-            .spawn()
-            .expect("target/release/ashroad starts");
-        // By this list, `run.sh` ends what is left if the case itself is killed.
-        let pids = File::options()
-            .create(true)
-            .append(true)
-            .open(folder.join("pids"));
-        let _ = writeln!(pids.expect("list of processes"), "{}", child.id());
+        let child = spawn(&settings, &log);
         Host {
             name,
             callers: SocketAddr::new(ip, 8641),
             readiness: SocketAddr::new(ip, 8640),
+            peers: SocketAddr::new(ip, 7620),
             log,
+            settings,
             child,
         }
     }
 
+    /// Kills the process, as the loss of its machine's power does.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts a process with the same settings and addresses after [`Host::kill`].
+    pub fn start_again(&mut self) {
+        self.child = spawn(&self.settings, &self.log);
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
@@ -114,11 +137,29 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
     }
 }
 
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let output = File::options().create(true).append(true).open(log);
+    let output = output.expect("log");
+    let errors = output.try_clone().expect("log");
+    let child = Command::new("target/release/ashroad")
+        .args(["entry", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(output)
+        .stderr(errors)
+        .spawn()
+        .expect("target/release/ashroad starts");
+    // By this list, `run.sh` ends what is left if the case itself is killed.
+    let list = settings.with_file_name("pids");
+    let pids = File::options().create(true).append(true).open(list);
+    let _ = writeln!(pids.expect("list of processes"), "{}", child.id());
+    child
+}
+
 /// Record of what was sent, answered and run, in a file of the case's folder.
 pub struct Record {
     file: File,
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -77,6 +77,17 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns the keys of a table's partition that begin with `prefix`.
+    pub fn keys(&self, table: &str, part: &str, prefix: &str) -> Vec<String> {
+        let rows = self.rows();
+        let keys = rows
+            .rows
+            .keys()
+            .filter(|place| place.0 == table && place.1 == part);
+        let keys = keys.map(|place| place.2.clone());
+        keys.filter(|key| key.starts_with(prefix)).collect()
+    }
+
     fn rows(&self) -> MutexGuard<'_, Rows> {
         self.shared
             .rows
