--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -135,6 +135,20 @@
     });
 }
 
+/// Closes a connection with a reset.
+pub fn reset(stream: TcpStream) {
+    use std::os::fd::AsRawFd;
+    unsafe extern "C" {
+        fn setsockopt(socket: i32, level: i32, name: i32, value: *const [i32; 2], size: u32)
+        -> i32;
+    }
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    // SAFETY: the descriptor is open, and the value is a `struct linger` with a time of 0.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &[1, 0], 8) };
+    let _ = stream.shutdown(std::net::Shutdown::Read);
+}
+
 /// How the answer to a client's request ended.
 #[derive(Clone, Debug)]
 pub struct Answer {
