--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,7 +7,9 @@
 code=$?
 if [ "$code" -gt 1 ] && [ -f "$folder/pids" ]; then
     # The case was killed, or ended before it could end its hosts.
-    while read -r pid; do kill -KILL "$pid" 2>/dev/null; done <"$folder/pids"
+    while read -r pid; do
+        grep -qaF "$folder" "/proc/$pid/cmdline" 2>/dev/null && kill -KILL "$pid" 2>/dev/null
+    done <"$folder/pids"
 fi
 rm -rf "$folder"
 [ "$code" -le 1 ] || code=2
