Tunnels: the end of a tunnel is the end of the server's stream

What callers saw: a success, signed and framed as complete, whose body was short.

Cause: the host that carries a tunnel copied bytes until either end stopped, and then dropped its sockets. Whatever the reason, the operating system closed the tunnel in order, and an orderly end is the regular end of a response without a length. So it was after a reset by the server and after the carrier was killed or exited at the end of its grace period.

Change: the socket of a carried tunnel has linger time 0 from its beginning, so that every close of it, also that of a dying process, resets it. It is cleared in one place: after the server has ended its stream and all bytes were copied. The carrier states this in its 200; a tunnel of a host that does not, of an earlier build, ends in an error. The stand-in of a proxy had the same fault (owned halves close in order when dropped); it now passes orderly ends on and really resets.

--- a/src/entry/paths/tunnel.rs
+++ b/src/entry/paths/tunnel.rs
@@ -4,21 +4,21 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
-use http::{Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderName, Method, Request, StatusCode, header};
 use http_body_util::Empty;
-use hyper::{
-    client::conn::http1::handshake,
-    upgrade::{self, Upgraded},
-};
+use hyper::{client::conn::http1::handshake, upgrade};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, ResultExt, Snafu};
 use tokio::{net::TcpStream, time};
 
-use crate::entry::{
-    Entry,
-    pool::{ConnectError, Connection},
-    server::Server,
+use crate::{
+    entry::{
+        Entry,
+        pool::{ConnectError, Connection},
+        server::Server,
+    },
+    transport::{EndOfTunnel, TunnelStream, header_text},
 };
 
 /// Timeout of opening a tunnel, which includes the other host's connection to the server.
@@ -29,6 +29,11 @@
 const REFUSALS_MAX: usize = 2;
 /// Scheme of the header `Proxy-Authorization` in requests for tunnels.
 pub(super) const AUTHORIZATION_SCHEME: &str = "Ashroad ";
+/// Header in which a host that opens a tunnel states what the end of the tunnel's stream means. Hosts
+/// of earlier versions do not send it.
+pub(super) const TUNNEL_END: HeaderName = HeaderName::from_static("ashroad-tunnel-end");
+/// Value of [`TUNNEL_END`] for [`EndOfTunnel::ServerEnded`].
+pub(super) const SERVER_ENDED: &str = "server-ended";
 
 /// Server to which a host asks another host for a tunnel. Sealed with the hosts' secret.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,7 +110,7 @@
         left_ms: u64,
     ) -> Result<Connection, TunnelError> {
         let (host, tunnel) = self.tunnel(server, left_ms).await?;
-        let started = server.pool.start(tunnel, Some(host)).await;
+        let started = server.pool.start(TokioIo::new(tunnel), Some(host)).await;
         started.map_err(|_| TunnelError::TimedOut)
     }
 
@@ -114,7 +119,7 @@
         &self,
         server: &Server,
         left_ms: u64,
-    ) -> Result<(SocketAddr, Upgraded), TunnelError> {
+    ) -> Result<(SocketAddr, TunnelStream), TunnelError> {
         let timeout = Duration::from_millis(left_ms.min(OPEN_TIMEOUT_MS));
         let opened = time::timeout(timeout, self.try_hosts(server)).await;
         opened.unwrap_or(Err(TunnelError::TimedOut))
@@ -123,7 +128,7 @@
     /// Tries hosts one after the other, first the one that last opened a tunnel to the server, until
     /// one opens a tunnel. A refusal by the server counts once a second host reports it, unless
     /// there is no second host: the first one may have lost its path to the server as well.
-    async fn try_hosts(&self, server: &Server) -> Result<(SocketAddr, Upgraded), TunnelError> {
+    async fn try_hosts(&self, server: &Server) -> Result<(SocketAddr, TunnelStream), TunnelError> {
         let mut tried = Vec::new();
         let mut refusals = 0;
         let mut last = TunnelError::NoHost;
@@ -164,7 +169,7 @@
         &self,
         host: SocketAddr,
         server: &Server,
-    ) -> Result<Upgraded, TunnelError> {
+    ) -> Result<TunnelStream, TunnelError> {
         let request = self.tunnel_request(server)?;
         let stream = TcpStream::connect(host).await;
         let stream = stream.context(NetworkSnafu { host })?;
@@ -196,7 +201,7 @@
     host: SocketAddr,
     stream: TcpStream,
     request: Request<Empty<Bytes>>,
-) -> Result<Upgraded, TunnelError> {
+) -> Result<TunnelStream, TunnelError> {
     let begun = handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = begun.context(ProtocolSnafu { host })?;
     tokio::spawn(async move {
@@ -207,8 +212,21 @@
     let sent = sender.send_request(request).await;
     let response = sent.context(ProtocolSnafu { host })?;
     match response.status() {
-        StatusCode::OK => upgrade::on(response).await.context(ProtocolSnafu { host }),
+        StatusCode::OK => {
+            let end = end_of_tunnel(response.headers());
+            let tunnel = upgrade::on(response).await;
+            let tunnel = tunnel.context(ProtocolSnafu { host })?;
+            Ok(TunnelStream::new(tunnel, end))
+        }
         StatusCode::BAD_GATEWAY => Err(TunnelError::ServerRefused),
         status => RejectedSnafu { host, status }.fail(),
     }
 }
+
+/// Returns the meaning that the headers of a response give to the end of the tunnel's stream.
+fn end_of_tunnel(headers: &HeaderMap) -> EndOfTunnel {
+    match header_text(headers, TUNNEL_END.as_str()) {
+        Some(SERVER_ENDED) => EndOfTunnel::ServerEnded,
+        _ => EndOfTunnel::Unknown,
+    }
+}
--- a/src/entry/paths/tunnel_server.rs
+++ b/src/entry/paths/tunnel_server.rs
@@ -4,20 +4,22 @@
 
 use base64::{Engine, prelude::BASE64_STANDARD};
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use hyper::{
     body::Incoming,
-    upgrade::{self, OnUpgrade},
+    upgrade::{self, OnUpgrade, Parts},
 };
 use hyper_util::rt::TokioIo;
+use snafu::{ResultExt, Snafu};
+use socket2::SockRef;
 use tokio::{
-    io::{AsyncRead, AsyncWrite, AsyncWriteExt, copy, split},
+    io::{AsyncWriteExt, copy},
     net::TcpStream,
     sync::OwnedSemaphorePermit,
     time,
 };
 
-use super::tunnel::{AUTHORIZATION_SCHEME, TunnelRequest};
+use super::tunnel::{AUTHORIZATION_SCHEME, SERVER_ENDED, TUNNEL_END, TunnelRequest};
 use crate::{
     entry::{Entry, path_evidence::Suspicion, server::Server, server_path::Route},
     transport::{self, ResponseBody, header_text},
@@ -26,6 +28,20 @@
 /// Timeout of the connection to the server.
 const CONNECT_TIMEOUT_MS: u64 = 200;
 
+/// Reason for which a tunnel ended otherwise than by an end of its streams.
+#[derive(Debug, Snafu)]
+enum CarryError {
+    /// The other host did not use the tunnel.
+    #[snafu(display("it was not used: {source}"))]
+    NotUsed { source: hyper::Error },
+    /// The connection of the other host is no plain socket.
+    #[snafu(display("the connection of the other host is no socket"))]
+    NoSocket,
+    /// One of the connections broke.
+    #[snafu(context(false), display("{source}"))]
+    Broken { source: io::Error },
+}
+
 impl Entry {
     /// Opens a tunnel for another host: connects to the server, and copies bytes in both directions
     /// once the response is sent. Responds with 407 without a valid seal, 404 for an unknown
@@ -54,7 +70,7 @@
         match connect(address).await {
             Ok(stream) => {
                 tokio::spawn(carry(upgrade::on(&mut request), stream, permit));
-                status(StatusCode::OK)
+                opened()
             }
             Err(error)
                 if error.kind() == io::ErrorKind::ConnectionRefused
@@ -92,6 +108,14 @@
     transport::buffered(status, "text/plain", Bytes::new())
 }
 
+/// Returns the response after which the connection is the tunnel.
+fn opened() -> Response<ResponseBody> {
+    let mut response = status(StatusCode::OK);
+    let end = HeaderValue::from_static(SERVER_ENDED);
+    response.headers_mut().insert(TUNNEL_END, end);
+    response
+}
+
 async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let connected = time::timeout(timeout, TcpStream::connect(address)).await;
@@ -100,26 +124,39 @@
     Ok(stream)
 }
 
-/// Copies bytes between another host and a server until either closes its connection.
+/// Carries a tunnel until another host or the server closes its connection.
 async fn carry(upgrading: OnUpgrade, server: TcpStream, permit: OwnedSemaphorePermit) {
-    match upgrading.await {
-        Ok(host) => {
-            let (host_read, host_write) = split(TokioIo::new(host));
-            let (server_read, server_write) = server.into_split();
-            // A half-closed tunnel would keep a server at work whose caller has left.
-            tokio::select! {
-                () = copy_until_end(host_read, server_write) => {}
-                () = copy_until_end(server_read, host_write) => {}
-            }
-        }
-        Err(error) => log::debug!("a tunnel was not used: {error}"),
+    if let Err(error) = carry_streams(upgrading, server).await {
+        log::debug!("a tunnel ended: {error}");
     }
     drop(permit);
 }
 
-async fn copy_until_end(mut from: impl AsyncRead + Unpin, mut to: impl AsyncWrite + Unpin) {
-    let copied = copy(&mut from, &mut to).await;
-    if let Err(error) = copied.and(to.shutdown().await) {
-        log::debug!("a tunnel ended: {error}");
-    }
+/// Copies bytes between another host and a server. Closes the tunnel in order only if the server has
+/// ended its stream and all of its bytes were copied. In all other cases, which include the death of
+/// this process, the tunnel is reset: its end would make a response without a length look whole.
+async fn carry_streams(upgrading: OnUpgrade, mut server: TcpStream) -> Result<(), CarryError> {
+    let upgraded = upgrading.await.context(NotUsedSnafu)?;
+    let tunnel = upgraded.downcast::<TokioIo<TcpStream>>();
+    let Ok(Parts { io, read_buf, .. }) = tunnel else {
+        return NoSocketSnafu.fail();
+    };
+    let mut host = io.into_inner();
+    // The operating system then resets the connection whenever it is closed.
+    host.set_zero_linger()?;
+    server.write_all(&read_buf).await?;
+    // Owned halves would close their direction in order when they are dropped.
+    let (mut host_read, mut host_write) = host.split();
+    let (mut server_read, mut server_write) = server.split();
+    // A half-closed tunnel would keep a server at work whose caller has left.
+    tokio::select! {
+        sent = copy(&mut host_read, &mut server_write) => {
+            sent?;
+            return Ok(());
+        }
+        received = copy(&mut server_read, &mut host_write) => received?,
+    };
+    SockRef::from(&host).set_linger(None)?;
+    host.shutdown().await?;
+    Ok(())
 }
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -19,13 +19,12 @@
 use hyper::{
     client::conn::http1::{SendRequest, handshake},
     rt::{Read, Write},
-    upgrade::Upgraded,
 };
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
 use super::error::{ConnectSnafu, Error, Result, UnansweredSnafu};
-use crate::clock;
+use crate::{clock, transport::TunnelStream};
 
 /// Timeout for establishing a connection. TCP retransmits a lost SYN packet after one second, so a
 /// longer timeout gains nothing.
@@ -65,7 +64,7 @@
 pub struct TunnelOpener(pub Arc<dyn Fn() -> OpeningTunnel + Send + Sync>);
 
 /// Tunnel that is being opened.
-pub type OpeningTunnel = Pin<Box<dyn Future<Output = Result<Upgraded>> + Send>>;
+pub type OpeningTunnel = Pin<Box<dyn Future<Output = Result<TunnelStream>> + Send>>;
 
 impl fmt::Debug for TunnelOpener {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -239,7 +238,7 @@
         let address = self.address;
         let connecting = async {
             match self.tunnel() {
-                Some(TunnelOpener(open)) => start(address, open().await?).await,
+                Some(TunnelOpener(open)) => start(address, TokioIo::new(open().await?)).await,
                 None => connect(address).await,
             }
         };
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,10 +1,11 @@
-//! HTTP code shared by all modules: HTTP/1 listeners with connection limits, and a client for JSON
-//! calls.
+//! HTTP code shared by all modules: HTTP/1 listeners with connection limits, a client for JSON
+//! calls, and the streams of tunnels.
 
 mod client;
 mod connection;
 mod listener;
 pub mod pipeline;
+mod tunnel_stream;
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, header};
@@ -16,6 +17,7 @@
     client::{CallError, JsonClient},
     connection::{CallerAddress, ListenerLimits},
     listener::{serve, serve_pipelined},
+    tunnel_stream::{EndOfTunnel, TunnelStream},
 };
 
 /// Body of a response, either complete in memory or streamed as it arrives.
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -10,6 +10,7 @@
 pub mod hosts;
 pub mod process_delays;
 pub mod proxy;
+pub mod raw_server;
 pub mod record;
 pub mod server;
 pub mod server_proxy;
--- a/tests/platform_standin/server_proxy.rs
+++ b/tests/platform_standin/server_proxy.rs
@@ -10,11 +10,12 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     sync::{Notify, watch},
     task,
@@ -43,6 +44,15 @@
     pub const ALL: [Self; 4] = [Self::Silent, Self::NoResponses, Self::Reset, Self::NewReset];
 }
 
+/// End of one direction of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StreamEnd {
+    /// The sender has closed the connection in order, and all of its bytes were forwarded.
+    Closed,
+    /// The connection was reset, or bytes were lost.
+    Broken,
+}
+
 /// Partitions of hosts from the servers of a test, by the process id of the host. Clones share the
 /// partitions.
 #[derive(Clone, Debug, Default)]
@@ -127,7 +137,12 @@
 }
 
 /// Forwards a connection. Returns false if the target refused the connection.
-async fn connect(host_stream: TcpStream, from: SocketAddr, target: SocketAddr, cuts: Cuts) -> bool {
+async fn connect(
+    mut host_stream: TcpStream,
+    from: SocketAddr,
+    target: SocketAddr,
+    cuts: Cuts,
+) -> bool {
     let hosts = cuts.hosts();
     let Ok(proxy) = host_stream.local_addr() else {
         return true;
@@ -143,7 +158,7 @@
     }
     // The server does not see a connection attempt whose packets are lost.
     cuts.until(host, |cut| cut != Some(Cut::Silent)).await;
-    let Ok(server_stream) = TcpStream::connect(target).await else {
+    let Ok(mut server_stream) = TcpStream::connect(target).await else {
         host_stream.set_zero_linger().expect("linger");
         return false;
     };
@@ -151,14 +166,19 @@
         stream.set_nodelay(true).expect("option");
         stream.set_zero_linger().expect("linger");
     }
-    let (host_read, host_write) = host_stream.into_split();
-    let (server_read, server_write) = server_stream.into_split();
+    // An owned half would close its direction in order when it is dropped.
+    let (host_read, host_write) = host_stream.split();
+    let (server_read, server_write) = server_stream.split();
     let is_silent = |cut| cut == Some(Cut::Silent);
     let loses_responses = |cut| matches!(cut, Some(Cut::Silent | Cut::NoResponses));
-    tokio::select! {
-        () = forward(host_read, server_write, &cuts, host, is_silent) => {}
-        () = forward(server_read, host_write, &cuts, host, loses_responses) => {}
-        () = cuts.until(host, |cut| cut == Some(Cut::Reset)) => {}
+    let end = tokio::select! {
+        _ = forward(host_read, server_write, &cuts, host, is_silent) => StreamEnd::Broken,
+        end = forward(server_read, host_write, &cuts, host, loses_responses) => end,
+        () = cuts.until(host, |cut| cut == Some(Cut::Reset)) => StreamEnd::Broken,
+    };
+    if end == StreamEnd::Closed {
+        let socket = SockRef::from(&host_stream);
+        socket.set_linger(None).expect("linger");
     }
     true
 }
@@ -166,29 +186,30 @@
 /// Copies one direction of a connection, and holds the data back while the partition of the host
 /// loses it. Bytes that are held back are lost if their sender closes the connection.
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     cuts: &Cuts,
     host: Option<u32>,
     is_lost: impl Fn(Option<Cut>) -> bool,
-) {
+) -> StreamEnd {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let mut length = match from.read(&mut buffer).await {
-            Ok(0) | Err(_) => return,
+            Ok(0) => return StreamEnd::Closed,
+            Err(_) => return StreamEnd::Broken,
             Ok(length) => length,
         };
         while is_lost(cuts.of(host)) {
             tokio::select! {
                 () = cuts.until(host, |cut| !is_lost(cut)) => {}
                 more = from.read(&mut buffer[length..]), if length < buffer.len() => match more {
-                    Ok(0) | Err(_) => return,
+                    Ok(0) | Err(_) => return StreamEnd::Broken,
                     Ok(more) => length += more,
                 },
             }
         }
         if to.write_all(&buffer[..length]).await.is_err() {
-            return;
+            return StreamEnd::Broken;
         }
     }
 }
