Callers of HTTP/1.0: a response that breaks off resets the connection

What callers saw: a short body that looks whole. A caller of HTTP/1.0 knows the end of a response without a length by the end of its connection alone; a response over 256 KB is passed on while it arrives, and when its server reset it, the host closed the caller's connection in order. The same after SIGKILL of the host.

Change: once a response is found to end with its connection, the caller's socket has linger time 0, so that every close resets it, also that of a dying process. It is cleared only when the HTTP library has ended the connection without an error.

Uploads were tried too, direct and behind a tunnel: one in chunks whose caller closes or resets in the middle does not look whole to the server, before and after (an_upload_that_its_caller_breaks_off_...).

Before: a_broken_response_to_a_caller_of_http_1_0_is_reset red, 3 of 5 cases (300,000 of 600,000 bytes in order: reset, reset with keep-alive, host killed). After: green.

--- a/src/transport/pipeline/mod.rs
+++ b/src/transport/pipeline/mod.rs
@@ -14,8 +14,11 @@
     task::{Context, Poll},
 };
 
-use http::{HeaderValue, Request, Response, header, request};
-use hyper::{body::Incoming, service::service_fn};
+use http::{HeaderValue, Request, Response, Version, header, request};
+use hyper::{
+    body::{Body, Incoming},
+    service::service_fn,
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -87,27 +90,30 @@
     let mut stopped = pin!(stop.wait_for(|stopped| *stopped));
     let mut is_stopped = false;
     let mut is_closing = false;
-    poll_fn(|context| {
+    let has_completed = poll_fn(|context| {
         if !is_stopped && stopped.as_mut().poll(context).is_ready() {
             is_stopped = true;
             lock(&read_ahead).stop_scanning();
         }
         lock(&read_ahead).is_reader_waiting = false;
-        if connection.as_mut().poll(context).is_ready() {
-            return Poll::Ready(());
+        if let Poll::Ready(served) = connection.as_mut().poll(context) {
+            return Poll::Ready(served.is_ok());
         }
         // The HTTP library closes the connection behind the request that it handles now, so it is
         // told to do so only when no started request is left behind this one.
         if is_stopped && !is_closing && !lock(&read_ahead).has_started() {
             is_closing = true;
             connection.as_mut().graceful_shutdown();
-            if connection.as_mut().poll(context).is_ready() {
-                return Poll::Ready(());
+            if let Poll::Ready(served) = connection.as_mut().poll(context) {
+                return Poll::Ready(served.is_ok());
             }
         }
-        lock(&read_ahead).poll_read_ahead(context)
+        lock(&read_ahead).poll_read_ahead(context).map(|()| false)
     })
     .await;
+    if has_completed && let Err(error) = lock(&read_ahead).close_in_order() {
+        log::debug!("a connection of a caller is reset: {error}");
+    }
 }
 
 /// Answers the request whose turn has come: with the response of its handler if it was started
@@ -121,6 +127,7 @@
     C: Clone + Send + Sync + 'static,
     F: Future<Output = Response<ResponseBody>> + Send + 'static,
 {
+    let version = request.version();
     let started = lock(read_ahead).begin_request(&request);
     let early = match started {
         Some(mut task) => task.join_next().await.and_then(Result::ok),
@@ -132,6 +139,11 @@
     };
     let mut read_ahead = lock(read_ahead);
     read_ahead.finish_request();
+    if ends_with_connection(version, &response)
+        && let Err(error) = read_ahead.reset_unless_completed()
+    {
+        log::debug!("a connection of a caller is not reset: {error}");
+    }
     if read_ahead.has_started() {
         response.headers_mut().remove(header::CONNECTION);
     } else if (handler.is_stopping)(&handler.context) {
@@ -141,6 +153,12 @@
     response
 }
 
+/// Returns true if the end of the connection is the end of the response: HTTP/1.0 has no other end of
+/// a body whose length is not known.
+fn ends_with_connection(version: Version, response: &Response<ResponseBody>) -> bool {
+    version == Version::HTTP_10 && response.body().size_hint().exact().is_none()
+}
+
 /// Byte stream that the HTTP library reads and writes: a connection whose bytes are scanned while
 /// they pass.
 struct PipelinedStream<C, F>(SharedReadAhead<C, F>);
--- a/src/transport/pipeline/read_ahead.rs
+++ b/src/transport/pipeline/read_ahead.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Buf, BufMut, BytesMut};
 use http::{HeaderMap, Method, Request, Response, Uri};
+use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, ReadBuf},
     net::TcpStream,
@@ -150,6 +151,18 @@
         self.current = None;
     }
 
+    /// Makes the operating system reset the connection whenever it is closed, also by the death of this
+    /// process, until [`Self::close_in_order`] is called: its end would make a response that ends with
+    /// the connection look whole.
+    pub(super) fn reset_unless_completed(&self) -> io::Result<()> {
+        self.stream.set_zero_linger()
+    }
+
+    /// Makes the operating system close the connection in order.
+    pub(super) fn close_in_order(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(None)
+    }
+
     /// Passes on the next bytes of the connection.
     pub(super) fn poll_read(
         &mut self,
--- a/tests/entry_response_ends.rs
+++ b/tests/entry_response_ends.rs
@@ -1,12 +1,23 @@
-//! Tests that a response without a length is passed on as whole only if its server has ended it.
+//! Tests that a response without a length is passed on as whole only if its server has ended it, and
+//! an upload without a length only if its caller has.
 
 mod platform_standin;
 
-use std::time::Duration;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{LazyLock, Mutex as StdMutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use http::StatusCode;
 use serde_json::json;
-use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Mutex, time};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    sync::Mutex,
+    time,
+};
 
 use self::platform_standin::{
     caller::{TestRequest, send_once},
@@ -84,6 +95,9 @@
     let size = size.and_then(|size| size.parse().ok()).unwrap_or(0);
     let body = vec![b'x'; size];
     let (first, second) = body.split_at(size / 2);
+    if end == Some("upload") {
+        return receive_upload(request, stream).await;
+    }
     let head = format!("{}\r\n", request.head());
     // The host may close the connection at any time.
     stream.write_all(head.as_bytes()).await.ok();
@@ -206,3 +220,163 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Guards against a broken response that looks whole to a caller of HTTP/1.0, for whom a body without
+/// a length ends with the connection.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_broken_response_to_a_caller_of_http_1_0_is_reset() {
+    let _guard = RUN_LOCK.lock().await;
+    let (mut site, _) = start_site(1).await;
+    let callers = site.hosts[0].callers;
+    let cases = [
+        (End::Close, "", Some(LARGE_BYTES)),
+        (End::Close, "connection: keep-alive\r\n", Some(LARGE_BYTES)),
+        (End::Reset, "", None),
+        (End::Reset, "connection: keep-alive\r\n", None),
+    ];
+    let mut failures = Vec::new();
+    for (end, more_headers, expected) in cases {
+        let case = Case {
+            end,
+            body_bytes: LARGE_BYTES,
+        };
+        let received = receive_to_end(send_http_1_0(callers, case, more_headers).await).await;
+        if received != expected {
+            failures.push(format!("{case:?} {more_headers:?}: {received:?}"));
+        }
+    }
+    let held = Case {
+        end: End::Hold,
+        body_bytes: LARGE_BYTES,
+    };
+    let stream = send_http_1_0(callers, held, "").await;
+    time::sleep(2 * PAUSE).await;
+    site.hosts[0].kill();
+    let received = receive_to_end(stream).await;
+    if received.is_some() {
+        failures.push(format!("the host is killed: {received:?}"));
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Sends a request of HTTP/1.0 and returns its connection.
+async fn send_http_1_0(callers: SocketAddr, case: Case, more_headers: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(callers).await.expect("connection");
+    let path = case.path();
+    let id = format!("{:016x}", rand::random::<u64>());
+    let request = format!(
+        "POST {path} HTTP/1.0\r\nhost: site.example\r\nrequest-id: {id}\r\n\
+         deadline-ms: {TIMEOUT_MS}\r\ncontent-length: 0\r\n{more_headers}\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    stream
+}
+
+/// Returns the length of the body if the connection ends in order.
+async fn receive_to_end(mut stream: TcpStream) -> Option<usize> {
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).await.ok()?;
+    let head_end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+    Some(response.len() - head_end.expect("a head") - 4)
+}
+
+/// Guards against an upload without a length that its caller resets and that looks whole to the
+/// server.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upload_that_its_caller_breaks_off_is_not_whole() {
+    let _guard = RUN_LOCK.lock().await;
+    let (site, cuts) = start_site(2).await;
+    let callers = site.hosts[0].callers;
+    let mut failures = Vec::new();
+    for is_behind_tunnel in [false, true] {
+        if is_behind_tunnel {
+            take_tunnels(&site, &cuts).await;
+        }
+        for end in [UploadEnd::Last, UploadEnd::Close, UploadEnd::Reset] {
+            let id = format!("{:016x}", rand::random::<u64>());
+            upload(callers, &id, end).await;
+            let received = received_upload(&id).await;
+            if received != (end == UploadEnd::Last) {
+                failures.push(format!(
+                    "{end:?}, tunnel {is_behind_tunnel}: whole {received}"
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Last chunk of a body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+/// Length of each chunk of an upload.
+const CHUNK_BYTES: usize = 100_000;
+/// Number of chunks, of which a host does not buffer all.
+const CHUNKS: usize = 5;
+/// Whether the uploads that arrived at the server were whole, by the id of the request.
+static UPLOADS: LazyLock<StdMutex<HashMap<String, bool>>> = LazyLock::new(StdMutex::default);
+
+fn uploads() -> MutexGuard<'static, HashMap<String, bool>> {
+    UPLOADS.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Way in which a caller ends an upload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UploadEnd {
+    /// By the last chunk.
+    Last,
+    /// By an orderly end of the connection between two chunks.
+    Close,
+    /// By a reset of the connection between two chunks.
+    Reset,
+}
+
+/// Sends a large body in chunks.
+async fn upload(callers: SocketAddr, id: &str, end: UploadEnd) {
+    let mut stream = TcpStream::connect(callers).await.expect("connection");
+    let head = format!(
+        "POST /orders/upload/0 HTTP/1.1\r\nhost: site.example\r\nrequest-id: {id}\r\n\
+         deadline-ms: {TIMEOUT_MS}\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.expect("sent");
+    let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "x".repeat(CHUNK_BYTES));
+    for _ in 0..CHUNKS {
+        stream.write_all(chunk.as_bytes()).await.expect("sent");
+    }
+    time::sleep(2 * PAUSE).await;
+    match end {
+        UploadEnd::Last => {
+            stream.write_all(LAST_CHUNK).await.expect("sent");
+            let mut status = [0; 12];
+            stream.read_exact(&mut status).await.expect("a status");
+            assert_eq!(&status, b"HTTP/1.1 200");
+        }
+        UploadEnd::Close => stream.shutdown().await.expect("closed"),
+        UploadEnd::Reset => reset(stream),
+    }
+}
+
+/// Reads an upload until its last chunk or the end of the connection.
+async fn receive_upload(request: RawRequest, mut stream: TcpStream) {
+    let mut body = request.body.clone();
+    while !body.ends_with(LAST_CHUNK) {
+        match stream.read_buf(&mut body).await {
+            Ok(length) if length > 0 => {}
+            _ => break,
+        }
+    }
+    let is_whole = body.ends_with(LAST_CHUNK);
+    uploads().insert(request.id.clone(), is_whole);
+    let response = format!("{}content-length: 0\r\n\r\n", request.head());
+    // The host may have closed the connection.
+    stream.write_all(response.as_bytes()).await.ok();
+}
+
+/// Waits until an upload has ended at the server, and returns whether it was whole.
+async fn received_upload(id: &str) -> bool {
+    let received = || uploads().get(id).copied();
+    eventually("the upload ends at the server", 8_000, async || {
+        received().is_some()
+    })
+    .await;
+    received() == Some(true)
+}
--- a/tests/platform_standin/raw_server.rs
+++ b/tests/platform_standin/raw_server.rs
@@ -19,6 +19,8 @@
     pub path: String,
     /// Value of the `request-id` header.
     pub id: String,
+    /// Beginning of the body, as far as it was read together with the head.
+    pub body: Vec<u8>,
 }
 
 impl RawRequest {
@@ -31,7 +33,7 @@
 }
 
 /// Starts a server whose connections carry one request each, which `respond` answers; returns the
-/// server's address. The bodies of requests are not read. Health requests get a regular response.
+/// server's address. The bodies of requests are left to `respond`. Health requests get a regular response.
 pub async fn start_raw_server<F>(
     respond: impl Fn(RawRequest, TcpStream) -> F + Send + Sync + 'static,
 ) -> SocketAddr
@@ -46,9 +48,10 @@
             let respond = respond.clone();
             tokio::spawn(async move {
                 let mut stream = BufReader::new(stream);
-                let Some(request) = read_head(&mut stream).await else {
+                let Some(mut request) = read_head(&mut stream).await else {
                     return;
                 };
+                request.body = stream.buffer().to_vec();
                 let mut stream = stream.into_inner();
                 if request.path == "/healthz" {
                     // The host may have closed the connection meanwhile.
