Connections to servers: bytes that are no part of a response are bounded

The HTTP library loops over such bytes as fast as they come, and buffers heads of up to 400 KB, which it parses again with each read. The body of a response to a command or a health check was collected without a limit of its size.

Change: a client connection fails after 96 KB without a complete head or a part of the body, whatever the bytes are; heads and read buffers are limited to 32 KB; bodies of responses to commands and health checks to 64 KB. The connection is closed and not kept. Links to the store and to other hosts admit 64 MB of rows.

Tests with a stand-in that sends a head without line end, empty lines, headers, interim responses, chunk sizes, extensions, tiny chunks, trailers, bytes past the length: a hundred requests at once, directly and through a tunnel, at most 120 MB at each host; the same bytes as answers to checks; commands.

--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -8,7 +8,6 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, Response, header, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time;
 
 use super::{
@@ -26,7 +25,7 @@
         server_path::Route,
     },
     platform::headers,
-    transport::{ResponseBody, header_text},
+    transport::{IncomingBody, ResponseBody, header_text},
 };
 
 /// Time after the request's deadline for which the host still waits for the response, so that a
@@ -228,7 +227,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
         resend: Resend,
-    ) -> Result<Response<Incoming>, AttemptOutcome> {
+    ) -> Result<Response<IncomingBody>, AttemptOutcome> {
         let sent = self
             .send_once(entry, server, connection, request, resend)
             .await?;
@@ -260,7 +259,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
         resend: Resend,
-    ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
+    ) -> Result<Result<Response<IncomingBody>, SendError>, AttemptOutcome> {
         let Some(sent_before) = self.send_state.begin_send() else {
             return Err(AttemptOutcome::NotSent("this host stops".to_owned()));
         };
@@ -286,7 +285,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
         resend: Resend,
-    ) -> Result<Result<Response<Incoming>, SendError>, AttemptOutcome> {
+    ) -> Result<Result<Response<IncomingBody>, SendError>, AttemptOutcome> {
         server.path.note_sent();
         tokio::select! {
             biased;
@@ -345,7 +344,7 @@
         connection: &mut Connection,
         request: Request<ResponseBody>,
         resend: Resend,
-    ) -> Result<(response::Parts, Received), AttemptOutcome> {
+    ) -> Result<(response::Parts, Received<IncomingBody>), AttemptOutcome> {
         let connection_lost =
             |error: hyper::Error| AttemptOutcome::ConnectionLost(error.to_string());
         let response = self
--- a/src/entry/forward/body.rs
+++ b/src/entry/forward/body.rs
@@ -114,18 +114,21 @@
 }
 
 /// Body read so far: complete, or a buffered beginning and the unread remainder.
-pub enum Received {
+pub enum Received<B> {
     Whole(BufferedBody),
-    Partial(BufferedBody, Incoming),
+    Partial(BufferedBody, B),
 }
 
 /// Reads a body into memory until it is complete, exceeds [`BUFFERED_BYTES_MAX`], or no memory is
 /// left to extend the reservation.
-pub async fn receive(
-    mut body: Incoming,
+pub async fn receive<B>(
+    mut body: B,
     mut reservation: MemoryReservation,
     memory: &BodyMemory,
-) -> hyper::Result<Received> {
+) -> hyper::Result<Received<B>>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let mut buffer = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let Ok(data) = frame?.into_data() else {
@@ -245,19 +248,22 @@
 
 /// Body whose beginning is buffered, and whose remainder is read from the network while the body is
 /// sent.
-pub struct StreamedBody {
+pub struct StreamedBody<B> {
     /// Beginning of the body, which is sent before `rest`.
     pub first: BufferedBody,
     /// Remainder of the body, which is read from the network only as fast as the receiver takes the
     /// data.
-    pub rest: Incoming,
+    pub rest: B,
     /// Connection to the server from which `rest` is read, kept open until the body is dropped.
     /// `None` for the body of a caller's request.
     #[allow(dead_code, reason = "closed when the body is dropped")]
     pub connection: Option<Connection>,
 }
 
-impl Body for StreamedBody {
+impl<B> Body for StreamedBody<B>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     type Data = Bytes;
     type Error = hyper::Error;
 
--- a/src/entry/join/query.rs
+++ b/src/entry/join/query.rs
@@ -83,7 +83,8 @@
             .header(header::HOST, peer.to_string())
             .body(Full::new(body))
             .context(BuildRequestSnafu)?;
-        let response = Link::new(peer).call(request, QUERY_TIMEOUT_MS).await;
+        let link = Link::new(peer).for_rows();
+        let response = link.call(request, QUERY_TIMEOUT_MS).await;
         let response = response.context(CallSnafu)?;
         if response.status != StatusCode::OK {
             return StatusSnafu {
--- a/src/entry/paths/tunnel.rs
+++ b/src/entry/paths/tunnel.rs
@@ -110,7 +110,7 @@
         left_ms: u64,
     ) -> Result<Connection, TunnelError> {
         let (host, tunnel) = self.tunnel(server, left_ms).await?;
-        let started = server.pool.start(TokioIo::new(tunnel), Some(host)).await;
+        let started = server.pool.start(tunnel, Some(host)).await;
         started.map_err(|_| TunnelError::TimedOut)
     }
 
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -9,16 +9,19 @@
 };
 
 use http::{HeaderMap, Request, Response, header};
-use hyper::{
-    body::Incoming,
-    client::conn::http1::{SendRequest, handshake},
-    rt::{Read, Write},
-};
-use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
-use tokio::{net::TcpStream, task::AbortHandle, time};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    task::AbortHandle,
+    time,
+};
 
-use crate::{clock, entry::decide::server_path::Reach, transport::ResponseBody};
+use crate::{
+    clock,
+    entry::decide::server_path::Reach,
+    transport::{IncomingBody, RequestSender, ResponseBody, start_client},
+};
 
 /// Idle time after which a connection is not reused if the server names no keep-alive timeout.
 /// Servers on the known sites close idle connections after 10 s.
@@ -99,7 +102,7 @@
 /// An HTTP/1.1 connection; closed when dropped.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<ResponseBody>,
+    sender: RequestSender<ResponseBody>,
     /// Task that drives the connection; aborted when the connection is dropped.
     task: AbortHandle,
     /// Host whose tunnel the connection takes; `None` for a direct connection.
@@ -168,7 +171,7 @@
         let opened = async {
             let stream = TcpStream::connect(self.address).await?;
             stream.set_nodelay(true)?;
-            self.start(TokioIo::new(stream), None).await
+            self.start(stream, None).await
         };
         let opened = time::timeout(timeout, opened).await;
         opened.unwrap_or(Err(ConnectError::TimedOut))
@@ -182,10 +185,10 @@
         tunnel: Option<SocketAddr>,
     ) -> Result<Connection, ConnectError>
     where
-        S: Read + Write + Unpin + Send + 'static,
+        S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let address = self.address;
-        let begun = handshake(stream).await;
+        let begun = start_client(stream).await;
         let (sender, connection) = begun.context(ProtocolSnafu)?;
         let task = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -273,8 +276,8 @@
     pub async fn send(
         &mut self,
         request: Request<ResponseBody>,
-    ) -> Result<Response<Incoming>, SendError> {
-        let sent = self.sender.try_send_request(request).await;
+    ) -> Result<Response<IncomingBody>, SendError> {
+        let sent = self.sender.send(request).await;
         if sent.is_ok() {
             self.unanswered_idle_ms = None;
         }
--- a/src/platform/link.rs
+++ b/src/platform/link.rs
@@ -15,16 +15,19 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
-use hyper::{
-    client::conn::http1::{SendRequest, handshake},
-    rt::{Read, Write},
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::TrySendError;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time,
 };
-use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time};
 
 use super::error::{ConnectSnafu, Error, Result, UnansweredSnafu};
-use crate::{clock, transport::TunnelStream};
+use crate::{
+    clock,
+    transport::{RequestSender, TunnelStream, start_client},
+};
 
 /// Timeout for establishing a connection. TCP retransmits a lost SYN packet after one second, so a
 /// longer timeout gains nothing.
@@ -37,6 +40,11 @@
 /// timeout exceeds the lease renewal intervals, so that renewals reuse their connections.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum size of the body of a response to a command or a health check.
+const BODY_BYTES_MAX: usize = 64 * 1024;
+/// Maximum size of the body of a response with rows.
+const ROWS_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// HTTP response whose whole body is in memory.
 #[derive(Debug)]
 pub struct BufferedResponse {
@@ -54,6 +62,8 @@
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
+    /// Maximum size of the body of a response. A call with a larger one fails.
+    body_bytes_max: usize,
     idle: Mutex<Option<IdleConnection>>,
     /// Opens connections through a tunnel; `None` while connections are opened directly.
     tunnel: Mutex<Option<TunnelOpener>>,
@@ -76,7 +86,7 @@
 /// with the process.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: RequestSender<Full<Bytes>>,
     opened_ms: u64,
 }
 
@@ -96,15 +106,25 @@
 }
 
 impl Link {
-    /// Creates a client for calls to `address`, which connects on its first call.
+    /// Creates a client for calls to `address`, which connects on its first call. A call whose response
+    /// has a body of more than [`BODY_BYTES_MAX`] bytes fails.
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            body_bytes_max: BODY_BYTES_MAX,
             idle: Mutex::new(None),
             tunnel: Mutex::new(None),
         }
     }
 
+    /// Admits responses with many rows, of the store or of another host.
+    pub fn for_rows(self) -> Self {
+        Self {
+            body_bytes_max: ROWS_BYTES_MAX,
+            ..self
+        }
+    }
+
     /// Sets how further connections are opened: through tunnels, or directly with `None`. The
     /// connection that is kept for the next call is closed.
     pub fn set_tunnel(&self, tunnel: Option<TunnelOpener>) {
@@ -178,11 +198,15 @@
         timeout_ms: u64,
         head_received: &AtomicBool,
     ) -> Result<BufferedResponse> {
-        let head = connection.sender.send_request(request);
+        let head = async {
+            let sent = connection.sender.send(request).await;
+            sent.map_err(TrySendError::into_error)
+        };
         let response = self.with_timeout(timeout_ms, head).await?;
         head_received.store(true, Ordering::Relaxed);
         let (head, body) = response.into_parts();
-        let body = self.with_timeout(BODY_TIMEOUT_MS, body.collect()).await?;
+        let body = Limited::new(body, self.body_bytes_max).collect();
+        let body = self.with_timeout(BODY_TIMEOUT_MS, body).await?;
         self.keep(connection);
         Ok(BufferedResponse {
             status: head.status,
@@ -199,10 +223,10 @@
         });
     }
 
-    async fn with_timeout<T>(
+    async fn with_timeout<T, E: fmt::Display>(
         &self,
         timeout_ms: u64,
-        step: impl Future<Output = hyper::Result<T>>,
+        step: impl Future<Output = std::result::Result<T, E>>,
     ) -> Result<T> {
         let address = self.address;
         match time::timeout(Duration::from_millis(timeout_ms), step).await {
@@ -238,7 +262,7 @@
         let address = self.address;
         let connecting = async {
             match self.tunnel() {
-                Some(TunnelOpener(open)) => start(address, TokioIo::new(open().await?)).await,
+                Some(TunnelOpener(open)) => start(address, open().await?).await,
                 None => connect(address).await,
             }
         };
@@ -262,16 +286,16 @@
     })?;
     let options = stream.set_nodelay(true).and(stream.set_zero_linger());
     options.map_err(|error| connect_error(error.to_string()))?;
-    start(address, TokioIo::new(stream)).await
+    start(address, stream).await
 }
 
 /// Performs the HTTP/1.1 handshake on a stream to `address`.
 async fn start<S>(address: SocketAddr, stream: S) -> Result<Connection>
 where
-    S: Read + Write + Unpin + Send + 'static,
+    S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
 {
     let opened_ms = clock::now_ms();
-    let begun = handshake(stream).await;
+    let begun = start_client(stream).await;
     let (sender, connection) = begun.map_err(|error| {
         let message = error.to_string();
         Error::Connect { address, message }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -175,7 +175,7 @@
     /// Creates a client that connects on its first call.
     pub fn new(address: SocketAddr) -> Self {
         Self {
-            link: Link::new(address),
+            link: Link::new(address).for_rows(),
             calls: Mutex::default(),
         }
     }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,7 +1,8 @@
-//! HTTP code shared by all modules: HTTP/1 listeners with connection limits, a client for JSON
-//! calls, and the streams of tunnels.
+//! HTTP code shared by all modules: HTTP/1 listeners with connection limits, client connections with
+//! limits, a client for JSON calls, and the streams of tunnels.
 
 mod client;
+mod client_connection;
 mod connection;
 mod listener;
 pub mod pipeline;
@@ -15,6 +16,7 @@
 
 pub use self::{
     client::{CallError, JsonClient},
+    client_connection::{IncomingBody, RequestSender, start_client},
     connection::{CallerAddress, ListenerLimits},
     listener::{serve, serve_pipelined},
     tunnel_stream::{EndOfTunnel, TunnelStream},
--- a/tests/entry_response_ends.rs
+++ b/tests/entry_response_ends.rs
@@ -11,7 +11,6 @@
 };
 
 use http::StatusCode;
-use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -22,9 +21,10 @@
 use self::platform_standin::{
     caller::{TestRequest, send_once},
     hosts::Host,
-    raw_server::{RawRequest, reset, start_raw_server, until_closed},
-    server_proxy::{Cut, Cuts, start_server_proxy},
-    site::{Site, configuration, eventually},
+    raw_server::{RawRequest, reset, respond_healthy, until_closed},
+    raw_site::{start_raw_site, take_tunnels},
+    server_proxy::Cuts,
+    site::{Site, eventually},
 };
 
 /// Timeout of the routes.
@@ -90,6 +90,9 @@
 
 /// Answers with a body without a length, whose end and size the path names.
 async fn respond(request: RawRequest, mut stream: TcpStream) {
+    if request.is_health() {
+        return respond_healthy(stream).await;
+    }
     let mut path = request.path.split('/').skip(2);
     let (end, size) = (path.next(), path.next());
     let size = size.and_then(|size| size.parse().ok()).unwrap_or(0);
@@ -115,33 +118,9 @@
     }
 }
 
-/// Starts hosts in front of a server whose responses have no length, and waits until all serve it.
+/// Starts hosts in front of a server whose responses have no length.
 async fn start_site(hosts: usize) -> (Site, Cuts) {
-    let mut site = Site::start_servers(1).await;
-    let cuts = Cuts::default();
-    let server = start_raw_server(respond).await;
-    let proxy = start_server_proxy(server, cuts.clone()).await;
-    site.orders[0].put_behind_listener(&site.store, proxy);
-    let mut settings = configuration(2, &[]);
-    for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
-        path["timeout"] = json!(format!("{TIMEOUT_MS}ms"));
-    }
-    site.store.put("op", "config", &settings);
-    for _ in 0..hosts {
-        let host = Host::start_with(site.store.address, STOP_GRACE);
-        cuts.add_host(host.pid());
-        site.hosts.push(host);
-    }
-    site.await_ready().await;
-    for host in &site.hosts {
-        eventually("a host serves the server", 8_000, async || {
-            WHOLE.failure(host).await.is_none()
-        })
-        .await;
-    }
-    // Hosts learn from each other which of them carry tunnels.
-    time::sleep(Duration::from_secs(1)).await;
-    (site, cuts)
+    start_raw_site(hosts, TIMEOUT_MS, STOP_GRACE, respond).await
 }
 
 /// Whole response.
@@ -150,16 +129,6 @@
     body_bytes: SMALL_BYTES,
 };
 
-/// Partitions the first host from the servers, and waits until it takes tunnels.
-async fn take_tunnels(site: &Site, cuts: &Cuts) {
-    cuts.begin(site.hosts[0].pid(), Cut::NewReset);
-    eventually("requests take tunnels", 8_000, async || {
-        let failure = WHOLE.failure(&site.hosts[0]).await;
-        failure.is_none() && !site.hosts[0].events("path_lost").is_empty()
-    })
-    .await;
-}
-
 /// Guards against responses without a length that were cut behind a tunnel and passed on as whole.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_response_that_its_server_resets_is_not_whole() {
--- a/tests/platform_link.rs
+++ b/tests/platform_link.rs
@@ -9,7 +9,7 @@
 use std::{
     io::{Read, Write},
     net::{TcpListener, TcpStream},
-    thread,
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
@@ -24,6 +24,10 @@
 /// Longest time that a call takes if it does not use the broken connection.
 const PROMPT_MAX: Duration = Duration::from_millis(1_000);
 
+/// Number of bytes that a peer can send before a client closes the connection, with those that the
+/// operating system buffers.
+const SENT_BYTES_MAX: usize = 16_000_000;
+
 /// Responds to `calls` requests on a connection and then keeps it open without responding.
 fn respond(mut stream: TcpStream, calls: usize) {
     for _ in 0..calls {
@@ -107,3 +111,51 @@
         assert!(!link.has_open_connection(), "{name}");
     }
 }
+
+/// Guards against a server that fills the memory of a host by a response without end to a command or
+/// a health check.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_without_end_fails_at_once() {
+    let cases = [
+        ("head", "HTTP/1.1 200 OK\r\nx: "),
+        ("interim responses", ""),
+        ("body", "HTTP/1.1 200 OK\r\n\r\n"),
+    ];
+    for (name, start) in cases {
+        let repeated = if start.is_empty() {
+            "HTTP/1.1 100 Continue\r\n\r\n"
+        } else {
+            "x"
+        };
+        let (link, sent) = endless_peer(start, repeated);
+        let request = Request::get("/").body(Full::new(Bytes::new()));
+        let started = Instant::now();
+        let error = link.call(request.expect("a request"), TIMEOUT_MS).await;
+        error.expect_err(name);
+        assert!(started.elapsed() < PROMPT_MAX, "{name}: {started:?}");
+        let sent_bytes = sent.join().expect("the sender");
+        assert!(sent_bytes < SENT_BYTES_MAX, "{name}: {sent_bytes} bytes");
+    }
+}
+
+/// Starts a peer that sends `start`, and then `repeated` without end; returns a client and the number
+/// of bytes that the peer has sent when the client closes the connection.
+fn endless_peer(start: &'static str, repeated: &'static str) -> (Link, JoinHandle<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let sender = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 1024];
+        let length = stream.read(&mut request).expect("a request");
+        assert!(length > 0, "no request");
+        let piece = repeated.repeat(1_000);
+        let mut sent_bytes = 0;
+        let mut next = start;
+        while stream.write_all(next.as_bytes()).is_ok() {
+            sent_bytes += next.len();
+            next = &piece;
+        }
+        sent_bytes
+    });
+    (Link::new(address), sender)
+}
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -11,6 +11,7 @@
 pub mod process_delays;
 pub mod proxy;
 pub mod raw_server;
+pub mod raw_site;
 pub mod record;
 pub mod server;
 pub mod server_proxy;
--- a/tests/platform_standin/raw_server.rs
+++ b/tests/platform_standin/raw_server.rs
@@ -9,6 +9,8 @@
 
 use super::next_address;
 
+/// Path of health requests.
+const HEALTH_PATH: &str = "/healthz";
 /// Response to a health request.
 const HEALTHY: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
@@ -24,6 +26,11 @@
 }
 
 impl RawRequest {
+    /// Returns true for a health request.
+    pub fn is_health(&self) -> bool {
+        self.path == HEALTH_PATH
+    }
+
     /// Returns the status line and the headers that all responses need, without the empty line that
     /// ends the head.
     pub fn head(&self) -> String {
@@ -32,8 +39,15 @@
     }
 }
 
+/// Answers a health request.
+pub async fn respond_healthy(mut stream: TcpStream) {
+    // The host may have closed the connection.
+    stream.write_all(HEALTHY).await.ok();
+    until_closed(&mut stream).await;
+}
+
 /// Starts a server whose connections carry one request each, which `respond` answers; returns the
-/// server's address. The bodies of requests are left to `respond`. Health requests get a regular response.
+/// server's address. The bodies of requests are left to `respond`.
 pub async fn start_raw_server<F>(
     respond: impl Fn(RawRequest, TcpStream) -> F + Send + Sync + 'static,
 ) -> SocketAddr
@@ -52,13 +66,7 @@
                     return;
                 };
                 request.body = stream.buffer().to_vec();
-                let mut stream = stream.into_inner();
-                if request.path == "/healthz" {
-                    // The host may have closed the connection meanwhile.
-                    stream.write_all(HEALTHY).await.ok();
-                    return;
-                }
-                respond(request, stream).await;
+                respond(request, stream.into_inner()).await;
             });
         }
     });
