Streamed responses: one limit of time, the deadline of the request

Cause: the timeout of an attempt covers the first 256 KB, which the host buffers; the rest was passed on without any limit.

Change: the connection of a streamed response is closed when the request's deadline has passed, by a task of its own, so that it holds while nobody reads too. The body then ends in an error, which a caller sees as a response that breaks off. A caller that reads slowly within the timeout gets the whole response (a_caller_that_reads_slowly_gets_the_whole_response).

--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -73,7 +73,7 @@
         }
         let sent = Instant::now();
         let sent_ms = clock::now_ms();
-        let timeout = Duration::from_millis(self.left_ms() + DEADLINE_SLACK_MS);
+        let timeout = self.response_timeout();
         let resend = payload.resend();
         let exchange = self.exchange(entry, server, &mut connection, request, resend);
         let (head, body) = match time::timeout(timeout, exchange).await {
@@ -114,16 +114,25 @@
                 }
                 body.boxed()
             }
-            Received::Partial(first, rest) => StreamedBody {
-                first,
-                rest,
-                connection: Some(connection),
+            Received::Partial(first, rest) => {
+                connection.close_after(self.response_timeout());
+                let connection = Some(connection);
+                StreamedBody {
+                    first,
+                    rest,
+                    connection,
+                }
+                .boxed()
             }
-            .boxed(),
         };
         AttemptOutcome::Answered(build_response(head, body))
     }
 
+    /// Returns the time for which the host still waits for the end of the response.
+    fn response_timeout(&self) -> Duration {
+        Duration::from_millis(self.left_ms() + DEADLINE_SLACK_MS)
+    }
+
     /// Ends the trial (single supervised attempt) of a suspect request after the server has
     /// answered the request, so that the server may run the next suspect request (request that was
     /// in flight when a server crashed). Does nothing if this attempt is not a trial.
--- a/src/entry/pool.rs
+++ b/src/entry/pool.rs
@@ -105,6 +105,8 @@
     sender: RequestSender<ResponseBody>,
     /// Task that drives the connection; aborted when the connection is dropped.
     task: AbortHandle,
+    /// Task that closes the connection after a time; `None` while the time is not limited.
+    time_limit: Option<AbortHandle>,
     /// Host whose tunnel the connection takes; `None` for a direct connection.
     tunnel: Option<SocketAddr>,
     /// Idle time up to which the connection is reused.
@@ -118,6 +120,9 @@
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
+        if let Some(time_limit) = &self.time_limit {
+            time_limit.abort();
+        }
     }
 }
 
@@ -198,6 +203,7 @@
         Ok(Connection {
             sender,
             task: task.abort_handle(),
+            time_limit: None,
             tunnel,
             idle_limit_ms: IDLE_DEFAULT_MS,
             idle_since_ms: clock::now_ms(),
@@ -267,6 +273,17 @@
         self.tunnel
     }
 
+    /// Closes the connection after this time, so that a body which is still being received ends in an
+    /// error, also if nobody reads it.
+    pub fn close_after(&mut self, time: Duration) {
+        let task = self.task.clone();
+        let closing = tokio::spawn(async move {
+            time::sleep(time).await;
+            task.abort();
+        });
+        self.time_limit = Some(closing.abort_handle());
+    }
+
     fn idle_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.idle_since_ms)
     }
--- a/tests/entry_endless_bytes.rs
+++ b/tests/entry_endless_bytes.rs
@@ -324,6 +324,14 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against responses whose bodies never end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn bodies_without_end_end_with_the_timeout() {
+    let _guard = RUN_LOCK.lock().await;
+    let failures = failures(&BODIES).await;
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against checks of paths and of health that read without end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn checks_do_not_read_bytes_without_end() {
--- a/tests/entry_response_ends.rs
+++ b/tests/entry_response_ends.rs
@@ -15,7 +15,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     sync::Mutex,
-    time,
+    time::{self, Instant},
 };
 
 use self::platform_standin::{
@@ -33,6 +33,8 @@
 const SMALL_BYTES: usize = 40_000;
 /// Length of a body that a host passes on while it arrives.
 const LARGE_BYTES: usize = 600_000;
+/// Length of a body that neither a host nor the operating system buffers.
+const VERY_LARGE_BYTES: usize = 8_000_000;
 /// Pause between the halves of a body, in which the first half arrives.
 const PAUSE: Duration = Duration::from_millis(50);
 /// Setting by which a stopping host exits before the responses that it carries time out.
@@ -349,3 +351,62 @@
     .await;
     received() == Some(true)
 }
+
+/// Time after the timeout of a route by which a response must have its end.
+const END_GRACE: Duration = Duration::from_millis(500);
+/// Number of bytes that a slow caller reads at a time.
+const SLOW_READ_BYTES: usize = 20_000;
+
+/// Guards against large responses whose server falls silent and that never end.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_response_of_a_silent_server_ends_with_the_timeout() {
+    let _guard = RUN_LOCK.lock().await;
+    let (site, cuts) = start_site(2).await;
+    let held = Case {
+        end: End::Hold,
+        body_bytes: LARGE_BYTES,
+    };
+    let mut failures = Vec::new();
+    for is_behind_tunnel in [false, true] {
+        if is_behind_tunnel {
+            take_tunnels(&site, &cuts).await;
+        }
+        let began = Instant::now();
+        let limit = Duration::from_millis(TIMEOUT_MS) + END_GRACE;
+        let ended = time::timeout(2 * limit, held.failure(&site.hosts[0])).await;
+        if ended != Ok(None) || began.elapsed() > limit {
+            let after = began.elapsed();
+            failures.push(format!(
+                "tunnel {is_behind_tunnel}: {ended:?} after {after:?}"
+            ));
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a limit of time that cuts callers who read slowly, but within the timeout.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_caller_that_reads_slowly_gets_the_whole_response() {
+    let _guard = RUN_LOCK.lock().await;
+    let (site, _) = start_site(1).await;
+    let case = Case {
+        end: End::Close,
+        body_bytes: VERY_LARGE_BYTES,
+    };
+    let began = Instant::now();
+    let mut stream = send_http_1_0(site.hosts[0].callers, case, "").await;
+    let mut response = Vec::new();
+    let pieces = VERY_LARGE_BYTES / SLOW_READ_BYTES;
+    let pause = Duration::from_millis(TIMEOUT_MS) * 3 / 4 / pieces as u32;
+    let mut piece = vec![0; SLOW_READ_BYTES];
+    loop {
+        let length = stream.read(&mut piece).await.expect("no reset");
+        if length == 0 {
+            break;
+        }
+        response.extend_from_slice(&piece[..length]);
+        time::sleep(pause).await;
+    }
+    assert!(began.elapsed() > Duration::from_millis(TIMEOUT_MS / 2));
+    assert!(response.len() > VERY_LARGE_BYTES, "{}", response.len());
+}
