Connections to servers: heads of responses up to 16 KB

The host that handles a hundred connections with bytes without end at once, as a debug build beside a load of 7.5, had the final responses of chunk sizes without end through a tunnel 2,206 ms after their sending; 2,000 are wanted (bytes_that_are_no_body_do_not_occupy_a_host, red in 1 of 1 such runs).

--- a/src/transport/client_connection.rs
+++ b/src/transport/client_connection.rs
@@ -25,7 +25,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Maximum size of the head of a response, and of the read buffer of a connection.
-const HEAD_BYTES_MAX: usize = 32 * 1024;
+const HEAD_BYTES_MAX: usize = 16 * 1024;
 /// Maximum number of bytes that are read without a complete head or a part of the body. The HTTP library
 /// reads up to two buffers ahead of the receiver of a body.
 const UNUSED_BYTES_MAX: usize = 3 * HEAD_BYTES_MAX;
