--- a/tests/entry_endless_bytes.rs
+++ b/tests/entry_endless_bytes.rs
@@ -4,6 +4,7 @@
 mod platform_standin;
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc, Mutex as StdMutex,
@@ -263,17 +264,22 @@
     }
 }
 
-/// Reads one response until the connection ends. It must begin with a final status.
-async fn receive(callers: SocketAddr, name: &str) -> Result<(), String> {
-    let stream = TcpStream::connect(callers).await;
-    let mut stream = stream.map_err(|error| error.to_string())?;
+/// Sends one request and returns its connection.
+async fn send(callers: SocketAddr, name: &str) -> io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(callers).await?;
     let id = format!("{:016x}", rand::random::<u64>());
     let request = format!(
         "POST /orders/{name} HTTP/1.1\r\nhost: site.example\r\nrequest-id: {id}\r\n\
          deadline-ms: 8000\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
     );
-    let sent = stream.write_all(request.as_bytes()).await;
-    sent.map_err(|error| error.to_string())?;
+    stream.write_all(request.as_bytes()).await?;
+    Ok(stream)
+}
+
+/// Reads one response until the connection ends. It must begin with a final status.
+async fn receive(callers: SocketAddr, name: &str) -> Result<(), String> {
+    let sent = send(callers, name).await;
+    let mut stream = sent.map_err(|error| error.to_string())?;
     let mut status = [0; 12];
     let read = stream.read_exact(&mut status).await;
     read.map_err(|error| format!("no status: {error}"))?;
@@ -332,6 +338,35 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against callers that read nothing and keep the connections to a server open with them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn callers_that_read_nothing_keep_no_connection_to_a_server() {
+    let _guard = RUN_LOCK.lock().await;
+    let server = EndlessServer::default();
+    let (site, cuts) = server.start_site(2).await;
+    let mut failures = Vec::new();
+    for path in ["direct", "tunnel"] {
+        if path == "tunnel" {
+            take_tunnels(&site, &cuts).await;
+        }
+        for case in &BODIES {
+            let mut unread = Vec::new();
+            for _ in 0..REQUESTS {
+                let sent = send(site.hosts[0].callers, case.name).await;
+                unread.push(sent.expect("a connection"));
+            }
+            time::sleep(Duration::from_millis(TIMEOUT_MS)).await;
+            let memory_mb = site.hosts.iter().map(Host::memory_mb).max();
+            if memory_mb >= Some(MEMORY_MB) {
+                failures.push(format!("{path}, {}: {memory_mb:?} MB", case.name));
+            }
+            failures.extend(server.still_sending(path).await);
+            failures.extend(unserved(&site.hosts[0]).await);
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Guards against checks of paths and of health that read without end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn checks_do_not_read_bytes_without_end() {
