Unrepeatable requests: nothing is sent for a caller that has left

Cause: an unrepeatable request runs in a task of its own, so that its run is not cut off; the task did not learn that its caller had left, and after 503 or 421 (not run), or a connection attempt without a response, it chose the next server and sent the request there.

Fix: the task observes a guard that the handler of the caller holds. It stops choosing when the caller leaves, and no path sends after that. A run that has begun goes on. Logged and counted as abandoned.

--- a/src/entry/forward/attempt.rs
+++ b/src/entry/forward/attempt.rs
@@ -79,7 +79,9 @@
                         self.end_trial(entry, server);
                     }
                     // The server does not run the request, so it is no suspect if it crashes.
-                    AttemptOutcome::NotSent(_) | AttemptOutcome::InBackoff => in_flight.answered(),
+                    AttemptOutcome::NotSent(_)
+                    | AttemptOutcome::InBackoff
+                    | AttemptOutcome::CallerLeft => in_flight.answered(),
                     _ => {}
                 }
                 return attempt;
--- a/src/entry/forward/attempt_outcome.rs
+++ b/src/entry/forward/attempt_outcome.rs
@@ -42,6 +42,8 @@
     /// The server has asked this host for a backoff (a period without requests), so the request was
     /// not sent.
     InBackoff,
+    /// The caller left before the request was sent.
+    CallerLeft,
     /// The server responded that it did not run the request.
     NotRun(StatusCode),
     /// The server may have run the request; its response is not usable.
--- a/src/entry/forward/forwarded_request.rs
+++ b/src/entry/forward/forwarded_request.rs
@@ -7,6 +7,7 @@
 use super::{
     attempt_outcome::{AttemptOutcome, GivenUp},
     body::Payload,
+    caller::Caller,
     head::refusal,
     stop_response::SendState,
     times::Times,
@@ -52,6 +53,8 @@
     pub(super) request_id: &'a str,
     pub(super) digests: RequestDigests,
     pub(super) times: Times,
+    /// Presence of the caller; the request is not sent to a server after the caller has left.
+    pub(super) caller: &'a Caller,
     /// Record of whether the request may have reached a server.
     pub(super) send_state: &'a SendState,
     /// Number of times that the request was sent without a usable response. Failed connection
@@ -154,9 +157,12 @@
             return refused;
         }
         loop {
-            let server = match self.choose(entry).await {
-                Ok(server) => server,
-                Err(refused) => return self.refuse(entry, refused.reason.to_owned(), &refused),
+            let server = match self.choose_while_present(entry).await {
+                Some(Ok(server)) => server,
+                Some(Err(refused)) => {
+                    return self.refuse(entry, refused.reason.to_owned(), &refused);
+                }
+                None => return self.abandon(entry),
             };
             self.last = Some(server.clone());
             let mut outcome = self.attempt(entry, &server, payload).await;
@@ -170,6 +176,7 @@
                     self.not_sent(entry, payload, &server, &reason).await
                 }
                 AttemptOutcome::InBackoff => None,
+                AttemptOutcome::CallerLeft => Some(self.abandon(entry)),
                 AttemptOutcome::NotRun(status) => {
                     self.not_run(entry, payload, &server, status).await
                 }
@@ -198,6 +205,29 @@
         }
     }
 
+    /// Chooses the server for the next attempt, or returns the reason to refuse the request. Returns
+    /// `None` if the caller leaves before.
+    async fn choose_while_present(
+        &mut self,
+        entry: &Entry,
+    ) -> Option<Result<Arc<Server>, Refused>> {
+        let caller = self.caller;
+        tokio::select! {
+            biased;
+            () = caller.left() => None,
+            chosen = self.choose(entry) => Some(chosen),
+        }
+    }
+
+    /// Logs and counts a request that is not sent, or not sent again, because its caller has left.
+    /// Nobody receives the response.
+    fn abandon(&self, entry: &Entry) -> Response<ResponseBody> {
+        let reason = "the caller has left";
+        self.log(entry, "abandoned", reason.to_owned());
+        self.end(entry, "abandoned");
+        refusal(&Refused::soon(reason, &entry.settings.policy))
+    }
+
     /// Counts an answered request in the metrics and returns its response. Only a sample of the
     /// answered requests is logged.
     fn answered(&self, entry: &Entry, response: Response<ResponseBody>) -> Response<ResponseBody> {
--- a/src/entry/forward/mod.rs
+++ b/src/entry/forward/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod attempt_outcome;
 pub(super) mod body;
+mod caller;
 pub(super) mod caller_handler;
 mod choose;
 mod connection;
@@ -23,6 +24,7 @@
 
 use self::{
     body::{Payload, read_payload},
+    caller::Caller,
     forwarded_request::ForwardedRequest,
     head::{over_quota, plain_text, refusal, unauthorized},
     stop_response::SendState,
@@ -119,10 +121,12 @@
         caller_deadline_ms: arrived_ms.saturating_add(requested_ms.unwrap_or(left_ms)),
         age: RequestAge::default(),
     };
+    let (caller_guard, caller) = Caller::present();
     let caller_request = CallerRequest {
         route,
         workspace,
         times,
+        caller,
         send_state,
     };
     let tracked = (!repeatable).then(|| entry.track_unrepeatable());
@@ -138,21 +142,24 @@
     }
     // An unrepeatable request must not be cut off at its server when the caller disconnects, so it
     // runs in a task of its own.
-    match tokio::spawn(forwarding).await {
+    let response = match tokio::spawn(forwarding).await {
         Ok(response) => response,
         Err(error) => {
             log::error!("the task of an unrepeatable request failed: {error}");
             plain_text(StatusCode::BAD_GATEWAY, "the request ended early")
         }
-    }
+    };
+    drop(caller_guard);
+    response
 }
 
 /// Route and workspace of a caller's request, with the arrival time, latency objective and deadline
-/// of the request, and the record of whether it was sent.
+/// of the request, the presence of the caller, and the record of whether the request was sent.
 struct CallerRequest {
     route: Arc<Route>,
     workspace: Option<WorkspaceKey>,
     times: Times,
+    caller: Caller,
     send_state: Arc<SendState>,
 }
 
@@ -216,6 +223,7 @@
         route,
         workspace,
         times,
+        caller,
         send_state,
     } = caller_request;
     let Some(target) = choose_target(&route.targets) else {
@@ -252,6 +260,7 @@
         request_id,
         digests,
         times: times.with_age(age),
+        caller,
         send_state,
         attempts: 0,
         failed_connects: 0,
--- a/src/entry/forward/send.rs
+++ b/src/entry/forward/send.rs
@@ -58,8 +58,8 @@
         sent.map_err(not_answered)
     }
 
-    /// Sends the request on a connection, unless the caller was told at the end of the grace period
-    /// of a planned stop that it may repeat the request.
+    /// Sends the request on a connection, unless the caller has left, or was told at the end of the
+    /// grace period of a planned stop that it may repeat the request.
     async fn send_once(
         &self,
         entry: &Entry,
@@ -68,6 +68,9 @@
         request: Request<ResponseBody>,
         resend: Resend,
     ) -> Result<Result<Response<IncomingBody>, SendError>, AttemptOutcome> {
+        if self.caller.has_left() {
+            return Err(AttemptOutcome::CallerLeft);
+        }
         let Some(sent_before) = self.send_state.begin_send() else {
             return Err(AttemptOutcome::NotSent("this host stops".to_owned()));
         };
--- a/tests/entry_stop.rs
+++ b/tests/entry_stop.rs
@@ -9,53 +9,16 @@
 
 use http::StatusCode;
 use serde_json::json;
-use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
-    time,
-};
+use tokio::time;
 
 use self::platform_standin::{
     caller::{CallerResponse, TestRequest, send_once},
     hosts::Host,
-    next_address,
     site::{Site, configuration, eventually},
     store::Store,
+    unresponsive::Unresponsive,
 };
 
-/// Server that gives no response.
-#[derive(Debug)]
-struct Unresponsive {
-    listener: TcpListener,
-    /// Connections that fill the accept queue, so that no further connection can be opened.
-    #[allow(dead_code, reason = "closed when the server is dropped")]
-    queued: Vec<TcpStream>,
-}
-
-impl Unresponsive {
-    /// Starts a server whose operating system accepts connections, which nobody reads from, or that
-    /// lets all connection attempts time out.
-    async fn start(is_reachable: bool) -> Self {
-        let socket = TcpSocket::new_v4().expect("socket");
-        socket.bind(next_address(0)).expect("address");
-        let listener = socket
-            .listen(if is_reachable { 64 } else { 0 })
-            .expect("listener");
-        let address = listener.local_addr().expect("address");
-        let mut queued = Vec::new();
-        if !is_reachable {
-            let connect = || time::timeout(Duration::from_millis(200), TcpStream::connect(address));
-            while let Ok(stream) = connect().await {
-                queued.push(stream.expect("connection"));
-            }
-        }
-        Self { listener, queued }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().expect("address")
-    }
-}
-
 async fn send(host: SocketAddr, method: &str, path: &str) -> Option<CallerResponse> {
     let ask = TestRequest {
         method,
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -19,6 +19,7 @@
 pub mod socket_diagnosis;
 pub mod store;
 pub mod traffic;
+pub mod unresponsive;
 
 use std::{
     net::{IpAddr, Ipv4Addr, SocketAddr},
