--- a/tests/entry_caller_left.rs
+++ b/tests/entry_caller_left.rs
@@ -19,7 +19,7 @@
     hosts::Host,
     raw_server::{RawRequest, respond_healthy, start_raw_server, until_closed},
     server_proxy::{Cut, Cuts, start_server_proxy},
-    site::{Site, configuration, eventually},
+    site::{Site, configuration_with_timeout, eventually, routes},
     unresponsive::Unresponsive,
 };
 
@@ -38,10 +38,9 @@
 
 /// Returns a configuration in which all routes are unrepeatable.
 fn unrepeatable_routes() -> Value {
-    let mut settings = configuration(2, &[]);
-    for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
+    let mut settings = configuration_with_timeout(&[], TIMEOUT_MS);
+    for path in routes(&mut settings) {
         path["kind"] = json!("unsafe");
-        path["timeout"] = json!(format!("{TIMEOUT_MS}ms"));
     }
     settings
 }
--- a/tests/entry_path_checks.rs
+++ b/tests/entry_path_checks.rs
@@ -6,7 +6,6 @@
 use std::{net::SocketAddr, time::Duration};
 
 use http::StatusCode;
-use serde_json::json;
 use tokio::{sync::Mutex, task::JoinHandle, time};
 
 use self::platform_standin::{
@@ -15,7 +14,7 @@
     hosts::Host,
     server::Server,
     server_proxy::{Cut, Cuts},
-    site::{ORDERS, Site, configuration, eventually},
+    site::{ORDERS, Site, configuration_with_timeout, eventually},
     traffic::{Traffic, Workload},
 };
 
@@ -121,10 +120,7 @@
 /// Starts hosts that may not retry, with a route of repeatable requests to the service without keys,
 /// and waits until they serve that route.
 async fn start_hosts(site: &mut Site, hosts: usize, started: impl Fn(&Host)) {
-    let mut settings = configuration(2, &[READS]);
-    for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
-        path["timeout"] = json!(format!("{TIMEOUT_MS}ms"));
-    }
+    let settings = configuration_with_timeout(&[READS], TIMEOUT_MS);
     site.store.put("op", "config", &settings);
     for _ in 0..hosts {
         let host = Host::start_with(site.store.address, NO_RETRIES);
@@ -237,9 +233,7 @@
     let _guard = RUN_LOCK.lock().await;
     let mut site = Site::start_servers(1).await;
     let cuts = Cuts::default();
-    for server in site.keyed.iter_mut().chain(&mut site.orders) {
-        server.put_behind_proxy(&site.store, &cuts).await;
-    }
+    site.put_behind_proxies(&cuts).await;
     start_hosts(&mut site, 3, |host| cuts.add_host(host.pid())).await;
     let partitioned = &site.hosts[0];
     cuts.begin(partitioned.pid(), Cut::Silent);
@@ -267,9 +261,7 @@
     let _guard = RUN_LOCK.lock().await;
     let mut site = Site::start_servers(1).await;
     let cuts = Cuts::default();
-    for server in site.keyed.iter_mut().chain(&mut site.orders) {
-        server.put_behind_proxy(&site.store, &cuts).await;
-    }
+    site.put_behind_proxies(&cuts).await;
     start_hosts(&mut site, 3, |host| cuts.add_host(host.pid())).await;
     let partitioned = &site.hosts[0];
     site.orders[0].set_work_ms(WORK_MS);
--- a/tests/entry_stop.rs
+++ b/tests/entry_stop.rs
@@ -14,18 +14,21 @@
 use self::platform_standin::{
     caller::{CallerResponse, TestRequest, send_once},
     hosts::Host,
-    site::{Site, configuration, eventually},
+    site::{Site, configuration_with_timeout, eventually},
     store::Store,
     unresponsive::Unresponsive,
 };
 
+/// Timeout of the routes, and time until the deadline of the requests.
+const DEADLINE_MS: u64 = 5_000;
+
 async fn send(host: SocketAddr, method: &str, path: &str) -> Option<CallerResponse> {
     let ask = TestRequest {
         method,
         path,
         id: path,
         key: None,
-        deadline_ms: 5_000,
+        deadline_ms: DEADLINE_MS,
     };
     send_once(host, ask).await
 }
@@ -51,10 +54,7 @@
     for case in cases {
         let server = Unresponsive::start(case.is_reachable).await;
         let store = Store::start().await;
-        let mut settings = configuration(1, &["/reads/"]);
-        for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
-            path["timeout"] = json!("5000ms");
-        }
+        let settings = configuration_with_timeout(&["/reads/"], DEADLINE_MS);
         store.put("op", "config", &settings);
         // Further servers at the address are tried after the first failed connection attempt.
         for id in ["i-0000000001", "i-0000000002", "i-0000000003"] {
@@ -103,10 +103,7 @@
 #[tokio::test]
 async fn a_stop_waits_for_an_unrepeatable_request_whose_caller_has_left() {
     let mut site = Site::start_servers(1).await;
-    let mut settings = configuration(2, &[]);
-    for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
-        path["timeout"] = json!("5000ms");
-    }
+    let settings = configuration_with_timeout(&[], DEADLINE_MS);
     site.store.put("op", "config", &settings);
     site.hosts.push(Host::start(&site.store));
     site.await_ready().await;
--- a/tests/platform_standin/raw_site.rs
+++ b/tests/platform_standin/raw_site.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use serde_json::json;
 use tokio::{net::TcpStream, time};
 
 use super::{
@@ -12,7 +11,7 @@
     raw_server::{RawRequest, start_raw_server},
     server::{Server, ServerKind},
     server_proxy::{Cut, Cuts, start_server_proxy},
-    site::{ORDERS, Site, configuration, eventually},
+    site::{ORDERS, Site, configuration_with_timeout, eventually},
 };
 
 /// Service whose server takes as many requests as a test sends.
@@ -45,10 +44,7 @@
     let server = start_raw_server(respond).await;
     let proxy = start_server_proxy(server, cuts.clone()).await;
     site.orders[0].put_behind_listener(&site.store, proxy);
-    let mut settings = configuration(2, &["/reads/"]);
-    for path in settings["hosts"][0]["paths"].as_array_mut().expect("paths") {
-        path["timeout"] = json!(format!("{timeout_ms}ms"));
-    }
+    let settings = configuration_with_timeout(&["/reads/"], timeout_ms);
     site.store.put("op", "config", &settings);
     for _ in 0..hosts {
         let host = Host::start_with(site.store.address, more_bounds);
--- a/tests/platform_standin/site.rs
+++ b/tests/platform_standin/site.rs
@@ -93,9 +93,7 @@
     pub async fn start_behind_proxies(zones: &[&str], servers: usize) -> (Self, Cuts) {
         let mut site = Self::start_servers(servers).await;
         let cuts = Cuts::default();
-        for server in site.keyed.iter_mut().chain(&mut site.orders) {
-            server.put_behind_proxy(&site.store, &cuts).await;
-        }
+        site.put_behind_proxies(&cuts).await;
         for zone in zones {
             let host = Host::start_in(zone, site.store.address, "");
             cuts.add_host(host.pid());
@@ -105,6 +103,13 @@
         (site, cuts)
     }
 
+    /// Puts all servers, before hosts start, behind proxies that can partition hosts from them.
+    pub async fn put_behind_proxies(&mut self, cuts: &Cuts) {
+        for server in self.keyed.iter_mut().chain(&mut self.orders) {
+            server.put_behind_proxy(&self.store, cuts).await;
+        }
+    }
+
     /// Starts a deployment whose sharded service is contended, with crashable servers, and waits
     /// until all hosts are ready and all keys are served. Checks from then on that no key has two
     /// owners.
@@ -253,6 +258,21 @@
     })
 }
 
+/// Builds a second version of the configuration, in which all routes have this timeout.
+pub fn configuration_with_timeout(more_prefixes: &[&str], timeout_ms: u64) -> Value {
+    let mut settings = configuration(2, more_prefixes);
+    for path in routes(&mut settings) {
+        path["timeout"] = json!(format!("{timeout_ms}ms"));
+    }
+    settings
+}
+
+/// Returns the routes of a configuration.
+pub fn routes(settings: &mut Value) -> &mut [Value] {
+    let paths = settings["hosts"][0]["paths"].as_array_mut();
+    paths.expect("paths")
+}
+
 /// Sends a read of a key of the sharded service to a host and returns the status of the response;
 /// `None` if no response arrives.
 pub async fn get(host: &Host, key: u16) -> Option<StatusCode> {
