Takeover: the wait behind other hosts grows with the logarithm of their number

Cause: after the loss of a leader hosts watch its row in an order, two more each 0.5 s. The order holds every host that has a row, and rows of hosts that are gone stay: 300 of them are 75 s. Fix: each 0.5 s twice as many begin, 3.5 s behind 300.

Ruled out: removing the rows alone, since the last 300 of them can be fresh. Open: the rows stay, and budgets and quotas are divided by a number that counts them.

--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use ashroad::entry::decide::takeover;
+use serde_json::json;
 use tokio::{
     sync::Mutex,
     task::{JoinSet, LocalSet},
@@ -404,3 +406,62 @@
     .await;
     began.elapsed().as_millis() as u64
 }
+
+/// Guards against hosts that wait for a takeover by each host that is gone before they watch the
+/// leadership row.
+#[tokio::test]
+async fn a_leader_is_replaced_behind_many_hosts_that_are_gone() {
+    const GONE: u32 = 300;
+    /// Time after their start in which hosts read the rows of all hosts.
+    const HOSTS_READ_AFTER: Duration = Duration::from_secs(4);
+    let mut site = Site::start_servers(1).await;
+    for number in 0..GONE {
+        let address = format!("127.9.{}.{}:7000", number / 250, number % 250 + 1);
+        // Hosts with a larger processor share come first in the takeover order.
+        let row = json!({"incarnation": number, "availability_zone": "a", "processor_share": 4.0});
+        let row = row.to_string();
+        site.store
+            .put_bytes("ashroad", &format!("host/{address}"), row.as_bytes());
+    }
+    for _ in 0..2 {
+        site.hosts.push(Host::start(&site.store));
+    }
+    site.await_ready().await;
+    time::sleep(HOSTS_READ_AFTER).await;
+    let leader = leader(&site);
+    site.hosts[leader].kill();
+    let other = &site.hosts[1 - leader];
+    eventually("the other host is the leader", 10_000, async || {
+        times_taken(other) == 1
+    })
+    .await;
+}
+
+#[test]
+fn the_time_until_a_host_watches_the_leadership_grows_slowly_with_its_rank() {
+    struct Case {
+        ranks: [usize; 2],
+        delay_ms: u64,
+    }
+    let cases = [
+        Case {
+            ranks: [0, 1],
+            delay_ms: 0,
+        },
+        Case {
+            ranks: [2, 5],
+            delay_ms: 500,
+        },
+        Case {
+            ranks: [6, 13],
+            delay_ms: 1_000,
+        },
+        Case {
+            ranks: [254, 509],
+            delay_ms: 3_500,
+        },
+    ];
+    for Case { ranks, delay_ms } in cases {
+        assert_eq!(ranks.map(takeover::watch_delay_ms), [delay_ms; 2]);
+    }
+}
