--- a/src/entry/decide/mod.rs
+++ b/src/entry/decide/mod.rs
@@ -32,7 +32,6 @@
 //! | [`ended`] | servers whose process has ended while their leases still run |
 //! | [`server_path`] | hosts that lose their network path to the servers |
 //! | [`lease_expiry`] | servers that are frozen or disconnected from the leader and may hold leases |
-//! | [`takeover`] | the loss of the leader among hosts of which many are gone |
 //! | [`warmup`] | servers that have just started and can run few requests |
 //! | [`first`] | keys that are not assigned yet, while servers start one after the other |
 //! | [`backoffs`] | servers that ask many hosts for a backoff at the same time |
@@ -73,7 +72,6 @@
 pub mod server_path;
 pub mod shortage;
 pub mod slowdown;
-pub mod takeover;
 pub mod trials;
 pub mod warmup;
 
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -15,7 +15,7 @@
     clock,
     entry::{
         Entry,
-        decide::{lease_expiry::EarlierLeaders, takeover},
+        decide::lease_expiry::EarlierLeaders,
         events::LeadershipEvent,
         rows::decode_assignment_rows,
         updates::own_rows::{HOST_PREFIX, HOSTS_PARTITION, TABLE},
@@ -45,6 +45,12 @@
 /// Maximum random delay before a host takes over the leadership, so that hosts that watch the
 /// leadership row do not all write it at the same moment.
 const TAKEOVER_JITTER_MS: u64 = 120;
+/// Number of hosts that begin to watch the leadership row at the same time when the heartbeats from
+/// the leader stop. Each read of the store is billed, so not all hosts watch the row at once.
+const WATCHERS: u64 = 2;
+/// Delay after which the next [`WATCHERS`] hosts in the takeover order also begin to watch the
+/// leadership row, if no heartbeat has arrived by then.
+const WATCHERS_STEP_MS: u64 = 500;
 
 impl Entry {
     /// Confirms the leadership while this host is the leader. Otherwise watches the heartbeats from
@@ -146,7 +152,7 @@
             self.peers
                 .takeover_rank(settings.listen.peers, settings.processor_share)
         };
-        takeover::watch_delay_ms(rank)
+        rank as u64 / WATCHERS * WATCHERS_STEP_MS
     }
 
     /// Reads the leadership row repeatedly. Takes over the leadership if the row names no leader or
--- a/tests/entry_duty.rs
+++ b/tests/entry_duty.rs
@@ -6,7 +6,6 @@
 
 use std::time::{Duration, Instant};
 
-use ashroad::entry::decide::takeover;
 use serde_json::json;
 use tokio::{
     sync::Mutex,
@@ -436,32 +435,3 @@
     })
     .await;
 }
-
-#[test]
-fn the_time_until_a_host_watches_the_leadership_grows_slowly_with_its_rank() {
-    struct Case {
-        ranks: [usize; 2],
-        delay_ms: u64,
-    }
-    let cases = [
-        Case {
-            ranks: [0, 1],
-            delay_ms: 0,
-        },
-        Case {
-            ranks: [2, 5],
-            delay_ms: 500,
-        },
-        Case {
-            ranks: [6, 13],
-            delay_ms: 1_000,
-        },
-        Case {
-            ranks: [254, 509],
-            delay_ms: 3_500,
-        },
-    ];
-    for Case { ranks, delay_ms } in cases {
-        assert_eq!(ranks.map(takeover::watch_delay_ms), [delay_ms; 2]);
-    }
-}
