--- a/tests/entry_caller_left.rs
+++ b/tests/entry_caller_left.rs
@@ -18,6 +18,7 @@
     caller::{CallerResponse, TestRequest, send_once},
     hosts::Host,
     raw_server::{RawRequest, respond_healthy, start_raw_server, until_closed},
+    raw_site::PROXIES_KNOWN_AFTER,
     server_proxy::{Cut, Cuts, start_server_proxy},
     site::{Site, configuration_with_timeout, eventually, routes},
     unresponsive::Unresponsive,
@@ -31,8 +32,6 @@
 const LEAVES_AFTER: Duration = Duration::from_millis(100);
 /// Time within which a host that sends a request again would have done so.
 const SENT_AGAIN_WITHIN: Duration = Duration::from_millis(1_000);
-/// Time in which hosts learn from each other which of them carry tunnels.
-const PROXIES_KNOWN_AFTER: Duration = Duration::from_secs(1);
 /// Number of requests, of which the unresponsive server is chosen for at least one.
 const REQUESTS: usize = 12;
 
--- a/tests/entry_path_checks.rs
+++ b/tests/entry_path_checks.rs
@@ -12,6 +12,7 @@
     caller::{Caller, CallerResponse, TestRequest},
     faulty_listener::{FaultyListener, Health},
     hosts::Host,
+    raw_site::PROXIES_KNOWN_AFTER,
     server::Server,
     server_proxy::{Cut, Cuts},
     site::{ORDERS, Site, configuration_with_timeout, eventually},
@@ -134,8 +135,7 @@
         })
         .await;
     }
-    // Hosts learn from each other which of them carry tunnels.
-    time::sleep(Duration::from_secs(1)).await;
+    time::sleep(PROXIES_KNOWN_AFTER).await;
 }
 
 /// Sends repeatable requests on open connections; returns their tasks.
--- a/tests/platform_standin/raw_site.rs
+++ b/tests/platform_standin/raw_site.rs
@@ -22,7 +22,7 @@
 /// Path on which the server responds regularly, without a length or with one.
 pub const SOUND_PATH: &str = "/orders/close/1000";
 /// Time in which hosts learn from each other which of them carry tunnels.
-const PROXIES_KNOWN_AFTER: Duration = Duration::from_secs(1);
+pub const PROXIES_KNOWN_AFTER: Duration = Duration::from_secs(1);
 /// Time in which a host must serve the server, or must find its path to it lost.
 const READY_MS: u64 = 8_000;
 
