--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     net::{SocketAddr, TcpListener, TcpStream},
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::Duration,
@@ -18,7 +18,10 @@
 pub struct Host {
     pub name: String,
     pub callers: SocketAddr,
+    /// Address by which the other hosts know this host.
+    pub peers: SocketAddr,
     readiness: SocketAddr,
+    folder: PathBuf,
     process: Child,
 }
 
@@ -60,24 +63,27 @@
         );
         let path = folder.join(format!("{name}.yaml"));
         fs::write(&path, settings).expect("the settings can be written");
-        let log = fs::File::create(folder.join(format!("{name}.log"))).expect("a log file");
-        let errors = log.try_clone().expect("a log file");
-        let process = Command::new(PROGRAM)
-            .args(["entry", "--settings"])
-            .arg(&path)
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program of the deploy file is built");
         Self {
             name: name.to_owned(),
             callers,
+            peers,
             readiness,
-            process,
+            folder: folder.to_owned(),
+            process: started(name, folder),
         }
     }
 
+    /// Kills the process, as a crash does.
+    pub fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+
+    /// Starts the process again with the same settings.
+    pub fn restart(&mut self) {
+        self.process = started(&self.name, &self.folder);
+    }
+
     /// Returns true if the host calls itself ready.
     pub fn is_ready(&self) -> bool {
         let timeout = Duration::from_secs(1);
@@ -99,11 +105,28 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        self.kill();
     }
 }
 
+/// Starts a process of the project's program with the settings of a host.
+fn started(name: &str, folder: &Path) -> Child {
+    let log = fs::OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(folder.join(format!("{name}.log")))
+        .expect("a log file");
+    let errors = log.try_clone().expect("a log file");
+    Command::new(PROGRAM)
+        .args(["entry", "--settings"])
+        .arg(folder.join(format!("{name}.yaml")))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+        .expect("the program of the deploy file is built")
+}
+
 fn free_addresses() -> [SocketAddr; 4] {
     let listeners = [(); 4].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
     listeners.map(|listener| listener.local_addr().expect("an address"))
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,6 +8,7 @@
 mod json;
 mod keyed_server;
 mod record;
+mod removed_entry;
 mod server;
 mod silent_connections;
 mod store;
@@ -22,6 +23,7 @@
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let code = match &*name {
         "silent-connections" => silent_connections::run(&folder, has_trouble),
+        "removed-entry" => removed_entry::run(&folder, has_trouble),
         "surplus-answer" => surplus_answer::run(&folder, has_trouble),
         _ => {
             eprintln!("unknown script '{name}'");
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::{SocketAddr, TcpListener},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -17,6 +20,7 @@
     pub service: String,
     pub zone: String,
     pub address: SocketAddr,
+    ended: Arc<AtomicBool>,
 }
 
 impl Server {
@@ -31,19 +35,33 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (of, by, record) = (service.to_owned(), id.to_owned(), record.clone());
+        let ended = Arc::new(AtomicBool::new(false));
+        let has_ended = ended.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if has_ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let (of, by, record) = (of.clone(), by.clone(), record.clone());
-                thread::spawn(move || serve(Connection::new(stream), &of, &by, work, &record));
+                let has_ended = has_ended.clone();
+                thread::spawn(move || {
+                    serve(Connection::new(stream), &of, &by, work, &record, &has_ended)
+                });
             }
         });
         Self {
             service: service.to_owned(),
             zone: zone.to_owned(),
             address,
+            ended,
         }
     }
 
+    /// Ends the server: it closes its connections and runs nothing further.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the content of the server's entry in the store.
     pub fn entry(&self) -> String {
         format!(
@@ -54,8 +72,18 @@
     }
 }
 
-fn serve(mut connection: Connection, service: &str, id: &str, work: Duration, record: &Record) {
+fn serve(
+    mut connection: Connection,
+    service: &str,
+    id: &str,
+    work: Duration,
+    record: &Record,
+    has_ended: &AtomicBool,
+) {
     while let Ok(Some(request)) = connection.read() {
+        if has_ended.load(Ordering::SeqCst) {
+            return;
+        }
         let answer = answer(&request, service, id, work, record);
         if connection.write(&answer).is_err() {
             return;
