--- a/review/standin-2/host.rs
+++ b/review/standin-2/host.rs
@@ -14,6 +14,11 @@
 /// Command of the deploy file, without the path of the settings.
 const PROGRAM: &str = "target/release/ashroad";
 
+/// Number of times that a host is started whose process ends at once.
+const STARTS_MAX: usize = 4;
+/// Time after which a process that could not listen has ended.
+const START_CHECK: Duration = Duration::from_millis(80);
+
 /// One entry host.
 pub struct Host {
     pub name: String,
@@ -26,9 +31,21 @@
 }
 
 impl Host {
-    /// Starts a host with the settings of a small deployment. The settings and the log of the process
-    /// are written to `folder`.
-    pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &Path) -> Self {
+    /// Starts a host with the settings of a small deployment, with this bound for `drain` and `config`.
+    /// The settings and the log of the process are written to `folder`.
+    pub fn start(name: &str, zone: &str, store: SocketAddr, folder: &Path, bound_ms: u64) -> Self {
+        for _ in 0..STARTS_MAX {
+            let mut host = Self::try_start(name, zone, store, folder, bound_ms);
+            thread::sleep(START_CHECK);
+            if !host.has_ended() {
+                return host;
+            }
+            // Another process has taken one of the ports meanwhile.
+        }
+        Self::try_start(name, zone, store, folder, bound_ms)
+    }
+
+    fn try_start(name: &str, zone: &str, store: SocketAddr, folder: &Path, bound_ms: u64) -> Self {
         let [callers, readiness, peers, metrics] = free_addresses();
         let settings = format!(
             r#"name: "{name}"
@@ -49,8 +66,8 @@
   server_heartbeat: "870ms"
 bounds:
   stop_grace: "6s"
-  drain: "2000ms"
-  configuration: "2000ms"
+  drain: "{bound_ms}ms"
+  configuration: "{bound_ms}ms"
   contact: "3000ms"
   lease_max: "10000ms"
   retry_window: "10s"
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! held, and 2 if the script could not run. With `TROUBLE=0` the disruption is left out.
 
 mod caller;
+mod forgotten_history;
 mod host;
 mod http;
 mod json;
@@ -23,6 +24,7 @@
     let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let code = match &*name {
         "silent-connections" => silent_connections::run(&folder, has_trouble),
+        "forgotten-history" => forgotten_history::run(&folder, has_trouble),
         "removed-entry" => removed_entry::run(&folder, has_trouble),
         "surplus-answer" => surplus_answer::run(&folder, has_trouble),
         _ => {
--- a/review/standin-2/removed_entry.rs
+++ b/review/standin-2/removed_entry.rs
@@ -58,7 +58,7 @@
         let id = format!("i-{number:08x}");
         let work = Duration::from_millis(20);
         let server = Server::start(&id, SERVICE, ZONES[number % 3], work, record);
-        store.set("servers", &id, Some(&server.entry()));
+        store.set("servers", &id, Some(&server.entry("ready")));
         number += 1;
         (id, server)
     };
@@ -69,6 +69,7 @@
             ZONES[number % 3],
             address,
             temporary,
+            DRAIN_MS,
         )
     };
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -63,10 +63,10 @@
     }
 
     /// Returns the content of the server's entry in the store.
-    pub fn entry(&self) -> String {
+    pub fn entry(&self, state: &str) -> String {
         format!(
             "{{\"addr\":\"{}\",\"info\":{{\"service\":\"{}\",\"version\":\"v1\",\"zone\":\"{}\",\
-             \"slots\":16}},\"status\":{{\"state\":\"ready\",\"seq\":1,\"warmupLeft\":\"0ms\"}}}}",
+             \"slots\":16}},\"status\":{{\"state\":\"{state}\",\"seq\":1,\"warmupLeft\":\"0ms\"}}}}",
             self.address, self.service, self.zone
         )
     }
--- a/review/standin-2/silent_connections.rs
+++ b/review/standin-2/silent_connections.rs
@@ -62,7 +62,7 @@
         let id = format!("i-{number:08x}");
         let work = Duration::from_millis(5);
         let server = Server::start(&id, SERVICES[number % 2], ZONES[number / 2], work, record);
-        store.set("servers", &id, Some(&server.entry()));
+        store.set("servers", &id, Some(&server.entry("ready")));
     }
     let start = |number: usize| {
         Host::start(
@@ -70,6 +70,7 @@
             ZONES[number % 3],
             address,
             temporary,
+            CONFIG_MS,
         )
     };
     let mut hosts: Vec<Host> = (0..HOSTS).map(start).collect();
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -5,7 +5,7 @@
     net::{SocketAddr, TcpListener},
     sync::{
         Arc, Condvar, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -93,6 +93,19 @@
     began: Instant,
     /// Number of the latest silence; connections of earlier ones say nothing further.
     silence: AtomicU64,
+    /// True while feeds hear nothing of changes.
+    is_deaf: AtomicBool,
+    /// Number of the latest cut of the waiting feeds.
+    cut: AtomicU64,
+}
+
+/// Answer of the store to a call.
+enum Answer {
+    Bytes(Vec<u8>),
+    /// The connection stays open and says nothing further.
+    Silence,
+    /// The connection is closed without an answer.
+    Cut,
 }
 
 impl Store {
@@ -105,6 +118,8 @@
             changed: Condvar::new(),
             began: Instant::now(),
             silence: AtomicU64::new(0),
+            is_deaf: AtomicBool::new(false),
+            cut: AtomicU64::new(0),
         });
         let shared = store.clone();
         thread::spawn(move || {
@@ -122,6 +137,22 @@
         self.silence.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Lets the feeds hear nothing of changes from now on.
+    pub fn deafen_feeds(&self) {
+        self.is_deaf.store(true, Ordering::SeqCst);
+    }
+
+    /// Forgets the history, cuts the waiting feeds, and lets further ones hear of changes again.
+    pub fn forget_history(&self) {
+        let mut rows = self.lock();
+        rows.changes.clear();
+        rows.forgotten = rows.version;
+        self.cut.fetch_add(1, Ordering::SeqCst);
+        self.is_deaf.store(false, Ordering::SeqCst);
+        drop(rows);
+        self.changed.notify_all();
+    }
+
     /// Writes a row, or removes it if there is no content.
     pub fn set(&self, table: &str, key: &str, value: Option<&str>) {
         let mut rows = self.lock();
@@ -148,40 +179,43 @@
 
     fn serve(&self, mut connection: Connection, silence: u64) {
         while let Ok(Some(request)) = connection.read() {
-            let answer = if self.is_silent(silence) {
-                None
-            } else {
-                self.answer(&request, silence)
-            };
-            let Some(answer) = answer.filter(|_| !self.is_silent(silence)) else {
-                // A silent connection stays open and says nothing further.
-                loop {
-                    thread::sleep(Duration::from_secs(60));
+            let mut answer = self.answer(&request, silence);
+            if self.is_silent(silence) {
+                answer = Answer::Silence;
+            }
+            match answer {
+                Answer::Bytes(bytes) => {
+                    if connection.write(&bytes).is_err() {
+                        return;
+                    }
                 }
-            };
-            if connection.write(&answer).is_err() {
-                return;
+                Answer::Silence => loop {
+                    thread::sleep(Duration::from_secs(60));
+                },
+                Answer::Cut => return,
             }
         }
     }
 
-    /// Answers a request; `None` if the connection has become silent meanwhile.
-    fn answer(&self, request: &Message, silence: u64) -> Option<Vec<u8>> {
+    fn answer(&self, request: &Message, silence: u64) -> Answer {
+        if self.is_silent(silence) {
+            return Answer::Silence;
+        }
         let path = request.word(1).split('?').next().unwrap_or_default();
         match path {
             "/rows-get" => {
                 thread::sleep(READ_TIME);
-                Some(self.read(request))
+                Answer::Bytes(self.read(request))
             }
             "/rows-tx" => {
                 thread::sleep(TRANSACTION_TIME);
                 if self.is_silent(silence) {
-                    return None;
+                    return Answer::Silence;
                 }
-                Some(self.transact(request))
+                Answer::Bytes(self.transact(request))
             }
             "/rows-feed" => self.feed(request, silence),
-            _ => Some(response(404, &[], b"")),
+            _ => Answer::Bytes(response(404, &[], b"")),
         }
     }
 
@@ -253,21 +287,26 @@
         response(200, &JSON, body.as_bytes())
     }
 
-    fn feed(&self, request: &Message, silence: u64) -> Option<Vec<u8>> {
+    fn feed(&self, request: &Message, silence: u64) -> Answer {
         let table = request.query("table").unwrap_or_default();
         let number = |name: &str| request.query(name).and_then(|text| text.parse().ok());
         let after: u64 = number("after").unwrap_or(0);
         let wait = Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
         let until = Instant::now() + wait;
         thread::sleep(READ_TIME);
+        let cut = self.cut.load(Ordering::SeqCst);
         let mut rows = self.lock();
         loop {
             if self.is_silent(silence) {
-                return None;
+                return Answer::Silence;
+            }
+            if self.cut.load(Ordering::SeqCst) != cut {
+                return Answer::Cut;
             }
             if after < rows.forgotten {
-                return Some(response(410, &[], b""));
+                return Answer::Bytes(response(410, &[], b""));
             }
+            let is_deaf = self.is_deaf.load(Ordering::SeqCst);
             let of_table = |change: &&Change| change.key.0 == table && change.version > after;
             let mut latest: BTreeMap<&Key, &Change> = BTreeMap::new();
             for change in rows.changes.iter().filter(of_table) {
@@ -276,7 +315,10 @@
             let mut found: Vec<&Change> = latest.into_values().collect();
             found.sort_by_key(|change| change.version);
             let left = until.saturating_duration_since(Instant::now());
-            if !found.is_empty() || left.is_zero() {
+            if is_deaf {
+                found.clear();
+            }
+            if !found.is_empty() || left.is_zero() && !is_deaf {
                 let listed: Vec<String> = found
                     .iter()
                     .map(|change| written_row(&change.key, change.value.as_deref(), change.version))
@@ -287,7 +329,7 @@
                     rows.version,
                     self.now()
                 );
-                return Some(response(200, &JSON, body.as_bytes()));
+                return Answer::Bytes(response(200, &JSON, body.as_bytes()));
             }
             let pause = left.min(Duration::from_millis(20));
             rows = self
--- a/review/standin-2/surplus_answer.rs
+++ b/review/standin-2/surplus_answer.rs
@@ -26,6 +26,8 @@
 const ZONES: [&str; 3] = ["zone-1", "zone-2", "zone-3"];
 const HOSTS: usize = 4;
 const SERVERS: usize = 4;
+/// Bounds `drain` and `config` of the users' sheet.
+const BOUND_MS: u64 = 2_000;
 const ROUNDS: usize = 10;
 /// Number of callers of each host.
 const CALLERS: usize = 12;
@@ -67,6 +69,7 @@
             ZONES[number % 3],
             address,
             temporary,
+            BOUND_MS,
         )
     };
     let mut hosts: Vec<Host> = (0..HOSTS).map(host).collect();
