Log of versions that a host takes over from a report past removals its sender may not have seen

A host moves on to a version of the servers' table on another host's report, and no line said which version, on whose report, and what the reporter had not seen.

A host that has applied less than that version logs one event "unseen_removals" per full read, with its own version and number of entries. Nothing is decided by it yet.

--- a/src/entry/events/mod.rs
+++ b/src/entry/events/mod.rs
@@ -238,6 +238,27 @@
         /// Service that the server belonged to.
         service: Arc<str>,
     },
+    /// Another host reported versions of the table of servers' entries, but may not have seen all
+    /// removals that this host has not seen. Logged once per full read by another host.
+    UnseenRemovals {
+        /// Sender of the report.
+        reporter: Reporter,
+        /// Version up to which this host has applied the table.
+        applied: u64,
+        /// Version at which the sender took over the table as a whole.
+        full_read_version: u64,
+        /// Version up to which the sender has read the table.
+        up_to: u64,
+        /// Version of the latest change that the sender has seen.
+        changed: u64,
+        /// Number of entries that the sender knows.
+        entries: u32,
+        /// Number of entries that this host knows.
+        own_entries: u32,
+        /// True if this host counts the table as applied up to the sender's version; false if this
+        /// host fetches the changes that it has missed.
+        accepted: bool,
+    },
     /// A server crashed with requests of this host in flight.
     ServerEnded {
         /// Identifier of the server's incarnation; a restarted server gets a new identifier.
--- a/src/entry/join/query.rs
+++ b/src/entry/join/query.rs
@@ -190,6 +190,8 @@
         });
         self.view.set_servers_known();
         self.freshness.note_leave(snapshot.leave_version);
+        self.freshness
+            .note_full_read(snapshot.servers_versions.up_to);
         self.note_known(FollowedTable::Servers, snapshot);
     }
 
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -17,8 +17,10 @@
         owners::Owner,
         tag::tag_of,
         updates::{
-            announcement::MoveAnnouncement, configuration_pieces::PieceEncoding,
-            followed::FollowedTable, report::StoreStateReport,
+            announcement::MoveAnnouncement,
+            configuration_pieces::PieceEncoding,
+            followed::FollowedTable,
+            report::{Reporter, StoreStateReport},
         },
     },
 };
@@ -242,6 +244,7 @@
             self.peers.send(&Message::Stopped { term }, &[from]);
         }
         if self.peers.note_leader(from, term) {
+            self.check_unseen_removals(&updates, Reporter::Leader);
             self.note_store_response(self.freshness.note_announced(updates));
             self.hot_keys.note_announced(hot, clock::now_ms());
         }
--- a/src/entry/peers/report.rs
+++ b/src/entry/peers/report.rs
@@ -162,7 +162,7 @@
         let message = Message::Heartbeat {
             term: self.leadership.term(),
             sent_ms: clock::now_ms(),
-            updates: self.freshness.updates(self.view.store_answered_ms()),
+            updates: self.store_state_report(),
             hosts: self.peers.known_count() as u32,
             hot: self.hot_keys.announce(clock::now_ms()),
             evacuations: self.view.evacuations(),
--- a/src/entry/registry.rs
+++ b/src/entry/registry.rs
@@ -167,6 +167,12 @@
         self.by_id.len()
     }
 
+    /// Returns the number of servers whose entries are present in the store, without those that stay
+    /// in the registry although their entry is missing.
+    pub fn entries_count(&self) -> u32 {
+        (self.incarnations.len() - self.missing.len()) as u32
+    }
+
     /// Returns the server with an incarnation id whose entry is gone; `None` if this host does not
     /// remember such a server.
     pub fn former(&self, id: &str) -> Option<&FormerServer> {
--- a/src/entry/store_confirmation.rs
+++ b/src/entry/store_confirmation.rs
@@ -18,7 +18,7 @@
     updates::{
         evacuation::Evacuations,
         followed::{FollowedTable, SyncRole},
-        report::StoreStateReport,
+        report::{Reporter, StoreStateReport},
     },
 };
 use crate::clock;
@@ -131,11 +131,20 @@
         true
     }
 
+    /// Returns this host's own report on the store.
+    pub(super) fn store_state_report(&self) -> StoreStateReport {
+        let entries = self.view.registry().entries_count();
+        self.freshness
+            .updates(self.view.store_answered_ms(), entries)
+    }
+
     /// Returns the response to a host that queries the state of the store because it receives no
     /// heartbeats from the leader; `None` if this host's information on the store is too old to be
     /// trusted.
     pub(super) fn store_state_for(&self, nonce: u64) -> Option<Message> {
-        let updates = self.freshness.store_state(self.view.store_answered_ms())?;
+        let heard_ms = self.view.store_answered_ms();
+        let entries = self.view.registry().entries_count();
+        let updates = self.freshness.store_state(heard_ms, entries)?;
         Some(Message::StoreState {
             nonce,
             updates,
@@ -153,6 +162,7 @@
         // The list of evacuated zones with the later version is kept, whether it came from a relay,
         // the leader or the store.
         self.view.evacuate(evacuations);
+        self.check_unseen_removals(&updates, Reporter::Relay);
         if let Some(answered_ms) = self.freshness.note_relay_report(nonce, updates) {
             self.note_store_response(answered_ms);
         }
--- a/src/entry/updates/freshness.rs
+++ b/src/entry/updates/freshness.rs
@@ -44,6 +44,10 @@
     changed: [AtomicU64; TABLES],
     /// Version of the latest change of a server's entry that ends new work for the server.
     leave_version: AtomicU64,
+    /// Version at which this host last took over the table of servers' entries as a whole.
+    full_read_version: AtomicU64,
+    /// Latest version of a full read by another host whose report was checked for unseen removals.
+    checked_read_version: AtomicU64,
     /// Latest report from the leader or a relay; `None` before the first.
     received: Mutex<Option<ReceivedReport>>,
     /// Time for which this host has lacked reported changes.
@@ -75,6 +79,8 @@
             applied: Default::default(),
             changed: Default::default(),
             leave_version: AtomicU64::new(0),
+            full_read_version: AtomicU64::new(0),
+            checked_read_version: AtomicU64::new(0),
             received: Mutex::default(),
             lag: Lag::default(),
             query: PendingQuery::default(),
@@ -148,9 +154,27 @@
         self.leave_version.fetch_max(version, Ordering::Relaxed);
     }
 
+    /// Records that this host has taken over the table of servers' entries as a whole at `version`,
+    /// so that it may not have seen entries that were removed before. A version earlier than the
+    /// latest recorded one is ignored.
+    pub fn note_full_read(&self, version: u64) {
+        self.full_read_version.fetch_max(version, Ordering::Relaxed);
+    }
+
+    /// Records that a report was checked whose sender took over the table of servers' entries as a
+    /// whole at `version`. Returns false if a report with that version or a later one was checked
+    /// before.
+    pub fn note_checked_read(&self, version: u64) -> bool {
+        let before = self
+            .checked_read_version
+            .fetch_max(version, Ordering::Relaxed);
+        before < version
+    }
+
     /// Returns this host's own report on the store, which the leader sends in its heartbeats and a
-    /// relay in its responses. `heard_ms` is the time of the store's last response.
-    pub fn updates(&self, heard_ms: u64) -> StoreStateReport {
+    /// relay in its responses. `heard_ms` is the time of the store's last response, `server_entries`
+    /// the number of servers' entries that this host knows.
+    pub fn updates(&self, heard_ms: u64, server_entries: u32) -> StoreStateReport {
         let followed_ms = |followed: FollowedTable| {
             let followed_ms = &self.followed_ms[followed.index()];
             followed_ms.load(Ordering::Relaxed)
@@ -164,15 +188,17 @@
             changed: std::array::from_fn(|table| self.changed[table].load(Ordering::Relaxed)),
             leave_version: self.leave_version.load(Ordering::Relaxed),
             up_to: std::array::from_fn(|table| self.applied[table].load(Ordering::Relaxed)),
+            full_read_version: self.full_read_version.load(Ordering::Relaxed),
+            server_entries,
         }
     }
 
     /// Returns the report with which this host, as a relay, responds to a query: this host's own
     /// report or the latest report that this host received, whichever is more recent. Returns
     /// `None` if the more recent report is too old to be trusted.
-    pub fn store_state(&self, heard_ms: u64) -> Option<StoreStateReport> {
+    pub fn store_state(&self, heard_ms: u64, server_entries: u32) -> Option<StoreStateReport> {
         let received = *self.received();
-        let own = self.updates(heard_ms);
+        let own = self.updates(heard_ms, server_entries);
         let store_state = match received {
             Some(received) => {
                 let age_ms = clock::now_ms().saturating_sub(received.answered_ms);
--- a/src/entry/updates/report.rs
+++ b/src/entry/updates/report.rs
@@ -25,6 +25,12 @@
     pub leave_version: u64,
     /// Version up to which the sender has read each table, whether or not anything changed.
     pub up_to: [u64; TABLES],
+    /// Version at which the sender last took over the table of servers' entries as a whole, from the
+    /// store or another host. The sender may not know of entries that were removed before, since no
+    /// row is left of them; `changed` and `leave_version` then do not state the removals.
+    pub full_read_version: u64,
+    /// Number of servers' entries in the table at the version up to which the sender has read it.
+    pub server_entries: u32,
 }
 
 impl StoreStateReport {
@@ -38,6 +44,13 @@
         }
     }
 
+    /// Returns true if the sender may not have seen removals of servers' entries that were made after
+    /// `applied`, the version up to which another host has applied the table; false if the other host
+    /// has not read the table yet.
+    pub fn may_hide_removals(&self, applied: u64) -> bool {
+        applied > 0 && applied < self.full_read_version
+    }
+
     /// Returns this report with each version of a change replaced by the version in `earlier` if
     /// that version is later. The two reports may come from different hosts, and the sender of this
     /// report may not have seen all changes that `earlier` states.
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -361,6 +361,9 @@
                     self.broadcast_difference(followed, &rows);
                 }
                 self.apply_table(followed, rows);
+                if followed == FollowedTable::Servers {
+                    self.freshness.note_full_read(version);
+                }
                 self.freshness.note_applied(followed, version);
                 self.note_confirmation_by_store(followed, sent_ms);
                 true
--- a/tests/entry_vouching.rs
+++ b/tests/entry_vouching.rs
@@ -42,6 +42,8 @@
         changed: [changed; 3],
         leave_version: changed,
         up_to: [changed; 3],
+        full_read_version: 0,
+        server_entries: 0,
     }
 }
 
@@ -109,19 +111,19 @@
     let limits = limits();
     let relay = Freshness::new(&limits);
     let heard_ms = ashroad::clock::now_ms();
-    assert_eq!(relay.store_state(heard_ms), None);
+    assert_eq!(relay.store_state(heard_ms, 0), None);
     for followed in [FollowedTable::Servers, FollowedTable::Configuration] {
         relay.note_applied(followed, 7);
         drop(relay.follow(followed));
     }
     let store_state = relay
-        .store_state(ashroad::clock::now_ms())
+        .store_state(ashroad::clock::now_ms(), 0)
         .expect("store state");
     assert!(store_state.age_ms < 100);
     assert_eq!(store_state.up_to[FollowedTable::Servers.index()], 7);
     thread::sleep(Duration::from_millis(50));
     let later = relay
-        .store_state(ashroad::clock::now_ms())
+        .store_state(ashroad::clock::now_ms(), 0)
         .expect("store state");
     assert!(
         later.age_ms >= 50,
