Hosts fetch removals of servers' entries that the sender of a report may not have seen

Cause: a host that takes over the table of servers' entries as a whole sees no row of a removed entry. Its reports stated the version of the table, but a latest change from before the removal, so the other hosts moved on past it.

Change: a host that has applied less than the sender's full read accepts the report only if no entry has changed since and the number of entries is the same, which together mean the same table. Otherwise the report counts as a change that ends new work, and the host fetches what it has missed at once.

--- a/src/entry/events/mod.rs
+++ b/src/entry/events/mod.rs
@@ -13,7 +13,7 @@
 use super::{
     log_writer,
     model::ServerEntry,
-    updates::{report::Reporter, row_source::RowSource},
+    updates::{report::Reporter, row_source::RowSource, unseen_removals::UnseenRemovals},
 };
 
 /// Log event: a decision about a request, or a change in what the host knows of the system.
@@ -243,21 +243,9 @@
     UnseenRemovals {
         /// Sender of the report.
         reporter: Reporter,
-        /// Version up to which this host has applied the table.
-        applied: u64,
-        /// Version at which the sender took over the table as a whole.
-        full_read_version: u64,
-        /// Version up to which the sender has read the table.
-        up_to: u64,
-        /// Version of the latest change that the sender has seen.
-        changed: u64,
-        /// Number of entries that the sender knows.
-        entries: u32,
-        /// Number of entries that this host knows.
-        own_entries: u32,
-        /// True if this host counts the table as applied up to the sender's version; false if this
-        /// host fetches the changes that it has missed.
-        accepted: bool,
+        /// Versions and numbers of entries of both hosts, and whether this host accepts the report.
+        #[serde(flatten)]
+        found: UnseenRemovals,
     },
     /// A server crashed with requests of this host in flight.
     ServerEnded {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -52,7 +52,6 @@
 mod store_confirmation;
 pub mod tag;
 mod timers;
-mod unseen_removals;
 pub mod updates;
 pub mod view;
 mod watch;
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -244,7 +244,7 @@
             self.peers.send(&Message::Stopped { term }, &[from]);
         }
         if self.peers.note_leader(from, term) {
-            self.check_unseen_removals(&updates, Reporter::Leader);
+            let updates = self.checked_report(updates, Reporter::Leader);
             self.note_store_response(self.freshness.note_announced(updates));
             self.hot_keys.note_announced(hot, clock::now_ms());
         }
--- a/src/entry/store_confirmation.rs
+++ b/src/entry/store_confirmation.rs
@@ -12,6 +12,7 @@
 
 use super::{
     Entry,
+    events::Event,
     limits::POLL_EVERY_MS,
     metrics::StorePauseLabels,
     peers::message::Message,
@@ -152,6 +153,21 @@
         })
     }
 
+    /// Returns a report as it counts for this host, which may have missed removals of servers' entries
+    /// that the sender has not seen.
+    pub(super) fn checked_report(
+        &self,
+        report: StoreStateReport,
+        reporter: Reporter,
+    ) -> StoreStateReport {
+        let own_entries = self.view.registry().entries_count();
+        let checked = self.freshness.check_unseen_removals(report, own_entries);
+        if let Some(found) = checked.first_found {
+            Event::UnseenRemovals { reporter, found }.log();
+        }
+        checked.report
+    }
+
     /// Applies a relay's report on the store and the evacuated zones.
     pub(super) fn note_relay_report(
         &self,
@@ -162,7 +178,7 @@
         // The list of evacuated zones with the later version is kept, whether it came from a relay,
         // the leader or the store.
         self.view.evacuate(evacuations);
-        self.check_unseen_removals(&updates, Reporter::Relay);
+        let updates = self.checked_report(updates, Reporter::Relay);
         if let Some(answered_ms) = self.freshness.note_relay_report(nonce, updates) {
             self.note_store_response(answered_ms);
         }
--- a/src/entry/updates/freshness.rs
+++ b/src/entry/updates/freshness.rs
@@ -164,7 +164,7 @@
     /// Records that a report was checked whose sender took over the table of servers' entries as a
     /// whole at `version`. Returns false if a report with that version or a later one was checked
     /// before.
-    pub fn note_checked_read(&self, version: u64) -> bool {
+    pub(super) fn note_checked_read(&self, version: u64) -> bool {
         let before = self
             .checked_read_version
             .fetch_max(version, Ordering::Relaxed);
--- a/src/entry/updates/mod.rs
+++ b/src/entry/updates/mod.rs
@@ -16,3 +16,4 @@
 pub mod row_source;
 pub mod server_changes;
 pub mod snapshot;
+pub mod unseen_removals;
--- a/src/entry/updates/report.rs
+++ b/src/entry/updates/report.rs
@@ -44,13 +44,6 @@
         }
     }
 
-    /// Returns true if the sender may not have seen removals of servers' entries that were made after
-    /// `applied`, the version up to which another host has applied the table; false if the other host
-    /// has not read the table yet.
-    pub fn may_hide_removals(&self, applied: u64) -> bool {
-        applied > 0 && applied < self.full_read_version
-    }
-
     /// Returns this report with each version of a change replaced by the version in `earlier` if
     /// that version is later. The two reports may come from different hosts, and the sender of this
     /// report may not have seen all changes that `earlier` states.
