Changes of servers' entries that need several datagrams are applied together or not at all

Cause: the leader reads the table again after a 410 and broadcasts the difference, in which all removals have the version of the table. The changes were cut into datagrams of 24, each of which stated its last change as the end of its range. Cut between removals, the first datagram reached the end of the whole range, and the removals of the next ones were skipped as known.

Change: each datagram states the whole range, its index and their number. A range is applied once all pieces are there, in any order; if one is lost, the host fetches the changes since its version, as before. The encoding of datagrams becomes version 19.

--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -14,6 +14,7 @@
     peers::message::Message,
     rows::decode_servers,
     updates::{
+        changes_pieces::{self, ChangesAssembly, ChangesPiece},
         configuration_pieces::{
             Piece, PieceAssembly, PieceEncoding, Pieces, decode_content, split_into_pieces,
         },
@@ -23,11 +24,6 @@
 };
 use crate::platform::store::{Row, Rows};
 
-/// Maximum number of changes of server entries in one broadcast, about 30 KB. More changes would
-/// fill the links of small hosts. They are not broadcast, and each of the other hosts fetches them
-/// itself.
-const BROADCAST_CHANGES_MAX: usize = 600;
-
 /// State of a host for receiving broadcast changes, and the latest configuration and changes of
 /// server entries, kept for hosts that have missed them.
 #[derive(Debug, Default)]
@@ -42,6 +38,8 @@
     compressed_configuration: Mutex<PieceAssembly>,
     /// Latest configuration as stored, kept for hosts that have missed the configuration.
     latest: Mutex<Option<LatestConfiguration>>,
+    /// Pieces received so far of the latest changes of server entries that the leader broadcast.
+    changes: Mutex<ChangesAssembly>,
     /// Latest changes of server entries, kept for hosts that have missed some of the changes.
     recent: Mutex<RecentChanges>,
 }
@@ -100,6 +98,13 @@
             .ok()
     }
 
+    /// Adds a piece of the changes of server entries in a range of versions. Returns all changes of
+    /// the range once all of its pieces have arrived.
+    fn take_changes_piece(&self, piece: ChangesPiece) -> Option<ServerChanges> {
+        let mut assembly = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
+        assembly.take(piece)
+    }
+
     fn latest(&self) -> MutexGuard<'_, Option<LatestConfiguration>> {
         self.latest.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -147,13 +152,10 @@
 
 impl Entry {
     /// Broadcasts changes of server entries that this host, the leader, received from the store.
-    /// More than [`BROADCAST_CHANGES_MAX`] changes are not broadcast.
+    /// Too many changes are not broadcast, and each of the other hosts fetches them itself.
     pub(super) fn broadcast_server_changes(&self, updates: &ServerChanges) {
-        if updates.changes.is_empty() || updates.changes.len() > BROADCAST_CHANGES_MAX {
-            return;
-        }
-        for part in updates.clone().split() {
-            self.peers.send_to_all(Message::Servers(part));
+        for piece in changes_pieces::split_into_pieces(updates) {
+            self.peers.send_to_all(Message::Servers(piece));
         }
     }
 
@@ -180,7 +182,15 @@
         }
     }
 
-    /// Applies changes of server entries that the leader broadcast, unless the whole table is being
+    /// Applies the changes of server entries that the leader broadcast once all of their pieces have
+    /// arrived.
+    pub(super) fn receive_changes_piece(&self, piece: ChangesPiece) {
+        if let Some(changes) = self.broadcast.take_changes_piece(piece) {
+            self.receive_server_changes(changes);
+        }
+    }
+
+    /// Applies changes of server entries that another host sent, unless the whole table is being
     /// read.
     pub(super) fn receive_server_changes(&self, changes: ServerChanges) {
         if self.broadcast.accepts_changes() {
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -16,8 +16,8 @@
     digest::RequestDigest,
     keys::AssignedRange,
     updates::{
-        announcement::MoveAnnouncement, configuration_pieces::Piece, evacuation::Evacuations,
-        report::StoreStateReport, server_changes::ServerChanges,
+        announcement::MoveAnnouncement, changes_pieces::ChangesPiece, configuration_pieces::Piece,
+        evacuation::Evacuations, report::StoreStateReport,
     },
 };
 
@@ -38,7 +38,7 @@
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the message encoding, the first byte of each datagram. Datagrams of other versions
 /// are ignored.
-pub const VERSION: u8 = 18;
+pub const VERSION: u8 = 19;
 
 /// Number of requests that one host has in flight at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -221,7 +221,7 @@
         announcements: Vec<MoveAnnouncement>,
     },
     /// Changes of server entries that the sender, the leader, received from the store.
-    Servers(ServerChanges),
+    Servers(ChangesPiece),
     /// Piece of a configuration that the leader received from the store, sent by the leader to all
     /// hosts or by any host in response to [`Message::QueryConfiguration`].
     Configuration(Piece),
--- a/src/entry/peers/receive.rs
+++ b/src/entry/peers/receive.rs
@@ -149,7 +149,7 @@
                 zone_tag,
                 summaries,
             } => self.peers.note_zone_loads(zone_tag, summaries),
-            Message::Servers(changes) => self.receive_server_changes(changes),
+            Message::Servers(piece) => self.receive_changes_piece(piece),
             Message::Configuration(piece) => {
                 self.receive_configuration_piece(PieceEncoding::Plain, piece)
             }
--- a/src/entry/updates/mod.rs
+++ b/src/entry/updates/mod.rs
@@ -4,6 +4,8 @@
 //! apply them.
 
 pub mod announcement;
+pub mod assembly;
+pub mod changes_pieces;
 pub mod configuration_pieces;
 pub mod confirmation;
 pub mod evacuation;
--- a/src/entry/updates/server_changes.rs
+++ b/src/entry/updates/server_changes.rs
@@ -6,9 +6,6 @@
 
 use crate::entry::model::ServerEntry;
 
-/// Maximum number of changes in one datagram; a change takes about 60 bytes.
-const CHANGES_MAX: usize = 24;
-
 /// State of a server's entry after a change.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum ServerUpdate {
@@ -52,26 +49,6 @@
 }
 
 impl ServerChanges {
-    /// Splits the changes into consecutive ranges that fit into one datagram each.
-    pub fn split(self) -> Vec<Self> {
-        let mut parts = Vec::new();
-        let mut after = self.after;
-        let chunks = self.changes.chunks(CHANGES_MAX);
-        let number = chunks.len();
-        for (index, changes) in chunks.enumerate() {
-            let is_last = index + 1 == number;
-            let last = changes.last().map_or(self.up_to, |change| change.version);
-            let up_to = if is_last { self.up_to } else { last };
-            parts.push(Self {
-                after,
-                up_to,
-                changes: changes.to_vec(),
-            });
-            after = up_to;
-        }
-        parts
-    }
-
     /// Returns the changes in this range that are new to a host that has applied the table up to
     /// the version `applied`. Returns `None` if changes are missing between `applied` and the
     /// beginning of the range.
--- a/tests/entry_missed_removals.rs
+++ b/tests/entry_missed_removals.rs
@@ -27,6 +27,8 @@
 enum Unseen {
     /// The leader's process is killed, the entries are removed, and the process starts again.
     LeaderRestarts,
+    /// The store drops its history right after the removals, before its feeds deliver them.
+    HistoryDropped,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -79,6 +81,7 @@
                 time::sleep(Duration::from_millis(LEADER_DOWN_MS)).await;
                 site.hosts[leader].restart();
             }
+            Unseen::HistoryDropped => site.store.remove_without_history("servers", &names),
         }
         let others = site.hosts.iter().enumerate();
         let others: Vec<&Host> = others
@@ -132,3 +135,29 @@
         case.check().await;
     }
 }
+
+/// Guards against hosts that send requests to servers whose entries were removed before the store
+/// dropped its history: the leader's broadcast was cut between removals of one version.
+#[tokio::test]
+async fn entries_that_are_removed_before_history_is_dropped_are_removed_at_all_hosts() {
+    let cases = [
+        UnseenRemovals {
+            name: "one datagram",
+            unseen: Unseen::HistoryDropped,
+            removed: 20,
+        },
+        UnseenRemovals {
+            name: "two datagrams",
+            unseen: Unseen::HistoryDropped,
+            removed: 30,
+        },
+        UnseenRemovals {
+            name: "three datagrams",
+            unseen: Unseen::HistoryDropped,
+            removed: 55,
+        },
+    ];
+    for case in cases {
+        case.check().await;
+    }
+}
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -840,18 +840,6 @@
         let new = broadcast.clone().new_after(case.applied);
         assert_eq!(new.map(|changes| changes.len()), case.new);
     }
-    let parts = broadcast.clone().split();
-    assert_eq!(parts.len(), 3);
-    let mut applied = 100;
-    let mut applied_changes = Vec::new();
-    for part in parts {
-        let bytes = postcard::to_stdvec(&part).expect("a message").len();
-        assert!(bytes < 1_400, "{bytes} bytes");
-        let up_to = part.up_to;
-        applied_changes.extend(part.new_after(applied).expect("the next part"));
-        applied = up_to;
-    }
-    assert_eq!((applied, applied_changes), (190, broadcast.changes));
 }
 
 #[test]
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -155,6 +155,19 @@
         self.state.changed.notify_waiters();
     }
 
+    /// Removes rows in one transaction each, and drops the history before any feed delivers the
+    /// removals.
+    pub fn remove_without_history(&self, table: &str, keys: &[String]) {
+        let mut rows = self.state.rows();
+        for key in keys {
+            rows.version += 1;
+            rows.write(table, key, None);
+        }
+        rows.compact_history();
+        drop(rows);
+        self.state.changed.notify_waiters();
+    }
+
     /// Replaces the faults that the store injects.
     pub fn set_faults(&self, faults: Faults) {
         self.state.rows().faults = faults;
@@ -163,10 +176,7 @@
     /// Compacts the whole history of changes, so that feeds from earlier versions are rejected and
     /// their callers have to read the table again.
     pub fn compact_history(&self) {
-        let mut rows = self.state.rows();
-        rows.compacted_version = rows.version;
-        rows.changes.clear();
-        drop(rows);
+        self.state.rows().compact_history();
         self.state.changed.notify_waiters();
     }
 
@@ -231,6 +241,11 @@
             .push((version, table.to_owned(), key.to_owned()));
     }
 
+    fn compact_history(&mut self) {
+        self.compacted_version = self.version;
+        self.changes.clear();
+    }
+
     fn json_row(&self, table: &str, key: &str) -> Option<&str> {
         let row = self.rows.get(&(table.to_owned(), key.to_owned()))?;
         Some(&row.json)
