A difference of two tables is not applied by hosts that know more than the leader

Hosts that applied the difference also served it to others as all changes.

Change: a range states whether it contains all changes or a difference. A difference is applied only at the version from which it was made, counts as a full read in the host's reports, and is not kept for other hosts. The encoding of datagrams becomes version 20.

Test: two scenarios and the random steps of tests/unseen_removals.rs, which failed before the fix: "a difference reaches a host that knows an entry which the leader has never known" (left [1], right []) and, shrunk by quickcheck, Remove(3), ReadWhole(3), Join { from: 3, to: 1 }, ReadWhole(0), Write(3), SendDifference { from: 3, to: 0 }, Remove(3), SendDifference { from: 1, to: 0 }. It was not seen in a run of real processes.

--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -19,7 +19,7 @@
             Piece, PieceAssembly, PieceEncoding, Pieces, decode_content, split_into_pieces,
         },
         followed::FollowedTable,
-        server_changes::{RecentChanges, ServerChanges},
+        server_changes::{RecentChanges, Selection, ServerChanges},
     },
 };
 use crate::platform::store::{Row, Rows};
@@ -172,6 +172,7 @@
             FollowedTable::Servers => {
                 let difference = self.view.registry().difference(rows, after);
                 self.broadcast_server_changes(&ServerChanges {
+                    selection: Selection::Difference,
                     after,
                     up_to: difference.version,
                     changes: decode_servers(&difference.rows),
@@ -198,26 +199,26 @@
         }
     }
 
-    /// Applies changes of server entries. Ignores all of them if this host lacks changes that were
-    /// made earlier.
+    /// Applies changes of server entries. Ignores all of them if they do not lead on from the version
+    /// that this host has applied.
     pub(super) fn apply_server_changes(&self, updates: ServerChanges) {
-        let up_to = updates.up_to;
+        let ServerChanges {
+            selection, up_to, ..
+        } = updates;
         let applied = self.freshness.applied(FollowedTable::Servers);
         let Some(changes) = updates.new_after(applied) else {
             return;
         };
-        self.broadcast.note_changes(&ServerChanges {
+        let new = ServerChanges {
+            selection,
             after: applied,
             up_to,
-            changes: changes.clone(),
-        });
-        for change in &changes {
-            self.freshness
-                .note_change(FollowedTable::Servers, change.version);
-        }
-        if !changes.is_empty() {
-            self.change_servers(changes);
+            changes,
+        };
+        self.broadcast.note_changes(&new);
+        self.freshness.note_server_changes(&new);
+        if !new.changes.is_empty() {
+            self.change_servers(new.changes);
         }
-        self.freshness.note_applied(FollowedTable::Servers, up_to);
     }
 }
--- a/src/entry/peers/message.rs
+++ b/src/entry/peers/message.rs
@@ -38,7 +38,7 @@
 pub const DATAGRAM_BYTES_MAX: usize = 2_048;
 /// Version of the message encoding, the first byte of each datagram. Datagrams of other versions
 /// are ignored.
-pub const VERSION: u8 = 19;
+pub const VERSION: u8 = 20;
 
 /// Number of requests that one host has in flight at one server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/entry/updates/changes_pieces.rs
+++ b/src/entry/updates/changes_pieces.rs
@@ -6,7 +6,7 @@
 
 use super::{
     assembly::{Assembly, PiecePosition},
-    server_changes::{ServerChange, ServerChanges},
+    server_changes::{Selection, ServerChange, ServerChanges},
 };
 
 /// Maximum number of changes in one piece; a change takes about 60 bytes.
@@ -20,6 +20,8 @@
 /// One piece of the changes in a range of versions.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ChangesPiece {
+    /// Selection of the changes of the whole range.
+    pub selection: Selection,
     /// Version after which the whole range begins, exclusive.
     pub after: u64,
     /// Last version of the whole range, inclusive.
@@ -41,6 +43,7 @@
     let chunks = range.changes.chunks(CHANGES_MAX);
     let count = chunks.len() as u16;
     let piece = |(index, changes): (usize, &[ServerChange])| ChangesPiece {
+        selection: range.selection,
         after: range.after,
         up_to: range.up_to,
         index: index as u16,
@@ -50,9 +53,10 @@
     chunks.enumerate().map(piece).collect()
 }
 
-/// First and last version of a range, which identify it.
+/// Selection, first and last version of a range, which identify it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct RangeKey {
+    selection: Selection,
     after: u64,
     up_to: u64,
 }
@@ -69,6 +73,7 @@
             return None;
         }
         let key = RangeKey {
+            selection: piece.selection,
             after: piece.after,
             up_to: piece.up_to,
         };
@@ -78,6 +83,7 @@
         };
         let changes = self.0.add(key, position, piece.changes)?;
         Some(ServerChanges {
+            selection: piece.selection,
             after: piece.after,
             up_to: piece.up_to,
             changes: changes.concat(),
--- a/src/entry/updates/freshness.rs
+++ b/src/entry/updates/freshness.rs
@@ -19,6 +19,7 @@
     lag::Lag,
     query::PendingQuery,
     report::{LatestReport, ReceivedReport, Reporter, StoreStateReport, TABLES, TOO_OLD_MS},
+    server_changes::{Selection, ServerChanges},
     snapshot::TableVersions,
 };
 use crate::{
@@ -161,6 +162,17 @@
         self.full_read_version.fetch_max(version, Ordering::Relaxed);
     }
 
+    /// Records that this host has applied changes of servers' entries, up to the end of their range.
+    pub fn note_server_changes(&self, range: &ServerChanges) {
+        for change in &range.changes {
+            self.note_change(FollowedTable::Servers, change.version);
+        }
+        if range.selection == Selection::Difference {
+            self.note_full_read(range.up_to);
+        }
+        self.note_applied(FollowedTable::Servers, range.up_to);
+    }
+
     /// Records that a report was checked whose sender took over the table of servers' entries as a
     /// whole at `version`. Returns false if a report with that version or a later one was checked
     /// before.
--- a/src/entry/updates/server_changes.rs
+++ b/src/entry/updates/server_changes.rs
@@ -37,9 +37,21 @@
     }
 }
 
-/// All changes of servers' entries in a range of versions.
+/// Selection of the changes in a range of versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Selection {
+    /// All changes in the range.
+    All,
+    /// Changes that lead from the table at the beginning of the range to the table at its end.
+    /// Entries that were added and removed in between are left out.
+    Difference,
+}
+
+/// Changes of servers' entries in a range of versions.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServerChanges {
+    /// Selection of the changes.
+    pub selection: Selection,
     /// Version after which the range begins, exclusive.
     pub after: u64,
     /// Last version of the range, inclusive. It may be later than the last change.
@@ -51,9 +63,14 @@
 impl ServerChanges {
     /// Returns the changes in this range that are new to a host that has applied the table up to
     /// the version `applied`. Returns `None` if changes are missing between `applied` and the
-    /// beginning of the range.
+    /// beginning of the range, or if the changes are a difference from another version: a host at a
+    /// later version may know entries whose removals the difference does not contain.
     pub fn new_after(self, applied: u64) -> Option<Vec<ServerChange>> {
-        if applied < self.after {
+        let is_usable = match self.selection {
+            Selection::All => applied >= self.after,
+            Selection::Difference => applied == self.after,
+        };
+        if !is_usable {
             return None;
         }
         let mut changes = self.changes;
@@ -78,12 +95,14 @@
 
 impl RecentChanges {
     /// Appends changes. If `updates` does not continue the kept range of versions without a gap,
-    /// the kept changes are discarded.
+    /// the kept changes are discarded. A difference is not kept, and the kept range begins after it.
     pub fn note(&mut self, updates: &ServerChanges) {
+        if updates.selection == Selection::Difference {
+            self.restart_at(updates.up_to);
+            return;
+        }
         if updates.after > self.up_to {
-            self.changes.clear();
-            self.after = updates.after;
-            self.up_to = updates.after;
+            self.restart_at(updates.after);
         }
         let known_up_to = self.up_to;
         let new = updates.changes.iter().filter(|c| c.version > known_up_to);
@@ -95,6 +114,12 @@
         }
     }
 
+    fn restart_at(&mut self, version: u64) {
+        self.changes.clear();
+        self.after = version;
+        self.up_to = version;
+    }
+
     /// Returns true if the kept range of versions begins at or before the given version, so that no
     /// change between that version and the end of the range is missing.
     pub fn reaches_back_to(&self, version: u64) -> bool {
@@ -109,6 +134,7 @@
         }
         let changes = self.changes.iter().filter(|c| c.version > version);
         Some(ServerChanges {
+            selection: Selection::All,
             after: version,
             up_to: self.up_to,
             changes: changes.cloned().collect(),
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -22,7 +22,7 @@
         freshness::AbandonReason,
         own_rows::{HOSTS_PARTITION, TABLE},
         row_source::RowSource,
-        server_changes::ServerChanges,
+        server_changes::{Selection, ServerChanges},
     },
 };
 use crate::{
@@ -219,6 +219,7 @@
 
     fn apply_server_rows(&self, after: u64, rows: &Rows) {
         let updates = ServerChanges {
+            selection: Selection::All,
             after,
             up_to: rows.version,
             changes: decode_servers(&rows.rows),
--- a/tests/changes_pieces.rs
+++ b/tests/changes_pieces.rs
@@ -6,7 +6,7 @@
     model::{ServerEntry, incarnation_id},
     updates::{
         changes_pieces::{ChangesAssembly, ChangesPiece, PIECES_CHANGES_MAX, split_into_pieces},
-        server_changes::{RecentChanges, ServerChange, ServerChanges, ServerUpdate},
+        server_changes::{RecentChanges, Selection, ServerChange, ServerChanges, ServerUpdate},
     },
 };
 
@@ -42,6 +42,7 @@
         }
     });
     ServerChanges {
+        selection: Selection::All,
         after: AFTER,
         up_to,
         changes: written.chain(removed).collect(),
--- a/tests/entry_rules.rs
+++ b/tests/entry_rules.rs
@@ -29,7 +29,7 @@
         settings::Settings,
         updates::{
             announcement::MoveAnnouncement,
-            server_changes::{ServerChange, ServerChanges, ServerUpdate},
+            server_changes::{Selection, ServerChange, ServerChanges, ServerUpdate},
         },
     },
     platform::store::{Row, Rows},
@@ -810,6 +810,7 @@
         ),
     };
     let broadcast = ServerChanges {
+        selection: Selection::All,
         after: 100,
         up_to: 190,
         changes: (101..=160).map(change).collect(),
--- a/tests/unseen_removals.rs
+++ b/tests/unseen_removals.rs
@@ -1,6 +1,7 @@
 //! Checks that no host moves on past a removal of a server's entry that it has not applied, however
-//! hosts learn of changes: from the store, from reports on the store, and from snapshots. The hosts
-//! are models without a network, around the code that decides about versions.
+//! hosts learn of changes: from the store, from reports on the store, from snapshots, and from changes
+//! that other hosts send. The hosts are models without a network, around the code that decides about
+//! versions.
 
 use std::collections::BTreeMap;
 
@@ -9,7 +10,13 @@
     entry::{
         bounds::Bounds,
         limits::Timings,
-        updates::{followed::FollowedTable, freshness::Freshness, report::StoreStateReport},
+        model::{ServerEntry, incarnation_id},
+        updates::{
+            followed::FollowedTable,
+            freshness::Freshness,
+            report::StoreStateReport,
+            server_changes::{RecentChanges, Selection, ServerChange, ServerChanges, ServerUpdate},
+        },
     },
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -37,6 +44,11 @@
     Relay { from: u8, to: u8 },
     /// A host takes over the snapshot of another host.
     Join { from: u8, to: u8 },
+    /// A host reads the whole table, since the store has dropped its history, and sends another host
+    /// the difference from the table as it knew it, as the leader does.
+    SendDifference { from: u8, to: u8 },
+    /// A host fetches the changes that it has missed from another host.
+    Fetch { from: u8, to: u8 },
 }
 
 impl Arbitrary for Step {
@@ -44,7 +56,7 @@
         let host = u8::arbitrary(generator) % HOSTS;
         let to = (host + 1 + u8::arbitrary(generator) % (HOSTS - 1)) % HOSTS;
         let name = u8::arbitrary(generator) % NAMES;
-        match u8::arbitrary(generator) % 12 {
+        match u8::arbitrary(generator) % 16 {
             0 | 1 => Self::Write(name),
             2 | 3 => Self::Remove(name),
             4 => Self::Follow(host),
@@ -52,6 +64,8 @@
             6 => Self::Restart(host),
             7 | 8 => Self::Report { from: host, to },
             9 | 10 => Self::Relay { from: host, to },
+            11 | 12 => Self::SendDifference { from: host, to },
+            13 | 14 => Self::Fetch { from: host, to },
             _ => Self::Join { from: host, to },
         }
     }
@@ -60,10 +74,45 @@
 /// Entries of servers by number, with the version of each row.
 type Entries = BTreeMap<u8, u64>;
 
+fn name_of(number: u8) -> String {
+    format!("{number}")
+}
+
+fn number_of(name: &str) -> u8 {
+    name.parse().expect("the number of an entry")
+}
+
+fn written(number: u8, version: u64) -> ServerChange {
+    let name = name_of(number);
+    let entry = ServerEntry {
+        id: incarnation_id(&name, version),
+        name: name.into(),
+        started_ms: version,
+        service: "service".into(),
+        address: "10.0.0.1:7000".parse().expect("an address"),
+        availability_zone: "zone".into(),
+        slots: 4,
+        leaving: false,
+        cold_ms: 0,
+    };
+    ServerChange {
+        version,
+        update: ServerUpdate::Entry(entry),
+    }
+}
+
+fn removed(number: u8, version: u64) -> ServerChange {
+    ServerChange {
+        version,
+        update: ServerUpdate::Removed(name_of(number).into()),
+    }
+}
+
 #[derive(Debug)]
 struct ModelHost {
     freshness: Freshness,
     entries: Entries,
+    recent: RecentChanges,
 }
 
 impl ModelHost {
@@ -76,6 +125,7 @@
         Self {
             freshness: Freshness::new(&Timings::new(&bounds)),
             entries: Entries::new(),
+            recent: RecentChanges::default(),
         }
     }
 
@@ -94,6 +144,52 @@
         self.freshness.note_announced(checked.report);
     }
 
+    /// Applies changes from the store or from another host.
+    fn apply(&mut self, range: ServerChanges) {
+        let applied = self.applied();
+        let ServerChanges {
+            selection, up_to, ..
+        } = range;
+        let Some(changes) = range.new_after(applied) else {
+            return;
+        };
+        for change in &changes {
+            match &change.update {
+                ServerUpdate::Entry(entry) => {
+                    self.entries.insert(number_of(&entry.name), change.version);
+                }
+                ServerUpdate::Removed(name) | ServerUpdate::Unreadable(name) => {
+                    self.entries.remove(&number_of(name));
+                }
+            }
+        }
+        let new = ServerChanges {
+            selection,
+            after: applied,
+            up_to,
+            changes,
+        };
+        self.recent.note(&new);
+        self.freshness.note_server_changes(&new);
+    }
+
+    /// Returns the changes that lead from the entries of this host to `whole`, the table at `version`.
+    fn difference(&self, whole: &Entries, version: u64) -> ServerChanges {
+        let applied = self.applied();
+        let newer = whole.iter().filter(|(_, changed)| **changed > applied);
+        let newer = newer.map(|(name, changed)| written(*name, *changed));
+        let gone = self.entries.keys().filter(|name| !whole.contains_key(name));
+        let gone = gone.map(|name| removed(*name, version));
+        let mut changes: Vec<ServerChange> = newer.chain(gone).collect();
+        changes.sort_by_key(|change| change.version);
+        ServerChanges {
+            selection: Selection::Difference,
+            after: applied,
+            up_to: version,
+            changes,
+        }
+    }
+
     /// Returns true if the host will fetch changes that it has missed.
     fn is_behind(&self) -> bool {
         self.freshness.is_behind(SERVERS, self.applied())
@@ -176,6 +272,24 @@
                     self.take_over(to, version, entries);
                 }
             }
+            Step::SendDifference { from, to } => {
+                let version = self.version();
+                let entries = self.versions.last().expect("a version").clone();
+                let difference = self.host(from).difference(&entries, version);
+                let had_read = self.host(from).applied() > 0;
+                self.step(Step::ReadWhole(from));
+                if had_read && self.host(to).applied() > 0 {
+                    self.host(to).apply(difference);
+                }
+            }
+            Step::Fetch { from, to } => {
+                let applied = self.host(to).applied();
+                if let Some(changes) = self.host(from).recent.after(applied)
+                    && applied > 0
+                {
+                    self.host(to).apply(changes);
+                }
+            }
         }
     }
 
@@ -186,18 +300,28 @@
             return self.step(Step::ReadWhole(number));
         }
         let version = self.version();
-        for changed in applied + 1..=version {
-            if self.versions[changed as usize] != self.versions[changed as usize - 1] {
-                self.host(number).freshness.note_change(SERVERS, changed);
-            }
-        }
-        let entries = self.versions[version as usize].clone();
+        let changes = (applied + 1..=version).flat_map(|version| self.changes_at(version));
+        let changes = changes.collect();
         let host = self.host(number);
-        host.entries = entries;
-        host.freshness.note_applied(SERVERS, version);
+        host.apply(ServerChanges {
+            selection: Selection::All,
+            after: applied,
+            up_to: version,
+            changes,
+        });
         host.has_called_store();
     }
 
+    fn changes_at(&self, version: u64) -> Vec<ServerChange> {
+        let [before, after] = [version - 1, version].map(|at| &self.versions[at as usize]);
+        let is_new = |(_, changed): &(&u8, &u64)| **changed == version;
+        let new = after.iter().filter(is_new);
+        let new = new.map(|(name, _)| written(*name, version));
+        let gone = before.keys().filter(|name| !after.contains_key(name));
+        new.chain(gone.map(|name| removed(*name, version)))
+            .collect()
+    }
+
     fn take_over(&mut self, number: u8, version: u64, entries: Entries) {
         let host = self.host(number);
         let changed = entries.values().max().copied().unwrap_or(0);
@@ -226,10 +350,12 @@
 }
 
 /// Guards against hosts that send requests to a server whose entry was removed while the host whose
-/// report they rely on took over the table as a whole.
+/// reports or changes they rely on took over the table as a whole.
 #[test]
 fn a_report_does_not_hide_removals_that_its_sender_has_not_seen() {
-    use Step::{Follow, Join, ReadWhole, Relay, Remove, Report, Restart, Write};
+    use Step::{
+        Fetch, Follow, Join, ReadWhole, Relay, Remove, Report, Restart, SendDifference, Write,
+    };
     let scenarios = [
         Scenario {
             name: "the leader starts again, and nothing was removed",
@@ -344,6 +470,44 @@
             ],
             behind: &[2],
         },
+        Scenario {
+            name: "a difference reaches a host that knows what the leader knew",
+            steps: &[
+                Follow(0),
+                Follow(1),
+                Remove(2),
+                SendDifference { from: 0, to: 1 },
+            ],
+            behind: &[],
+        },
+        Scenario {
+            name: "a difference reaches a host that knows an entry which the leader has never known",
+            steps: &[
+                Remove(5),
+                Follow(0),
+                Write(5),
+                Follow(1),
+                Remove(5),
+                SendDifference { from: 0, to: 1 },
+                Report { from: 0, to: 1 },
+            ],
+            behind: &[1],
+        },
+        Scenario {
+            name: "a host fetches changes from one that has applied a difference",
+            steps: &[
+                Remove(5),
+                Follow(0),
+                Follow(1),
+                Write(5),
+                Follow(2),
+                Remove(5),
+                SendDifference { from: 0, to: 1 },
+                Fetch { from: 1, to: 2 },
+                Report { from: 1, to: 2 },
+            ],
+            behind: &[2],
+        },
         Scenario {
             name: "a leader that read the whole table follows one that did not",
             steps: &[
