--- a/tests/client_responses.rs
+++ b/tests/client_responses.rs
@@ -170,6 +170,45 @@
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
+/// Guards against a response that a host believes although its head, or its body, broke off, or its
+/// status is 000.
+#[tokio::test]
+async fn no_client_takes_the_beginning_of_a_response_for_a_whole_one() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nx: y\r\ncontent-length: 11\r\n\r\n{\"rows\":[]}";
+    const STATUSES: [&str; 5] = ["000", "000 OK", "0 OK", "00 OK", "001 OK"];
+    let cuts = (0..WHOLE.len()).map(|length| WHOLE[..length].to_owned());
+    let statuses = STATUSES.map(|status| WHOLE.replace("200 OK", status));
+    let responses: Vec<String> = cuts.chain(statuses).collect();
+    let mut failures = Vec::new();
+    for client in CLIENTS {
+        for response in &responses {
+            let (peer, sender) = start_peer(response.clone(), "");
+            if let Some(received) = (client.call)(peer).await {
+                failures.push(format!("{}, {response:?}: {received:?}", client.name));
+            }
+            sender.join().expect("the peer");
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
+/// Guards against a tunnel through a host whose response broke off, or whose status is 000.
+#[tokio::test]
+async fn no_tunnel_begins_behind_a_broken_head() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nx: y\r\n\r\n";
+    let cuts = (0..WHOLE.len()).map(|length| WHOLE[..length].to_owned());
+    let statuses = ["000 OK", "00 OK", "001 OK"].map(|status| WHOLE.replace("200 OK", status));
+    let mut failures = Vec::new();
+    for response in cuts.chain(statuses) {
+        let (peer, sender) = start_peer(response.clone(), "");
+        if ask_for_tunnel(peer).await.is_ok() {
+            failures.push(response);
+        }
+        sender.join().expect("the peer");
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
+
 /// Bytes without end: a beginning, and what follows again and again.
 struct Endless {
     name: &'static str,
--- a/tests/platform_standin/raw_server.rs
+++ b/tests/platform_standin/raw_server.rs
@@ -85,7 +85,8 @@
     while stream.read(&mut rest).await.is_ok_and(|length| length > 0) {}
 }
 
-async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<RawRequest> {
+/// Reads the head of a request; returns `None` if the connection ends before.
+pub async fn read_head(stream: &mut BufReader<TcpStream>) -> Option<RawRequest> {
     let mut request = RawRequest::default();
     let mut line = String::new();
     stream.read_line(&mut line).await.ok()?;
