Versions of the followed tables in a file of their own

freshness.rs held two things: the versions that a host has applied and seen, and the reports of other hosts. No behaviour changes.

--- a/src/entry/broadcast.rs
+++ b/src/entry/broadcast.rs
@@ -164,7 +164,7 @@
     /// store no longer had the changes that the leader had missed. Without the broadcast, each of
     /// the other hosts, for example 295, would read the whole table as well.
     pub(super) fn broadcast_difference(&self, followed: FollowedTable, rows: &Rows) {
-        let after = self.freshness.applied(followed);
+        let after = self.freshness.versions.applied(followed);
         if after == 0 {
             return;
         }
@@ -205,7 +205,7 @@
         let ServerChanges {
             selection, up_to, ..
         } = updates;
-        let applied = self.freshness.applied(FollowedTable::Servers);
+        let applied = self.freshness.versions.applied(FollowedTable::Servers);
         let Some(changes) = updates.new_after(applied) else {
             return;
         };
@@ -216,7 +216,7 @@
             changes,
         };
         self.broadcast.note_changes(&new);
-        self.freshness.note_server_changes(&new);
+        self.freshness.versions.note_server_changes(&new);
         if !new.changes.is_empty() {
             self.change_servers(new.changes);
         }
--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -75,7 +75,7 @@
         let is_confirmed_by_leader = self.freshness.is_store_confirmed()
             && !self
                 .freshness
-                .is_behind(followed, self.freshness.applied(followed));
+                .is_behind(followed, self.freshness.versions.applied(followed));
         if is_confirmed_by_leader && self.settings.bounds.revocation_ms.is_none() {
             return Some(0);
         }
@@ -122,7 +122,7 @@
     /// applied. Returns false if the store did not answer, or the configuration was never read.
     async fn confirm_with_store(&self) -> bool {
         let followed = FollowedTable::Configuration;
-        let after = self.freshness.applied(followed);
+        let after = self.freshness.versions.applied(followed);
         if after == 0 {
             return false;
         }
@@ -152,14 +152,22 @@
         Some(Message::ConfigurationAge {
             nonce,
             age_ms: u32::try_from(age_ms).ok()?,
-            changed: self.freshness.changed(FollowedTable::Configuration),
+            changed: self
+                .freshness
+                .versions
+                .changed(FollowedTable::Configuration),
         })
     }
 
     /// Records another host's response to a query that this host sent. The response is ignored if
     /// the other host knows a later change of the configuration than this host.
     pub(super) fn note_confirmation(&self, nonce: u64, age_ms: u32, changed: u64) {
-        if self.freshness.changed(FollowedTable::Configuration) >= changed {
+        if self
+            .freshness
+            .versions
+            .changed(FollowedTable::Configuration)
+            >= changed
+        {
             self.confirmation.note_response(nonce, u64::from(age_ms));
         }
     }
--- a/src/entry/configuration_exchange.rs
+++ b/src/entry/configuration_exchange.rs
@@ -44,7 +44,12 @@
     /// once it is complete.
     pub(super) fn receive_configuration_piece(&self, encoding: PieceEncoding, piece: Piece) {
         let version = piece.version;
-        if version <= self.freshness.applied(FollowedTable::Configuration) {
+        if version
+            <= self
+                .freshness
+                .versions
+                .applied(FollowedTable::Configuration)
+        {
             return;
         }
         let evacuations = piece.evacuations;
@@ -66,6 +71,7 @@
         // leader knew. Otherwise an evacuation of an earlier version would be skipped.
         if self.view.evacuations().version >= evacuations {
             self.freshness
+                .versions
                 .note_applied(FollowedTable::Configuration, version);
         }
     }
@@ -75,7 +81,10 @@
     pub(super) fn known_configuration(&self) -> Option<SnapshotConfiguration> {
         // The version is read first: the other values may be newer than this version, but not
         // older.
-        let up_to = self.freshness.applied(FollowedTable::Configuration);
+        let up_to = self
+            .freshness
+            .versions
+            .applied(FollowedTable::Configuration);
         let evacuations = self.view.evacuations();
         let latest = self.broadcast.latest_configuration()?;
         Some(SnapshotConfiguration {
@@ -91,7 +100,10 @@
     /// version of it.
     pub(super) fn apply_known_configuration(&self, known: SnapshotConfiguration) {
         self.view.evacuate(known.evacuations);
-        let applied = self.freshness.applied(FollowedTable::Configuration);
+        let applied = self
+            .freshness
+            .versions
+            .applied(FollowedTable::Configuration);
         if known.version > applied {
             let row = Row {
                 key: config::KEY.to_owned(),
@@ -102,13 +114,17 @@
             self.apply(FollowedTable::Configuration, vec![row], RowSource::Peer);
         }
         self.freshness
+            .versions
             .note_applied(FollowedTable::Configuration, known.up_to);
     }
 
     /// Asks the relays of this host's zone for the latest configuration if a report says that this
     /// host lacks it. A relay asks the leader. Returns true if this host lacks a configuration.
     pub(super) fn request_missed_configuration(&self) -> bool {
-        let applied = self.freshness.applied(FollowedTable::Configuration);
+        let applied = self
+            .freshness
+            .versions
+            .applied(FollowedTable::Configuration);
         if !self
             .freshness
             .is_behind(FollowedTable::Configuration, applied)
--- a/src/entry/crashes/stored.rs
+++ b/src/entry/crashes/stored.rs
@@ -125,7 +125,9 @@
                     digests: row.digests,
                     version,
                 };
-                self.freshness.note_change(FollowedTable::Own, version);
+                self.freshness
+                    .versions
+                    .note_change(FollowedTable::Own, version);
             }
             Ok(TransactionOutcome::Conflict { rows }) => self.apply_own(&rows),
             Err(error) => log::debug!("the quarantine cannot be stored yet: {error}"),
--- a/src/entry/join/catch_up.rs
+++ b/src/entry/join/catch_up.rs
@@ -64,14 +64,14 @@
     /// this host has applied.
     fn missed(&self, followed: FollowedTable) -> u64 {
         let changed = self.freshness.reported_change(followed);
-        changed.saturating_sub(self.freshness.applied(followed))
+        changed.saturating_sub(self.freshness.versions.applied(followed))
     }
 
     /// Returns the timeout for fetching missed changes of a table from other hosts. A new server
     /// may become known late, but a leaving server and a new configuration must become known within
     /// their bounds in the settings.
     fn catch_up_timeout_ms(&self, followed: FollowedTable) -> u64 {
-        let applied = self.freshness.applied(followed);
+        let applied = self.freshness.versions.applied(followed);
         let has_bound = match followed {
             FollowedTable::Servers => self.freshness.has_leave_since(applied),
             FollowedTable::Configuration => self.view.configuration().is_some(),
@@ -106,7 +106,7 @@
     }
 
     fn is_missing(&self, followed: FollowedTable) -> bool {
-        let applied = self.freshness.applied(followed);
+        let applied = self.freshness.versions.applied(followed);
         let is_behind = self.freshness.is_behind(followed, applied);
         match followed {
             FollowedTable::Own => is_behind && self.view.lacks_assignments(),
@@ -117,7 +117,7 @@
     async fn fetch_changes(&self, followed: FollowedTable, peer: SocketAddr) -> Result<(), Error> {
         match followed {
             FollowedTable::Servers => {
-                let path = format!("{CHANGES}{}", self.freshness.applied(followed));
+                let path = format!("{CHANGES}{}", self.freshness.versions.applied(followed));
                 match self.query::<ServerChanges>(peer, &path).await {
                     Ok(changes) => self.receive_server_changes(changes),
                     Err(Error::Status { status }) if status == StatusCode::GONE => {
@@ -156,7 +156,7 @@
                 return Err(error);
             }
         };
-        let is_later = snapshot.known(followed).up_to > self.freshness.applied(followed);
+        let is_later = snapshot.known(followed).up_to > self.freshness.versions.applied(followed);
         if is_later {
             self.apply_snapshot(&snapshot);
         }
--- a/src/entry/join/query.rs
+++ b/src/entry/join/query.rs
@@ -107,7 +107,7 @@
         if !self.is_store_confirmed_soon().await {
             return false;
         }
-        let applied = self.freshness.applied(followed);
+        let applied = self.freshness.versions.applied(followed);
         if !self.freshness.is_behind(followed, applied) {
             // This host got the missed changes by a broadcast in the meantime, or it has missed no
             // changes.
@@ -166,7 +166,8 @@
     pub(super) fn apply_snapshot(&self, snapshot: &Snapshot) {
         let has_servers = snapshot.servers_versions.up_to > 0;
         if has_servers
-            && snapshot.servers_versions.up_to >= self.freshness.applied(FollowedTable::Servers)
+            && snapshot.servers_versions.up_to
+                >= self.freshness.versions.applied(FollowedTable::Servers)
         {
             self.apply_known_servers(snapshot);
         }
@@ -189,16 +190,17 @@
             registry.put_all(entries.into_iter());
         });
         self.view.set_servers_known();
-        self.freshness.note_leave(snapshot.leave_version);
+        self.freshness.versions.note_leave(snapshot.leave_version);
         self.freshness
+            .versions
             .note_full_read(snapshot.servers_versions.up_to);
         self.note_known(FollowedTable::Servers, snapshot);
     }
 
     fn note_known(&self, followed: FollowedTable, snapshot: &Snapshot) {
         let known = snapshot.known(followed);
-        self.freshness.note_change(followed, known.changed);
-        self.freshness.note_applied(followed, known.up_to);
+        self.freshness.versions.note_change(followed, known.changed);
+        self.freshness.versions.note_applied(followed, known.up_to);
     }
 
     fn apply_known_host(&self, host: SnapshotHost) {
--- a/src/entry/join/serve.rs
+++ b/src/entry/join/serve.rs
@@ -52,8 +52,8 @@
             return None;
         }
         let mut snapshot = self.own_snapshot();
-        snapshot.servers_versions = self.freshness.known(FollowedTable::Servers);
-        snapshot.leave_version = self.freshness.leave_version();
+        snapshot.servers_versions = self.freshness.versions.known(FollowedTable::Servers);
+        snapshot.leave_version = self.freshness.versions.leave_version();
         let registry = self.view.registry();
         snapshot.set_servers(registry.servers().map(|server| server.current_entry()));
         Some(snapshot)
@@ -62,7 +62,7 @@
     /// Returns a snapshot of the hosts and assigned ranges that this host knows, without servers.
     fn own_snapshot(&self) -> Snapshot {
         let mut snapshot = Snapshot::default();
-        snapshot.own_versions = self.freshness.known(FollowedTable::Own);
+        snapshot.own_versions = self.freshness.versions.known(FollowedTable::Own);
         snapshot.hosts = self.known_hosts();
         for (service, held) in self.view.all_held() {
             for (part, row) in held.rows() {
--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -194,7 +194,9 @@
             };
             let held = rows.into_iter().map(|row| row.held(version));
             self.view.put_assignment_rows(service, held.collect());
-            self.freshness.note_change(FollowedTable::Own, version);
+            self.freshness
+                .versions
+                .note_change(FollowedTable::Own, version);
             return Ok(());
         }
     }
--- a/src/entry/leases/ended.rs
+++ b/src/entry/leases/ended.rs
@@ -234,7 +234,11 @@
     /// of each suspect is confirmed if it is present and ready without such a change; otherwise the
     /// evidence against the suspect is discarded.
     async fn confirm_evidence(&self) {
-        let applied = self.entry.freshness.applied(FollowedTable::Servers);
+        let applied = self
+            .entry
+            .freshness
+            .versions
+            .applied(FollowedTable::Servers);
         let sent_ms = clock::now_ms();
         let table = FollowedTable::Servers.table();
         let head_received = AtomicBool::new(false);
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -57,7 +57,7 @@
     /// Applies rows of a table. `source` is the way by which they reached this host.
     pub(super) fn apply(&self, followed: FollowedTable, rows: Vec<Row>, source: RowSource) {
         for row in rows.iter().filter(|row| !is_evacuation(followed, row)) {
-            self.freshness.note_change(followed, row.version);
+            self.freshness.versions.note_change(followed, row.version);
         }
         match followed {
             FollowedTable::Configuration => {
@@ -135,7 +135,7 @@
         self.view.update_registry(|registry| {
             for change in changes {
                 if change.ends_new_work() {
-                    self.freshness.note_leave(change.version);
+                    self.freshness.versions.note_leave(change.version);
                 }
                 match change.update {
                     ServerUpdate::Entry(entry) => registry.put(entry),
--- a/src/entry/secret.rs
+++ b/src/entry/secret.rs
@@ -75,7 +75,9 @@
                 if let Err(error) = self.peers.seal.set(&value, version) {
                     log::error!("the new secret for datagrams is invalid: {error}");
                 }
-                self.freshness.note_change(FollowedTable::Own, version);
+                self.freshness
+                    .versions
+                    .note_change(FollowedTable::Own, version);
             }
             Ok(TransactionOutcome::Conflict { rows }) => self.apply_own(&rows),
             Err(error) => log::debug!("the new secret for datagrams is not stored yet: {error}"),
--- a/src/entry/store_confirmation.rs
+++ b/src/entry/store_confirmation.rs
@@ -83,7 +83,7 @@
     async fn pause_while_confirmed(&self) {
         let until_ms = clock::now_ms() + CONFIRMED_PAUSE_MS;
         let is_behind = |followed| {
-            let applied = self.freshness.applied(followed);
+            let applied = self.freshness.versions.applied(followed);
             self.freshness.is_behind(followed, applied)
         };
         while clock::now_ms() < until_ms && self.freshness.is_store_confirmed() {
@@ -161,7 +161,10 @@
         reporter: Reporter,
     ) -> StoreStateReport {
         let own_entries = self.view.registry().entries_count();
-        let checked = self.freshness.check_unseen_removals(report, own_entries);
+        let checked = self
+            .freshness
+            .versions
+            .check_unseen_removals(report, own_entries);
         if let Some(found) = checked.first_found {
             Event::UnseenRemovals { reporter, found }.log();
         }
--- a/src/entry/updates/freshness.rs
+++ b/src/entry/updates/freshness.rs
@@ -19,8 +19,7 @@
     lag::Lag,
     query::PendingQuery,
     report::{LatestReport, ReceivedReport, Reporter, StoreStateReport, TABLES, TOO_OLD_MS},
-    server_changes::{Selection, ServerChanges},
-    snapshot::TableVersions,
+    versions::FollowedVersions,
 };
 use crate::{
     clock,
@@ -39,16 +38,8 @@
     /// Time at which this host's last feed call for each table ended; `u64::MAX` while a feed call
     /// waits at the store, 0 before the first feed call.
     followed_ms: [AtomicU64; TABLES],
-    /// Version up to which this host has applied each table.
-    applied: [AtomicU64; TABLES],
-    /// Version of the latest change that this host has seen, by table.
-    changed: [AtomicU64; TABLES],
-    /// Version of the latest change of a server's entry that ends new work for the server.
-    leave_version: AtomicU64,
-    /// Version at which this host last took over the table of servers' entries as a whole.
-    full_read_version: AtomicU64,
-    /// Latest version of a full read by another host whose report was checked for unseen removals.
-    checked_read_version: AtomicU64,
+    /// Versions of the tables up to which this host has followed the store.
+    pub versions: FollowedVersions,
     /// Latest report from the leader or a relay; `None` before the first.
     received: Mutex<Option<ReceivedReport>>,
     /// Time for which this host has lacked reported changes.
@@ -77,11 +68,7 @@
             trust_ms: limits.trust_ms,
             lag_grace_ms: limits.lag_grace_ms,
             followed_ms: Default::default(),
-            applied: Default::default(),
-            changed: Default::default(),
-            leave_version: AtomicU64::new(0),
-            full_read_version: AtomicU64::new(0),
-            checked_read_version: AtomicU64::new(0),
+            versions: FollowedVersions::default(),
             received: Mutex::default(),
             lag: Lag::default(),
             query: PendingQuery::default(),
@@ -112,77 +99,6 @@
         FollowGuard(followed_ms)
     }
 
-    /// Records that this host has applied all changes of a table up to a version.
-    pub fn note_applied(&self, followed: FollowedTable, version: u64) {
-        self.applied[followed.index()].fetch_max(version, Ordering::Relaxed);
-    }
-
-    /// Returns the version up to which this host has applied a table; 0 if the table was never
-    /// read.
-    pub fn applied(&self, followed: FollowedTable) -> u64 {
-        self.applied[followed.index()].load(Ordering::Relaxed)
-    }
-
-    /// Records the version of a change that this host has seen, for this host's reports to others.
-    /// A version earlier than the latest recorded one is ignored.
-    pub fn note_change(&self, followed: FollowedTable, version: u64) {
-        self.changed[followed.index()].fetch_max(version, Ordering::Relaxed);
-    }
-
-    /// Returns the version of the latest change of a table that this host has seen; 0 before the
-    /// first.
-    pub fn changed(&self, followed: FollowedTable) -> u64 {
-        self.changed[followed.index()].load(Ordering::Relaxed)
-    }
-
-    /// Returns this host's progress in following a table; a version is 0 until it is known.
-    pub fn known(&self, followed: FollowedTable) -> TableVersions {
-        TableVersions {
-            up_to: self.applied(followed),
-            changed: self.changed(followed),
-        }
-    }
-
-    /// Returns the version of the latest change of a server's entry that ends new work for the
-    /// server; 0 before the first such change.
-    pub fn leave_version(&self) -> u64 {
-        self.leave_version.load(Ordering::Relaxed)
-    }
-
-    /// Records the version of a change of a server's entry that ends new work for the server. A
-    /// version earlier than the latest recorded one is ignored.
-    pub fn note_leave(&self, version: u64) {
-        self.leave_version.fetch_max(version, Ordering::Relaxed);
-    }
-
-    /// Records that this host has taken over the table of servers' entries as a whole at `version`,
-    /// so that it may not have seen entries that were removed before. A version earlier than the
-    /// latest recorded one is ignored.
-    pub fn note_full_read(&self, version: u64) {
-        self.full_read_version.fetch_max(version, Ordering::Relaxed);
-    }
-
-    /// Records that this host has applied changes of servers' entries, up to the end of their range.
-    pub fn note_server_changes(&self, range: &ServerChanges) {
-        for change in &range.changes {
-            self.note_change(FollowedTable::Servers, change.version);
-        }
-        if range.selection == Selection::Difference {
-            self.note_full_read(range.up_to);
-        }
-        self.note_applied(FollowedTable::Servers, range.up_to);
-    }
-
-    /// Records that a report was checked whose sender took over the table of servers' entries as a
-    /// whole at `version`. Returns false if a report with that version or a later one was checked
-    /// before.
-    pub(super) fn note_checked_read(&self, version: u64) -> bool {
-        let before = self
-            .checked_read_version
-            .fetch_max(version, Ordering::Relaxed);
-        before < version
-    }
-
     /// Returns this host's own report on the store, which the leader sends in its heartbeats and a
     /// relay in its responses. `heard_ms` is the time of the store's last response, `server_entries`
     /// the number of servers' entries that this host knows.
@@ -197,10 +113,10 @@
         let age_ms = clock::now_ms().saturating_sub(known_ms);
         StoreStateReport {
             age_ms: u32::try_from(age_ms).unwrap_or(TOO_OLD_MS),
-            changed: std::array::from_fn(|table| self.changed[table].load(Ordering::Relaxed)),
-            leave_version: self.leave_version.load(Ordering::Relaxed),
-            up_to: std::array::from_fn(|table| self.applied[table].load(Ordering::Relaxed)),
-            full_read_version: self.full_read_version.load(Ordering::Relaxed),
+            changed: FollowedTable::ALL.map(|followed| self.versions.changed(followed)),
+            leave_version: self.versions.leave_version(),
+            up_to: FollowedTable::ALL.map(|followed| self.versions.applied(followed)),
+            full_read_version: self.versions.full_read_version(),
             server_entries,
         }
     }
@@ -267,12 +183,13 @@
         *self.received() = Some(received);
         let updates = received.updates;
         for followed in [FollowedTable::Servers, FollowedTable::Configuration] {
-            let applied = self.applied(followed);
+            let applied = self.versions.applied(followed);
             if applied >= updates.changed[followed.index()] {
                 if applied > 0 {
                     // The table has not changed since the applied version, so the feed can continue
                     // from the reported version and does not depend on the store's older history.
-                    self.note_applied(followed, updates.up_to[followed.index()]);
+                    self.versions
+                        .note_applied(followed, updates.up_to[followed.index()]);
                 }
             } else {
                 self.lag.begin(followed, clock::now_ms());
--- a/src/entry/updates/mod.rs
+++ b/src/entry/updates/mod.rs
@@ -19,3 +19,4 @@
 pub mod server_changes;
 pub mod snapshot;
 pub mod unseen_removals;
+pub mod versions;
--- a/src/entry/updates/unseen_removals.rs
+++ b/src/entry/updates/unseen_removals.rs
@@ -6,7 +6,7 @@
 
 use serde::Serialize;
 
-use super::{followed::FollowedTable, freshness::Freshness, report::StoreStateReport};
+use super::{followed::FollowedTable, report::StoreStateReport, versions::FollowedVersions};
 
 /// Report whose sender took over the table of servers' entries as a whole, at a version that the
 /// receiver has not applied yet.
@@ -76,7 +76,7 @@
     }
 }
 
-impl Freshness {
+impl FollowedVersions {
     /// Checks a report of another host for removals that neither the sender nor this host has seen.
     /// `own_entries` is the number of servers' entries that this host knows.
     pub fn check_unseen_removals(
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -95,7 +95,7 @@
                     self.feed_pause(followed, began_ms).await;
                     continue;
                 }
-                let after = self.freshness.applied(followed);
+                let after = self.freshness.versions.applied(followed);
                 let feed = match self.next_changes(followed, after, health).await {
                     Ok(feed) => feed,
                     Err(AbandonReason::Behind) => {
@@ -202,7 +202,7 @@
             self.apply_server_rows(after, &changes);
             return;
         }
-        let applied = self.freshness.applied(followed);
+        let applied = self.freshness.versions.applied(followed);
         if self.leadership.term() > 0 && followed == FollowedTable::Configuration {
             self.broadcast_configuration(&changes);
         }
@@ -211,7 +211,9 @@
         // example from a broadcast that arrived while the feed call waited.
         changes.rows.retain(|row| row.version > applied);
         self.apply(followed, changes.rows, RowSource::Feed);
-        self.freshness.note_applied(followed, changes.version);
+        self.freshness
+            .versions
+            .note_applied(followed, changes.version);
         if self.view.evacuations().version != evacuated {
             self.send_heartbeat();
         }
@@ -256,7 +258,7 @@
                 () = sleep_until(look_ms) => {}
                 () = self.view.wait_for_read_request(followed) => return,
             }
-            let after = self.freshness.applied(followed);
+            let after = self.freshness.versions.applied(followed);
             let now = self.sync_role();
             let role_changed = (now == SyncRole::Leader) != (sync_role == SyncRole::Leader)
                 || sync_role == SyncRole::Follower && now != SyncRole::Follower;
@@ -363,9 +365,9 @@
                 }
                 self.apply_table(followed, rows);
                 if followed == FollowedTable::Servers {
-                    self.freshness.note_full_read(version);
+                    self.freshness.versions.note_full_read(version);
                 }
-                self.freshness.note_applied(followed, version);
+                self.freshness.versions.note_applied(followed, version);
                 self.note_confirmation_by_store(followed, sent_ms);
                 true
             }
--- a/tests/entry_vouching.rs
+++ b/tests/entry_vouching.rs
@@ -113,7 +113,7 @@
     let heard_ms = ashroad::clock::now_ms();
     assert_eq!(relay.store_state(heard_ms, 0), None);
     for followed in [FollowedTable::Servers, FollowedTable::Configuration] {
-        relay.note_applied(followed, 7);
+        relay.versions.note_applied(followed, 7);
         drop(relay.follow(followed));
     }
     let store_state = relay
--- a/tests/unseen_removals.rs
+++ b/tests/unseen_removals.rs
@@ -130,7 +130,7 @@
     }
 
     fn applied(&self) -> u64 {
-        self.freshness.applied(SERVERS)
+        self.freshness.versions.applied(SERVERS)
     }
 
     fn has_called_store(&self) {
@@ -140,7 +140,10 @@
 
     fn receive(&self, report: StoreStateReport) {
         let own_entries = self.entries.len() as u32;
-        let checked = self.freshness.check_unseen_removals(report, own_entries);
+        let checked = self
+            .freshness
+            .versions
+            .check_unseen_removals(report, own_entries);
         self.freshness.note_announced(checked.report);
     }
 
@@ -170,7 +173,7 @@
             changes,
         };
         self.recent.note(&new);
-        self.freshness.note_server_changes(&new);
+        self.freshness.versions.note_server_changes(&new);
     }
 
     /// Returns the changes that lead from the entries of this host to `whole`, the table at `version`.
@@ -263,12 +266,15 @@
             }
             Step::Join { from, to } => {
                 let (version, changed) = {
-                    let from = &self.hosts[usize::from(from)].freshness;
+                    let from = &self.hosts[usize::from(from)].freshness.versions;
                     (from.applied(SERVERS), from.changed(SERVERS))
                 };
                 let entries = self.host(from).entries.clone();
                 if version > self.host(to).applied() {
-                    self.host(to).freshness.note_change(SERVERS, changed);
+                    self.host(to)
+                        .freshness
+                        .versions
+                        .note_change(SERVERS, changed);
                     self.take_over(to, version, entries);
                 }
             }
@@ -325,9 +331,9 @@
     fn take_over(&mut self, number: u8, version: u64, entries: Entries) {
         let host = self.host(number);
         let changed = entries.values().max().copied().unwrap_or(0);
-        host.freshness.note_change(SERVERS, changed);
-        host.freshness.note_full_read(version);
-        host.freshness.note_applied(SERVERS, version);
+        host.freshness.versions.note_change(SERVERS, changed);
+        host.freshness.versions.note_full_read(version);
+        host.freshness.versions.note_applied(SERVERS, version);
         host.entries = entries;
     }
 
