Pieces of configurations and of changes are reassembled by one type

updates/assembly.rs holds the pieces of one content by a key; PieceAssembly kept the same list of its own. As there, a piece that arrives again yields the whole content again. No behaviour changes for configurations.

--- a/src/entry/updates/assembly.rs
+++ b/src/entry/updates/assembly.rs
@@ -25,10 +25,10 @@
     }
 }
 
-impl<K: PartialEq, T> Assembly<K, T> {
+impl<K: PartialEq, T: Clone> Assembly<K, T> {
     /// Adds a piece of the content with a key, and discards the pieces of other contents. Returns all
-    /// pieces in their order once the last missing one has arrived. A piece whose index is not less
-    /// than the number of pieces is ignored.
+    /// pieces in their order if none is missing, also if this one had arrived before. A piece whose
+    /// index is not less than the number of pieces is ignored.
     pub fn add(&mut self, key: K, position: PiecePosition, piece: T) -> Option<Vec<T>> {
         let count = usize::from(position.count);
         if self.key.as_ref() != Some(&key) || self.pieces.len() != count {
@@ -36,11 +36,6 @@
             self.pieces = (0..count).map(|_| None).collect();
         }
         *self.pieces.get_mut(usize::from(position.index))? = Some(piece);
-        if self.pieces.iter().any(Option::is_none) {
-            return None;
-        }
-        self.key = None;
-        let pieces = std::mem::take(&mut self.pieces);
-        pieces.into_iter().collect()
+        self.pieces.iter().cloned().collect()
     }
 }
--- a/src/entry/updates/configuration_pieces.rs
+++ b/src/entry/updates/configuration_pieces.rs
@@ -10,7 +10,10 @@
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use serde::{Deserialize, Serialize};
 
-use super::evacuation::Evacuations;
+use super::{
+    assembly::{Assembly, PiecePosition},
+    evacuation::Evacuations,
+};
 
 /// Maximum number of content bytes in one piece, chosen to keep the datagram below the usual packet
 /// size.
@@ -147,23 +150,22 @@
 #[derive(Debug, Default)]
 pub struct PieceAssembly {
     version: u64,
-    pieces: Vec<Option<Vec<u8>>>,
+    pieces: Assembly<u64, Vec<u8>>,
 }
 
 impl PieceAssembly {
     /// Adds a piece. Returns the whole content once all pieces of the latest version have arrived;
     /// pieces of earlier versions are ignored.
     pub fn take(&mut self, piece: Piece) -> Option<Vec<u8>> {
-        let count = usize::from(piece.count);
-        if piece.version < self.version || count > PIECES_MAX {
+        if piece.version < self.version || usize::from(piece.count) > PIECES_MAX {
             return None;
         }
-        if piece.version > self.version {
-            self.version = piece.version;
-            self.pieces = vec![None; count];
-        }
-        *self.pieces.get_mut(usize::from(piece.index))? = Some(piece.bytes);
-        let whole: Option<Vec<&[u8]>> = self.pieces.iter().map(Option::as_deref).collect();
-        whole.map(|pieces| pieces.concat())
+        self.version = piece.version;
+        let position = PiecePosition {
+            index: piece.index,
+            count: piece.count,
+        };
+        let pieces = self.pieces.add(piece.version, position, piece.bytes)?;
+        Some(pieces.concat())
     }
 }
