--- a/src/entry/callers.rs
+++ b/src/entry/callers.rs
@@ -10,9 +10,9 @@
     Entry,
     decide::api_key_status::{self, ApiKeyLimits, ApiKeyStatus},
     model::{Configuration, Route},
+    pauses,
     peers::message::Message,
     updates::followed::FollowedTable,
-    watch,
     workspaces::WorkspaceKey,
 };
 use crate::{
@@ -100,7 +100,7 @@
             };
             let age_ms = self.confirmation.age_ms(clock::now_ms());
             if age_ms.is_none_or(|age_ms| age_ms >= due_ms) && !self.confirm_with_store().await {
-                watch::pause().await;
+                pauses::pause().await;
             }
         }
     }
--- a/src/entry/join/joining_hosts.rs
+++ b/src/entry/join/joining_hosts.rs
@@ -21,8 +21,8 @@
 use crate::{
     entry::{
         Entry,
+        pauses::pause,
         updates::own_rows::{HOST_PREFIX, HOSTS_PARTITION, HostRow, TABLE},
-        watch::pause,
     },
     platform::store::{Expect, Put, Transaction, TransactionOutcome},
 };
--- a/src/entry/join/mod.rs
+++ b/src/entry/join/mod.rs
@@ -29,12 +29,12 @@
 use super::{
     Entry,
     events::Event,
+    pauses::pause,
     tag::tag_of,
     updates::{
         followed::FollowedTable,
         own_rows::{SECRET_KEY, SEED_HOSTS_KEY, TABLE},
     },
-    watch::pause,
 };
 use crate::{clock, platform::store::DEFAULT_PARTITION};
 
--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -13,11 +13,11 @@
         Entry,
         keys::{AssignedRange, Assignment, DecodeError, KeyPartition},
         owners::{AssignmentRow, RecordedAssignment},
+        pauses::pause,
         updates::{
             followed::FollowedTable,
             own_rows::{TABLE, assignment_key},
         },
-        watch::pause,
     },
     platform::store::{Expect, Put, Row, Transaction, TransactionOutcome},
 };
--- a/src/entry/leadership/takeover.rs
+++ b/src/entry/leadership/takeover.rs
@@ -17,9 +17,9 @@
         Entry,
         decide::lease_expiry::EarlierLeaders,
         events::LeadershipEvent,
+        pauses::pause,
         rows::decode_assignment_rows,
         updates::own_rows::{HOST_PREFIX, HOSTS_PARTITION, TABLE},
-        watch::pause,
     },
 };
 
--- a/src/entry/path_evidence.rs
+++ b/src/entry/path_evidence.rs
@@ -6,7 +6,7 @@
 use super::{
     decide::server_path::{Reach, Verdict},
     events::PathEvent,
-    metrics::PathCheckLabels,
+    metric_labels::PathCheckLabels,
     server::Server,
 };
 
--- a/src/entry/register.rs
+++ b/src/entry/register.rs
@@ -11,8 +11,8 @@
 use super::{
     Entry,
     join::host_key,
+    pauses::pause_for,
     updates::own_rows::{HOSTS_PARTITION, HostRow, TABLE},
-    watch::pause_for,
 };
 use crate::platform::store::{Expect, Put, Row, Transaction, TransactionOutcome};
 
--- a/src/entry/store_confirmation.rs
+++ b/src/entry/store_confirmation.rs
@@ -14,7 +14,7 @@
     Entry,
     events::Event,
     limits::POLL_EVERY_MS,
-    metrics::StorePauseLabels,
+    metric_labels::StorePauseLabels,
     peers::message::Message,
     updates::{
         evacuation::Evacuations,
--- a/src/entry/watch.rs
+++ b/src/entry/watch.rs
@@ -14,11 +14,10 @@
 use super::{
     Entry,
     events::Event,
-    limits::POLL_EVERY_MS,
-    pauses::RETRY_PAUSE_MAX_MS,
+    pauses::{RETRY_PAUSE_MAX_MS, RETRY_PAUSE_MS, pause, pause_for},
     rows::decode_servers,
     updates::{
-        followed::{FollowedTable, HISTORY_MS, SyncRole},
+        followed::{FollowedTable, HISTORY_MS},
         freshness::AbandonReason,
         own_rows::{HOSTS_PARTITION, TABLE},
         row_source::RowSource,
@@ -37,8 +36,6 @@
 /// responds. A failed store drops calls without a response, so the next call must be made soon
 /// after the store is available again.
 const PROBE_WAIT_MS: u64 = 0;
-/// Pause after a failed call to the store; up to half of the pause is added at random.
-const RETRY_PAUSE_MS: u64 = 150;
 /// Number of missed heartbeats after which the platform removes a server's entry.
 const MISSED_HEARTBEATS: u64 = 3;
 
@@ -176,25 +173,6 @@
         }
     }
 
-    /// Waits until the leader or a relay confirms the state of the store, but no longer than
-    /// [`FollowedTable::start_wait_ms`]. Then pauses the feed if the state is confirmed. Returns at
-    /// once if this host is the leader.
-    async fn wait_for_leader_at_start(&self, followed: FollowedTable) {
-        // The relays that could confirm the store are known only after the initial sync with
-        // another host has ended.
-        self.join.sync_outcome().await;
-        let began_ms = clock::now_ms();
-        let until_ms = began_ms + followed.start_wait_ms(&self.limits);
-        // A leader does not wait: the other hosts depend on its feeds.
-        let is_leader = || self.leadership.term() > 0;
-        while !is_leader() && !self.freshness.is_store_confirmed() && clock::now_ms() < until_ms {
-            time::sleep(Duration::from_millis(POLL_EVERY_MS)).await;
-        }
-        if !is_leader() && self.freshness.is_store_confirmed() {
-            self.feed_pause(followed, began_ms).await;
-        }
-    }
-
     /// Applies the changes that a feed delivered, and broadcasts them while this host is the
     /// leader.
     pub(super) fn apply_changes(&self, followed: FollowedTable, after: u64, mut changes: Rows) {
@@ -241,69 +219,6 @@
         }
     }
 
-    /// Pauses before the next call of a feed whose last call was made at `began_ms`. After the
-    /// minimum pause, returns as soon as there is a reason to call the store: a read request, a
-    /// change of this host's role, a missed change, or a reason of [`Self::should_call_now`].
-    async fn feed_pause(&self, followed: FollowedTable, began_ms: u64) {
-        let mut behind_ms = 0;
-        let sync_role = self.sync_role();
-        let feed_pause = followed.feed_pause(self.peers.hosts(), sync_role, &self.limits);
-        sleep_until(began_ms + feed_pause.min_ms).await;
-        while clock::now_ms() < began_ms + feed_pause.max_ms {
-            let look_ms = began_ms
-                + feed_pause
-                    .max_ms
-                    .min(clock::now_ms() - began_ms + POLL_EVERY_MS);
-            tokio::select! {
-                () = sleep_until(look_ms) => {}
-                () = self.view.wait_for_read_request(followed) => return,
-            }
-            let after = self.freshness.versions.applied(followed);
-            let now = self.sync_role();
-            let role_changed = (now == SyncRole::Leader) != (sync_role == SyncRole::Leader)
-                || sync_role == SyncRole::Follower && now != SyncRole::Follower;
-            if role_changed || self.should_call_now(followed, after) {
-                return;
-            }
-            // The store is called if a change that another host reported has not arrived by
-            // broadcast within the grace period.
-            let is_behind =
-                followed != FollowedTable::Own && self.freshness.is_behind(followed, after);
-            behind_ms = if is_behind {
-                behind_ms + POLL_EVERY_MS
-            } else {
-                0
-            };
-            if behind_ms > self.limits.lag_grace_ms {
-                return;
-            }
-        }
-    }
-
-    /// Returns true if the change feed of a table should be polled before its pause has ended. The
-    /// feed of servers' entries is polled early if another host has reported a change later than
-    /// `after` that ends new work for a server, or if the store is known to be unavailable. The
-    /// feeds of servers' entries and of the configuration are polled early while no other host
-    /// reports that the store responds. The feed of the entry hosts' own rows is polled early if
-    /// this host lacks the assigned ranges of a service and another host has reported a change
-    /// later than `after`, or if this host does not know the hosts' secret.
-    fn should_call_now(&self, followed: FollowedTable, after: u64) -> bool {
-        match followed {
-            FollowedTable::Configuration => !self.freshness.is_store_confirmed(),
-            FollowedTable::Servers => {
-                // The feed of servers' entries detects the store's return on behalf of all feeds.
-                let store_lost = *self.view.store_lost().borrow();
-                store_lost
-                    || self.freshness.has_leave_since(after)
-                    || !self.freshness.is_store_confirmed()
-            }
-            FollowedTable::Own => {
-                let lacks = self.view.lacks_assignments();
-                lacks && self.freshness.is_behind(followed, after) || !self.peers.seal.is_known()
-            }
-        }
-    }
-
     /// Logs the first failed call in a series, and marks the store as unavailable if the failure is
     /// not limited to one feed.
     fn store_failed(&self, followed: FollowedTable, error: &Error, health: FeedHealth) {
@@ -382,22 +297,6 @@
     }
 }
 
-async fn sleep_until(at_ms: u64) {
-    let left_ms = at_ms.saturating_sub(clock::now_ms());
-    time::sleep(Duration::from_millis(left_ms)).await;
-}
-
-/// Waits for the retry pause, with a random part so that hosts do not all retry at the same moment.
-pub(super) async fn pause() {
-    pause_for(RETRY_PAUSE_MS).await;
-}
-
-/// Waits for `min_ms` plus a random time of up to half of `min_ms`.
-pub(super) async fn pause_for(min_ms: u64) {
-    let pause_ms = min_ms + rand::random_range(0..min_ms / 2);
-    time::sleep(Duration::from_millis(pause_ms)).await;
-}
-
 /// Returns the time since the latest response of the store that is known to this host, in
 /// milliseconds.
 pub(super) fn store_age_ms(entry: &Entry) -> u64 {
