--- a/src/entry/leadership/record.rs
+++ b/src/entry/leadership/record.rs
@@ -12,8 +12,8 @@
     entry::{
         Entry,
         keys::{AssignedRange, Assignment, DecodeError, KeyPartition},
-        owners::{AssignmentRow, RecordedAssignment},
         pauses::pause,
+        recorded_assignment::{AssignmentRow, RecordedAssignment},
         updates::{
             followed::FollowedTable,
             own_rows::{TABLE, assignment_key},
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -36,6 +36,7 @@
 pub mod pool;
 pub mod quotas;
 mod rate_limits;
+pub mod recorded_assignment;
 mod register;
 pub mod registry;
 mod request_ages;
--- a/src/entry/rows.rs
+++ b/src/entry/rows.rs
@@ -15,8 +15,8 @@
     events::Event,
     keys::{self, Assignment, KeyPartition},
     model::Configuration,
-    owners::AssignmentRow,
     peers::HostProperties,
+    recorded_assignment::AssignmentRow,
     tag::tag_of,
     updates::{
         evacuation::Evacuations,
--- a/src/entry/updates/snapshot.rs
+++ b/src/entry/updates/snapshot.rs
@@ -11,7 +11,7 @@
 use crate::entry::{
     keys::{Assignment, KeyPartition},
     model::{ServerEntry, incarnation_id},
-    owners::AssignmentRow,
+    recorded_assignment::AssignmentRow,
 };
 
 /// Index of a string in the string table of a snapshot.
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -13,7 +13,8 @@
     events::Event,
     keys::{AssignedRange, KeyPartition},
     model::Configuration,
-    owners::{AssignmentRow, Owner, Owners, RecordedAssignment},
+    owners::{Owner, Owners},
+    recorded_assignment::{AssignmentRow, RecordedAssignment},
     registry::Registry,
     updates::{announcement::MoveAnnouncement, evacuation::Evacuations, followed::FollowedTable},
 };
--- a/tests/entry_join.rs
+++ b/tests/entry_join.rs
@@ -11,7 +11,7 @@
 use ashroad::entry::{
     keys::{AssignedRange, Assignment, KeyPartition, KeyRange},
     model::{ServerEntry, incarnation_id},
-    owners::AssignmentRow,
+    recorded_assignment::AssignmentRow,
     updates::snapshot::Snapshot,
 };
 use http::StatusCode;
