Late pieces of an earlier range do not discard those of a later one

Both relays of a zone forward the pieces of a broadcast. Pieces that the second one forwards late would have discarded the pieces of the next range that had arrived through the first one, and the host would have fetched that range. They are ignored, as those of earlier configurations are. Found when reading the change; a row of tests/changes_pieces.rs plays it. An assembly also copies its pieces only once all are there.

--- a/src/entry/updates/assembly.rs
+++ b/src/entry/updates/assembly.rs
@@ -36,6 +36,9 @@
             self.pieces = (0..count).map(|_| None).collect();
         }
         *self.pieces.get_mut(usize::from(position.index))? = Some(piece);
+        if self.pieces.iter().any(Option::is_none) {
+            return None;
+        }
         self.pieces.iter().cloned().collect()
     }
 }
--- a/src/entry/updates/changes_pieces.rs
+++ b/src/entry/updates/changes_pieces.rs
@@ -63,15 +63,20 @@
 
 /// Pieces received so far of the latest range of versions.
 #[derive(Debug, Default)]
-pub struct ChangesAssembly(Assembly<RangeKey, Vec<ServerChange>>);
+pub struct ChangesAssembly {
+    /// Last version of the latest range.
+    up_to: u64,
+    pieces: Assembly<RangeKey, Vec<ServerChange>>,
+}
 
 impl ChangesAssembly {
     /// Adds a piece. Returns the changes of the whole range once all of its pieces have arrived.
-    /// Pieces of another range are discarded.
+    /// Pieces of earlier ranges are ignored: the second relay of a zone may forward them late.
     pub fn take(&mut self, piece: ChangesPiece) -> Option<ServerChanges> {
-        if usize::from(piece.count) > PIECES_MAX {
+        if piece.up_to < self.up_to || usize::from(piece.count) > PIECES_MAX {
             return None;
         }
+        self.up_to = piece.up_to;
         let key = RangeKey {
             selection: piece.selection,
             after: piece.after,
@@ -81,7 +86,7 @@
             index: piece.index,
             count: piece.count,
         };
-        let changes = self.0.add(key, position, piece.changes)?;
+        let changes = self.pieces.add(key, position, piece.changes)?;
         Some(ServerChanges {
             selection: piece.selection,
             after: piece.after,
--- a/tests/changes_pieces.rs
+++ b/tests/changes_pieces.rs
@@ -58,8 +58,10 @@
     Twice(usize),
     /// The piece with this index is lost.
     Lost(usize),
-    /// The pieces of another range arrive between the first piece and the others.
-    Interrupted,
+    /// A piece of a later range arrives between the first piece and the others.
+    LaterBetween,
+    /// A piece of an earlier range arrives between the first piece and the others.
+    EarlierBetween,
 }
 
 impl Arrival {
@@ -69,11 +71,17 @@
             Self::Reversed => pieces.reverse(),
             Self::Twice(index) => pieces.insert(index, pieces[index].clone()),
             Self::Lost(index) => drop(pieces.remove(index)),
-            Self::Interrupted => {
+            Self::LaterBetween => {
                 let mut other = pieces[0].clone();
                 other.up_to += 1;
                 pieces.insert(1, other);
             }
+            Self::EarlierBetween => {
+                let mut other = pieces[0].clone();
+                other.after -= 1;
+                other.up_to -= 1;
+                pieces.insert(1, other);
+            }
         }
         pieces
     }
@@ -111,13 +119,21 @@
         case("the middle piece lost", 0, 55, 3, Arrival::Lost(1), false),
         case("the last piece lost", 0, 55, 3, Arrival::Lost(2), false),
         case(
-            "another range between",
+            "a later range between",
             0,
             55,
             3,
-            Arrival::Interrupted,
+            Arrival::LaterBetween,
             false,
         ),
+        case(
+            "an earlier range between",
+            0,
+            55,
+            3,
+            Arrival::EarlierBetween,
+            true,
+        ),
     ];
     for case in cases {
         let range = range(case.entries, case.removals);
